Lay out the workspace, the data model and the wire types

Cause: the repository is empty, and every part needs the same identifiers, tables and datagrams before it can be written beside the others. Change: a workspace of small crates; state holds identifiers, quantities, services, backend servers, hosts, flows and the bounded flow table; protocol holds the datagrams of callers, the fabric, backend servers, relays and peers, their postcard codec, and the keyed BLAKE3 codes and routing tokens.

--- /dev/null
+++ b/crates/cardamomwinch_configuration/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings, team fragments and presets: parsing, checking and comparing.
--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/lib.rs
@@ -0,0 +1,1 @@
+//! Every decision of an entry host, as pure code over events and effects.
--- /dev/null
+++ b/crates/cardamomwinch_ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command: check, compare, inspect and stop.
--- /dev/null
+++ b/crates/cardamomwinch_daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry host process: one control thread, several traffic threads.
--- /dev/null
+++ b/crates/cardamomwinch_protocol/src/fabric.rs
@@ -0,0 +1,18 @@
+//! What the fabric hands to an entry host.
+
+use serde::{Deserialize, Serialize};
+
+use crate::backend::BackendReply;
+use crate::caller::CallerDatagram;
+
+/// A datagram on the traffic address of an entry host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum FabricDatagram<'a> {
+    /// From a caller.
+    #[serde(borrow)]
+    Caller(CallerDatagram<'a>),
+    /// From a backend server.
+    #[serde(borrow)]
+    Backend(BackendReply<'a>),
+}
--- /dev/null
+++ b/crates/cardamomwinch_state/src/lib.rs
@@ -0,0 +1,40 @@
+//! Identifiers, quantities and tables of the load balancer: plain data that
+//! neither performs input or output nor reads a clock.
+//!
+//! Every other crate of the workspace builds on this one.
+//!
+//! ```
+//! use cardamomwinch_state::prelude::*;
+//!
+//! let host = HostId::from_name("bud-angyal-1");
+//! assert_eq!(host, HostId::from_name("bud-angyal-1"));
+//! assert_eq!(host.to_string().parse::<HostId>().unwrap(), host);
+//! ```
+
+pub mod backend_server;
+pub mod configuration;
+pub mod flow;
+pub mod flow_table;
+pub mod host;
+pub mod identifiers;
+pub mod quantities;
+pub mod service;
+pub mod sorted_vector;
+
+/// What users of the data model need most often.
+pub mod prelude {
+    pub use crate::backend_server::{BackendEntry, BackendPhase};
+    pub use crate::configuration::{ConfigurationLimits, InForceConfiguration};
+    pub use crate::flow::{FlowHash, FlowHasher, FlowKey};
+    pub use crate::flow_table::FlowTable;
+    pub use crate::host::{HostEntry, HostPhase, HostTable};
+    pub use crate::identifiers::{
+        BackendId, DomainId, HostId, RequestId, ServiceId, ShardId, TeamId,
+    };
+    pub use crate::quantities::{
+        ByteCount, ConfigurationVersion, ConnectionCount, HostListVersion, Incarnation, SlotCount,
+        Timestamp, Weight,
+    };
+    pub use crate::service::ServiceEntry;
+    pub use crate::sorted_vector::SortedVector;
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! cardamomwinch.
