Number the attempts of a request and let a token name the server's address

Cause: two runs of one idempotent request may both answer in parts, and a caller that mixed their parts would hold an answer nobody gave; and a host that started after a server left the configuration could not resolve a token that carries only an identifier. Change: answers and sheds carry the attempt; the token claim carries address and failure domain beside the identifier; relays carry the server that the sender decided on; the flow table became a table over any key of a flow.

--- a/crates/cardamomwinch_protocol/src/backend.rs
+++ b/crates/cardamomwinch_protocol/src/backend.rs
@@ -3,7 +3,7 @@
 use cardamomwinch_state::prelude::{BackendId, FlowKey, HostId, RequestId, Timestamp};
 use serde::{Deserialize, Serialize};
 
-use crate::caller::PartNumber;
+use crate::caller::{AttemptNumber, PartNumber};
 
 /// What a datagram asks of a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -25,6 +25,8 @@
 pub struct BackendRequest {
     /// The request, unique within its flow.
     pub id: RequestId,
+    /// Copied into each reply about the request.
+    pub attempt: AttemptNumber,
     /// The server must not begin to run the request after this point.
     pub start_before: Timestamp,
     /// When nobody waits for the answer any more.
@@ -59,6 +61,8 @@
     Answer {
         /// The request that it answers.
         request: RequestId,
+        /// The attempt that the server was given.
+        attempt: AttemptNumber,
         /// Which part it is.
         part: PartNumber,
         /// Opaque bytes for the caller.
@@ -69,6 +73,8 @@
     Shed {
         /// The request that was shed.
         request: Option<RequestId>,
+        /// The attempt that the server was given.
+        attempt: AttemptNumber,
     },
     /// Something sent unasked.
     Notice {
--- a/crates/cardamomwinch_protocol/src/caller.rs
+++ b/crates/cardamomwinch_protocol/src/caller.rs
@@ -99,6 +99,12 @@
     pub const WHOLE: Self = Self { index: 0, total: 1 };
 }
 
+/// Counts the runs of one request, from zero. Only an idempotent request, or
+/// one that provably did not run, is sent to a backend server again.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct AttemptNumber(pub u8);
+
 /// Why a request was not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
@@ -161,6 +167,8 @@
     Answer {
         /// The request that it answers.
         request: RequestId,
+        /// Which run of the request gave it; parts of different runs are never mixed.
+        attempt: AttemptNumber,
         /// Which part it is.
         part: PartNumber,
         /// Opaque bytes from the backend server.
--- a/crates/cardamomwinch_protocol/src/lib.rs
+++ b/crates/cardamomwinch_protocol/src/lib.rs
@@ -33,12 +33,12 @@
         BackendDatagram, BackendKind, BackendReply, BackendReplyKind, LoadReport,
     };
     pub use crate::caller::{
-        CallerDatagram, CallerKind, CallerReply, CallerReplyKind, PartNumber, RefusalReason,
-        RequestHeader, ResetReason,
+        AttemptNumber, CallerDatagram, CallerKind, CallerReply, CallerReplyKind, PartNumber,
+        RefusalReason, RequestHeader, ResetReason,
     };
     pub use crate::codec;
     pub use crate::fabric::FabricDatagram;
     pub use crate::peer::{PeerEnvelope, PeerMessage};
     pub use crate::relay::{RelayEnvelope, RelayFrame};
-    pub use crate::token::{RoutingToken, TokenIssuer};
+    pub use crate::token::{RoutingToken, TokenClaim, TokenIssuer};
 }
--- a/crates/cardamomwinch_protocol/src/relay.rs
+++ b/crates/cardamomwinch_protocol/src/relay.rs
@@ -1,6 +1,6 @@
 //! Datagrams that one entry host relays to another as data.
 
-use cardamomwinch_state::prelude::{ConfigurationVersion, HostId, ShardId};
+use cardamomwinch_state::prelude::{BackendId, ConfigurationVersion, HostId, ShardId};
 use serde::{Deserialize, Serialize};
 
 use crate::backend::BackendReply;
@@ -18,15 +18,25 @@
         /// The datagram as it came.
         #[serde(borrow)]
         datagram: CallerDatagram<'a>,
+        /// The backend server that the sender has found the flow to belong to,
+        /// or has placed it on; absent where the receiver is to decide.
+        backend: Option<BackendId>,
         /// The shard that the sender takes the receiver to be the home of.
         shard: ShardId,
         /// How often it was relayed before; bounded so that it cannot circle.
         hops: u8,
     },
-    /// A backend server's reply, to the host that accounts for it. The caller
+    /// A backend server's reply, to the home that accounts for it. The caller
     /// has already been sent what concerns it.
-    #[serde(borrow)]
-    Backend(BackendReply<'a>),
+    Backend {
+        /// The reply; the payload is left out where the answer is too long to be kept.
+        #[serde(borrow)]
+        reply: BackendReply<'a>,
+        /// The shard of the server.
+        shard: ShardId,
+        /// How often it was relayed before.
+        hops: u8,
+    },
 }
 
 /// A relayed datagram with its sender.
--- a/crates/cardamomwinch_protocol/src/token.rs
+++ b/crates/cardamomwinch_protocol/src/token.rs
@@ -1,32 +1,57 @@
 //! The routing token: given to a caller when its flow opens and echoed on each
 //! datagram, so that any host knows the backend server without asking.
 
-use cardamomwinch_state::prelude::{BackendId, FlowKey};
+use std::net;
+
+use cardamomwinch_state::prelude::{BackendEntry, BackendId, DomainId, FlowKey};
 use serde::{Deserialize, Serialize};
 
 use crate::authentication::{AuthenticationCode, AuthenticationKeys};
 use crate::codec;
 
 const TOKEN_CONTEXT: u8 = b't';
-const SIGNED_LENGTH: usize = 128;
+const SIGNED_LENGTH: usize = 160;
+
+/// What a token says about its flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct TokenClaim {
+    /// The backend server; its identifier covers service and address.
+    pub backend: BackendId,
+    /// The failure domain of the server.
+    pub domain: DomainId,
+    /// The address of the server, so that a host that never knew a server
+    /// which has since left the configuration can still serve its flows.
+    pub address: net::SocketAddr,
+}
+
+impl From<&BackendEntry> for TokenClaim {
+    fn from(entry: &BackendEntry) -> Self {
+        Self {
+            backend: entry.id,
+            domain: entry.domain,
+            address: entry.address,
+        }
+    }
+}
 
 /// Names the backend server of one flow; authenticated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct RoutingToken {
-    backend: BackendId,
+    claim: TokenClaim,
     code: AuthenticationCode,
 }
 
 impl RoutingToken {
-    /// The server that the token names. Verify the token before trusting it.
-    pub const fn claimed_backend(&self) -> BackendId {
-        self.backend
+    /// What the token says. Verify the token before trusting it.
+    pub const fn unverified_claim(&self) -> &TokenClaim {
+        &self.claim
     }
 }
 
-/// Issues and verifies [`RoutingToken`]s. A token covers flow and backend
-/// server; the identifier of the latter covers its service and address.
+/// Issues and verifies [`RoutingToken`]s. A token covers flow and claim, so it
+/// is worth nothing on another flow.
 #[derive(Debug, Clone)]
 pub struct TokenIssuer {
     keys: AuthenticationKeys,
@@ -38,31 +63,28 @@
         Self { keys }
     }
 
-    /// The token that binds `flow` to `backend`.
-    pub fn issue(&self, flow: &FlowKey, backend: BackendId) -> RoutingToken {
+    /// The token that binds `flow` to the server of `claim`.
+    pub fn issue(&self, flow: &FlowKey, claim: TokenClaim) -> RoutingToken {
         let mut buffer = [0; SIGNED_LENGTH];
-        let signed = Self::signed_bytes(flow, backend, &mut buffer);
-        RoutingToken {
-            backend,
-            code: self.keys.code(TOKEN_CONTEXT, signed),
-        }
+        let signed = signed_bytes(flow, &claim, &mut buffer);
+        let code = self.keys.code(TOKEN_CONTEXT, signed);
+        RoutingToken { claim, code }
     }
 
-    /// The server of `flow` according to `token`, where a host issued it.
-    pub fn verify(&self, flow: &FlowKey, token: &RoutingToken) -> Option<BackendId> {
+    /// The claim of `token`, where a host issued it for `flow`.
+    pub fn verify(&self, flow: &FlowKey, token: &RoutingToken) -> Option<TokenClaim> {
         let mut buffer = [0; SIGNED_LENGTH];
-        let signed = Self::signed_bytes(flow, token.backend, &mut buffer);
-        self.keys
-            .verify(TOKEN_CONTEXT, signed, token.code)
-            .then_some(token.backend)
+        let signed = signed_bytes(flow, &token.claim, &mut buffer);
+        let genuine = self.keys.verify(TOKEN_CONTEXT, signed, token.code);
+        genuine.then_some(token.claim)
     }
+}
 
-    fn signed_bytes<'b>(
-        flow: &FlowKey,
-        backend: BackendId,
-        buffer: &'b mut [u8; SIGNED_LENGTH],
-    ) -> &'b [u8] {
-        // Two addresses and a number always fit, so nothing is ever signed as empty.
-        codec::encode(&(flow, backend), buffer).expect("a flow and a number fit into the buffer")
-    }
+fn signed_bytes<'b>(
+    flow: &FlowKey,
+    claim: &TokenClaim,
+    buffer: &'b mut [u8; SIGNED_LENGTH],
+) -> &'b [u8] {
+    codec::encode(&(flow, claim), buffer)
+        .expect("three addresses and two numbers fit into the buffer")
 }
--- a/crates/cardamomwinch_state/src/lib.rs
+++ b/crates/cardamomwinch_state/src/lib.rs
@@ -14,9 +14,9 @@
 pub mod backend_server;
 pub mod configuration;
 pub mod flow;
-pub mod flow_table;
 pub mod host;
 pub mod identifiers;
+pub mod parted_table;
 pub mod quantities;
 pub mod service;
 pub mod sorted_vector;
@@ -26,11 +26,11 @@
     pub use crate::backend_server::{BackendEntry, BackendPhase};
     pub use crate::configuration::{ConfigurationLimits, InForceConfiguration};
     pub use crate::flow::{FlowHash, FlowHasher, FlowKey};
-    pub use crate::flow_table::FlowTable;
     pub use crate::host::{HostEntry, HostPhase, HostTable};
     pub use crate::identifiers::{
         BackendId, DomainId, HostId, RequestId, ServiceId, ShardId, TeamId,
     };
+    pub use crate::parted_table::{FlowTable, PartedTable, TableFullError};
     pub use crate::quantities::{
         ByteCount, ConfigurationVersion, ConnectionCount, HostListVersion, Incarnation, SlotCount,
         Timestamp, Weight,
