Decide about datagrams and adopt configuration, as pure code

Change: a traffic engine (resolve by token, pin or lookup table; homes of shards; openings; requests remembered so that none runs twice; replies) and a control engine (adoption of versions, heartbeats, homes by rendezvous among reachable hosts), behind one host engine that any program can drive. Thin: homes have no lease yet, every host watches the platform itself, and a request that is shed is refused instead of tried elsewhere.

--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/bounds.rs
@@ -0,0 +1,30 @@
+//! Bounds on what a traffic engine holds.
+
+use std::time;
+
+/// Bounds of one traffic engine. All tables refuse what exceeds them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TrafficBounds {
+    /// Flows pinned to a backend server.
+    pub flows: usize,
+    /// Requests remembered, running or finished.
+    pub request_records: usize,
+    /// Bytes of request payloads and answers held, in total.
+    pub held_bytes: usize,
+    /// Requests that may wait for a slot of one backend server, per slot.
+    pub queue_per_slot: u32,
+    /// A gap between two events from which on the thread takes itself to have slept.
+    pub sleep_gap: time::Duration,
+}
+
+impl Default for TrafficBounds {
+    fn default() -> Self {
+        Self {
+            flows: 500_000,
+            request_records: 200_000,
+            held_bytes: 16 * 1024 * 1024,
+            queue_per_slot: 4,
+            sleep_gap: time::Duration::from_millis(700),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/control/effect.rs
@@ -0,0 +1,53 @@
+//! What a control engine wants done.
+
+use std::net;
+use std::sync;
+
+use cardamomwinch_protocol::prelude::PeerEnvelope;
+use cardamomwinch_state::prelude::{BackendId, HostId};
+
+use crate::control::event::PlatformRequest;
+use crate::counter::Counter;
+use crate::decision::DecisionRecord;
+use crate::snapshot::RoutingSnapshot;
+
+/// Something that the control thread is to do.
+#[derive(Debug, Clone)]
+pub enum ControlEffect {
+    /// Send a control message to another host.
+    ToPeer {
+        /// The host.
+        host: HostId,
+        /// Where it takes control messages.
+        address: net::SocketAddr,
+        /// The message.
+        envelope: PeerEnvelope,
+    },
+    /// Call the platform and report the outcome.
+    Platform(PlatformRequest),
+    /// Ask the load endpoint of a backend server and report the outcome.
+    AskLoad {
+        /// The server.
+        backend: BackendId,
+        /// Where the endpoint is.
+        address: net::SocketAddr,
+    },
+    /// Give traffic threads a new snapshot.
+    Publish(sync::Arc<RoutingSnapshot>),
+    /// Log a decision.
+    Decide(DecisionRecord),
+    /// Count something.
+    Count(Counter),
+}
+
+/// Takes the effects of a control engine.
+pub trait ControlSink {
+    /// Carries out `effect`.
+    fn emit(&mut self, effect: ControlEffect);
+}
+
+impl<F: FnMut(ControlEffect)> ControlSink for F {
+    fn emit(&mut self, effect: ControlEffect) {
+        self(effect);
+    }
+}
--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/control/publication.rs
@@ -0,0 +1,96 @@
+//! Makes the snapshots that traffic threads decide against.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use cardamomwinch_state::prelude::{
+    BackendEntry, BackendId, HostId, HostTable, InForceConfiguration, ServiceId, SortedVector,
+    Timestamp,
+};
+
+use crate::control::homes::HomeTable;
+use crate::control::membership::PeerMembership;
+use crate::identity::HostIdentity;
+use crate::routing::lookup_table::LookupTables;
+use crate::snapshot::{RoutingSnapshot, ServingPhase};
+
+/// Traffic may rely on a snapshot this long.
+pub(crate) const SNAPSHOT_FRESH_FOR: time::Duration = time::Duration::from_millis(1500);
+/// Lookup tables of this many versions are kept.
+const GENERATION_LIMIT: usize = 4;
+
+/// What is in force, in the form that traffic needs.
+#[derive(Debug, Default)]
+pub(crate) struct SnapshotPublisher {
+    configuration: sync::Arc<InForceConfiguration>,
+    generations: Vec<sync::Arc<LookupTables>>,
+    retained: SortedVector<BackendId, BackendEntry>,
+    server_addresses: sync::Arc<SortedVector<net::SocketAddr, ServiceId>>,
+}
+
+impl SnapshotPublisher {
+    pub(crate) fn configuration(&self) -> &sync::Arc<InForceConfiguration> {
+        &self.configuration
+    }
+
+    /// Takes a configuration into force. Servers that it no longer has are
+    /// retained, so that their open flows go on.
+    pub(crate) fn adopt(&mut self, configuration: InForceConfiguration) {
+        let earlier = self.generations.first().map(sync::Arc::as_ref);
+        let tables = LookupTables::derive(&configuration, earlier);
+        self.generations.insert(0, sync::Arc::new(tables));
+        self.generations.truncate(GENERATION_LIMIT);
+        for entry in self.configuration.backends.values() {
+            if !configuration.backends.contains_key(&entry.id) {
+                self.retained.insert(entry.id, entry.clone());
+            }
+        }
+        let in_force = &configuration.backends;
+        self.retained.retain(|id, _| !in_force.contains_key(id));
+        let addresses = in_force
+            .values()
+            .map(|entry| (entry.address, entry.service));
+        self.server_addresses = sync::Arc::new(addresses.collect());
+        self.configuration = sync::Arc::new(configuration);
+    }
+
+    pub(crate) fn make(
+        &self,
+        now: Timestamp,
+        identity: HostIdentity,
+        phase: ServingPhase,
+        hosts: &HostTable,
+        homes: &HomeTable,
+        membership: &PeerMembership,
+    ) -> RoutingSnapshot {
+        RoutingSnapshot {
+            made: now,
+            phase,
+            fresh_until: now.after(SNAPSHOT_FRESH_FOR),
+            configuration: sync::Arc::clone(&self.configuration),
+            hosts: sync::Arc::new(hosts.clone()),
+            generations: self.generations.clone(),
+            retained: self.retained.clone(),
+            server_addresses: sync::Arc::clone(&self.server_addresses),
+            shards: homes.shards().clone(),
+            backends: SortedVector::new(),
+            helpers: helpers(now, identity, hosts, membership),
+        }
+    }
+}
+
+fn helpers(
+    now: Timestamp,
+    identity: HostIdentity,
+    hosts: &HostTable,
+    membership: &PeerMembership,
+) -> Vec<HostId> {
+    let peers = hosts.hosts.values();
+    let reachable = peers
+        .filter(|host| host.id != identity.host)
+        .filter(|host| membership.is_reachable(now, host.id));
+    let (near, far): (Vec<_>, Vec<_>) = reachable.partition(|host| host.domain == identity.domain);
+    let chosen = if near.is_empty() { far } else { near };
+    chosen.into_iter().map(|host| host.id).collect()
+}
--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/counter.rs
@@ -0,0 +1,78 @@
+//! What is counted. Each counter becomes a metric of the same name.
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $variant:ident => $name:literal,)*) => {
+        /// Something that happened and is counted.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum Counter {
+            $($(#[$doc])* $variant,)*
+        }
+
+        impl Counter {
+            /// Every counter.
+            pub const ALL: &'static [Self] = &[$(Self::$variant,)*];
+
+            /// The name of the metric.
+            pub const fn name(self) -> &'static str {
+                match self {
+                    $(Self::$variant => concat!("cardamomwinch_", $name, "_total"),)*
+                }
+            }
+        }
+    };
+}
+
+counters! {
+    /// Datagrams from callers.
+    CallerDatagram => "caller_datagrams",
+    /// Replies from backend servers.
+    BackendReply => "backend_replies",
+    /// Datagrams relayed to another host.
+    Relayed => "relayed_datagrams",
+    /// Datagrams dropped because they were relayed too often.
+    HopLimit => "hop_limit_drops",
+    /// Datagrams to an address that belongs to no service.
+    UnknownService => "unknown_service_datagrams",
+    /// Tokens that no accepted key has signed for their flow.
+    ForgedToken => "forged_tokens",
+    /// Tokens or pins refused because their server's address now serves another service.
+    ReassignedAddress => "reassigned_addresses",
+    /// Flows opened.
+    FlowOpened => "flows_opened",
+    /// Flows that no host could place.
+    FlowUnknown => "flows_unknown",
+    /// Requests sent to a backend server for the first time.
+    RequestDispatched => "requests_dispatched",
+    /// Requests sent to a backend server again.
+    RequestRetried => "requests_retried",
+    /// Copies of requests that were not run again.
+    RequestDuplicate => "request_duplicates",
+    /// Requests refused as not run.
+    RequestRefused => "requests_refused",
+    /// Requests whose outcome could not be known.
+    OutcomeUnknown => "outcomes_unknown",
+    /// Requests answered whole.
+    RequestAnswered => "requests_answered",
+    /// Requests whose deadline passed while they ran.
+    RequestExpired => "requests_expired",
+    /// Copies of requests that came after their deadline.
+    RequestLate => "requests_late",
+    /// Requests and openings shed by a backend server.
+    BackendShed => "backend_sheds",
+    /// Entries refused because a table holds its limit.
+    TableFull => "table_full",
+    /// Times a thread found that it had slept.
+    WokeLate => "woke_late",
+    /// Datagrams not decided because the host's beliefs were not confirmed.
+    Unconfirmed => "unconfirmed_drops",
+    /// Answers of the platform that were older than what is accepted.
+    PlatformStale => "platform_stale_answers",
+    /// Calls to the platform that failed.
+    PlatformFailed => "platform_failures",
+    /// Documents that were refused.
+    DocumentRefused => "documents_refused",
+    /// Control messages that were replayed or came from an earlier life.
+    PeerReplayed => "peer_messages_replayed",
+    /// Control messages from hosts that are not listed.
+    PeerUnlisted => "peer_messages_unlisted",
+}
--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/decision.rs
@@ -0,0 +1,72 @@
+//! Records of routing and placement decisions, for the decision log.
+
+use cardamomwinch_state::prelude::{
+    BackendId, ConfigurationVersion, FlowKey, HostId, ServiceId, ShardId, Timestamp,
+};
+use serde::Serialize;
+
+/// Why a decision was taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DecisionReason {
+    /// The flow was placed on the server that the lookup table names.
+    PlacedByTable,
+    /// The flow was placed on a server with less load than the table's.
+    PlacedByLoad,
+    /// The caller echoed a genuine token.
+    Token,
+    /// The flow is pinned here.
+    Pin,
+    /// The host that relayed the datagram had decided.
+    RelayedDecision,
+    /// Relayed to the home of the server's shard.
+    RelayedToHome,
+    /// Relayed to another traffic thread of this host.
+    RelayedToThread,
+    /// Relayed because this host may not act on what it believes.
+    RelayedUnconfirmed,
+    /// Sent to a backend server again, since the earlier attempt did not run or may run twice.
+    Retried,
+    /// Refused; the request did not run.
+    Refused,
+    /// Answered that the outcome is not known.
+    OutcomeUnknown,
+    /// A copy of a request that is known already.
+    Duplicate,
+    /// No host knows the flow.
+    UnknownFlow,
+    /// The server's address now belongs to another service.
+    ReassignedAddress,
+    /// The home of a shard changed.
+    HomeChanged,
+    /// A configuration came into force.
+    ConfigurationAdopted,
+    /// A backend server's health changed.
+    BackendHealth,
+    /// A host's reachability changed.
+    HostReachability,
+}
+
+/// One decision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DecisionRecord {
+    /// When.
+    pub time: Timestamp,
+    /// The host that decided.
+    pub host: HostId,
+    /// The configuration version it decided under.
+    pub version: ConfigurationVersion,
+    /// Why.
+    pub reason: DecisionReason,
+    /// The flow, where the decision concerns one.
+    pub flow: Option<FlowKey>,
+    /// The service, where the decision concerns one.
+    pub service: Option<ServiceId>,
+    /// The backend server, where the decision concerns one.
+    pub backend: Option<BackendId>,
+    /// The other host, where the decision concerns one.
+    pub peer: Option<HostId>,
+    /// The shard, where the decision concerns one.
+    pub shard: Option<ShardId>,
+}
--- a/crates/cardamomwinch_coordination/src/lib.rs
+++ b/crates/cardamomwinch_coordination/src/lib.rs
@@ -1,1 +1,54 @@
-//! Every decision of an entry host, as pure code over events and effects.
+//! Every decision of an entry host, as pure code: it takes a point in time and
+//! an event, and yields typed effects into a sink that the caller gives. It
+//! opens no socket and reads no clock, so one host, or many side by side, can
+//! be driven by any program through [`host_engine::HostEngine`].
+//!
+//! - [`control`] decides what is in force, who is reachable and who is home.
+//! - [`traffic`] decides about each datagram against an immutable
+//!   [`snapshot::RoutingSnapshot`] that control publishes.
+//! - [`routing`] holds the ways to choose a backend server or a home.
+//!
+//! ```
+//! use cardamomwinch_coordination::prelude::*;
+//! use cardamomwinch_protocol::prelude::*;
+//! use cardamomwinch_state::prelude::*;
+//!
+//! let identity = HostIdentity {
+//!     host: HostId::from_name("bud-angyal-1"),
+//!     domain: DomainId::from_name("bud-angyal"),
+//!     incarnation: Incarnation::new(1),
+//! };
+//! let keys = AuthenticationKeys::new(SecretKey::new([7; 32]), None);
+//! let mut engine = HostBuilder::new(identity, keys).build();
+//! let mut asked_platform = false;
+//! engine.handle(Timestamp::new(1), HostEvent::Control(ControlEvent::Start), &mut |effect: HostEffect<'_>| {
+//!     asked_platform |= matches!(effect, HostEffect::Control(ControlEffect::Platform(_)));
+//! });
+//! assert!(asked_platform, "a cold host asks the platform first");
+//! ```
+
+pub mod bounds;
+pub mod control;
+pub mod counter;
+pub mod decision;
+pub mod host_engine;
+pub mod identity;
+pub mod routing;
+pub mod snapshot;
+pub mod traffic;
+
+/// What users of the decision logic need most often.
+pub mod prelude {
+    pub use crate::bounds::TrafficBounds;
+    pub use crate::control::ControlEngine;
+    pub use crate::control::effect::{ControlEffect, ControlSink};
+    pub use crate::control::event::{ControlEvent, PlatformKey, PlatformOutcome, PlatformRequest};
+    pub use crate::counter::Counter;
+    pub use crate::decision::{DecisionReason, DecisionRecord};
+    pub use crate::host_engine::{HostBuilder, HostEffect, HostEngine, HostEvent, HostSink};
+    pub use crate::identity::{HostIdentity, ThreadPlace};
+    pub use crate::snapshot::{HomeLease, RoutingSnapshot, ServingPhase};
+    pub use crate::traffic::TrafficEngine;
+    pub use crate::traffic::effect::{TrafficEffect, TrafficSink};
+    pub use crate::traffic::event::TrafficEvent;
+}
--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/snapshot.rs
@@ -0,0 +1,142 @@
+//! The immutable view that control publishes and traffic decides against.
+
+use std::net;
+use std::sync;
+
+use cardamomwinch_state::prelude::{
+    BackendEntry, BackendId, ConfigurationVersion, HostId, HostTable, InForceConfiguration,
+    ServiceEntry, ServiceId, ShardId, SortedVector, Timestamp,
+};
+
+use crate::routing::lookup_table::LookupTables;
+
+/// Whether the host serves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServingPhase {
+    /// It holds no configuration yet.
+    Starting,
+    /// It serves.
+    Serving,
+    /// It hands over and takes nothing new.
+    Stopping,
+}
+
+/// The right of this host to act as the home of a shard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HomeLease {
+    /// Nothing is dispatched from this point on.
+    pub held_until: Timestamp,
+    /// Requests that may have been sent before this point may be known to an
+    /// earlier home only.
+    pub records_since: Timestamp,
+}
+
+/// What a host believes about the home of one shard.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct ShardView {
+    /// The host believed to be home.
+    pub home: Option<HostId>,
+    /// This host's own lease, where it is home.
+    pub lease: Option<HomeLease>,
+}
+
+/// What is known about the load of a backend server.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct BackendView {
+    /// Whether new flows are kept away because the server seems to fail.
+    pub ejected: bool,
+    /// The share of its slots that a cold server is given, in percent.
+    pub warm_percent: u8,
+}
+
+/// Everything that traffic threads decide against. A new one is published as a
+/// whole; nothing in it ever changes.
+#[derive(Debug)]
+pub struct RoutingSnapshot {
+    /// When control made the snapshot.
+    pub made: Timestamp,
+    /// Whether the host serves.
+    pub phase: ServingPhase,
+    /// Traffic must not rely on this snapshot after this point: control
+    /// renews it long before, so that passing it means that control is stuck
+    /// or that the whole process slept.
+    pub fresh_until: Timestamp,
+    /// What is in force.
+    pub configuration: sync::Arc<InForceConfiguration>,
+    /// The published hosts.
+    pub hosts: sync::Arc<HostTable>,
+    /// Lookup tables of the version in force, and of earlier versions that
+    /// flows may still live under, newest first.
+    pub generations: Vec<sync::Arc<LookupTables>>,
+    /// Servers of earlier versions whose flows may still be open.
+    pub retained: SortedVector<BackendId, BackendEntry>,
+    /// Addresses of backend servers in force, with the service each belongs to.
+    pub server_addresses: sync::Arc<SortedVector<net::SocketAddr, ServiceId>>,
+    /// The homes of shards.
+    pub shards: SortedVector<ShardId, ShardView>,
+    /// Health of backend servers; a server that is absent is healthy and warm.
+    pub backends: SortedVector<BackendId, BackendView>,
+    /// Peers of the own failure domain that answer, most useful first.
+    pub helpers: Vec<HostId>,
+}
+
+impl RoutingSnapshot {
+    /// The view of a host that has just started.
+    pub fn starting() -> Self {
+        Self {
+            made: Timestamp::ZERO,
+            phase: ServingPhase::Starting,
+            fresh_until: Timestamp::ZERO,
+            configuration: sync::Arc::default(),
+            hosts: sync::Arc::default(),
+            generations: Vec::new(),
+            retained: SortedVector::new(),
+            server_addresses: sync::Arc::default(),
+            shards: SortedVector::new(),
+            backends: SortedVector::new(),
+            helpers: Vec::new(),
+        }
+    }
+
+    /// The version in force.
+    pub fn version(&self) -> ConfigurationVersion {
+        self.configuration.version
+    }
+
+    /// The service that callers reach at `address`.
+    pub fn service_of(&self, address: net::SocketAddr) -> Option<&ServiceEntry> {
+        self.configuration.service_at(address)
+    }
+
+    /// Some shard of the fleet, where there is any.
+    pub fn any_shard(&self) -> Option<ShardId> {
+        self.shards.keys().next().copied()
+    }
+
+    /// The server `id`, whether in force or retained for its flows.
+    pub fn backend(&self, id: BackendId) -> Option<&BackendEntry> {
+        let in_force = self.configuration.backends.get(&id);
+        in_force.or_else(|| self.retained.get(&id))
+    }
+
+    /// The shard that `backend` belongs to.
+    pub fn shard_of(&self, backend: &BackendEntry) -> ShardId {
+        backend.shard(self.configuration.limits.shards_per_domain)
+    }
+
+    /// What is believed about `shard`.
+    pub fn shard(&self, shard: ShardId) -> ShardView {
+        self.shards.get(&shard).copied().unwrap_or_default()
+    }
+
+    /// This host's lease on `shard`, where it still holds at `now`.
+    pub fn lease_at(&self, shard: ShardId, now: Timestamp) -> Option<HomeLease> {
+        let lease = self.shard(shard).lease?;
+        (now < lease.held_until).then_some(lease)
+    }
+
+    /// Whether new flows are kept away from `backend`.
+    pub fn is_ejected(&self, backend: BackendId) -> bool {
+        self.backends.get(&backend).is_some_and(|view| view.ejected)
+    }
+}
--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/traffic/caller_datagrams.rs
@@ -0,0 +1,280 @@
+//! The way of a caller's datagram: straight to its backend server, to the home
+//! of its server, or on to a host that may act.
+
+use std::time;
+
+use cardamomwinch_protocol::prelude::{
+    BackendDatagram, BackendKind, CallerDatagram, CallerKind, CallerReplyKind, RefusalReason,
+    RelayFrame, ResetReason, TokenClaim,
+};
+use cardamomwinch_state::prelude::{BackendId, FlowHash, ServiceEntry, ShardId};
+
+use crate::counter::Counter;
+use crate::decision::DecisionReason;
+use crate::snapshot::ServingPhase;
+use crate::traffic::context::{DecisionSubject, EventContext};
+use crate::traffic::effect::{TrafficEffect, TrafficSink};
+use crate::traffic::resolve::{self, FlowResolution};
+use crate::traffic::{HOP_LIMIT, TrafficEngine};
+
+/// When a caller should try again where nothing better is known.
+pub(crate) const RETRY_AFTER: time::Duration = time::Duration::from_millis(250);
+
+/// How a datagram came here.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CallerPassage {
+    /// The server that the relaying host has decided on.
+    pub(crate) decided: Option<BackendId>,
+    /// The shard that the relaying host takes this host to be the home of.
+    pub(crate) shard: Option<ShardId>,
+    /// How often the datagram was relayed.
+    pub(crate) hops: u8,
+}
+
+impl CallerPassage {
+    pub(crate) const fn from_fabric() -> Self {
+        Self {
+            decided: None,
+            shard: None,
+            hops: 0,
+        }
+    }
+}
+
+/// A datagram with what is known of its flow.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RoutedDatagram<'d, 's> {
+    pub(crate) datagram: &'d CallerDatagram<'d>,
+    pub(crate) service: &'s ServiceEntry,
+    pub(crate) hash: FlowHash,
+    pub(crate) passage: CallerPassage,
+}
+
+impl RoutedDatagram<'_, '_> {
+    pub(crate) fn subject(&self) -> DecisionSubject {
+        DecisionSubject {
+            flow: Some(self.datagram.flow),
+            service: Some(self.service.id),
+            ..DecisionSubject::default()
+        }
+    }
+
+    /// Whether only the home of the server may handle the datagram: it changes
+    /// what the home counts, or it carries a request.
+    fn needs_home(&self) -> bool {
+        self.datagram.kind != CallerKind::Carry || self.datagram.request.is_some()
+    }
+}
+
+impl TrafficEngine {
+    pub(crate) fn route<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        datagram: &CallerDatagram<'_>,
+        passage: CallerPassage,
+    ) {
+        let snapshot = context.snapshot;
+        if snapshot.phase == ServingPhase::Starting || !self.may_act(context.now, snapshot) {
+            return Self::hand_on(context, datagram, passage);
+        }
+        let Some(service) = snapshot.service_of(datagram.flow.service) else {
+            context.count(Counter::UnknownService);
+            return Self::answer_unroutable(context, datagram, RefusalReason::UnknownService);
+        };
+        let routed = RoutedDatagram {
+            datagram,
+            service,
+            hash: Self::hasher(snapshot).hash(&datagram.flow),
+            passage,
+        };
+        match self.resolve(context, routed.hash, datagram, service) {
+            FlowResolution::Known { claim, reason } => {
+                self.route_known(context, &routed, claim, reason);
+            }
+            FlowResolution::Candidate { claim } => self.route_candidate(context, &routed, claim),
+            FlowResolution::Reassigned => {
+                context.decide(DecisionReason::ReassignedAddress, routed.subject());
+                let reason = ResetReason::BackendGone;
+                context.reply(datagram.flow, CallerReplyKind::Reset { reason });
+            }
+            FlowResolution::NoBackend => {
+                Self::answer_unroutable(context, datagram, RefusalReason::NoBackend);
+            }
+        }
+    }
+
+    fn route_known<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        routed: &RoutedDatagram<'_, '_>,
+        claim: TokenClaim,
+        reason: DecisionReason,
+    ) {
+        if routed.needs_home() {
+            return self.to_home(context, routed, claim, Some(claim.backend));
+        }
+        let subject = DecisionSubject {
+            backend: Some(claim.backend),
+            ..routed.subject()
+        };
+        context.decide(reason, subject);
+        forward(context, routed.datagram, &claim, BackendKind::Carry);
+        if let Some(pin) = self.pins.get_mut(routed.hash, &routed.datagram.flow) {
+            pin.last_seen = context.now;
+        }
+    }
+
+    fn route_candidate<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        routed: &RoutedDatagram<'_, '_>,
+        candidate: TokenClaim,
+    ) {
+        let decided = routed.passage.decided;
+        let entry = decided.and_then(|id| context.snapshot.backend(id));
+        match entry {
+            Some(entry) => {
+                let claim = TokenClaim::from(entry);
+                self.to_home(context, routed, claim, decided);
+            }
+            None => self.to_home(context, routed, candidate, None),
+        }
+    }
+
+    /// Brings the datagram to the thread that is home of the server of `claim`.
+    fn to_home<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        routed: &RoutedDatagram<'_, '_>,
+        claim: TokenClaim,
+        decided: Option<BackendId>,
+    ) {
+        let shard = resolve::shard_of(context.snapshot, &claim);
+        let frame = RelayFrame::Caller {
+            datagram: *routed.datagram,
+            backend: decided,
+            shard,
+            hops: routed.passage.hops.saturating_add(1),
+        };
+        let subject = DecisionSubject {
+            backend: decided,
+            shard: Some(shard),
+            ..routed.subject()
+        };
+        if context.snapshot.lease_at(shard, context.now).is_some() {
+            if self.place.owns(shard) {
+                return self.serve_at_home(context, routed, claim, decided);
+            }
+            context.decide(DecisionReason::RelayedToThread, subject);
+            return context.pass_to_thread(self.place.owner(shard), frame);
+        }
+        let home = context.snapshot.shard(shard).home;
+        let other = home.filter(|host| *host != self.identity.host);
+        let may_relay = routed.passage.hops < HOP_LIMIT;
+        match other {
+            Some(host) if may_relay && context.relay(host, frame) => {
+                let peer = Some(host);
+                context.decide(
+                    DecisionReason::RelayedToHome,
+                    DecisionSubject { peer, ..subject },
+                );
+            }
+            _ => self.without_home(context, routed, claim, decided),
+        }
+    }
+
+    /// Nobody who may decide about the server can be reached. What needs no
+    /// decision still goes through; a request is never answered as "not run",
+    /// since a copy of it may have reached the home by another way.
+    fn without_home<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        routed: &RoutedDatagram<'_, '_>,
+        claim: TokenClaim,
+        decided: Option<BackendId>,
+    ) {
+        let datagram = routed.datagram;
+        let retry_after = context.snapshot.configuration.limits.home_lease;
+        match datagram.request {
+            Some(request) => context.outcome_unknown(datagram.flow, request.id, retry_after),
+            None if decided.is_some() && datagram.kind == CallerKind::Close => {
+                forward(context, datagram, &claim, BackendKind::Close);
+            }
+            None => {
+                let reason = RefusalReason::HomeUnreachable;
+                context.refuse(datagram.flow, None, reason, retry_after);
+            }
+        }
+    }
+
+    /// Passes a datagram to a peer that may act, because this host may not.
+    fn hand_on<S: TrafficSink>(
+        context: &mut EventContext<'_, S>,
+        datagram: &CallerDatagram<'_>,
+        passage: CallerPassage,
+    ) {
+        let helpers = &context.snapshot.helpers;
+        if passage.hops >= HOP_LIMIT || helpers.is_empty() {
+            return context.count(Counter::Unconfirmed);
+        }
+        let pick = usize::from(datagram.flow.caller.port()) % helpers.len();
+        let Some(shard) = passage.shard.or_else(|| context.snapshot.any_shard()) else {
+            return context.count(Counter::Unconfirmed);
+        };
+        let frame = RelayFrame::Caller {
+            datagram: *datagram,
+            backend: passage.decided,
+            shard,
+            hops: passage.hops.saturating_add(1),
+        };
+        let subject = DecisionSubject {
+            flow: Some(datagram.flow),
+            peer: Some(helpers[pick]),
+            ..DecisionSubject::default()
+        };
+        context.decide(DecisionReason::RelayedUnconfirmed, subject);
+        context.relay(helpers[pick], frame);
+    }
+
+    /// Answers a datagram that cannot be brought to any home. No home has been
+    /// asked, so of a request only the home's silence is known.
+    fn answer_unroutable<S: TrafficSink>(
+        context: &mut EventContext<'_, S>,
+        datagram: &CallerDatagram<'_>,
+        reason: RefusalReason,
+    ) {
+        match (datagram.request, datagram.kind) {
+            (Some(request), _) => {
+                context.outcome_unknown(datagram.flow, request.id, RETRY_AFTER);
+            }
+            (None, CallerKind::Open) => {
+                context.refuse(datagram.flow, None, reason, RETRY_AFTER);
+            }
+            (None, _) => {
+                context.count(Counter::FlowUnknown);
+                let reason = ResetReason::UnknownFlow;
+                context.reply(datagram.flow, CallerReplyKind::Reset { reason });
+            }
+        }
+    }
+}
+
+/// Sends a datagram that carries no request to the server of `claim`.
+pub(crate) fn forward<S: TrafficSink>(
+    context: &mut EventContext<'_, S>,
+    datagram: &CallerDatagram<'_>,
+    claim: &TokenClaim,
+    kind: BackendKind,
+) {
+    context.sink.emit(TrafficEffect::ToBackend {
+        address: claim.address,
+        datagram: BackendDatagram {
+            flow: datagram.flow,
+            backend: claim.backend,
+            via: context.identity.host,
+            kind,
+            request: None,
+            payload: datagram.payload,
+        },
+    });
+}
--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/traffic/event.rs
@@ -0,0 +1,15 @@
+//! What a traffic engine is told.
+
+use cardamomwinch_protocol::prelude::{FabricDatagram, RelayEnvelope};
+
+/// Something that a traffic thread has to decide about.
+#[derive(Debug, Clone, Copy)]
+pub enum TrafficEvent<'a> {
+    /// Time has passed. To be sent several times a second.
+    Tick,
+    /// The fabric handed over a datagram.
+    Fabric(FabricDatagram<'a>),
+    /// Another host, or another thread of this host, relayed a datagram. The
+    /// transport has authenticated it.
+    Relay(RelayEnvelope<'a>),
+}
--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/traffic/mod.rs
@@ -0,0 +1,183 @@
+//! Decides about each datagram: which backend server its flow belongs to,
+//! which host is its home, and whether the request that it carries runs.
+
+pub(crate) mod caller_datagrams;
+pub(crate) mod context;
+pub mod effect;
+pub mod event;
+pub mod ledger;
+pub(crate) mod opening;
+pub mod pins;
+pub(crate) mod replies;
+pub mod requests;
+pub(crate) mod resolve;
+pub(crate) mod serving;
+pub(crate) mod sweeping;
+
+use cardamomwinch_protocol::prelude::{
+    AuthenticationKeys, FabricDatagram, RelayFrame, TokenIssuer,
+};
+use cardamomwinch_state::prelude::{FlowHasher, FlowTable, Timestamp};
+
+use crate::bounds::TrafficBounds;
+use crate::counter::Counter;
+use crate::identity::{HostIdentity, ThreadPlace};
+use crate::snapshot::RoutingSnapshot;
+use crate::traffic::caller_datagrams::CallerPassage;
+use crate::traffic::context::EventContext;
+use crate::traffic::effect::TrafficSink;
+use crate::traffic::event::TrafficEvent;
+use crate::traffic::ledger::ServerLedgers;
+use crate::traffic::pins::FlowPin;
+use crate::traffic::requests::RequestTable;
+
+/// A datagram that was relayed this often is dropped instead of relayed again.
+pub const HOP_LIMIT: u8 = 4;
+
+/// The decisions of one traffic thread.
+#[derive(Debug)]
+pub struct TrafficEngine {
+    pub(crate) identity: HostIdentity,
+    pub(crate) place: ThreadPlace,
+    pub(crate) bounds: TrafficBounds,
+    pub(crate) tokens: TokenIssuer,
+    pub(crate) pins: FlowTable<FlowPin>,
+    pub(crate) requests: RequestTable,
+    pub(crate) ledgers: ServerLedgers,
+    pub(crate) held_bytes: usize,
+    pub(crate) sweep_position: usize,
+    last_event: Timestamp,
+    slept_until: Option<Timestamp>,
+}
+
+impl TrafficEngine {
+    /// Creates the engine of one traffic thread.
+    pub fn new(
+        identity: HostIdentity,
+        place: ThreadPlace,
+        keys: AuthenticationKeys,
+        bounds: TrafficBounds,
+    ) -> Self {
+        Self {
+            identity,
+            place,
+            tokens: TokenIssuer::new(keys),
+            pins: FlowTable::new(bounds.flows),
+            requests: RequestTable::new(bounds.request_records),
+            ledgers: ServerLedgers::default(),
+            held_bytes: 0,
+            sweep_position: 0,
+            last_event: Timestamp::ZERO,
+            slept_until: None,
+            bounds,
+        }
+    }
+
+    /// Flows that this thread has pinned.
+    pub fn pinned_flows(&self) -> &FlowTable<FlowPin> {
+        &self.pins
+    }
+
+    /// Requests that this thread remembers.
+    pub fn remembered_requests(&self) -> &RequestTable {
+        &self.requests
+    }
+
+    /// What this thread counts for the servers that it is home of.
+    pub fn ledgers(&self) -> &ServerLedgers {
+        &self.ledgers
+    }
+
+    /// Decides about `event` at `now` against `snapshot`, and gives the effects
+    /// to `sink`.
+    pub fn handle<S: TrafficSink>(
+        &mut self,
+        now: Timestamp,
+        snapshot: &RoutingSnapshot,
+        event: TrafficEvent<'_>,
+        sink: &mut S,
+    ) {
+        let mut context = EventContext {
+            now,
+            identity: self.identity,
+            snapshot,
+            sink,
+        };
+        self.notice_sleep(&mut context);
+        match event {
+            TrafficEvent::Tick => self.sweep(&mut context),
+            TrafficEvent::Fabric(datagram) => self.handle_fabric(&mut context, datagram),
+            TrafficEvent::Relay(envelope) => self.handle_relay(&mut context, envelope.frame),
+        }
+    }
+
+    fn handle_fabric<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        datagram: FabricDatagram<'_>,
+    ) {
+        match datagram {
+            FabricDatagram::Caller(datagram) => {
+                context.count(Counter::CallerDatagram);
+                self.route(context, &datagram, CallerPassage::from_fabric());
+            }
+            FabricDatagram::Backend(reply) => {
+                context.count(Counter::BackendReply);
+                self.take_reply(context, &reply);
+            }
+        }
+    }
+
+    fn handle_relay<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        frame: RelayFrame<'_>,
+    ) {
+        match frame {
+            RelayFrame::Caller {
+                datagram,
+                backend,
+                shard,
+                hops,
+            } => {
+                let passage = CallerPassage {
+                    decided: backend,
+                    shard: Some(shard),
+                    hops,
+                };
+                self.route(context, &datagram, passage);
+            }
+            RelayFrame::Backend { reply, shard, hops } => {
+                self.account(context, &reply, shard, hops);
+            }
+        }
+    }
+
+    pub(crate) fn hasher(snapshot: &RoutingSnapshot) -> FlowHasher {
+        FlowHasher::new(snapshot.configuration.limits.flow_hash_seed)
+    }
+
+    /// Guards against a process that was paused and acts on what it believed
+    /// before. A gap between two events longer than the tick shows the pause;
+    /// until control has published a snapshot made after the wake, nothing is
+    /// decided here. Control makes none before it has heard from others.
+    fn notice_sleep<S: TrafficSink>(&mut self, context: &mut EventContext<'_, S>) {
+        let gap = context.now.since(self.last_event);
+        if self.last_event > Timestamp::ZERO && gap > self.bounds.sleep_gap {
+            self.slept_until = Some(context.now);
+            context.count(Counter::WokeLate);
+        }
+        self.last_event = self.last_event.max(context.now);
+        if self
+            .slept_until
+            .is_some_and(|wake| context.snapshot.made > wake)
+        {
+            self.slept_until = None;
+        }
+    }
+
+    /// Whether this thread may act on `snapshot`.
+    pub(crate) fn may_act(&self, now: Timestamp, snapshot: &RoutingSnapshot) -> bool {
+        self.slept_until.is_none() && now < snapshot.fresh_until
+    }
+}
--- a/crates/cardamomwinch_state/src/backend_server.rs
+++ b/crates/cardamomwinch_state/src/backend_server.rs
@@ -60,10 +60,6 @@
 
     /// The shard of its failure domain that the server belongs to.
     pub fn shard(&self, shards_per_domain: u16) -> ShardId {
-        let index = crate::flow::mix(self.id.get()) % u64::from(shards_per_domain.max(1));
-        ShardId {
-            domain: self.domain,
-            index: index as u16,
-        }
+        ShardId::of_backend(self.domain, self.id, shards_per_domain)
     }
 }
--- a/crates/cardamomwinch_state/src/identifiers.rs
+++ b/crates/cardamomwinch_state/src/identifiers.rs
@@ -148,6 +148,15 @@
     pub index: u16,
 }
 
+impl ShardId {
+    /// The shard of `backend` in `domain`, which is divided into `count` shards.
+    pub const fn of_backend(domain: DomainId, backend: BackendId, count: u16) -> Self {
+        let count = if count == 0 { 1 } else { count };
+        let index = (crate::flow::mix(backend.get()) % count as u64) as u16;
+        Self { domain, index }
+    }
+}
+
 impl fmt::Display for ShardId {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{}/{}", self.domain, self.index)
