Parse and check the four documents

Settings, root document, team fragment and list of hosts are read from JSON with comments. Every error of a document is collected and typed, with file, line, column, key, what was found and what is allowed.

The state crate gains the quantity FragmentRevision.

--- a/crates/cardamomwinch_configuration/src/lib.rs
+++ b/crates/cardamomwinch_configuration/src/lib.rs
@@ -1,1 +1,47 @@
 //! Settings, team fragments and presets: parsing, checking and comparing.
+//!
+//! Documents are JSON with comments. Each is checked as a whole: the report
+//! holds every error with line, column, key, what was found and what is
+//! allowed.
+//!
+//! ```
+//! use cardamomwinch_configuration::prelude::*;
+//!
+//! let text = "{\n  // Two keys are wrong here.\n  \"preset\": 1,\n  \"team\": {}\n}";
+//! let report = RootDocument::parse("root.jsonc", text).unwrap_err();
+//! assert_eq!(
+//!     report.to_string().lines().next(),
+//!     Some("root.jsonc:1:1: teams: the key is required and missing"),
+//! );
+//! assert_eq!(report.errors.len(), 3);
+//! ```
+
+pub mod check;
+mod checker;
+pub mod collision;
+pub mod document;
+pub mod fragment;
+pub mod host_list;
+pub mod keys;
+mod nearest;
+mod node;
+pub mod preset;
+pub mod problem;
+pub mod root;
+pub mod rules;
+pub mod settings;
+mod taken;
+pub mod values;
+
+/// What users of this crate need most often.
+pub mod prelude {
+    pub use crate::check::{CheckError, CheckReport};
+    pub use crate::fragment::{BackendDefinition, ServiceDefinition, TeamFragment};
+    pub use crate::host_list;
+    pub use crate::preset::{BackendOverride, PresetOverrides};
+    pub use crate::problem::{AddressFault, CheckProblem, ReferenceKind, ValueKind};
+    pub use crate::root::RootDocument;
+    pub use crate::settings::{
+        BoundSettings, HostSettings, LogLevel, LogSettings, PlatformSettings,
+    };
+}
--- /dev/null
+++ b/crates/cardamomwinch_configuration/src/nearest.rs
@@ -0,0 +1,44 @@
+//! Suggests the name that was probably meant.
+
+/// Candidates beyond these are not compared, so that a large document full of
+/// unknown names is still checked quickly.
+const CANDIDATE_LIMIT: usize = 64;
+
+/// Longer names are not compared, for the same reason.
+const LENGTH_LIMIT: usize = 64;
+
+/// The candidate with the smallest edit distance from `found`, if that is at
+/// most a third of the length of `found`.
+pub(crate) fn nearest<'c>(
+    found: &str,
+    candidates: impl IntoIterator<Item = &'c str>,
+) -> Option<&'c str> {
+    if found.len() > LENGTH_LIMIT {
+        return None;
+    }
+    let allowed = (found.chars().count() / 3).max(1);
+    candidates
+        .into_iter()
+        .take(CANDIDATE_LIMIT)
+        .filter(|candidate| candidate.len() <= LENGTH_LIMIT)
+        .map(|candidate| (edit_distance(found, candidate), candidate))
+        .filter(|(distance, _)| *distance <= allowed)
+        .min()
+        .map(|(_, candidate)| candidate)
+}
+
+/// The number of insertions, removals and replacements between two words.
+fn edit_distance(left: &str, right: &str) -> usize {
+    let right: Vec<char> = right.chars().collect();
+    let mut row: Vec<usize> = (0..=right.len()).collect();
+    for (above, left_char) in left.chars().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = above + 1;
+        for (column, right_char) in right.iter().enumerate() {
+            let replaced = diagonal + usize::from(left_char != *right_char);
+            diagonal = row[column + 1];
+            row[column + 1] = replaced.min(diagonal + 1).min(row[column] + 1);
+        }
+    }
+    row[right.len()]
+}
--- /dev/null
+++ b/crates/cardamomwinch_configuration/src/taken.rs
@@ -0,0 +1,45 @@
+//! Finds addresses that a document gives twice.
+
+use std::net;
+
+use crate::checker::{DocumentChecker, KeyPath};
+use crate::node::ValueNode;
+use crate::problem::CheckProblem;
+
+struct AddressUse {
+    address: net::SocketAddr,
+    start: usize,
+    path: KeyPath,
+}
+
+/// The addresses of a document that must differ from each other.
+#[derive(Default)]
+pub(crate) struct TakenAddresses {
+    uses: Vec<AddressUse>,
+}
+
+impl TakenAddresses {
+    /// Notes that `address` stands at `node`.
+    pub(crate) fn note(&mut self, address: net::SocketAddr, node: &ValueNode<'_>) {
+        self.uses.push(AddressUse {
+            address,
+            start: node.start(),
+            path: node.path.clone(),
+        });
+    }
+
+    /// Reports every use of an address but its first in the text.
+    pub(crate) fn report(mut self, checker: &mut DocumentChecker<'_>) {
+        self.uses.sort_by_key(|place| (place.address, place.start));
+        let same_address = |left: &AddressUse, right: &AddressUse| left.address == right.address;
+        for same in self.uses.chunk_by(same_address) {
+            for place in &same[1..] {
+                let problem = CheckProblem::AddressTaken {
+                    found: place.address,
+                    holder: same[0].path.to_string(),
+                };
+                checker.report(place.start, &place.path, problem);
+            }
+        }
+    }
+}
--- a/crates/cardamomwinch_state/src/lib.rs
+++ b/crates/cardamomwinch_state/src/lib.rs
@@ -32,8 +32,8 @@
         BackendId, DomainId, HostId, RequestId, ServiceId, ShardId, TeamId,
     };
     pub use crate::quantities::{
-        ByteCount, ConfigurationVersion, ConnectionCount, HostListVersion, Incarnation, SlotCount,
-        Timestamp, Weight,
+        ByteCount, ConfigurationVersion, ConnectionCount, FragmentRevision, HostListVersion,
+        Incarnation, SlotCount, Timestamp, Weight,
     };
     pub use crate::service::ServiceEntry;
     pub use crate::sorted_vector::SortedVector;
--- a/crates/cardamomwinch_state/src/quantities.rs
+++ b/crates/cardamomwinch_state/src/quantities.rs
@@ -79,6 +79,10 @@
     /// The version of the whole configuration. It only rises.
     ConfigurationVersion(u64)
 }
+quantity! {
+    /// The revision of one team's fragment. It only rises.
+    FragmentRevision(u64)
+}
 quantity! {
     /// The version of the published list of hosts. It only rises.
     HostListVersion(u64)
