Resolve fragments into the configuration in force, and compare two

Teams write apart, so fragments may claim the same name, address or identifier. The later revision is refused as a whole and alone; a refused fragment holds nothing, and the outcome does not depend on the order of arrival.

All claims are sorted once and searched, instead of merging fragment after fragment into one sorted vector, which would move every entry again for each.

The comparison names what is dangerous separately: addresses that change their service, servers removed while they take new flows, services without a server.

--- a/crates/cardamomwinch_configuration/src/lib.rs
+++ b/crates/cardamomwinch_configuration/src/lib.rs
@@ -18,8 +18,11 @@
 
 pub mod check;
 mod checker;
+mod claims;
 pub mod collision;
+pub mod compare;
 pub mod document;
+pub mod flow_share;
 pub mod fragment;
 pub mod host_list;
 pub mod keys;
@@ -27,6 +30,7 @@
 mod node;
 pub mod preset;
 pub mod problem;
+pub mod resolve;
 pub mod root;
 pub mod rules;
 pub mod settings;
@@ -36,10 +40,15 @@
 /// What users of this crate need most often.
 pub mod prelude {
     pub use crate::check::{CheckError, CheckReport};
+    pub use crate::compare::{ConfigurationDifference, ValueChange, compare};
+    pub use crate::flow_share::FlowShare;
     pub use crate::fragment::{BackendDefinition, ServiceDefinition, TeamFragment};
     pub use crate::host_list;
     pub use crate::preset::{BackendOverride, PresetOverrides};
     pub use crate::problem::{AddressFault, CheckProblem, ReferenceKind, ValueKind};
+    pub use crate::resolve::{
+        AcceptedFragment, FragmentRefusal, RefusedFragment, Resolution, resolve,
+    };
     pub use crate::root::RootDocument;
     pub use crate::settings::{
         BoundSettings, HostSettings, LogLevel, LogSettings, PlatformSettings,
