Give each part of control its own messages

Cause: membership, homes and configuration change apart from each other and would all meet in one enum. Change: one envelope, three message types; a refused fragment is reported at once and the root document that waited for it is resolved by the next tick.

--- a/crates/cardamomwinch_coordination/src/control/adoption.rs
+++ b/crates/cardamomwinch_coordination/src/control/adoption.rs
@@ -8,7 +8,7 @@
 use cardamomwinch_configuration::host_list;
 use cardamomwinch_configuration::prelude::{RootDocument, TeamFragment};
 use cardamomwinch_configuration::resolve::{self, AcceptedFragment, Resolution};
-use cardamomwinch_protocol::peer::ConfigurationDigest;
+use cardamomwinch_protocol::peer::configuration::ConfigurationDigest;
 use cardamomwinch_state::prelude::{
     ConfigurationVersion, FragmentRevision, HostListVersion, HostTable, SortedVector, Timestamp,
 };
@@ -71,9 +71,7 @@
 impl ConfigurationAdoption {
     /// The calls that a cold host makes first.
     pub fn first_requests() -> Vec<PlatformRequest> {
-        [PlatformKey::Root, PlatformKey::Hosts]
-            .map(|key| read(key))
-            .into()
+        [PlatformKey::Root, PlatformKey::Hosts].map(read).into()
     }
 
     /// The version in force; zero before the first.
@@ -125,7 +123,7 @@
             Ok(PlatformAnswer::Value { revision, text }) => match request.key {
                 PlatformKey::Root => self.take_root(now, revision, &text, next),
                 PlatformKey::Hosts => self.take_hosts(now, revision, &text, next),
-                PlatformKey::Team(team) => self.take_fragment(now, team, revision, &text, next),
+                PlatformKey::Team(team) => self.take_fragment(now, team, revision, &text),
             },
         }
     }
@@ -192,7 +190,6 @@
         team: String,
         revision: u64,
         text: &str,
-        next: &mut Vec<PlatformRequest>,
     ) -> AdoptionOutcome {
         let revision = FragmentRevision::new(revision);
         let wanted = self.wanted_revision(&team);
@@ -218,18 +215,11 @@
                 if let Some(pending) = &mut self.pending {
                     pending.refused.push(team.clone());
                 }
-                let adopted = self.adopt_if_complete();
-                // The refusal is what operators must hear of; the adoption, if
-                // any, is published by the next tick all the same.
-                next.extend(None::<PlatformRequest>);
-                match adopted {
-                    AdoptionOutcome::Configuration(resolution) => {
-                        AdoptionOutcome::Configuration(resolution)
-                    }
-                    _ => AdoptionOutcome::Refused {
-                        key: PlatformKey::Team(team),
-                        report,
-                    },
+                // The tick resolves a root that only waited for this fragment,
+                // so that the refusal can be reported now.
+                AdoptionOutcome::Refused {
+                    key: PlatformKey::Team(team),
+                    report,
                 }
             }
         }
@@ -239,7 +229,8 @@
         self.pending.as_ref()?.document.teams.get(team).copied()
     }
 
-    fn adopt_if_complete(&mut self) -> AdoptionOutcome {
+    /// Adopts the pending root document where nothing is missing any more.
+    pub fn adopt_if_complete(&mut self) -> AdoptionOutcome {
         let Some(pending) = &self.pending else {
             return AdoptionOutcome::Nothing;
         };
--- a/crates/cardamomwinch_coordination/src/control/membership.rs
+++ b/crates/cardamomwinch_coordination/src/control/membership.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use cardamomwinch_protocol::peer::ConfigurationDigest;
+use cardamomwinch_protocol::peer::configuration::ConfigurationDigest;
 use cardamomwinch_protocol::prelude::{PeerEnvelope, PeerMessage};
 use cardamomwinch_state::prelude::{HostId, HostTable, Incarnation, SortedVector, Timestamp};
 
@@ -54,8 +54,10 @@
     /// Guards against replayed messages: a message whose life or sequence
     /// number is not above the last one taken is refused.
     pub fn note(&mut self, now: Timestamp, envelope: &PeerEnvelope) -> Result<(), PeerRejection> {
+        let known = self.peers.get(&envelope.sender);
         let digest = match &envelope.message {
-            PeerMessage::Ping { digest } | PeerMessage::Pong { digest, .. } => *digest,
+            PeerMessage::Membership(message) => message.digest(),
+            _ => known.map(|known| known.digest).unwrap_or_default(),
         };
         let state = PeerState {
             incarnation: envelope.incarnation,
@@ -63,7 +65,6 @@
             last_heard: now,
             digest,
         };
-        let known = self.peers.get(&envelope.sender);
         let newer = known.is_none_or(|known| {
             (state.incarnation, state.sequence) > (known.incarnation, known.sequence)
         });
--- a/crates/cardamomwinch_coordination/src/control/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/mod.rs
@@ -11,6 +11,9 @@
 use std::sync;
 
 use cardamomwinch_configuration::resolve::RefusedFragment;
+use cardamomwinch_protocol::peer::configuration::ConfigurationMessage;
+use cardamomwinch_protocol::peer::homes::HomeMessage;
+use cardamomwinch_protocol::peer::membership::MembershipMessage;
 use cardamomwinch_protocol::prelude::{PeerEnvelope, PeerMessage};
 use cardamomwinch_state::prelude::{ConfigurationVersion, HostId, Timestamp};
 
@@ -100,10 +103,13 @@
     fn tick<S: ControlSink>(&mut self, now: Timestamp, sink: &mut S) {
         let due = self.adoption.due_requests(now);
         self.request(due, sink);
+        let completed = self.adoption.adopt_if_complete();
+        self.apply(now, completed, sink);
         let hosts = self.adoption.hosts();
         for host in self.membership.due_heartbeats(now, self.identity, hosts) {
             let digest = self.adoption.digest();
-            self.send(host, PeerMessage::Ping { digest }, sink);
+            let message = MembershipMessage::Ping { digest };
+            self.send(host, PeerMessage::Membership(message), sink);
         }
         self.publish(now, sink);
     }
@@ -133,14 +139,24 @@
         if self.membership.note(now, envelope).is_err() {
             return sink.emit(ControlEffect::Count(Counter::PeerReplayed));
         }
-        if let PeerMessage::Ping { .. } = envelope.message {
+        match &envelope.message {
+            PeerMessage::Membership(message) => self.take_membership(envelope, message, sink),
+            PeerMessage::Home(HomeMessage::Released { .. }) => self.publish(now, sink),
+            PeerMessage::Configuration(ConfigurationMessage::Want { .. }) => {}
+        }
+    }
+
+    fn take_membership<S: ControlSink>(
+        &mut self,
+        envelope: &PeerEnvelope,
+        message: &MembershipMessage,
+        sink: &mut S,
+    ) {
+        if let MembershipMessage::Ping { .. } = message {
             let sequence = envelope.sequence;
             let digest = self.adoption.digest();
-            self.send(
-                envelope.sender,
-                PeerMessage::Pong { sequence, digest },
-                sink,
-            );
+            let answer = MembershipMessage::Pong { sequence, digest };
+            self.send(envelope.sender, PeerMessage::Membership(answer), sink);
         }
     }
 
@@ -151,9 +167,13 @@
         sink: &mut S,
     ) {
         let mut next = Vec::new();
-        let adopted = self.adoption.take(now, outcome, &mut next);
+        let taken = self.adoption.take(now, outcome, &mut next);
         self.request(next, sink);
-        match adopted {
+        self.apply(now, taken, sink);
+    }
+
+    fn apply<S: ControlSink>(&mut self, now: Timestamp, taken: AdoptionOutcome, sink: &mut S) {
+        match taken {
             AdoptionOutcome::Nothing => {}
             AdoptionOutcome::Stale => sink.emit(ControlEffect::Count(Counter::PlatformStale)),
             AdoptionOutcome::Failed => sink.emit(ControlEffect::Count(Counter::PlatformFailed)),
--- a/crates/cardamomwinch_coordination/src/traffic/caller_datagrams.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/caller_datagrams.rs
@@ -111,7 +111,7 @@
         reason: DecisionReason,
     ) {
         if routed.needs_home() {
-            return self.to_home(context, routed, claim, Some(claim.backend));
+            return self.bring_home(context, routed, claim, Some(claim.backend));
         }
         let subject = DecisionSubject {
             backend: Some(claim.backend),
@@ -135,14 +135,14 @@
         match entry {
             Some(entry) => {
                 let claim = TokenClaim::from(entry);
-                self.to_home(context, routed, claim, decided);
+                self.bring_home(context, routed, claim, decided);
             }
-            None => self.to_home(context, routed, candidate, None),
+            None => self.bring_home(context, routed, candidate, None),
         }
     }
 
     /// Brings the datagram to the thread that is home of the server of `claim`.
-    fn to_home<S: TrafficSink>(
+    fn bring_home<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
         routed: &RoutedDatagram<'_, '_>,
--- a/crates/cardamomwinch_coordination/src/traffic/serving.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/serving.rs
@@ -90,8 +90,8 @@
         let free = ledger.has_free_slot(entry);
         let wait = ledger.expected_wait(entry);
         let room = ledger.has_queue_room(entry, self.bounds.queue_per_slot);
-        let in_time = context.now.after(wait) < header.deadline;
-        if !free && !(room && in_time) {
+        let may_wait = room && context.now.after(wait) < header.deadline;
+        if !free && !may_wait {
             return self.refuse_request(context, routed, RefusalReason::Full);
         }
         let state = RequestState::Queued {
