--- a/crates/cardamomwinch_protocol/src/lib.rs
+++ b/crates/cardamomwinch_protocol/src/lib.rs
@@ -17,6 +17,7 @@
 //! assert_eq!(codec::decode::<FabricDatagram<'_>>(bytes).unwrap(), datagram);
 //! ```
 
+pub mod administration;
 pub mod authentication;
 pub mod backend;
 pub mod caller;
