Add sockets, the timer service and the platform client

Cause: the daemon needs time, datagrams and the platform's keys without any decision of its own in the way.

Ruled out: CLOCK_MONOTONIC, which stands still while a machine is suspended; a spawned task per HTTP connection, which would tie the client to an executor; unbounded bodies. An idle connection that the platform closed is found only at the next request, so that one read is repeated once on a new connection.

Change: clock, timer, datagram, http_client, platform_client and load_client with tests over loopback stand-ins.

--- /dev/null
+++ b/crates/cardamomwinch_transport/src/http_client.rs
@@ -0,0 +1,249 @@
+//! A small HTTP client that only reads: one kept-alive connection to one
+//! address, bounded in time and size.
+
+use std::fmt;
+use std::io;
+use std::net;
+use std::pin;
+use std::time;
+
+use async_io::Timer;
+use async_net::TcpStream;
+use futures_lite::future;
+use http_body_util::{BodyExt, Empty};
+use hyper::body::{Bytes, Incoming};
+use hyper::client::conn::http1;
+use hyper::{Request, Response, StatusCode, header};
+use smol_hyper::rt::FuturesIo;
+use snafu::{OptionExt, ResultExt, Snafu};
+
+/// Why an HTTP exchange failed.
+#[derive(Debug)]
+#[derive(Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum HttpError {
+    /// No connection could be opened.
+    #[snafu(display("cannot connect to {address}"))]
+    Connect {
+        /// The address tried.
+        address: net::SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The path or the address cannot be put into a request.
+    #[snafu(display("cannot form a request to {address}"))]
+    Request {
+        /// The address tried.
+        address: net::SocketAddr,
+        /// What the library said.
+        source: hyper::http::Error,
+    },
+    /// The exchange broke off or was not HTTP.
+    #[snafu(display("the exchange with {address} failed"))]
+    Exchange {
+        /// The address tried.
+        address: net::SocketAddr,
+        /// What the library said.
+        source: hyper::Error,
+    },
+    /// The peer closed the connection before it answered.
+    #[snafu(display("{address} closed the connection"))]
+    Closed {
+        /// The address tried.
+        address: net::SocketAddr,
+    },
+    /// The whole exchange did not end in time.
+    #[snafu(display("{address} did not answer within {limit:?}"))]
+    TimedOut {
+        /// The address tried.
+        address: net::SocketAddr,
+        /// The time allowed.
+        limit: time::Duration,
+    },
+    /// The body is longer than allowed; the connection was closed.
+    #[snafu(display("the answer of {address} exceeds {limit} bytes"))]
+    Oversized {
+        /// The address tried.
+        address: net::SocketAddr,
+        /// The bytes allowed.
+        limit: usize,
+    },
+}
+
+/// An answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HttpAnswer {
+    /// The status of the answer.
+    pub status: StatusCode,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+/// What a single exchange may cost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ExchangeLimits {
+    /// The time from opening the connection to the end of the body.
+    pub timeout: time::Duration,
+    /// The length of the body in bytes.
+    pub body: usize,
+}
+
+type ClientConnection = http1::Connection<FuturesIo<TcpStream>, Empty<Bytes>>;
+
+/// A connection that makes progress only while an exchange polls it, so that it
+/// needs no executor.
+struct OpenConnection {
+    sender: http1::SendRequest<Empty<Bytes>>,
+    driver: pin::Pin<Box<ClientConnection>>,
+}
+
+/// Reads from one address over one kept-alive connection. It can send nothing
+/// but `GET`.
+pub struct HttpClient {
+    address: net::SocketAddr,
+    connection: Option<OpenConnection>,
+}
+
+impl fmt::Debug for HttpClient {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let connected = self.connection.is_some();
+        formatter
+            .debug_struct("HttpClient")
+            .field("address", &self.address)
+            .field("connected", &connected)
+            .finish()
+    }
+}
+
+impl HttpClient {
+    /// Creates a client that connects when it is first used.
+    pub const fn new(address: net::SocketAddr) -> Self {
+        Self {
+            address,
+            connection: None,
+        }
+    }
+
+    /// The address that the client reads from.
+    pub const fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Reads `path`, which may hold a query.
+    ///
+    /// A dropped future closes the connection, so that the rest of an unread
+    /// answer is never taken for the next one.
+    ///
+    /// # Errors
+    /// Fails where the peer cannot be reached, breaks off, or passes a limit.
+    pub async fn get(
+        &mut self,
+        path: &str,
+        limits: ExchangeLimits,
+    ) -> Result<HttpAnswer, HttpError> {
+        let address = self.address;
+        let timeout = async {
+            Timer::after(limits.timeout).await;
+            TimedOutSnafu {
+                address,
+                limit: limits.timeout,
+            }
+            .fail()
+        };
+        future::or(self.get_unhurried(path, limits.body), timeout).await
+    }
+
+    async fn get_unhurried(&mut self, path: &str, limit: usize) -> Result<HttpAnswer, HttpError> {
+        // A peer may close an idle connection at any time, which shows only at
+        // the next request. Reading twice is harmless, so that request is
+        // repeated once on a new connection.
+        if let Some(connection) = self.connection.take() {
+            match self.exchange(connection, path, limit).await {
+                Err(HttpError::Exchange { .. } | HttpError::Closed { .. }) => {}
+                outcome => return outcome,
+            }
+        }
+        let connection = self.connect().await?;
+        self.exchange(connection, path, limit).await
+    }
+
+    async fn connect(&self) -> Result<OpenConnection, HttpError> {
+        let address = self.address;
+        let stream = TcpStream::connect(address)
+            .await
+            .context(ConnectSnafu { address })?;
+        // Without this, small requests may wait for an acknowledgement.
+        stream.set_nodelay(true).context(ConnectSnafu { address })?;
+        let (sender, driver) = http1::handshake(FuturesIo::new(stream))
+            .await
+            .context(ExchangeSnafu { address })?;
+        let driver = Box::pin(driver);
+        Ok(OpenConnection { sender, driver })
+    }
+
+    async fn exchange(
+        &mut self,
+        mut connection: OpenConnection,
+        path: &str,
+        limit: usize,
+    ) -> Result<HttpAnswer, HttpError> {
+        let address = self.address;
+        let request = Request::get(path)
+            .header(header::HOST, address.to_string())
+            .body(Empty::new())
+            .context(RequestSnafu { address })?;
+        let OpenConnection { sender, driver } = &mut connection;
+        let answer = async {
+            sender.ready().await.context(ExchangeSnafu { address })?;
+            let response = sender
+                .send_request(request)
+                .await
+                .context(ExchangeSnafu { address })?;
+            read_answer(response, address, limit).await
+        };
+        let outcome = drive(answer, driver.as_mut()).await;
+        let outcome = outcome.context(ClosedSnafu { address })?;
+        if outcome.is_ok() {
+            self.connection = Some(connection);
+        }
+        outcome
+    }
+}
+
+/// Polls the exchange and the connection that carries it. Returns `None` where
+/// the connection ends and the exchange cannot.
+async fn drive<T>(
+    exchange: impl Future<Output = T>,
+    driver: pin::Pin<&mut ClientConnection>,
+) -> Option<T> {
+    let mut exchange = pin::pin!(exchange);
+    let ended = future::or(async { Some(exchange.as_mut().await) }, async {
+        // An error of the connection also reaches the exchange, with its cause.
+        let _ = driver.await;
+        None
+    });
+    match ended.await {
+        Some(outcome) => Some(outcome),
+        None => future::poll_once(exchange).await,
+    }
+}
+
+async fn read_answer(
+    response: Response<Incoming>,
+    address: net::SocketAddr,
+    limit: usize,
+) -> Result<HttpAnswer, HttpError> {
+    let status = response.status();
+    let mut incoming = response.into_body();
+    let mut body = Vec::new();
+    while let Some(frame) = incoming.frame().await {
+        let frame = frame.context(ExchangeSnafu { address })?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let within = body.len() + data.len() <= limit;
+        snafu::ensure!(within, OversizedSnafu { address, limit });
+        body.extend_from_slice(&data);
+    }
+    Ok(HttpAnswer { status, body })
+}
--- a/crates/cardamomwinch_transport/src/lib.rs
+++ b/crates/cardamomwinch_transport/src/lib.rs
@@ -1,1 +1,34 @@
-//! Sockets, timers, the platform client, endpoints, logs and metrics on async-io.
+//! Sockets, timers, the platform client, endpoints, logs and metrics on
+//! async-io. Nothing here decides anything: this crate moves bytes and time
+//! between the outside and the layers that decide.
+//!
+//! ```
+//! use std::time;
+//!
+//! use cardamomwinch_transport::prelude::*;
+//!
+//! let service = TimerService::new(HostClock::start());
+//! let deadline = service.clock().now().after(time::Duration::from_millis(2));
+//! let mut subscription = service.subscribe_deadline("drained", deadline);
+//! let event = async_io::block_on(subscription.next()).unwrap();
+//! assert_eq!(event.key, "drained");
+//! assert!(event.actual >= event.planned);
+//! ```
+
+pub mod clock;
+pub mod datagram;
+pub mod http_client;
+pub mod load_client;
+pub mod platform_client;
+pub mod timer;
+
+/// What users of the transport need most often.
+pub mod prelude {
+    pub use crate::clock::{Clock, HostClock};
+    pub use crate::datagram::{DatagramError, DatagramOptions, DatagramSocket, ReceivedDatagram};
+    pub use crate::load_client::{LoadClient, LoadError};
+    pub use crate::platform_client::{
+        KeyReading, PlatformClient, PlatformError, PlatformKey, WatchOutcome,
+    };
+    pub use crate::timer::{TickPlan, TimerEvent, TimerService, TimerSubscription};
+}
