Run the decisions in a process: threads, sockets, calls and the administration API

Cause: the engines need threads, sockets and calls around them to serve. Change: the daemon crate: traffic threads over shared sockets, a control thread with platform calls, control messages and the management endpoint, the command line, announced addresses, and a graceful stop that waits for pending requests. Thin: a stopping host hands over nothing yet.

--- a/crates/cardamomwinch_coordination/src/control/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/mod.rs
@@ -15,7 +15,9 @@
 use cardamomwinch_protocol::peer::homes::HomeMessage;
 use cardamomwinch_protocol::peer::membership::MembershipMessage;
 use cardamomwinch_protocol::prelude::{PeerEnvelope, PeerMessage};
-use cardamomwinch_state::prelude::{ConfigurationVersion, HostId, Timestamp};
+use cardamomwinch_state::prelude::{
+    ConfigurationVersion, DomainId, HostId, InForceConfiguration, SortedVector, Timestamp,
+};
 
 use crate::control::adoption::{AdoptionOutcome, ConfigurationAdoption};
 use crate::control::effect::{ControlEffect, ControlSink};
@@ -38,6 +40,17 @@
     homes: HomeTable,
     publisher: SnapshotPublisher,
     refused: Vec<RefusedFragment>,
+    domain_names: SortedVector<DomainId, String>,
+    platform: PlatformHealth,
+}
+
+/// How the platform answers.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct PlatformHealth {
+    /// Whether the last call was answered.
+    pub reachable: bool,
+    /// Answers older than what was accepted already.
+    pub stale_answers: u64,
 }
 
 impl ControlEngine {
@@ -51,9 +64,32 @@
             homes: HomeTable::default(),
             publisher: SnapshotPublisher::default(),
             refused: Vec::new(),
+            domain_names: SortedVector::new(),
+            platform: PlatformHealth::default(),
         }
     }
 
+    /// Who this host is.
+    pub fn identity(&self) -> HostIdentity {
+        self.identity
+    }
+
+    /// What is in force.
+    pub fn configuration(&self) -> &InForceConfiguration {
+        self.publisher.configuration()
+    }
+
+    /// How the platform answers.
+    pub fn platform_health(&self) -> PlatformHealth {
+        self.platform
+    }
+
+    /// The name of a failure domain, or its identifier where no fragment names it.
+    pub fn domain_name(&self, domain: DomainId) -> String {
+        let name = self.domain_names.get(&domain);
+        name.cloned().unwrap_or_else(|| domain.to_string())
+    }
+
     /// Whether the host serves.
     pub fn phase(&self) -> ServingPhase {
         self.phase
@@ -167,6 +203,7 @@
         sink: &mut S,
     ) {
         let mut next = Vec::new();
+        self.platform.reachable = outcome.result.is_ok();
         let taken = self.adoption.take(now, outcome, &mut next);
         self.request(next, sink);
         self.apply(now, taken, sink);
@@ -175,7 +212,10 @@
     fn apply<S: ControlSink>(&mut self, now: Timestamp, taken: AdoptionOutcome, sink: &mut S) {
         match taken {
             AdoptionOutcome::Nothing => {}
-            AdoptionOutcome::Stale => sink.emit(ControlEffect::Count(Counter::PlatformStale)),
+            AdoptionOutcome::Stale => {
+                self.platform.stale_answers += 1;
+                sink.emit(ControlEffect::Count(Counter::PlatformStale));
+            }
             AdoptionOutcome::Failed => sink.emit(ControlEffect::Count(Counter::PlatformFailed)),
             AdoptionOutcome::Refused { .. } => {
                 sink.emit(ControlEffect::Count(Counter::DocumentRefused));
@@ -183,7 +223,9 @@
             AdoptionOutcome::Hosts => self.publish(now, sink),
             AdoptionOutcome::Configuration(resolution) => {
                 self.refused = resolution.refused;
-                self.publisher.adopt(resolution.configuration);
+                self.domain_names = resolution.domain_names.clone();
+                self.publisher
+                    .adopt(resolution.configuration, resolution.domain_names);
                 let record = self.adopted_record(now);
                 sink.emit(ControlEffect::Decide(record));
                 self.publish(now, sink);
--- a/crates/cardamomwinch_coordination/src/control/publication.rs
+++ b/crates/cardamomwinch_coordination/src/control/publication.rs
@@ -5,8 +5,8 @@
 use std::time;
 
 use cardamomwinch_state::prelude::{
-    BackendEntry, BackendId, HostId, HostTable, InForceConfiguration, ServiceId, SortedVector,
-    Timestamp,
+    BackendEntry, BackendId, DomainId, HostId, HostTable, InForceConfiguration, ServiceId,
+    SortedVector, Timestamp,
 };
 
 use crate::control::homes::HomeTable;
@@ -27,6 +27,7 @@
     generations: Vec<sync::Arc<LookupTables>>,
     retained: SortedVector<BackendId, BackendEntry>,
     server_addresses: sync::Arc<SortedVector<net::SocketAddr, ServiceId>>,
+    domain_names: sync::Arc<SortedVector<DomainId, String>>,
 }
 
 impl SnapshotPublisher {
@@ -36,7 +37,12 @@
 
     /// Takes a configuration into force. Servers that it no longer has are
     /// retained, so that their open flows go on.
-    pub(crate) fn adopt(&mut self, configuration: InForceConfiguration) {
+    pub(crate) fn adopt(
+        &mut self,
+        configuration: InForceConfiguration,
+        domain_names: SortedVector<DomainId, String>,
+    ) {
+        self.domain_names = sync::Arc::new(domain_names);
         let earlier = self.generations.first().map(sync::Arc::as_ref);
         let tables = LookupTables::derive(&configuration, earlier);
         self.generations.insert(0, sync::Arc::new(tables));
@@ -73,6 +79,7 @@
             generations: self.generations.clone(),
             retained: self.retained.clone(),
             server_addresses: sync::Arc::clone(&self.server_addresses),
+            domain_names: sync::Arc::clone(&self.domain_names),
             shards: homes.shards().clone(),
             backends: SortedVector::new(),
             helpers: helpers(now, identity, hosts, membership),
--- a/crates/cardamomwinch_coordination/src/decision.rs
+++ b/crates/cardamomwinch_coordination/src/decision.rs
@@ -1,5 +1,7 @@
 //! Records of routing and placement decisions, for the decision log.
 
+use std::fmt;
+
 use cardamomwinch_state::prelude::{
     BackendId, ConfigurationVersion, FlowKey, HostId, ServiceId, ShardId, Timestamp,
 };
@@ -48,6 +50,31 @@
     HostReachability,
 }
 
+impl fmt::Display for DecisionReason {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::PlacedByTable => "placed_by_table",
+            Self::PlacedByLoad => "placed_by_load",
+            Self::Token => "token",
+            Self::Pin => "pin",
+            Self::RelayedDecision => "relayed_decision",
+            Self::RelayedToHome => "relayed_to_home",
+            Self::RelayedToThread => "relayed_to_thread",
+            Self::RelayedUnconfirmed => "relayed_unconfirmed",
+            Self::Retried => "retried",
+            Self::Refused => "refused",
+            Self::OutcomeUnknown => "outcome_unknown",
+            Self::Duplicate => "duplicate",
+            Self::UnknownFlow => "unknown_flow",
+            Self::ReassignedAddress => "reassigned_address",
+            Self::HomeChanged => "home_changed",
+            Self::ConfigurationAdopted => "configuration_adopted",
+            Self::BackendHealth => "backend_health",
+            Self::HostReachability => "host_reachability",
+        })
+    }
+}
+
 /// One decision.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DecisionRecord {
--- a/crates/cardamomwinch_coordination/src/snapshot.rs
+++ b/crates/cardamomwinch_coordination/src/snapshot.rs
@@ -4,8 +4,8 @@
 use std::sync;
 
 use cardamomwinch_state::prelude::{
-    BackendEntry, BackendId, ConfigurationVersion, HostId, HostTable, InForceConfiguration,
-    ServiceEntry, ServiceId, ShardId, SortedVector, Timestamp,
+    BackendEntry, BackendId, ConfigurationVersion, DomainId, HostId, HostTable,
+    InForceConfiguration, ServiceEntry, ServiceId, ShardId, SortedVector, Timestamp,
 };
 
 use crate::routing::lookup_table::LookupTables;
@@ -72,6 +72,8 @@
     pub retained: SortedVector<BackendId, BackendEntry>,
     /// Addresses of backend servers in force, with the service each belongs to.
     pub server_addresses: sync::Arc<SortedVector<net::SocketAddr, ServiceId>>,
+    /// The names of failure domains, for people.
+    pub domain_names: sync::Arc<SortedVector<DomainId, String>>,
     /// The homes of shards.
     pub shards: SortedVector<ShardId, ShardView>,
     /// Health of backend servers; a server that is absent is healthy and warm.
@@ -92,6 +94,7 @@
             generations: Vec::new(),
             retained: SortedVector::new(),
             server_addresses: sync::Arc::default(),
+            domain_names: sync::Arc::default(),
             shards: SortedVector::new(),
             backends: SortedVector::new(),
             helpers: Vec::new(),
@@ -103,6 +106,12 @@
         self.configuration.version
     }
 
+    /// The name of a failure domain, or its identifier where no fragment names it.
+    pub fn domain_name(&self, domain: DomainId) -> String {
+        let name = self.domain_names.get(&domain);
+        name.cloned().unwrap_or_else(|| domain.to_string())
+    }
+
     /// The service that callers reach at `address`.
     pub fn service_of(&self, address: net::SocketAddr) -> Option<&ServiceEntry> {
         self.configuration.service_at(address)
--- /dev/null
+++ b/crates/cardamomwinch_daemon/src/administration/explain.rs
@@ -0,0 +1,98 @@
+//! Tells where a datagram of a flow would go now, and why.
+
+use cardamomwinch_coordination::prelude::{DecisionReason, RoutingSnapshot};
+use cardamomwinch_protocol::administration as api;
+use cardamomwinch_protocol::codec;
+use cardamomwinch_protocol::prelude::{RoutingToken, TokenClaim, TokenIssuer};
+use cardamomwinch_state::prelude::{BackendId, ConfigurationVersion, FlowHasher, FlowKey, ShardId};
+
+use crate::administration::CallError;
+
+/// A flow, with the claim of its token where that is genuine.
+#[derive(Debug, Clone, Copy)]
+pub struct FlowQuestion {
+    /// The flow.
+    pub flow: FlowKey,
+    token: Option<Option<TokenClaim>>,
+}
+
+impl FlowQuestion {
+    /// Reads what the operator asked.
+    ///
+    /// # Errors
+    /// Fails on a flow or token that cannot be understood.
+    pub fn parse(asked: &api::ExplainParameters, tokens: &TokenIssuer) -> Result<Self, CallError> {
+        let flow: FlowKey =
+            asked
+                .flow
+                .parse()
+                .map_err(
+                    |error: cardamomwinch_state::flow::FlowParseError| CallError::Flow {
+                        message: error.to_string(),
+                    },
+                )?;
+        let token = match &asked.token {
+            None => None,
+            Some(digits) => {
+                let token = parse_token(digits).ok_or(CallError::Token)?;
+                Some(tokens.verify(&flow, &token))
+            }
+        };
+        Ok(Self { flow, token })
+    }
+
+    /// Where the flow goes according to `snapshot`; `pinned` is the server that
+    /// a traffic thread of this host has pinned it to.
+    pub fn explain(
+        &self,
+        snapshot: &RoutingSnapshot,
+        pinned: Option<BackendId>,
+    ) -> api::ExplainReport {
+        let version = snapshot.version();
+        let version = (version > ConfigurationVersion::ZERO).then_some(version);
+        let service = snapshot.service_of(self.flow.service);
+        let Some(service) = service else {
+            return api::ExplainReport {
+                service: None,
+                backend: None,
+                home_host: None,
+                reason: "unknown_service".to_owned(),
+                version,
+            };
+        };
+        let hasher = FlowHasher::new(snapshot.configuration.limits.flow_hash_seed);
+        let tables = snapshot.generations.first();
+        let selected = tables.and_then(|held| held.select(service.id, hasher.hash(&self.flow)));
+        let (backend, reason) = match (self.token, pinned) {
+            (Some(Some(claim)), _) => (Some(claim.backend), DecisionReason::Token),
+            (_, Some(backend)) => (Some(backend), DecisionReason::Pin),
+            _ => (selected, DecisionReason::PlacedByTable),
+        };
+        let entry = backend.and_then(|id| snapshot.backend(id));
+        let shard = entry.map(|entry| snapshot.shard_of(entry));
+        api::ExplainReport {
+            service: Some(service.name.clone()),
+            backend: entry.map(|entry| entry.name.clone()),
+            home_host: shard.and_then(|shard| home_name(snapshot, shard)),
+            reason: reason.to_string(),
+            version,
+        }
+    }
+}
+
+fn home_name(snapshot: &RoutingSnapshot, shard: ShardId) -> Option<String> {
+    let home = snapshot.shard(shard).home?;
+    Some(snapshot.hosts.get(home)?.name.clone())
+}
+
+fn parse_token(digits: &str) -> Option<RoutingToken> {
+    let pairs = digits.as_bytes().chunks(2);
+    let bytes: Option<Vec<u8>> = pairs
+        .map(|pair| {
+            let text = std::str::from_utf8(pair).ok()?;
+            let whole = pair.len() == 2;
+            whole.then(|| u8::from_str_radix(text, 16).ok())?
+        })
+        .collect();
+    codec::decode(&bytes?).ok()
+}
--- /dev/null
+++ b/crates/cardamomwinch_daemon/src/administration/mod.rs
@@ -0,0 +1,188 @@
+//! The administration API: JSON-RPC methods over the management endpoint.
+
+pub mod explain;
+pub mod reports;
+
+use std::sync;
+
+use async_channel::Sender;
+use cardamomwinch_coordination::prelude::{RoutingSnapshot, ServingPhase};
+use cardamomwinch_protocol::administration as api;
+use cardamomwinch_protocol::prelude::TokenIssuer;
+use cardamomwinch_transport::prelude::ReadinessSource;
+use jsonrpsee::RpcModule;
+use jsonrpsee::core::RegisterMethodError;
+use jsonrpsee::types::ErrorObjectOwned;
+use snafu::Snafu;
+
+use crate::messages::{ControlInput, ControlQuery, TrafficInput, TrafficQuery};
+use crate::snapshot_cell::SnapshotCell;
+use crate::stopping;
+
+/// The JSON-RPC code of a call that this host cannot answer now.
+const UNAVAILABLE_CODE: i32 = -32_002;
+/// The JSON-RPC code of parameters that cannot be understood.
+const PARAMETERS_CODE: i32 = -32_602;
+/// The most flows that one call answers.
+const FLOWS_LIMIT: u32 = 10_000;
+
+/// Why a call was refused.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Snafu)]
+pub enum CallError {
+    /// A thread does not answer, because the process is ending.
+    #[snafu(display("the host is ending"))]
+    Ending,
+    /// The flow is not written as it should be.
+    #[snafu(display("{message}"))]
+    Flow {
+        /// What is wrong.
+        message: String,
+    },
+    /// The token is not written as it should be.
+    #[snafu(display("the token is not a token in hexadecimal digits"))]
+    Token,
+}
+
+impl From<CallError> for ErrorObjectOwned {
+    fn from(error: CallError) -> Self {
+        let code = match error {
+            CallError::Ending => UNAVAILABLE_CODE,
+            CallError::Flow { .. } | CallError::Token => PARAMETERS_CODE,
+        };
+        Self::owned(code, error.to_string(), None::<()>)
+    }
+}
+
+/// What the methods work with.
+#[derive(Debug, Clone)]
+pub struct AdministrationContext {
+    /// Towards the control thread.
+    pub control: Sender<ControlInput>,
+    /// Towards the traffic threads.
+    pub threads: Vec<Sender<TrafficInput>>,
+    /// Towards whoever stops the process.
+    pub stop: Sender<()>,
+    /// What is published.
+    pub snapshots: SnapshotCell,
+    /// Verifies tokens.
+    pub tokens: TokenIssuer,
+}
+
+impl AdministrationContext {
+    async fn status(&self) -> Result<api::StatusReport, CallError> {
+        let (answer, answers) = async_channel::bounded(1);
+        let query = ControlInput::Query(ControlQuery::Status(answer));
+        self.ask_control(query).await?;
+        let mut report = answers.recv().await.map_err(|_| CallError::Ending)?;
+        let load = stopping::gather_load(&self.threads).await;
+        report.flows = load.flows;
+        report.pending_requests = load.pending_requests;
+        Ok(report)
+    }
+
+    async fn members(&self) -> Result<Vec<api::MemberReport>, CallError> {
+        let (answer, answers) = async_channel::bounded(1);
+        let query = ControlInput::Query(ControlQuery::Members(answer));
+        self.ask_control(query).await?;
+        answers.recv().await.map_err(|_| CallError::Ending)
+    }
+
+    async fn backends(&self) -> Vec<api::BackendReport> {
+        let load = stopping::gather_load(&self.threads).await;
+        reports::backends(&self.snapshots.load(), &load)
+    }
+
+    async fn flows(&self, limit: u32) -> Result<api::FlowsReport, CallError> {
+        let limit = limit.min(FLOWS_LIMIT) as usize;
+        let mut flows = Vec::new();
+        for thread in &self.threads {
+            let (answer, answers) = async_channel::bounded(1);
+            let limit = limit - flows.len();
+            let query = TrafficQuery::Flows { limit, answer };
+            self.ask_thread(thread, query).await?;
+            flows.extend(answers.recv().await.map_err(|_| CallError::Ending)?);
+        }
+        let total = stopping::gather_load(&self.threads).await.flows;
+        Ok(api::FlowsReport { total, flows })
+    }
+
+    async fn explain(
+        &self,
+        asked: api::ExplainParameters,
+    ) -> Result<api::ExplainReport, CallError> {
+        let question = explain::FlowQuestion::parse(&asked, &self.tokens)?;
+        let mut pinned = None;
+        for thread in &self.threads {
+            let (answer, answers) = async_channel::bounded(1);
+            let flow = question.flow;
+            self.ask_thread(thread, TrafficQuery::Pin { flow, answer })
+                .await?;
+            let pin = answers.recv().await.map_err(|_| CallError::Ending)?;
+            pinned = pinned.or(pin);
+        }
+        Ok(question.explain(&self.snapshots.load(), pinned))
+    }
+
+    fn stop(&self) -> api::StopReport {
+        let accepted = self.stop.try_send(()).is_ok();
+        api::StopReport { accepted }
+    }
+
+    async fn ask_control(&self, input: ControlInput) -> Result<(), CallError> {
+        let sent = self.control.send(input).await;
+        sent.map_err(|_| CallError::Ending)
+    }
+
+    async fn ask_thread(
+        &self,
+        thread: &Sender<TrafficInput>,
+        query: TrafficQuery,
+    ) -> Result<(), CallError> {
+        let sent = thread.send(TrafficInput::Query(query)).await;
+        sent.map_err(|_| CallError::Ending)
+    }
+}
+
+/// The methods of the API.
+///
+/// # Errors
+/// Fails where a method is registered twice.
+pub fn module(context: AdministrationContext) -> Result<RpcModule<()>, RegisterMethodError> {
+    let mut module = RpcModule::new(context);
+    module.register_async_method(api::STATUS_METHOD, |_, context, _| async move {
+        context.status().await.map_err(ErrorObjectOwned::from)
+    })?;
+    module.register_async_method(api::MEMBERS_METHOD, |_, context, _| async move {
+        context.members().await.map_err(ErrorObjectOwned::from)
+    })?;
+    module.register_async_method(api::BACKENDS_METHOD, |_, context, _| async move {
+        context.backends().await
+    })?;
+    module.register_async_method(api::FLOWS_METHOD, |params, context, _| async move {
+        let asked: api::FlowsParameters = params.parse()?;
+        let report = context.flows(asked.limit).await;
+        report.map_err(ErrorObjectOwned::from)
+    })?;
+    module.register_async_method(api::EXPLAIN_METHOD, |params, context, _| async move {
+        let asked: api::ExplainParameters = params.parse()?;
+        let report = context.explain(asked).await;
+        report.map_err(ErrorObjectOwned::from)
+    })?;
+    module.register_method(api::STOP_METHOD, |_, context, _| context.stop())?;
+    Ok(module.remove_context())
+}
+
+/// Ready while the published snapshot says that the host serves.
+#[derive(Debug, Clone)]
+pub struct SnapshotReadiness {
+    /// What is published.
+    pub snapshots: SnapshotCell,
+}
+
+impl ReadinessSource for SnapshotReadiness {
+    fn is_ready(&self) -> bool {
+        let snapshot: sync::Arc<RoutingSnapshot> = self.snapshots.load();
+        snapshot.phase == ServingPhase::Serving
+    }
+}
--- /dev/null
+++ b/crates/cardamomwinch_daemon/src/administration/reports.rs
@@ -0,0 +1,141 @@
+//! Fills in the reports of the administration API.
+
+use cardamomwinch_configuration::settings::HostSettings;
+use cardamomwinch_coordination::prelude::{ControlEngine, RoutingSnapshot, ServingPhase};
+use cardamomwinch_protocol::administration as api;
+use cardamomwinch_state::prelude::{
+    BackendEntry, ConfigurationVersion, ConnectionCount, HostEntry, HostListVersion, SlotCount,
+    Timestamp,
+};
+
+use crate::messages::TrafficLoad;
+
+/// How the host is doing; what traffic holds is left at zero.
+pub fn status(
+    engine: &ControlEngine,
+    settings: &HostSettings,
+    now: Timestamp,
+) -> api::StatusReport {
+    let identity = engine.identity();
+    let adoption = engine.adoption();
+    let version = adoption.version();
+    let adopted = version > ConfigurationVersion::ZERO;
+    let host_list = adoption.hosts().version;
+    let started = Timestamp::new(identity.incarnation.get());
+    let refused = engine.refused_fragments().iter();
+    api::StatusReport {
+        host: settings.host.clone(),
+        domain: settings.domain.clone(),
+        incarnation: identity.incarnation,
+        phase: phase(engine.phase()),
+        version: adopted.then_some(version),
+        preset: adopted.then(|| engine.configuration().preset.clone()),
+        host_list_version: (host_list > HostListVersion::ZERO).then_some(host_list),
+        refused_fragments: refused
+            .map(|fragment| api::RefusedFragmentReport {
+                team: fragment.team.clone(),
+                revision: fragment.revision,
+                reason: fragment.reason.to_string(),
+            })
+            .collect(),
+        platform: api::PlatformReport {
+            reachable: engine.platform_health().reachable,
+            stale_answers: engine.platform_health().stale_answers,
+        },
+        flows: 0,
+        pending_requests: 0,
+        uptime_ms: now.since(started).as_millis() as u64,
+    }
+}
+
+const fn phase(phase: ServingPhase) -> api::ServingPhase {
+    match phase {
+        ServingPhase::Starting => api::ServingPhase::Starting,
+        ServingPhase::Serving => api::ServingPhase::Serving,
+        ServingPhase::Stopping => api::ServingPhase::Stopping,
+    }
+}
+
+/// What the host believes about others, and about itself.
+pub fn members(
+    engine: &ControlEngine,
+    settings: &HostSettings,
+    now: Timestamp,
+) -> Vec<api::MemberReport> {
+    let hosts = engine.adoption().hosts().hosts.values();
+    hosts
+        .map(|host| member(engine, settings, host, now))
+        .collect()
+}
+
+fn member(
+    engine: &ControlEngine,
+    settings: &HostSettings,
+    host: &HostEntry,
+    now: Timestamp,
+) -> api::MemberReport {
+    let known = engine.membership().get(host.id);
+    let own = host.id == engine.identity().host;
+    let reachability = match known {
+        _ if own => api::Reachability::Alive,
+        None => api::Reachability::Unknown,
+        Some(_) if engine.membership().is_reachable(now, host.id) => api::Reachability::Alive,
+        Some(_) => api::Reachability::Dead,
+    };
+    let own_version = own.then(|| engine.adoption().version());
+    let domain = match host.domain == settings.domain_id() {
+        true => settings.domain.clone(),
+        false => engine.domain_name(host.domain),
+    };
+    api::MemberReport {
+        host: host.name.clone(),
+        domain,
+        published_phase: Some(host.phase),
+        reachability,
+        incarnation: match own {
+            true => Some(engine.identity().incarnation),
+            false => known.map(|known| known.incarnation),
+        },
+        last_heard_ms: known.map(|known| now.since(known.last_heard).as_millis() as u64),
+        configuration_version: own_version.or(known.map(|known| known.digest.version)),
+    }
+}
+
+/// The backend servers as this host sees them.
+pub fn backends(snapshot: &RoutingSnapshot, load: &TrafficLoad) -> Vec<api::BackendReport> {
+    let backends = snapshot.configuration.backends.values();
+    backends
+        .map(|entry| backend(snapshot, load, entry))
+        .collect()
+}
+
+fn backend(
+    snapshot: &RoutingSnapshot,
+    load: &TrafficLoad,
+    entry: &BackendEntry,
+) -> api::BackendReport {
+    let shard = snapshot.shard_of(entry);
+    let service = snapshot.configuration.services.get(&entry.service);
+    let home = snapshot.shard(shard).home;
+    let home = home.and_then(|id| snapshot.hosts.get(id));
+    let health = match snapshot.is_ejected(entry.id) {
+        true => api::HealthState::Unhealthy,
+        false => api::HealthState::Healthy,
+    };
+    let held = |held: Option<&u32>| held.copied().unwrap_or_default();
+    api::BackendReport {
+        service: service.map_or_else(|| entry.service.to_string(), |held| held.name.clone()),
+        backend: entry.name.clone(),
+        id: entry.id.to_string(),
+        domain: snapshot.domain_name(entry.domain),
+        address: entry.address.to_string(),
+        phase: entry.phase,
+        weight: entry.weight,
+        health,
+        busy_slots: SlotCount::new(held(load.busy_slots.get(&entry.id))),
+        slots: entry.slots,
+        connections: ConnectionCount::new(held(load.connections.get(&entry.id))),
+        shard: shard.index,
+        home_host: home.map(|host| host.name.clone()),
+    }
+}
--- /dev/null
+++ b/crates/cardamomwinch_daemon/src/control_effects.rs
@@ -0,0 +1,106 @@
+//! Carries out the effects of the control engine.
+
+use std::net;
+use std::rc;
+use std::time;
+
+use async_channel::Sender;
+use async_executor::LocalExecutor;
+use cardamomwinch_coordination::control::event::{LoadFailure, PlatformRequest};
+use cardamomwinch_coordination::prelude::{
+    ControlEffect, ControlEvent, ControlSink, DecisionRecord,
+};
+use cardamomwinch_protocol::prelude::PeerEnvelope;
+use cardamomwinch_state::prelude::{BackendId, Timestamp};
+use cardamomwinch_transport::prelude::{DecisionLogger, LoadClient};
+
+use crate::counter_handles::CounterHandles;
+use crate::decision_line::DecisionLine;
+use crate::messages::ControlInput;
+use crate::peer_delivery::PeerSender;
+use crate::platform_calls::PlatformCalls;
+use crate::snapshot_cell::SnapshotCell;
+
+/// How long the load endpoint of a backend server may take to answer.
+const LOAD_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+
+/// Everything that the control engine acts through.
+pub struct ControlOutlets {
+    /// Runs calls.
+    pub executor: rc::Rc<LocalExecutor<'static>>,
+    /// Where outcomes of calls go.
+    pub inputs: Sender<ControlInput>,
+    /// Towards other hosts.
+    pub peers: PeerSender,
+    /// Towards the platform.
+    pub platform: PlatformCalls,
+    /// Towards traffic.
+    pub snapshots: SnapshotCell,
+    /// Counts.
+    pub counters: CounterHandles,
+    /// Logs decisions.
+    pub logger: DecisionLogger<DecisionLine>,
+    /// The name of this host.
+    pub host: String,
+}
+
+impl ControlOutlets {
+    fn send_peer(&self, address: net::SocketAddr, envelope: PeerEnvelope) {
+        if let Some(large) = self.peers.send_small(address, envelope) {
+            let peers = self.peers.clone();
+            self.executor.spawn(peers.deliver(address, large)).detach();
+        }
+    }
+
+    fn call_platform(&self, request: PlatformRequest) {
+        let call = self.platform.clone().make(request);
+        let inputs = self.inputs.clone();
+        let task = async move {
+            let event = ControlEvent::Platform(call.await);
+            drop(inputs.send(ControlInput::Event(event)).await);
+        };
+        self.executor.spawn(task).detach();
+    }
+
+    fn ask_load(&self, backend: BackendId, address: net::SocketAddr) {
+        let inputs = self.inputs.clone();
+        let task = async move {
+            let mut client = LoadClient::new(address, LOAD_TIMEOUT);
+            let result = client.read().await.map_err(|_| LoadFailure);
+            let event = ControlEvent::Load { backend, result };
+            drop(inputs.send(ControlInput::Event(event)).await);
+        };
+        self.executor.spawn(task).detach();
+    }
+
+    fn log(&mut self, now: Timestamp, record: &DecisionRecord) {
+        let snapshot = self.snapshots.load();
+        let line = DecisionLine::new(&self.host, record, &snapshot);
+        self.logger.log(now, &line);
+    }
+}
+
+/// The outlets with the time of one event.
+pub struct ControlOutletSink<'o> {
+    /// The outlets.
+    pub outlets: &'o mut ControlOutlets,
+    /// The time of the event.
+    pub now: Timestamp,
+}
+
+impl ControlSink for ControlOutletSink<'_> {
+    fn emit(&mut self, effect: ControlEffect) {
+        match effect {
+            ControlEffect::ToPeer {
+                address, envelope, ..
+            } => self.outlets.send_peer(address, envelope),
+            ControlEffect::Platform(request) => self.outlets.call_platform(request),
+            ControlEffect::AskLoad { backend, address } => {
+                self.outlets.ask_load(backend, address);
+            }
+            ControlEffect::Publish(snapshot) => self.outlets.snapshots.publish(snapshot),
+            ControlEffect::Decide(record) => self.outlets.log(self.now, &record),
+            ControlEffect::Count(counter) => self.outlets.counters.count(counter),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cardamomwinch_daemon/src/control_thread.rs
@@ -0,0 +1,132 @@
+//! The control thread: everything that happens is brought to one engine.
+
+use std::rc;
+use std::time;
+
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use cardamomwinch_configuration::settings::HostSettings;
+use cardamomwinch_coordination::prelude::{ControlEngine, ControlEvent};
+use cardamomwinch_protocol::codec;
+use cardamomwinch_transport::prelude::{Clock, DatagramSocket, HostClock, TickPlan, TimerService};
+
+use crate::administration::reports;
+use crate::control_effects::{ControlOutletSink, ControlOutlets};
+use crate::messages::{ControlInput, ControlQuery};
+use crate::peer_delivery::PeerSender;
+
+/// The period of the control tick.
+const TICK_PERIOD: time::Duration = time::Duration::from_millis(100);
+/// Ticks are put off by up to this, so that hosts do not act in step.
+const TICK_JITTER: time::Duration = time::Duration::from_millis(20);
+
+/// The control engine and what it acts through.
+pub struct ControlDriver {
+    engine: ControlEngine,
+    outlets: ControlOutlets,
+    settings: rc::Rc<HostSettings>,
+    clock: HostClock,
+}
+
+impl ControlDriver {
+    /// Puts the driver together.
+    pub const fn new(
+        engine: ControlEngine,
+        outlets: ControlOutlets,
+        settings: rc::Rc<HostSettings>,
+        clock: HostClock,
+    ) -> Self {
+        Self {
+            engine,
+            outlets,
+            settings,
+            clock,
+        }
+    }
+
+    fn handle(&mut self, event: ControlEvent) {
+        let now = self.clock.now();
+        let mut sink = ControlOutletSink {
+            outlets: &mut self.outlets,
+            now,
+        };
+        self.engine.handle(now, event, &mut sink);
+    }
+
+    fn answer(&self, query: ControlQuery) {
+        let now = self.clock.now();
+        match query {
+            ControlQuery::Status(answer) => {
+                let report = reports::status(&self.engine, &self.settings, now);
+                drop(answer.try_send(report));
+            }
+            ControlQuery::Members(answer) => {
+                let report = reports::members(&self.engine, &self.settings, now);
+                drop(answer.try_send(report));
+            }
+        }
+    }
+
+    /// Takes inputs until their channel is closed.
+    pub async fn run(mut self, inputs: Receiver<ControlInput>) {
+        self.handle(ControlEvent::Start);
+        while let Ok(input) = inputs.recv().await {
+            match input {
+                ControlInput::Event(event) => self.handle(event),
+                ControlInput::Query(query) => self.answer(query),
+                ControlInput::Stop => self.handle(ControlEvent::Stop),
+            }
+        }
+    }
+}
+
+/// Sends a tick to the control engine again and again.
+pub async fn tick(timers: TimerService<HostClock>, seed: u64, inputs: Sender<ControlInput>) {
+    let plan = TickPlan {
+        period: TICK_PERIOD,
+        jitter: TICK_JITTER,
+        seed,
+    };
+    let mut subscription = timers.subscribe_ticks((), plan);
+    while subscription.next().await.is_some() {
+        let input = ControlInput::Event(ControlEvent::Tick);
+        if inputs.send(input).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Brings control messages of other hosts to the engine.
+pub async fn receive_peers(
+    socket: rc::Rc<DatagramSocket>,
+    peers: PeerSender,
+    inputs: Sender<ControlInput>,
+) {
+    let mut buffer = vec![0; codec::DATAGRAM_LIMIT];
+    loop {
+        let Ok(received) = socket.receive(&mut buffer).await else {
+            metrics::counter!("cardamomwinch_receive_failures_total").increment(1);
+            continue;
+        };
+        let Some(envelope) = peers.open(&buffer[..received.length]) else {
+            continue;
+        };
+        // A full queue means that control lags: a lost message is repaired by
+        // the next one, whereas an old one would only add to the lag.
+        let input = ControlInput::Event(ControlEvent::Peer(envelope));
+        if inputs.try_send(input).is_err() {
+            metrics::counter!("cardamomwinch_control_queue_drops_total").increment(1);
+        }
+    }
+}
+
+/// Runs `driver` and its sources on `executor`.
+pub async fn run(
+    driver: ControlDriver,
+    inputs: Receiver<ControlInput>,
+    sources: Vec<async_executor::Task<()>>,
+    executor: rc::Rc<LocalExecutor<'static>>,
+) {
+    executor.run(driver.run(inputs)).await;
+    drop(sources);
+}
--- /dev/null
+++ b/crates/cardamomwinch_daemon/src/decision_line.rs
@@ -0,0 +1,72 @@
+//! Decisions as log lines, with names where the configuration has them.
+
+use cardamomwinch_coordination::prelude::{DecisionReason, DecisionRecord, RoutingSnapshot};
+use cardamomwinch_transport::prelude as transport;
+use serde::Serialize;
+
+/// One decision as it is logged.
+#[derive(Debug, Serialize)]
+pub struct DecisionLine {
+    /// The name of the host that decided.
+    pub host: String,
+    /// The configuration version it decided under.
+    pub version: u64,
+    /// Why.
+    pub reason: DecisionReason,
+    /// The flow.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub flow: Option<String>,
+    /// The name of the service.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub service: Option<String>,
+    /// The name of the backend server.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub backend: Option<String>,
+    /// The name of the other host.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub peer: Option<String>,
+    /// The shard.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub shard: Option<String>,
+}
+
+impl DecisionLine {
+    /// Puts names to the identifiers of `record`.
+    pub fn new(host: &str, record: &DecisionRecord, snapshot: &RoutingSnapshot) -> Self {
+        let service = record.service.map(|id| {
+            let entry = snapshot.configuration.services.get(&id);
+            entry.map_or_else(|| id.to_string(), |entry| entry.name.clone())
+        });
+        let backend = record.backend.map(|id| {
+            let entry = snapshot.backend(id);
+            entry.map_or_else(|| id.to_string(), |entry| entry.name.clone())
+        });
+        let peer = record.peer.map(|id| {
+            let entry = snapshot.hosts.get(id);
+            entry.map_or_else(|| id.to_string(), |entry| entry.name.clone())
+        });
+        Self {
+            host: host.to_owned(),
+            version: record.version.get(),
+            reason: record.reason,
+            flow: record.flow.map(|flow| flow.to_string()),
+            service,
+            backend,
+            peer,
+            shard: record.shard.map(|shard| shard.to_string()),
+        }
+    }
+}
+
+impl transport::DecisionRecord for DecisionLine {
+    fn event(&self) -> &'static str {
+        match self.reason {
+            DecisionReason::PlacedByTable | DecisionReason::PlacedByLoad => "placement",
+            DecisionReason::HomeChanged
+            | DecisionReason::ConfigurationAdopted
+            | DecisionReason::BackendHealth
+            | DecisionReason::HostReachability => "control",
+            _ => "routing",
+        }
+    }
+}
--- /dev/null
+++ b/crates/cardamomwinch_daemon/src/stopping.rs
@@ -0,0 +1,103 @@
+//! Signals and the graceful stop.
+
+use std::io;
+use std::time;
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use async_signal::{Signal, Signals};
+use cardamomwinch_transport::prelude::Clock;
+use futures_lite::StreamExt;
+
+use crate::messages::{ControlInput, TrafficInput, TrafficLoad, TrafficQuery};
+
+/// How often the traffic threads are asked whether they are done.
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
+/// How the process ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopStatus {
+    /// Nothing was cut off.
+    Graceful,
+    /// Requests were still pending.
+    Cut {
+        /// How many.
+        pending_requests: u64,
+    },
+}
+
+/// Asks every traffic thread how much it holds.
+pub async fn gather_load(threads: &[Sender<TrafficInput>]) -> TrafficLoad {
+    let mut total = TrafficLoad::default();
+    for thread in threads {
+        let (answer, answers) = async_channel::bounded(1);
+        let query = TrafficInput::Query(TrafficQuery::Load(answer));
+        if thread.send(query).await.is_err() {
+            continue;
+        }
+        let Ok(load) = answers.recv().await else {
+            continue;
+        };
+        total.flows += load.flows;
+        total.pending_requests += load.pending_requests;
+        for (backend, busy) in load.busy_slots.iter() {
+            *total.busy_slots.get_or_insert_with(*backend, || 0) += busy;
+        }
+        for (backend, held) in load.connections.iter() {
+            *total.connections.get_or_insert_with(*backend, || 0) += held;
+        }
+    }
+    total
+}
+
+/// Waits for the first signal or request to stop, then until nothing is
+/// pending, the deadline has passed, or a second signal came.
+pub async fn wait_until_stopped<C: Clock>(
+    signals: &mut Signals,
+    stop_requests: &Receiver<()>,
+    control: &Sender<ControlInput>,
+    threads: &[Sender<TrafficInput>],
+    deadline: time::Duration,
+    clock: &C,
+) -> StopStatus {
+    let signalled = async {
+        signals.next().await;
+    };
+    let requested = async {
+        if stop_requests.recv().await.is_err() {
+            futures_lite::future::pending::<()>().await;
+        }
+    };
+    futures_lite::future::or(signalled, requested).await;
+    log::info!("stopping gracefully");
+    drop(control.send(ControlInput::Stop).await);
+    let latest = clock.now().after(deadline);
+    let second = async {
+        signals.next().await;
+        let pending_requests = gather_load(threads).await.pending_requests;
+        StopStatus::Cut { pending_requests }
+    };
+    let drained = async {
+        loop {
+            Timer::after(POLL_INTERVAL).await;
+            let pending_requests = gather_load(threads).await.pending_requests;
+            if pending_requests == 0 {
+                return StopStatus::Graceful;
+            }
+            if clock.now() >= latest {
+                return StopStatus::Cut { pending_requests };
+            }
+        }
+    };
+    let status = futures_lite::future::or(drained, second).await;
+    log::info!("stopped: {status:?}");
+    status
+}
+
+/// Subscribes to the signals that stop the process.
+///
+/// # Errors
+/// Fails where the system refuses.
+pub fn stop_signals() -> io::Result<Signals> {
+    Signals::new([Signal::Term, Signal::Int])
+}
--- /dev/null
+++ b/crates/cardamomwinch_daemon/src/traffic_effects.rs
@@ -0,0 +1,137 @@
+//! Carries out the effects of a traffic engine.
+
+use std::net;
+use std::sync;
+
+use async_channel::Sender;
+use cardamomwinch_coordination::prelude::{
+    DecisionRecord, RoutingSnapshot, TrafficEffect, TrafficSink,
+};
+use cardamomwinch_protocol::codec;
+use cardamomwinch_protocol::prelude::{AuthenticationKeys, RelayEnvelope};
+use cardamomwinch_protocol::relay::RELAY_CONTEXT;
+use cardamomwinch_state::prelude::Timestamp;
+use cardamomwinch_transport::prelude::{DatagramSocket, DecisionLogger};
+use serde::Serialize;
+
+use crate::counter_handles::CounterHandles;
+use crate::decision_line::DecisionLine;
+use crate::messages::TrafficInput;
+
+/// Room for a datagram, its envelope and its authentication code.
+const SEND_BUFFER: usize = codec::DATAGRAM_LIMIT + 512;
+
+/// The sockets and channels of one traffic thread.
+pub struct TrafficOutlets {
+    /// Towards callers and backend servers.
+    pub traffic: sync::Arc<DatagramSocket>,
+    /// Towards other hosts.
+    pub relay: sync::Arc<DatagramSocket>,
+    /// Towards the other traffic threads, by position.
+    pub threads: Vec<Sender<TrafficInput>>,
+    /// Signs what goes to other hosts.
+    pub keys: AuthenticationKeys,
+    /// Counts.
+    pub counters: CounterHandles,
+    /// Logs decisions.
+    pub logger: DecisionLogger<DecisionLine>,
+    /// The name of this host.
+    pub host: String,
+    buffer: Box<[u8]>,
+}
+
+impl TrafficOutlets {
+    /// Gathers the outlets of one thread.
+    pub fn new(
+        sockets: TrafficSockets,
+        threads: Vec<Sender<TrafficInput>>,
+        keys: AuthenticationKeys,
+        logger: DecisionLogger<DecisionLine>,
+        host: String,
+    ) -> Self {
+        Self {
+            traffic: sockets.traffic,
+            relay: sockets.relay,
+            threads,
+            keys,
+            counters: CounterHandles::default(),
+            logger,
+            host,
+            buffer: vec![0; SEND_BUFFER].into_boxed_slice(),
+        }
+    }
+
+    fn send<T: Serialize>(&mut self, value: &T, destination: net::SocketAddr) {
+        match codec::encode(value, &mut self.buffer) {
+            Ok(bytes) => send_or_count(&self.traffic, bytes, destination),
+            Err(_) => metrics::counter!("cardamomwinch_oversized_sends_total").increment(1),
+        }
+    }
+
+    fn relay(&mut self, envelope: &RelayEnvelope<'_>, destination: net::SocketAddr) {
+        match self.keys.seal(RELAY_CONTEXT, envelope, &mut self.buffer) {
+            Ok(bytes) => send_or_count(&self.relay, bytes, destination),
+            Err(_) => metrics::counter!("cardamomwinch_oversized_sends_total").increment(1),
+        }
+    }
+
+    fn pass(&mut self, thread: u16, envelope: &RelayEnvelope<'_>) {
+        let Ok(bytes) = codec::encode(envelope, &mut self.buffer) else {
+            return metrics::counter!("cardamomwinch_oversized_sends_total").increment(1);
+        };
+        let input = TrafficInput::Envelope(Box::from(&*bytes));
+        let sender = self.threads.get(usize::from(thread));
+        if sender.is_none_or(|sender| sender.try_send(input).is_err()) {
+            metrics::counter!("cardamomwinch_thread_queue_drops_total").increment(1);
+        }
+    }
+
+    fn log(&mut self, now: Timestamp, record: &DecisionRecord, snapshot: &RoutingSnapshot) {
+        let line = DecisionLine::new(&self.host, record, snapshot);
+        self.logger.log(now, &line);
+    }
+}
+
+/// The sockets of one traffic thread.
+#[derive(Debug, Clone)]
+pub struct TrafficSockets {
+    /// Towards callers and backend servers.
+    pub traffic: sync::Arc<DatagramSocket>,
+    /// Towards other hosts.
+    pub relay: sync::Arc<DatagramSocket>,
+}
+
+/// A datagram that cannot be sent is lost like one that the network loses;
+/// it must not stop the thread.
+fn send_or_count(socket: &DatagramSocket, bytes: &[u8], destination: net::SocketAddr) {
+    if socket.send(bytes, destination).is_err() {
+        metrics::counter!("cardamomwinch_send_failures_total").increment(1);
+    }
+}
+
+/// The outlets together with what one event is decided against.
+pub struct OutletSink<'o> {
+    /// The outlets.
+    pub outlets: &'o mut TrafficOutlets,
+    /// The time of the event.
+    pub now: Timestamp,
+    /// The snapshot it is decided against, for names.
+    pub snapshot: &'o RoutingSnapshot,
+}
+
+impl TrafficSink for OutletSink<'_> {
+    fn emit(&mut self, effect: TrafficEffect<'_>) {
+        match effect {
+            TrafficEffect::ToCaller(reply) => self.outlets.send(&reply, reply.flow.caller),
+            TrafficEffect::ToBackend { address, datagram } => {
+                self.outlets.send(&datagram, address);
+            }
+            TrafficEffect::Relay {
+                address, envelope, ..
+            } => self.outlets.relay(&envelope, address),
+            TrafficEffect::ToThread { thread, envelope } => self.outlets.pass(thread, &envelope),
+            TrafficEffect::Decide(record) => self.outlets.log(self.now, &record, self.snapshot),
+            TrafficEffect::Count(counter) => self.outlets.counters.count(counter),
+        }
+    }
+}
