Add stand-ins for platform, fabric, backend server, caller and proxy

Cause: the daemon needs a path around it that can be run as real processes, and tests that can see a request run twice or an answer arrive twice.

Ruled out: letting the fabric decode what it carries. It must also carry bytes that nobody understands, so it only sets the one byte by which the codec tells the two sides apart.

Change: a library with one module for each stand-in, five thin programs that print their bound addresses as a line of JSON, and a guard for child processes that signals just its own child. Dependencies on the product's transport and configuration are gone.

--- /dev/null
+++ b/crates/cardamomwinch_standin/src/backend_state.rs
@@ -0,0 +1,330 @@
+//! What one backend server remembers: flows, slots, its queue and every run.
+
+use std::collections::VecDeque;
+use std::net;
+use std::time;
+
+use cardamomwinch_protocol::backend::BackendRequest;
+use cardamomwinch_protocol::prelude::{BackendDatagram, LoadReport};
+use cardamomwinch_state::prelude::{
+    BackendId, ConnectionCount, FlowKey, HostId, RequestId, SlotCount, SortedVector, Timestamp,
+};
+use serde::{Deserialize, Serialize};
+
+/// The number of different requests whose runs are listed; later ones are
+/// only counted.
+pub const RUN_LIMIT: usize = 100_000;
+
+/// Where the replies about a flow say they come from and go to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReplyRoute {
+    /// The flow.
+    pub flow: FlowKey,
+    /// The server as the host named it.
+    pub backend: BackendId,
+    /// The host that forwarded the latest datagram.
+    pub via: HostId,
+}
+
+impl From<&BackendDatagram<'_>> for ReplyRoute {
+    fn from(datagram: &BackendDatagram<'_>) -> Self {
+        Self {
+            flow: datagram.flow,
+            backend: datagram.backend,
+            via: datagram.via,
+        }
+    }
+}
+
+/// A request that waits or runs.
+#[derive(Debug, Clone)]
+pub struct RequestJob {
+    /// Where its answer goes.
+    pub route: ReplyRoute,
+    /// Its identifier and limits.
+    pub request: BackendRequest,
+    /// Its payload.
+    pub payload: Vec<u8>,
+}
+
+impl RequestJob {
+    /// Whether it is too late to begin at `now`.
+    pub fn is_late(&self, now: Timestamp) -> bool {
+        now > self.request.start_before || now > self.request.deadline
+    }
+}
+
+/// How often one request ran on this server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RequestRuns {
+    /// The flow.
+    pub flow: FlowKey,
+    /// The request.
+    pub request: RequestId,
+    /// How often it ran.
+    pub count: u64,
+    /// The payload of its first run; bytes that are not UTF-8 are replaced.
+    pub payload: String,
+}
+
+/// Answer to `GET /runs`.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RunReport {
+    /// All runs.
+    pub total: u64,
+    /// Runs that came after the list was full; they are not searched for repetition.
+    pub unlisted: u64,
+    /// Requests that were shed.
+    pub shed: u64,
+    /// Requests that were cancelled while they waited.
+    pub cancelled: u64,
+    /// Datagrams for a service that is not this server's own; a violation.
+    pub wrong_service: u64,
+    /// Datagrams for a flow that is not open.
+    pub unknown_flow: u64,
+    /// Datagrams that could not be understood.
+    pub malformed: u64,
+    /// Flows open now.
+    pub open_flows: usize,
+    /// Requests that ran more than once; a violation.
+    pub repeated: Vec<RequestRuns>,
+    /// Each request that ran, up to [`RUN_LIMIT`].
+    pub runs: Vec<RequestRuns>,
+}
+
+/// Where the load endpoint takes its answer from.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "mode")]
+pub enum HealthMode {
+    /// From what is so now.
+    #[default]
+    Truth,
+    /// From what was so at the last multiple of a period.
+    Lag {
+        /// The period in milliseconds.
+        period_ms: u64,
+    },
+    /// From what it was told to say.
+    Lie {
+        /// What to say.
+        report: LoadReport,
+    },
+}
+
+/// A flow that is open.
+#[derive(Debug, Clone, Copy)]
+pub struct OpenFlow {
+    /// Where its notices go.
+    pub route: ReplyRoute,
+    /// The sequence number of the latest notice.
+    pub notices: u64,
+}
+
+/// What happened to a request that arrived.
+#[derive(Debug)]
+pub enum Admission {
+    /// It has a slot and runs now.
+    Run(RequestJob),
+    /// It waits for a slot.
+    Queued,
+    /// It will not run.
+    Shed(RequestJob),
+}
+
+/// The state of one backend server.
+#[derive(Debug)]
+pub struct BackendState {
+    service: net::SocketAddr,
+    slots: SlotCount,
+    connections: ConnectionCount,
+    queue_limit: usize,
+    busy: u32,
+    queue: VecDeque<RequestJob>,
+    flows: SortedVector<FlowKey, OpenFlow>,
+    runs: SortedVector<(FlowKey, RequestId), RequestRuns>,
+    draining: bool,
+    health: HealthMode,
+    lagging: Option<(time::Instant, LoadReport)>,
+    /// Counters; the lists in it stay empty until a report is made.
+    pub counters: RunReport,
+}
+
+impl BackendState {
+    /// An idle server for `service`.
+    pub fn new(
+        service: net::SocketAddr,
+        slots: SlotCount,
+        connections: ConnectionCount,
+        queue_limit: usize,
+        health: HealthMode,
+    ) -> Self {
+        Self {
+            service,
+            slots,
+            connections,
+            queue_limit,
+            busy: 0,
+            queue: VecDeque::new(),
+            flows: SortedVector::new(),
+            runs: SortedVector::new(),
+            draining: false,
+            health,
+            lagging: None,
+            counters: RunReport::default(),
+        }
+    }
+
+    /// Whether `flow` belongs to this server's service; counts where not.
+    pub fn accepts_service(&mut self, flow: &FlowKey) -> bool {
+        let own = flow.service == self.service;
+        self.counters.wrong_service += u64::from(!own);
+        own
+    }
+
+    /// Opens the flow of `route`, or says that it is open already. Refused
+    /// while draining and when all connections are taken.
+    pub fn open(&mut self, route: ReplyRoute) -> bool {
+        if self.touch(route) {
+            return true;
+        }
+        if self.draining || self.flows.len() >= self.connections.get() as usize {
+            self.counters.shed += 1;
+            return false;
+        }
+        let flow = OpenFlow { route, notices: 0 };
+        self.flows.insert(route.flow, flow);
+        true
+    }
+
+    /// Remembers the latest host of an open flow; false where it is not open.
+    pub fn touch(&mut self, route: ReplyRoute) -> bool {
+        let Some(flow) = self.flows.get_mut(&route.flow) else {
+            return false;
+        };
+        flow.route = route;
+        true
+    }
+
+    /// Closes `flow`.
+    pub fn close(&mut self, flow: &FlowKey) {
+        self.flows.remove(flow);
+    }
+
+    /// Gives `job` a slot, a place in the queue, or neither.
+    pub fn admit(&mut self, job: RequestJob, now: Timestamp) -> Admission {
+        if job.is_late(now) {
+            self.counters.shed += 1;
+            return Admission::Shed(job);
+        }
+        if self.busy < self.slots.get() {
+            self.busy += 1;
+            self.record(&job);
+            return Admission::Run(job);
+        }
+        if self.queue.len() < self.queue_limit {
+            self.queue.push_back(job);
+            return Admission::Queued;
+        }
+        self.counters.shed += 1;
+        Admission::Shed(job)
+    }
+
+    /// Frees a slot and takes the next waiting request, which is shed where
+    /// it is too late; the caller asks again until there is none to shed.
+    pub fn next_job(&mut self, now: Timestamp) -> Option<Admission> {
+        self.busy = self.busy.saturating_sub(1);
+        let job = self.queue.pop_front()?;
+        if job.is_late(now) {
+            // The slot is still free for whoever is next in the queue.
+            self.busy += 1;
+            self.counters.shed += 1;
+            return Some(Admission::Shed(job));
+        }
+        self.busy += 1;
+        self.record(&job);
+        Some(Admission::Run(job))
+    }
+
+    /// Takes a waiting request out of the queue.
+    pub fn cancel(&mut self, flow: &FlowKey, request: RequestId) -> Option<RequestJob> {
+        let mut waiting = self.queue.iter();
+        let position =
+            waiting.position(|job| job.route.flow == *flow && job.request.id == request)?;
+        self.counters.cancelled += 1;
+        self.queue.remove(position)
+    }
+
+    fn record(&mut self, job: &RequestJob) {
+        self.counters.total += 1;
+        let key = (job.route.flow, job.request.id);
+        if let Some(runs) = self.runs.get_mut(&key) {
+            runs.count += 1;
+        } else if self.runs.len() >= RUN_LIMIT {
+            self.counters.unlisted += 1;
+        } else {
+            let runs = RequestRuns {
+                flow: key.0,
+                request: key.1,
+                count: 1,
+                payload: String::from_utf8_lossy(&job.payload).into_owned(),
+            };
+            self.runs.insert(key, runs);
+        }
+    }
+
+    /// Counts a notice for each open flow and returns them.
+    pub fn next_notices(&mut self) -> Vec<OpenFlow> {
+        let flows = self.flows.iter_mut().map(|(_, flow)| {
+            flow.notices += 1;
+            *flow
+        });
+        flows.collect()
+    }
+
+    /// Takes no new flows from now on.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Sets where the load endpoint takes its answer from.
+    pub fn set_health(&mut self, health: HealthMode) {
+        self.health = health;
+        self.lagging = None;
+    }
+
+    /// What the load endpoint says at `now`.
+    pub fn load(&mut self, now: time::Instant) -> LoadReport {
+        let truth = LoadReport {
+            busy_slots: self.busy,
+            connections: u32::try_from(self.flows.len()).unwrap_or(u32::MAX),
+            healthy: true,
+            draining: self.draining,
+        };
+        match self.health {
+            HealthMode::Truth => truth,
+            HealthMode::Lie { report } => report,
+            HealthMode::Lag { period_ms } => {
+                let period = time::Duration::from_millis(period_ms);
+                let (taken, report) = *self.lagging.get_or_insert((now, truth));
+                if now.duration_since(taken) >= period {
+                    self.lagging = Some((now, truth));
+                }
+                report
+            }
+        }
+    }
+
+    /// All runs so far.
+    pub fn report(&self) -> RunReport {
+        let runs: Vec<_> = self.runs.values().cloned().collect();
+        RunReport {
+            open_flows: self.flows.len(),
+            repeated: runs.iter().filter(|runs| runs.count > 1).cloned().collect(),
+            runs,
+            ..self.counters.clone()
+        }
+    }
+}
--- /dev/null
+++ b/crates/cardamomwinch_standin/src/caller.rs
@@ -0,0 +1,255 @@
+//! A caller: one flow on a socket of its own. It sends each request again,
+//! under the same identifier, until it knows what became of it.
+
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use async_executor::Task;
+use async_net::UdpSocket;
+use cardamomwinch_protocol::caller::{CallerDatagram, CallerKind, CallerReply, RequestHeader};
+use cardamomwinch_protocol::codec;
+use cardamomwinch_state::prelude::{FlowKey, RequestId};
+use snafu::ResultExt;
+
+use crate::caller_state::CallerState;
+pub use crate::caller_state::{CallerCounters, NoticeSummary, OpenOutcome, RequestOutcome};
+use crate::error::{EncodeSnafu, StandinError};
+use crate::fabric;
+use crate::runtime::{self, ChangeNotice, TaskExecutor};
+
+/// How a caller behaves.
+#[derive(Debug, Clone, Copy)]
+pub struct CallerSettings {
+    /// The fabric's address for callers.
+    pub fabric: net::SocketAddr,
+    /// The public address of the service.
+    pub service: net::SocketAddr,
+    /// Whether it echoes the first token it is given.
+    pub echoes_token: bool,
+    /// How long it waits before it sends the same datagram again.
+    pub resend_interval: time::Duration,
+}
+
+impl CallerSettings {
+    /// A caller that echoes its token and sends again five times a second.
+    pub const fn new(fabric: net::SocketAddr, service: net::SocketAddr) -> Self {
+        Self {
+            fabric,
+            service,
+            echoes_token: true,
+            resend_interval: time::Duration::from_millis(200),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct SharedCaller {
+    settings: CallerSettings,
+    flow: FlowKey,
+    socket: UdpSocket,
+    state: sync::Mutex<CallerState>,
+    change: ChangeNotice,
+    next_request: atomic::AtomicU64,
+}
+
+/// One flow; its socket closes when dropped.
+#[derive(Debug)]
+pub struct CallerClient {
+    shared: sync::Arc<SharedCaller>,
+    _receiver: Task<()>,
+}
+
+impl CallerClient {
+    /// Binds a socket on the address family of the fabric. Nothing is sent yet.
+    ///
+    /// # Errors
+    /// Fails where no port is free.
+    pub async fn bind(
+        executor: &TaskExecutor,
+        settings: CallerSettings,
+    ) -> Result<Self, StandinError> {
+        let any = net::SocketAddr::new(settings.fabric.ip(), 0);
+        let (socket, caller) = fabric::bind_datagrams(any).await?;
+        let shared = sync::Arc::new(SharedCaller {
+            settings,
+            flow: FlowKey {
+                caller,
+                service: settings.service,
+            },
+            socket,
+            state: sync::Mutex::default(),
+            change: ChangeNotice::default(),
+            next_request: atomic::AtomicU64::new(1),
+        });
+        let receiver = executor.spawn(shared.clone().receive());
+        Ok(Self {
+            shared,
+            _receiver: receiver,
+        })
+    }
+
+    /// The flow that this client is.
+    pub fn flow(&self) -> FlowKey {
+        self.shared.flow
+    }
+
+    /// Opens the flow without a request; asks again until `wait` has passed.
+    ///
+    /// # Errors
+    /// Fails where `payload` does not fit into a datagram.
+    pub async fn open(
+        &self,
+        payload: &[u8],
+        wait: time::Duration,
+    ) -> Result<OpenOutcome, StandinError> {
+        let shared = &self.shared;
+        let outcome = || runtime::locked(&shared.state).opening;
+        let limit = time::Instant::now() + wait;
+        let found = shared.insist(CallerKind::Open, None, payload, limit, outcome);
+        Ok(found.await?.unwrap_or(OpenOutcome::TimedOut))
+    }
+
+    /// Opens the flow with a request in the same datagram.
+    ///
+    /// # Errors
+    /// Fails where `payload` does not fit into a datagram.
+    pub async fn open_with_request(
+        &self,
+        payload: &[u8],
+        idempotent: bool,
+        wait: time::Duration,
+    ) -> Result<RequestOutcome, StandinError> {
+        let kind = CallerKind::Open;
+        self.shared.request(kind, payload, idempotent, wait).await
+    }
+
+    /// Sends a request on the open flow and waits until it is known what
+    /// became of it, or `wait`, which is also its deadline, has passed.
+    ///
+    /// # Errors
+    /// Fails where `payload` does not fit into a datagram.
+    pub async fn request(
+        &self,
+        payload: &[u8],
+        idempotent: bool,
+        wait: time::Duration,
+    ) -> Result<RequestOutcome, StandinError> {
+        let kind = CallerKind::Carry;
+        self.shared.request(kind, payload, idempotent, wait).await
+    }
+
+    /// Waits until `count` different notices have come, or `wait` has passed.
+    pub async fn wait_for_notices(&self, count: u64, wait: time::Duration) -> NoticeSummary {
+        let shared = &self.shared;
+        let limit = time::Instant::now() + wait;
+        let look = || {
+            let notices = runtime::locked(&shared.state).notices();
+            (notices.received >= count).then_some(notices)
+        };
+        let found = shared.change.wait(limit, look).await;
+        found.unwrap_or_else(|| self.notices())
+    }
+
+    /// Which notices came so far.
+    pub fn notices(&self) -> NoticeSummary {
+        runtime::locked(&self.shared.state).notices()
+    }
+
+    /// What else came so far.
+    pub fn counters(&self) -> CallerCounters {
+        runtime::locked(&self.shared.state).counters
+    }
+
+    /// Closes the flow. Nothing answers a close, so nothing is waited for.
+    ///
+    /// # Errors
+    /// Fails only where the codec does.
+    pub async fn close(&self) -> Result<(), StandinError> {
+        self.shared.send(CallerKind::Close, None, &[]).await
+    }
+}
+
+impl SharedCaller {
+    async fn receive(self: sync::Arc<Self>) {
+        let mut buffer = [0; codec::DATAGRAM_LIMIT];
+        loop {
+            // Failures are those of earlier sends, reported late; the next receive goes on.
+            let Ok((length, _)) = self.socket.recv_from(&mut buffer).await else {
+                continue;
+            };
+            let decoded = codec::decode::<CallerReply<'_>>(&buffer[..length]);
+            let mut state = runtime::locked(&self.state);
+            match decoded {
+                Ok(reply) if reply.flow == self.flow => state.handle(&reply),
+                _ => state.counters.malformed += 1,
+            }
+            drop(state);
+            self.change.notify();
+        }
+    }
+
+    async fn request(
+        &self,
+        kind: CallerKind,
+        payload: &[u8],
+        idempotent: bool,
+        wait: time::Duration,
+    ) -> Result<RequestOutcome, StandinError> {
+        let number = self.next_request.fetch_add(1, atomic::Ordering::Relaxed);
+        let header = RequestHeader {
+            id: RequestId::new(number),
+            idempotent,
+            deadline: runtime::now().after(wait),
+        };
+        runtime::locked(&self.state).track(header.id);
+        let outcome = || runtime::locked(&self.state).outcome(header.id);
+        let limit = time::Instant::now() + wait;
+        let found = self.insist(kind, Some(header), payload, limit, outcome);
+        Ok(found.await?.unwrap_or(RequestOutcome::TimedOut))
+    }
+
+    /// Sends the same datagram again and again until `outcome` yields
+    /// something or `limit` has come.
+    async fn insist<T>(
+        &self,
+        kind: CallerKind,
+        request: Option<RequestHeader>,
+        payload: &[u8],
+        limit: time::Instant,
+        mut outcome: impl FnMut() -> Option<T>,
+    ) -> Result<Option<T>, StandinError> {
+        loop {
+            self.send(kind, request, payload).await?;
+            let pause = time::Instant::now() + self.settings.resend_interval;
+            let found = self.change.wait(pause.min(limit), &mut outcome).await;
+            if found.is_some() || time::Instant::now() >= limit {
+                return Ok(found);
+            }
+        }
+    }
+
+    async fn send(
+        &self,
+        kind: CallerKind,
+        request: Option<RequestHeader>,
+        payload: &[u8],
+    ) -> Result<(), StandinError> {
+        let echoes_token = self.settings.echoes_token;
+        let token = runtime::locked(&self.state).token;
+        let datagram = CallerDatagram {
+            flow: self.flow,
+            kind,
+            echoes_token,
+            token: token.filter(|_| echoes_token && kind != CallerKind::Open),
+            request,
+            payload,
+        };
+        let mut buffer = [0; codec::DATAGRAM_LIMIT];
+        let bytes = codec::encode(&datagram, &mut buffer).context(EncodeSnafu)?;
+        // A fabric that is gone loses the datagram, as a network would.
+        drop(self.socket.send_to(bytes, self.settings.fabric).await);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/cardamomwinch_standin/src/faults.rs
@@ -0,0 +1,69 @@
+//! Faults that are injected into a stream of datagrams.
+
+use std::time;
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+use serde::{Deserialize, Serialize};
+
+/// How long a datagram is held back so that later ones overtake it.
+const REORDER_DELAY: time::Duration = time::Duration::from_millis(20);
+
+/// Whether anything passes.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CutMode {
+    /// Everything passes.
+    #[default]
+    None,
+    /// Datagrams are dropped; connections are closed and refused.
+    Close,
+    /// Datagrams are dropped; connections stay open and carry nothing until
+    /// the cut ends.
+    Hold,
+}
+
+/// What happens to datagrams. Shares are between zero and one.
+#[derive(Debug, Default, Clone, Copy, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct DatagramFaults {
+    /// The share that is dropped.
+    pub loss: f64,
+    /// The share that is delivered twice.
+    pub double: f64,
+    /// Each is late by at least this many milliseconds.
+    pub delay_ms: u64,
+    /// Each is late by up to this many milliseconds more, chosen at random.
+    pub delay_ms_max: u64,
+    /// The share that is held back until later ones have overtaken it.
+    pub reorder: f64,
+    /// Whether anything passes at all.
+    pub cut: CutMode,
+}
+
+impl DatagramFaults {
+    /// When each copy of one datagram is delivered; empty where it is lost.
+    pub fn copies(&self, random: &mut SmallRng) -> Vec<time::Duration> {
+        if self.cut != CutMode::None || happens(self.loss, random) {
+            return Vec::new();
+        }
+        let count = if happens(self.double, random) { 2 } else { 1 };
+        (0..count).map(|_| self.delay(random)).collect()
+    }
+
+    fn delay(&self, random: &mut SmallRng) -> time::Duration {
+        let millis = self.delay_ms + random.random_range(0..=self.delay_ms_max);
+        let held = if happens(self.reorder, random) {
+            REORDER_DELAY
+        } else {
+            time::Duration::ZERO
+        };
+        time::Duration::from_millis(millis) + held
+    }
+}
+
+fn happens(share: f64, random: &mut SmallRng) -> bool {
+    share > 0.0 && random.random_bool(share.min(1.0))
+}
--- /dev/null
+++ b/crates/cardamomwinch_standin/src/platform.rs
@@ -0,0 +1,380 @@
+//! The platform: versioned keys over HTTP, read only for the product, with
+//! an operator listener for tests and counted calls.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use async_executor::Task;
+use cardamomwinch_state::prelude::SortedVector;
+use serde::{Deserialize, Serialize};
+
+use crate::error::StandinError;
+use crate::http::{self, HttpAction, HttpReply, HttpRequest};
+use crate::runtime::{self, ChangeNotice, TaskExecutor};
+
+/// The largest value of a key, in bytes.
+pub const VALUE_LIMIT: usize = 1024 * 1024;
+
+const KEY_PREFIX: &str = "/v1/keys/";
+const LONGEST_WAIT: time::Duration = time::Duration::from_secs(300);
+const GARBAGE: &[u8] = b"\xff\xfe{\"key\":";
+
+/// Where the listeners are bound.
+#[derive(Debug, Clone, Copy)]
+pub struct PlatformSettings {
+    /// The read-only listener.
+    pub public: net::SocketAddr,
+    /// The listener for tests.
+    pub operator: net::SocketAddr,
+}
+
+impl Default for PlatformSettings {
+    fn default() -> Self {
+        let any = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+        Self {
+            public: any,
+            operator: any,
+        }
+    }
+}
+
+/// How the public listener misbehaves.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FaultMode {
+    /// Not at all.
+    #[default]
+    None,
+    /// Accepts and never answers.
+    Silent,
+    /// Answers late.
+    Slow,
+    /// Answers with the values as they were when the fault was set.
+    Stale,
+    /// Answers with the first revision of each key; a watch is answered at
+    /// once where that differs from the revision it names.
+    Back,
+    /// Answers 200 with bytes that are not JSON.
+    Broken,
+    /// Closes the connection.
+    Refuse,
+}
+
+/// Body of `POST /v1/fault`.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct PlatformFault {
+    /// How to misbehave.
+    pub mode: FaultMode,
+    /// How late slow answers are, in milliseconds.
+    #[serde(default)]
+    pub delay_ms: u64,
+}
+
+/// One revision of a key; also the answer to a read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct KeyRevision {
+    /// The key.
+    pub key: String,
+    /// The number of the write that set the value, over all keys.
+    pub revision: u64,
+    /// The value.
+    pub value: String,
+}
+
+/// What a public call asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CallKind {
+    /// The current value.
+    Read,
+    /// A later revision; counts once however long it waits.
+    Watch,
+    /// Anything but `GET`; refused.
+    Refused,
+}
+
+/// The number of public calls of one kind for one key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct CallCount {
+    /// The key, or the path where it names none.
+    pub key: String,
+    /// What was asked.
+    pub kind: CallKind,
+    /// How often.
+    pub count: u64,
+}
+
+/// Answer to `GET /v1/statistics`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct PlatformStatistics {
+    /// The number of writes so far.
+    pub revision: u64,
+    /// All public calls.
+    pub total: u64,
+    /// Public calls that tried to write.
+    pub refused: u64,
+    /// The calls by key and kind.
+    pub calls: Vec<CallCount>,
+}
+
+/// Answer to `PUT /v1/keys/{key}`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct WrittenRevision {
+    /// The number of the write.
+    pub revision: u64,
+}
+
+#[derive(Debug)]
+struct KeyHistory {
+    first: KeyRevision,
+    current: KeyRevision,
+    at_fault: Option<KeyRevision>,
+}
+
+#[derive(Debug, Default)]
+struct PlatformState {
+    revision: u64,
+    keys: SortedVector<String, KeyHistory>,
+    fault: PlatformFault,
+    calls: SortedVector<(String, CallKind), u64>,
+}
+
+impl PlatformState {
+    fn put(&mut self, key: &str, value: String) -> u64 {
+        self.revision += 1;
+        let written = KeyRevision {
+            key: key.to_owned(),
+            revision: self.revision,
+            value,
+        };
+        match self.keys.get_mut(&written.key) {
+            Some(history) => history.current = written,
+            None => {
+                let history = KeyHistory {
+                    first: written.clone(),
+                    current: written,
+                    at_fault: None,
+                };
+                self.keys.insert(key.to_owned(), history);
+            }
+        }
+        self.revision
+    }
+
+    fn set_fault(&mut self, fault: PlatformFault) {
+        self.fault = fault;
+        for (_, history) in self.keys.iter_mut() {
+            history.at_fault = Some(history.current.clone());
+        }
+    }
+
+    fn visible(&self, key: &str) -> Option<&KeyRevision> {
+        let history = self.keys.get(&key.to_owned())?;
+        match self.fault.mode {
+            FaultMode::Stale => history.at_fault.as_ref(),
+            FaultMode::Back => Some(&history.first),
+            _ => Some(&history.current),
+        }
+    }
+
+    fn later(&self, key: &str, after: u64) -> Option<&KeyRevision> {
+        let back = self.fault.mode == FaultMode::Back;
+        let differs =
+            |found: &&KeyRevision| found.revision > after || (back && found.revision != after);
+        self.visible(key).filter(differs)
+    }
+
+    fn count(&mut self, key: &str, kind: CallKind) {
+        *self.calls.get_or_insert_with((key.to_owned(), kind), || 0) += 1;
+    }
+
+    fn statistics(&self) -> PlatformStatistics {
+        let calls: Vec<_> = self
+            .calls
+            .iter()
+            .map(|((key, kind), count)| CallCount {
+                key: key.clone(),
+                kind: *kind,
+                count: *count,
+            })
+            .collect();
+        let refused = calls.iter().filter(|call| call.kind == CallKind::Refused);
+        PlatformStatistics {
+            revision: self.revision,
+            total: calls.iter().map(|call| call.count).sum(),
+            refused: refused.map(|call| call.count).sum(),
+            calls,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct SharedPlatform {
+    state: sync::Mutex<PlatformState>,
+    change: ChangeNotice,
+}
+
+/// A running platform; it stops when dropped.
+#[derive(Debug)]
+pub struct PlatformStandin {
+    /// The bound address of the read-only listener.
+    pub public_address: net::SocketAddr,
+    /// The bound address of the listener for tests.
+    pub operator_address: net::SocketAddr,
+    shared: sync::Arc<SharedPlatform>,
+    _tasks: [Task<()>; 2],
+}
+
+impl PlatformStandin {
+    /// Binds both listeners and serves them.
+    ///
+    /// # Errors
+    /// Fails where an address is not free.
+    pub async fn start(
+        executor: &TaskExecutor,
+        settings: PlatformSettings,
+    ) -> Result<Self, StandinError> {
+        let shared = sync::Arc::new(SharedPlatform::default());
+        let public = http::bind(settings.public).await?;
+        let operator = http::bind(settings.operator).await?;
+        let public_address = http::address(&public)?;
+        let operator_address = http::address(&operator)?;
+        let reader = shared.clone();
+        let writer = shared.clone();
+        let read = http::serve(executor, public, move |request| {
+            serve_public(reader.clone(), request)
+        });
+        let write = http::serve(executor, operator, move |request| {
+            let reply = writer.serve_operator(&request);
+            async { HttpAction::Reply(reply) }
+        });
+        Ok(Self {
+            public_address,
+            operator_address,
+            shared,
+            _tasks: [read, write],
+        })
+    }
+
+    /// Sets `key` and returns the number of the write.
+    pub fn put(&self, key: &str, value: String) -> u64 {
+        self.shared.put(key, value)
+    }
+
+    /// Makes the public listener misbehave.
+    pub fn set_fault(&self, fault: PlatformFault) {
+        self.shared.set_fault(fault);
+    }
+
+    /// The public calls so far.
+    pub fn statistics(&self) -> PlatformStatistics {
+        runtime::locked(&self.shared.state).statistics()
+    }
+}
+
+impl SharedPlatform {
+    fn put(&self, key: &str, value: String) -> u64 {
+        let revision = runtime::locked(&self.state).put(key, value);
+        self.change.notify();
+        revision
+    }
+
+    fn set_fault(&self, fault: PlatformFault) {
+        runtime::locked(&self.state).set_fault(fault);
+        self.change.notify();
+    }
+
+    fn serve_operator(&self, request: &HttpRequest) -> HttpReply {
+        match (request.method.as_str(), request.path.as_str()) {
+            ("GET", "/v1/statistics") => HttpReply::of(&runtime::locked(&self.state).statistics()),
+            ("POST", "/v1/fault") => {
+                let fault = request.json();
+                HttpReply::done(&fault.map(|fault| self.set_fault(fault)))
+            }
+            ("PUT", path) => match path.strip_prefix(KEY_PREFIX) {
+                Some(key) if !key.is_empty() => self.write(key, &request.body),
+                _ => HttpReply::empty(404),
+            },
+            _ => HttpReply::empty(404),
+        }
+    }
+
+    fn write(&self, key: &str, value: &[u8]) -> HttpReply {
+        if value.len() > VALUE_LIMIT {
+            return HttpReply::empty(413);
+        }
+        match String::from_utf8(value.to_vec()) {
+            Ok(value) => HttpReply::of(&WrittenRevision {
+                revision: self.put(key, value),
+            }),
+            Err(_) => HttpReply::empty(400),
+        }
+    }
+
+    async fn read(&self, key: &str, request: &HttpRequest) -> HttpReply {
+        let found = match request.query_number("after") {
+            None => runtime::locked(&self.state).visible(key).cloned(),
+            Some(after) => {
+                let millis = request.query_number("wait_ms").unwrap_or_default();
+                let wait = time::Duration::from_millis(millis).min(LONGEST_WAIT);
+                let look = || runtime::locked(&self.state).later(key, after).cloned();
+                let limit = time::Instant::now() + wait;
+                match self.change.wait(limit, look).await {
+                    None => return HttpReply::empty(204),
+                    found => found,
+                }
+            }
+        };
+        found.map_or(HttpReply::empty(404), |found| HttpReply::of(&found))
+    }
+}
+
+async fn serve_public(shared: sync::Arc<SharedPlatform>, request: HttpRequest) -> HttpAction {
+    let key = request.path.strip_prefix(KEY_PREFIX).unwrap_or_default();
+    let kind = match (request.method.as_str(), request.query_number("after")) {
+        ("GET", None) => CallKind::Read,
+        ("GET", Some(_)) => CallKind::Watch,
+        _ => CallKind::Refused,
+    };
+    let counted = if key.is_empty() { &request.path } else { key };
+    runtime::locked(&shared.state).count(counted, kind);
+    if let Some(action) = misbehave(&shared).await {
+        return action;
+    }
+    if kind == CallKind::Refused {
+        return HttpAction::Reply(HttpReply::empty(405));
+    }
+    let reply = shared.read(key, &request).await;
+    // A fault that was set while a watch waited also strikes that watch.
+    if kind == CallKind::Watch
+        && let Some(action) = misbehave(&shared).await
+    {
+        return action;
+    }
+    HttpAction::Reply(reply)
+}
+
+async fn misbehave(shared: &SharedPlatform) -> Option<HttpAction> {
+    let fault = runtime::locked(&shared.state).fault;
+    match fault.mode {
+        FaultMode::None | FaultMode::Stale | FaultMode::Back => None,
+        FaultMode::Silent => Some(HttpAction::Silence),
+        FaultMode::Refuse => Some(HttpAction::Close),
+        FaultMode::Broken => Some(HttpAction::Reply(HttpReply {
+            status: 200,
+            body: GARBAGE.into(),
+        })),
+        FaultMode::Slow => {
+            async_io::Timer::after(time::Duration::from_millis(fault.delay_ms)).await;
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/cardamomwinch_standin/src/runtime.rs
@@ -0,0 +1,73 @@
+//! The executor, the clock and the change notice that the stand-ins share.
+
+use std::future;
+use std::sync;
+use std::time;
+
+use cardamomwinch_state::prelude::Timestamp;
+
+/// The executor that the tasks of the stand-ins run on.
+pub type TaskExecutor = sync::Arc<async_executor::Executor<'static>>;
+
+/// The wall clock.
+pub fn now() -> Timestamp {
+    // A clock before 1970 only makes every deadline look far away.
+    let since_epoch = time::SystemTime::now()
+        .duration_since(time::UNIX_EPOCH)
+        .unwrap_or_default();
+    Timestamp::ZERO.after(since_epoch)
+}
+
+/// Locks `mutex`, also after a holder panicked: a stand-in then still answers.
+pub fn locked<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+/// Runs `work` but gives up at `limit`.
+pub async fn until<T>(limit: time::Instant, work: impl future::Future<Output = T>) -> Option<T> {
+    futures_lite::future::or(async { Some(work.await) }, async {
+        async_io::Timer::at(limit).await;
+        None
+    })
+    .await
+}
+
+/// Wakes every task that waits for a change.
+#[derive(Debug, Default)]
+pub struct ChangeNotice {
+    listeners: sync::Mutex<Vec<async_channel::Sender<()>>>,
+}
+
+impl ChangeNotice {
+    /// Closes the returned channel at the next change. Subscribe before
+    /// looking at the state, or a change in between goes unseen.
+    pub fn subscribe(&self) -> async_channel::Receiver<()> {
+        let (sender, receiver) = async_channel::bounded(1);
+        let mut listeners = locked(&self.listeners);
+        listeners.retain(|listener| listener.receiver_count() > 0);
+        listeners.push(sender);
+        receiver
+    }
+
+    /// Wakes all who have subscribed.
+    pub fn notify(&self) {
+        locked(&self.listeners).clear();
+    }
+
+    /// Checks now and after each change until `check` yields something, or
+    /// nothing where `limit` comes first.
+    pub async fn wait<T>(
+        &self,
+        limit: time::Instant,
+        mut check: impl FnMut() -> Option<T>,
+    ) -> Option<T> {
+        loop {
+            let change = self.subscribe();
+            if let Some(found) = check() {
+                return Some(found);
+            }
+            // The channel carries nothing; its closing is the message.
+            until(limit, change.recv()).await?.ok();
+        }
+    }
+}
