Let stand-ins pass oversized bytes, close waiting watches, lie by option

Cause: the fabric and the proxy cut datagrams short at the protocol's limit, so a host would never have met one that is too large. A watch that waited when the platform began to refuse stayed open for its whole length, and a slow platform delayed a watch twice. A caller that opened again after a refusal was told of the old refusal.

The second opening and the single delay have no test of their own.

--- a/crates/cardamomwinch_standin/src/backend_state.rs
+++ b/crates/cardamomwinch_standin/src/backend_state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::net;
+use std::str;
 use std::time;
 
 use cardamomwinch_protocol::backend::BackendRequest;
@@ -10,6 +11,7 @@
     BackendId, ConnectionCount, FlowKey, HostId, RequestId, SlotCount, SortedVector, Timestamp,
 };
 use serde::{Deserialize, Serialize};
+use snafu::Snafu;
 
 /// The number of different requests whose runs are listed; later ones are
 /// only counted.
@@ -102,7 +104,8 @@
     /// From what is so now.
     #[default]
     Truth,
-    /// From what was so at the last multiple of a period.
+    /// From what was so when it was asked earlier; renewed at the first
+    /// question after each period.
     Lag {
         /// The period in milliseconds.
         period_ms: u64,
@@ -114,6 +117,33 @@
     },
 }
 
+/// Text that is neither `truth`, `lag` nor `lie`.
+#[derive(Debug, Clone, Copy)]
+#[derive(Snafu)]
+#[snafu(display("expected truth, lag or lie"))]
+pub struct HealthParseError;
+
+impl str::FromStr for HealthMode {
+    type Err = HealthParseError;
+
+    /// `lag` has a period of five seconds; `lie` calls the server idle and well.
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "truth" => Ok(Self::Truth),
+            "lag" => Ok(Self::Lag { period_ms: 5000 }),
+            "lie" => Ok(Self::Lie {
+                report: LoadReport {
+                    busy_slots: 0,
+                    connections: 0,
+                    healthy: true,
+                    draining: false,
+                },
+            }),
+            _ => Err(HealthParseError),
+        }
+    }
+}
+
 /// A flow that is open.
 #[derive(Debug, Clone, Copy)]
 pub struct OpenFlow {
--- a/crates/cardamomwinch_standin/src/bin/standin_backend.rs
+++ b/crates/cardamomwinch_standin/src/bin/standin_backend.rs
@@ -5,7 +5,6 @@
 use std::process;
 use std::time;
 
-use cardamomwinch_standin::backend_state::HealthMode;
 use cardamomwinch_standin::command::{self, GivenOptions, OptionHelp};
 use cardamomwinch_standin::prelude::*;
 use serde_json::json;
@@ -64,8 +63,8 @@
         help: "parts of each answer (1)",
     },
     OptionHelp {
-        name: "lag-ms",
-        help: "the load endpoint lags by so much (0)",
+        name: "load",
+        help: "load endpoint: truth, lag or lie (truth)",
     },
     OptionHelp {
         name: "seed",
@@ -103,7 +102,6 @@
     let http = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 80));
     let fabric = options.get("fabric", none)?;
     let plain = BackendSettings::new(options.get("service", http)?, fabric);
-    let lag = options.get("lag-ms", 0)?;
     Ok(BackendSettings {
         listen: options.get("listen", plain.listen)?,
         name: options.get("name", plain.name)?,
@@ -115,10 +113,7 @@
         cold_start: millis(options, "cold-start-ms", plain.cold_start)?,
         notice_interval: millis(options, "notice-ms", plain.notice_interval)?,
         parts: options.get("parts", plain.parts)?,
-        health: match lag {
-            0 => HealthMode::Truth,
-            period_ms => HealthMode::Lag { period_ms },
-        },
+        health: options.get("load", plain.health)?,
         seed: options.get("seed", plain.seed)?,
         ..plain
     })
--- a/crates/cardamomwinch_standin/src/caller.rs
+++ b/crates/cardamomwinch_standin/src/caller.rs
@@ -105,6 +105,8 @@
         wait: time::Duration,
     ) -> Result<OpenOutcome, StandinError> {
         let shared = &self.shared;
+        // An earlier refusal says nothing about this attempt.
+        runtime::locked(&shared.state).opening = None;
         let outcome = || runtime::locked(&shared.state).opening;
         let limit = time::Instant::now() + wait;
         let found = shared.insist(CallerKind::Open, None, payload, limit, outcome);
--- a/crates/cardamomwinch_standin/src/fabric.rs
+++ b/crates/cardamomwinch_standin/src/fabric.rs
@@ -11,14 +11,13 @@
 
 use async_executor::Task;
 use async_net::UdpSocket;
-use cardamomwinch_protocol::codec;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 
 use crate::error::{SocketSnafu, StandinError};
-use crate::faults::DatagramFaults;
+use crate::faults::{self, DatagramFaults};
 use crate::http::{self, HttpAction, HttpReply, HttpRequest};
 use crate::runtime::{self, TaskExecutor};
 
@@ -214,7 +213,7 @@
 }
 
 async fn carry(shared: sync::Arc<SharedFabric>, socket: UdpSocket, side: FabricSide) {
-    let mut buffer = [0; codec::DATAGRAM_LIMIT];
+    let mut buffer = vec![0; faults::LARGEST_DATAGRAM];
     buffer[0] = side as u8;
     loop {
         // Failures are those of earlier sends, reported late; the next receive goes on.
--- a/crates/cardamomwinch_standin/src/faults.rs
+++ b/crates/cardamomwinch_standin/src/faults.rs
@@ -6,6 +6,10 @@
 use rand::rngs::SmallRng;
 use serde::{Deserialize, Serialize};
 
+/// The largest datagram that UDP carries, in bytes. What only passes datagrams
+/// on must not cut short one that its receiver is to refuse as too large.
+pub const LARGEST_DATAGRAM: usize = 64 * 1024;
+
 /// How long a datagram is held back so that later ones overtake it.
 const REORDER_DELAY: time::Duration = time::Duration::from_millis(20);
 
--- a/crates/cardamomwinch_standin/src/platform.rs
+++ b/crates/cardamomwinch_standin/src/platform.rs
@@ -192,6 +192,14 @@
         self.visible(key).filter(differs)
     }
 
+    /// What ends a watch: a later revision, or a fault that closes connections.
+    fn watched(&self, key: &str, after: u64) -> Option<Option<KeyRevision>> {
+        if self.fault.mode == FaultMode::Refuse {
+            return Some(None);
+        }
+        self.later(key, after).cloned().map(Some)
+    }
+
     fn count(&mut self, key: &str, kind: CallKind) {
         *self.calls.get_or_insert_with((key.to_owned(), kind), || 0) += 1;
     }
@@ -325,11 +333,11 @@
             Some(after) => {
                 let millis = request.query_number("wait_ms").unwrap_or_default();
                 let wait = time::Duration::from_millis(millis).min(LONGEST_WAIT);
-                let look = || runtime::locked(&self.state).later(key, after).cloned();
+                let look = || runtime::locked(&self.state).watched(key, after);
                 let limit = time::Instant::now() + wait;
                 match self.change.wait(limit, look).await {
                     None => return HttpReply::empty(204),
-                    found => found,
+                    Some(found) => found,
                 }
             }
         };
@@ -354,27 +362,26 @@
     }
     let reply = shared.read(key, &request).await;
     // A fault that was set while a watch waited also strikes that watch.
-    if kind == CallKind::Watch
-        && let Some(action) = misbehave(&shared).await
-    {
-        return action;
-    }
-    HttpAction::Reply(reply)
+    let fault = runtime::locked(&shared.state).fault;
+    immediate(fault).unwrap_or(HttpAction::Reply(reply))
 }
 
 async fn misbehave(shared: &SharedPlatform) -> Option<HttpAction> {
     let fault = runtime::locked(&shared.state).fault;
+    if fault.mode == FaultMode::Slow {
+        async_io::Timer::after(time::Duration::from_millis(fault.delay_ms)).await;
+    }
+    immediate(fault)
+}
+
+fn immediate(fault: PlatformFault) -> Option<HttpAction> {
     match fault.mode {
-        FaultMode::None | FaultMode::Stale | FaultMode::Back => None,
+        FaultMode::None | FaultMode::Slow | FaultMode::Stale | FaultMode::Back => None,
         FaultMode::Silent => Some(HttpAction::Silence),
         FaultMode::Refuse => Some(HttpAction::Close),
         FaultMode::Broken => Some(HttpAction::Reply(HttpReply {
             status: 200,
             body: GARBAGE.into(),
         })),
-        FaultMode::Slow => {
-            async_io::Timer::after(time::Duration::from_millis(fault.delay_ms)).await;
-            None
-        }
     }
 }
--- a/crates/cardamomwinch_standin/src/proxy.rs
+++ b/crates/cardamomwinch_standin/src/proxy.rs
@@ -9,7 +9,6 @@
 
 use async_executor::Task;
 use async_net::{TcpListener, TcpStream, UdpSocket};
-use cardamomwinch_protocol::codec;
 use cardamomwinch_state::prelude::SortedVector;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use rand::SeedableRng;
@@ -19,7 +18,7 @@
 use crate::backend;
 use crate::error::StandinError;
 use crate::fabric;
-use crate::faults::{CutMode, DatagramFaults};
+use crate::faults::{self, CutMode, DatagramFaults};
 use crate::http::{self, HttpAction, HttpReply, HttpRequest};
 use crate::runtime::{self, ChangeNotice, TaskExecutor};
 
@@ -232,7 +231,7 @@
     }
 
     async fn carry_datagrams(self: sync::Arc<Self>) {
-        let mut buffer = [0; codec::DATAGRAM_LIMIT];
+        let mut buffer = vec![0; faults::LARGEST_DATAGRAM];
         loop {
             // Failures are those of earlier sends, reported late; the next receive goes on.
             let Ok((length, client)) = self.socket.recv_from(&mut buffer).await else {
@@ -266,7 +265,7 @@
     }
 
     async fn carry_back(self: sync::Arc<Self>, upstream: UdpSocket, client: net::SocketAddr) {
-        let mut buffer = [0; codec::DATAGRAM_LIMIT];
+        let mut buffer = vec![0; faults::LARGEST_DATAGRAM];
         loop {
             if let Ok((length, _)) = upstream.recv_from(&mut buffer).await {
                 let datagram = &buffer[..length];
--- a/crates/cardamomwinch_standin/tests/platform.rs
+++ b/crates/cardamomwinch_standin/tests/platform.rs
@@ -124,3 +124,21 @@
         assert!(silent.is_none());
     });
 }
+
+/// Story: a host waits in a watch; the platform begins to refuse; the waiting
+/// connection must close as well, or the host would notice nothing for the
+/// whole length of its watch.
+#[test]
+fn a_refusing_platform_also_closes_waiting_watches() {
+    support::run(async |executor| {
+        let platform = start(&executor).await;
+        let path = "/v1/keys/root?after=0&wait_ms=300000";
+        let watch = http::request(platform.public_address, "GET", path, "");
+        let refuse = async {
+            eventually(|| platform.statistics().total == 1).await;
+            platform.set_fault(fault(FaultMode::Refuse));
+        };
+        let (watched, ()) = futures_lite::future::zip(watch, refuse).await;
+        watched.unwrap_err();
+    });
+}
