--- a/crates/cardamomwinch_standin/src/error.rs
+++ b/crates/cardamomwinch_standin/src/error.rs
@@ -70,6 +70,26 @@
         /// The program that was started.
         binary: String,
     },
+    /// A file could not be used.
+    #[snafu(display("cannot {action}: {source}"))]
+    File {
+        /// What was tried.
+        action: &'static str,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// An HTTP exchange was answered with a refusal.
+    #[snafu(display("answered with HTTP status {status}"))]
+    Status {
+        /// The status.
+        status: u16,
+    },
+    /// Something that was waited for did not happen.
+    #[snafu(display("waited in vain for {condition}"))]
+    Timeout {
+        /// What was waited for.
+        condition: &'static str,
+    },
     /// The process has ended and cannot be signalled.
     #[snafu(display("the process has ended"))]
     Ended,
--- a/crates/cardamomwinch_standin/src/lib.rs
+++ b/crates/cardamomwinch_standin/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod caller;
 pub mod caller_state;
 pub mod command;
+pub mod deployment;
 pub mod error;
 pub mod fabric;
 pub mod faults;
@@ -36,6 +37,10 @@
 pub mod prelude {
     pub use crate::backend::{BackendSettings, BackendStandin};
     pub use crate::caller::{CallerClient, CallerSettings, OpenOutcome, RequestOutcome};
+    pub use crate::deployment::{
+        BackendProcess, Deployment, DeploymentPlan, DomainPlan, HostProcess, ProgramDirectory,
+        ServicePlan,
+    };
     pub use crate::error::StandinError;
     pub use crate::fabric::{FabricSettings, FabricStandin, SprayMode};
     pub use crate::faults::DatagramFaults;
