Add cardamomwinchctl and the reference of all settings

The library returns what is to be printed, so that the program only prints it.

diff puts dangers first: addresses that change their service, servers removed while they take new flows, moved services. It exits with 1 where a fragment would be refused, so that a script notices.

docs/SETTINGS.md lists every key; a test compares its tables with the key lists and number rules that the parser uses, and checks its examples.

Checked: 27 tests of check, diff and the command line and 19 against a responder, run as processes; 4 of the reference page; all passed.

--- a/crates/cardamomwinch_configuration/src/check.rs
+++ b/crates/cardamomwinch_configuration/src/check.rs
@@ -1,5 +1,6 @@
 //! Errors of a document with their places, collected into one report.
 
+use std::error;
 use std::fmt;
 
 use snafu::Snafu;
@@ -42,4 +43,4 @@
     }
 }
 
-impl std::error::Error for CheckReport {}
+impl error::Error for CheckReport {}
--- a/crates/cardamomwinch_configuration/src/keys.rs
+++ b/crates/cardamomwinch_configuration/src/keys.rs
@@ -64,8 +64,34 @@
     "phase",
 ];
 
-/// Every list of keys.
-pub const ALL: &[&[&str]] = &[
-    SETTINGS, PLATFORM, SECRETS, BOUNDS, LOG, ROOT, LIMITS, FRAGMENT, SERVICE, BACKEND, OVERRIDE,
-    HOST_LIST, HOST,
+/// The keys of one object, under the heading that it has on the reference page.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ObjectKeys {
+    /// The heading on the reference page.
+    pub heading: &'static str,
+    /// The keys.
+    pub keys: &'static [&'static str],
+}
+
+impl ObjectKeys {
+    const fn new(heading: &'static str, keys: &'static [&'static str]) -> Self {
+        Self { heading, keys }
+    }
+}
+
+/// Every object, in the order of the reference page.
+pub const ALL: &[ObjectKeys] = &[
+    ObjectKeys::new("Top level of the settings", SETTINGS),
+    ObjectKeys::new("`platform`", PLATFORM),
+    ObjectKeys::new("`keys`", SECRETS),
+    ObjectKeys::new("`bounds`", BOUNDS),
+    ObjectKeys::new("`log`", LOG),
+    ObjectKeys::new("Top level of the root document", ROOT),
+    ObjectKeys::new("`limits`", LIMITS),
+    ObjectKeys::new("Top level of a fragment", FRAGMENT),
+    ObjectKeys::new("A service", SERVICE),
+    ObjectKeys::new("A backend server", BACKEND),
+    ObjectKeys::new("A backend server in a preset", OVERRIDE),
+    ObjectKeys::new("Top level of the list of hosts", HOST_LIST),
+    ObjectKeys::new("A host", HOST),
 ];
--- a/crates/cardamomwinch_configuration/src/lib.rs
+++ b/crates/cardamomwinch_configuration/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod collision;
 pub mod compare;
 pub mod document;
+pub mod document_kind;
 pub mod flow_share;
 pub mod fragment;
 pub mod host_list;
@@ -41,6 +42,7 @@
 pub mod prelude {
     pub use crate::check::{CheckError, CheckReport};
     pub use crate::compare::{ConfigurationDifference, ValueChange, compare};
+    pub use crate::document_kind::DocumentKind;
     pub use crate::flow_share::FlowShare;
     pub use crate::fragment::{BackendDefinition, ServiceDefinition, TeamFragment};
     pub use crate::host_list;
--- /dev/null
+++ b/crates/cardamomwinch_ctl/src/arguments.rs
@@ -0,0 +1,347 @@
+//! The command line.
+
+use std::net;
+use std::num;
+use std::path;
+use std::str;
+use std::time;
+
+use cardamomwinch_configuration::document_kind::KindParseError;
+use cardamomwinch_configuration::prelude::DocumentKind;
+use cardamomwinch_protocol::administration::{ExplainParameters, FlowsParameters};
+use cardamomwinch_state::flow::{FlowKey, FlowParseError};
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
+
+use crate::exit::CommandExit;
+
+/// How long a host may take to answer, in milliseconds.
+pub const DEFAULT_TIMEOUT_MS: u64 = 3_000;
+
+/// Flows that are listed where no limit is given.
+pub const DEFAULT_FLOW_LIMIT: u32 = 50;
+
+const COMMANDS: &str = "\
+Usage: cardamomwinchctl COMMAND [OPTIONS]
+
+Without a host:
+    check FILE...   check documents and print each error with line and column
+    diff OLD NEW    print what changing from directory OLD to NEW would move;
+                    each holds root.jsonc and teams/*.jsonc
+
+Of the host at --admin ADDRESS:
+    status          how the host is doing
+    members         the hosts it knows
+    backends        the backend servers it knows
+    flows           flows that it holds
+    explain FLOW    where a datagram of CALLER->SERVICE would go, and why
+    stop            begin a graceful stop";
+
+/// What is asked of a host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum HostQuestion {
+    /// How it is doing.
+    Status,
+    /// The hosts it knows.
+    Members,
+    /// The backend servers it knows.
+    Backends,
+    /// Flows that it holds.
+    Flows(FlowsParameters),
+    /// Where a datagram would go.
+    Explain(ExplainParameters),
+    /// To stop gracefully.
+    Stop,
+}
+
+/// A host and what is asked of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HostCall {
+    /// The address of its administration API.
+    pub address: net::SocketAddr,
+    /// How long it may take to answer.
+    pub timeout: time::Duration,
+    /// What is asked.
+    pub question: HostQuestion,
+}
+
+/// What to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OperatorCommand {
+    /// Print how the command is used.
+    Help,
+    /// Print the version.
+    Version,
+    /// Check documents.
+    Check {
+        /// The documents.
+        files: Vec<path::PathBuf>,
+        /// Their kind; guessed where absent.
+        kind: Option<DocumentKind>,
+    },
+    /// Compare two directories.
+    Diff {
+        /// What is in force.
+        old: path::PathBuf,
+        /// What would be.
+        new: path::PathBuf,
+    },
+    /// Ask a host.
+    Host(HostCall),
+}
+
+/// The whole command line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CommandArguments {
+    /// What to do.
+    pub command: OperatorCommand,
+    /// Whether to print JSON instead of tables.
+    pub json: bool,
+}
+
+/// A wrong command line.
+#[derive(Debug)]
+#[derive(Snafu)]
+pub enum UsageError {
+    /// An option is unknown, repeated or without its value.
+    #[snafu(display("{source}"))]
+    Options {
+        /// Which one.
+        source: getopts::Fail,
+    },
+    /// No command is given.
+    #[snafu(display("no command is given"))]
+    NoCommand,
+    /// The command is unknown.
+    #[snafu(display("unknown command {found:?}"))]
+    UnknownCommand {
+        /// The unknown command.
+        found: String,
+    },
+    /// The command takes other operands.
+    #[snafu(display("{command} takes {expected}, found {found}"))]
+    Operands {
+        /// The command.
+        command: String,
+        /// What it takes.
+        expected: &'static str,
+        /// The number of operands found.
+        found: usize,
+    },
+    /// The kind of document is unknown.
+    #[snafu(display("--kind: {source}"))]
+    Kind {
+        /// Why.
+        source: KindParseError,
+    },
+    /// The command asks a host and none is given.
+    #[snafu(display("{command} needs --admin ADDRESS"))]
+    NoAddress {
+        /// The command.
+        command: String,
+    },
+    /// The address of the host is malformed.
+    #[snafu(display("--admin: expected an IP number with a port, found {found:?}"))]
+    Address {
+        /// The text found.
+        found: String,
+        /// Why.
+        source: net::AddrParseError,
+    },
+    /// A number is malformed.
+    #[snafu(display("--{option}: expected a whole number, found {found:?}"))]
+    Number {
+        /// The option.
+        option: &'static str,
+        /// The text found.
+        found: String,
+        /// Why.
+        source: num::ParseIntError,
+    },
+    /// The flow is malformed.
+    #[snafu(display("{source}"))]
+    Flow {
+        /// Why.
+        source: FlowParseError,
+    },
+}
+
+fn options() -> getopts::Options {
+    let mut options = getopts::Options::new();
+    options.optflag("h", "help", "print this help");
+    options.optflag("V", "version", "print the version");
+    options.optflag("", "json", "print JSON instead of tables");
+    options.optopt(
+        "",
+        "kind",
+        "kind of the documents to check: settings, root, fragment or hosts; guessed by default",
+        "KIND",
+    );
+    options.optopt("", "admin", "administration address of a host", "ADDRESS");
+    let timeout = format!("how long the host may take to answer; {DEFAULT_TIMEOUT_MS} by default");
+    options.optopt("", "timeout-ms", &timeout, "MILLISECONDS");
+    let limit = format!("how many flows to list; {DEFAULT_FLOW_LIMIT} by default");
+    options.optopt("", "limit", &limit, "NUMBER");
+    options.optopt("", "token", "routing token for explain", "HEX");
+    options
+}
+
+/// How the command is used.
+pub fn help() -> String {
+    let mut text = options().usage(COMMANDS);
+    text.push_str("\nExit codes:\n");
+    for exit in CommandExit::ALL {
+        text.push_str(&format!("    {}  {exit}\n", exit.code()));
+    }
+    text
+}
+
+impl CommandArguments {
+    /// Reads the arguments after the name of the program.
+    ///
+    /// # Errors
+    /// Fails on the first thing that is wrong.
+    pub fn parse(arguments: &[String]) -> Result<Self, UsageError> {
+        let matches = options().parse(arguments).context(OptionsSnafu)?;
+        Ok(Self {
+            command: parse_command(&matches)?,
+            json: matches.opt_present("json"),
+        })
+    }
+}
+
+fn parse_command(matches: &getopts::Matches) -> Result<OperatorCommand, UsageError> {
+    if matches.opt_present("help") {
+        return Ok(OperatorCommand::Help);
+    }
+    if matches.opt_present("version") {
+        return Ok(OperatorCommand::Version);
+    }
+    let (command, operands) = matches.free.split_first().context(NoCommandSnafu)?;
+    match command.as_str() {
+        "check" => parse_check(matches, command, operands),
+        "diff" => parse_diff(command, operands),
+        _ => {
+            let question = parse_question(matches, command, operands)?;
+            parse_host_call(matches, command, question).map(OperatorCommand::Host)
+        }
+    }
+}
+
+fn parse_check(
+    matches: &getopts::Matches,
+    command: &str,
+    operands: &[String],
+) -> Result<OperatorCommand, UsageError> {
+    let expected = "at least one file";
+    let found = operands.len();
+    ensure!(
+        found > 0,
+        OperandsSnafu {
+            command,
+            expected,
+            found
+        }
+    );
+    let kind = matches.opt_str("kind");
+    let kind = kind.map(|kind| kind.parse()).transpose();
+    Ok(OperatorCommand::Check {
+        files: operands.iter().map(path::PathBuf::from).collect(),
+        kind: kind.context(KindSnafu)?,
+    })
+}
+
+fn parse_diff(command: &str, operands: &[String]) -> Result<OperatorCommand, UsageError> {
+    let [old, new] = operands else {
+        let expected = "two directories";
+        let found = operands.len();
+        return OperandsSnafu {
+            command,
+            expected,
+            found,
+        }
+        .fail();
+    };
+    Ok(OperatorCommand::Diff {
+        old: old.into(),
+        new: new.into(),
+    })
+}
+
+fn parse_question(
+    matches: &getopts::Matches,
+    command: &str,
+    operands: &[String],
+) -> Result<HostQuestion, UsageError> {
+    if command == "explain" {
+        return parse_explain(matches, command, operands).map(HostQuestion::Explain);
+    }
+    let question = match command {
+        "status" => HostQuestion::Status,
+        "members" => HostQuestion::Members,
+        "backends" => HostQuestion::Backends,
+        "flows" => HostQuestion::Flows(FlowsParameters {
+            limit: parse_number(matches, "limit", DEFAULT_FLOW_LIMIT)?,
+        }),
+        "stop" => HostQuestion::Stop,
+        found => return UnknownCommandSnafu { found }.fail(),
+    };
+    let expected = "no operand";
+    let found = operands.len();
+    ensure!(
+        found == 0,
+        OperandsSnafu {
+            command,
+            expected,
+            found
+        }
+    );
+    Ok(question)
+}
+
+fn parse_explain(
+    matches: &getopts::Matches,
+    command: &str,
+    operands: &[String],
+) -> Result<ExplainParameters, UsageError> {
+    let [flow] = operands else {
+        let expected = "one flow";
+        let found = operands.len();
+        return OperandsSnafu {
+            command,
+            expected,
+            found,
+        }
+        .fail();
+    };
+    let flow: FlowKey = flow.parse().context(FlowSnafu)?;
+    Ok(ExplainParameters {
+        flow: flow.to_string(),
+        token: matches.opt_str("token"),
+    })
+}
+
+fn parse_host_call(
+    matches: &getopts::Matches,
+    command: &str,
+    question: HostQuestion,
+) -> Result<HostCall, UsageError> {
+    let found = matches.opt_str("admin");
+    let found = found.context(NoAddressSnafu { command })?;
+    let timeout = parse_number(matches, "timeout-ms", DEFAULT_TIMEOUT_MS)?;
+    Ok(HostCall {
+        address: found.parse().context(AddressSnafu { found })?,
+        timeout: time::Duration::from_millis(timeout),
+        question,
+    })
+}
+
+fn parse_number<T: str::FromStr<Err = num::ParseIntError>>(
+    matches: &getopts::Matches,
+    option: &'static str,
+    default: T,
+) -> Result<T, UsageError> {
+    match matches.opt_str(option) {
+        Some(found) => found.parse().context(NumberSnafu { option, found }),
+        None => Ok(default),
+    }
+}
