Refuse single quotes and options a command does not use; keep errors on one line

Single quotes pass the parser but not other readers of JSON. A key with a line break split its error into two lines. An option that a command ignores lets an operator believe that it took effect.

The test of a host that does not listen closed its listener and used the port, which another test could have been given in between; it now keeps the port bound.

--- a/crates/cardamomwinch_configuration/src/checker.rs
+++ b/crates/cardamomwinch_configuration/src/checker.rs
@@ -19,6 +19,18 @@
     }
 }
 
+/// `text`, cut where it is long, on one line. A name with a line break would
+/// otherwise split its error in two, and one with an escape sequence could
+/// change the operator's terminal.
+pub(crate) fn quote_on_one_line(text: &str) -> String {
+    let quoted = quote(text);
+    if quoted.contains(char::is_control) {
+        quoted.escape_debug().to_string()
+    } else {
+        quoted
+    }
+}
+
 /// The dotted path of a key.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub(crate) struct KeyPath(String);
@@ -26,7 +38,7 @@
 impl KeyPath {
     /// The path of `key` below this one.
     pub(crate) fn child(&self, key: &str) -> Self {
-        let key = quote(key);
+        let key = quote_on_one_line(key);
         if self.0.is_empty() {
             Self(key)
         } else {
--- a/crates/cardamomwinch_configuration/src/document.rs
+++ b/crates/cardamomwinch_configuration/src/document.rs
@@ -13,7 +13,7 @@
 /// The largest document in bytes: the largest value that the platform holds.
 pub const DOCUMENT_BYTE_LIMIT: usize = 1024 * 1024;
 
-/// The deepest nesting of objects and arrays. The deepest valid document has 6.
+/// The deepest nesting of objects and arrays. The deepest valid document has 5.
 pub const NESTING_LIMIT: usize = 32;
 
 /// Reads `text` and hands its top-level object to `read`.
@@ -82,7 +82,7 @@
 /// Checks what the parser itself does not. It recurses once per level, so a
 /// few kilobytes of opening brackets would overflow the stack and end the
 /// process; it also takes values that no comma separates, which hides a typing
-/// error. The tokens come from the parser's own scanner, so both see the same
+/// error, and single quotes. The tokens come from the parser's own scanner, so both see the same
 /// strings and comments.
 fn scan_tokens(text: &str) -> Option<(usize, CheckProblem)> {
     let mut scanner = jsonc_parser::Scanner::new(text);
@@ -98,6 +98,9 @@
         if after_value && matches!(role, TokenRole::Opening | TokenRole::Value) && depth > 0 {
             return Some((scanner.token_start(), CheckProblem::MissingComma));
         }
+        if matches!(token, Token::String(_)) && text[scanner.token_start()..].starts_with('\'') {
+            return Some((scanner.token_start(), CheckProblem::SingleQuotes));
+        }
         match role {
             TokenRole::Opening => depth += 1,
             TokenRole::Closing => depth = depth.saturating_sub(1),
--- a/crates/cardamomwinch_configuration/src/preset.rs
+++ b/crates/cardamomwinch_configuration/src/preset.rs
@@ -4,7 +4,7 @@
     BackendPhase, ConnectionCount, SlotCount, SortedVector, Weight,
 };
 
-use crate::checker::{DocumentChecker, quote};
+use crate::checker::{DocumentChecker, quote, quote_on_one_line};
 use crate::fragment::BackendDefinition;
 use crate::keys;
 use crate::nearest::nearest;
@@ -105,7 +105,10 @@
         CheckProblem::UnknownReference {
             kind,
             found: quote(found),
-            defined: names().take(LISTED_NAME_LIMIT).map(quote).collect(),
+            defined: names()
+                .take(LISTED_NAME_LIMIT)
+                .map(quote_on_one_line)
+                .collect(),
             nearest: nearest(found, names()).map(str::to_owned),
         }
     }
--- a/crates/cardamomwinch_configuration/src/problem.rs
+++ b/crates/cardamomwinch_configuration/src/problem.rs
@@ -102,6 +102,9 @@
     /// Two values follow each other without a comma.
     #[snafu(display("a comma is missing before this value"))]
     MissingComma,
+    /// A string in single quotes, which other readers of JSON refuse.
+    #[snafu(display("found a string in single quotes, allowed are double quotes"))]
+    SingleQuotes,
     /// A key that means nothing here.
     #[snafu(display(
         "unknown key {found:?}{}, allowed are {}",
--- a/crates/cardamomwinch_configuration/tests/checks.rs
+++ b/crates/cardamomwinch_configuration/tests/checks.rs
@@ -114,6 +114,12 @@
     missing_comma = { Kind::Root, "\"ordinary\",", "\"ordinary\"", &[
         "f:3:3: .: a comma is missing before this value",
     ] },
+    single_quotes = { Kind::Root, "\"ordinary\"", "'ordinary'", &[
+        "f:2:13: .: found a string in single quotes, allowed are double quotes",
+    ] },
+    one_line_an_error = { Kind::Root, "\"vault\": 5", "\"a\\nb\": 5", &[
+        "f:3:26: teams.a\\nb: found name \"a\\nb\", allowed are 1 to 64 ASCII letters, digits, '-' and '_'",
+    ] },
     syntax = { Kind::Root, "3, \"vault\": 5}", "3, \"vault\": }", &[
         "f:3:35: .: not JSON with comments: Unexpected close brace",
     ] },
--- a/crates/cardamomwinch_ctl/src/arguments.rs
+++ b/crates/cardamomwinch_ctl/src/arguments.rs
@@ -127,6 +127,14 @@
         /// The number of operands found.
         found: usize,
     },
+    /// The command does not use an option that is given.
+    #[snafu(display("{command} does not use --{option}"))]
+    UnusedOption {
+        /// The command.
+        command: String,
+        /// The option.
+        option: &'static str,
+    },
     /// The kind of document is unknown.
     #[snafu(display("--kind: {source}"))]
     Kind {
@@ -165,6 +173,9 @@
     },
 }
 
+/// Options that only some commands use.
+const VALUE_OPTIONS: [&str; 5] = ["kind", "admin", "timeout-ms", "limit", "token"];
+
 fn options() -> getopts::Options {
     let mut options = getopts::Options::new();
     options.optflag("h", "help", "print this help");
@@ -217,6 +228,7 @@
         return Ok(OperatorCommand::Version);
     }
     let (command, operands) = matches.free.split_first().context(NoCommandSnafu)?;
+    check_options(matches, command)?;
     match command.as_str() {
         "check" => parse_check(matches, command, operands),
         "diff" => parse_diff(command, operands),
@@ -227,6 +239,34 @@
     }
 }
 
+/// The options that `command` uses, besides those that every command does.
+fn used_options(command: &str) -> &'static [&'static str] {
+    match command {
+        "check" => &["kind"],
+        "diff" => &[],
+        "flows" => &["admin", "timeout-ms", "limit"],
+        "explain" => &["admin", "timeout-ms", "token"],
+        _ => &["admin", "timeout-ms"],
+    }
+}
+
+/// An option that a command silently ignored would let an operator believe
+/// that it took effect.
+fn check_options(matches: &getopts::Matches, command: &str) -> Result<(), UsageError> {
+    let used = used_options(command);
+    let unused = VALUE_OPTIONS
+        .iter()
+        .find(|option| matches.opt_present(option) && !used.contains(option));
+    match unused {
+        Some(option) => UnusedOptionSnafu {
+            command,
+            option: *option,
+        }
+        .fail(),
+        None => Ok(()),
+    }
+}
+
 fn parse_check(
     matches: &getopts::Matches,
     command: &str,
--- a/crates/cardamomwinch_ctl/tests/documents_command.rs
+++ b/crates/cardamomwinch_ctl/tests/documents_command.rs
@@ -198,6 +198,7 @@
     address = { &["status", "--admin", "localhost"], "--admin: expected an IP number with a port, found \"localhost\"" },
     operand = { &["stop", "now", "--admin", "127.0.0.1:1"], "stop takes no operand, found 1" },
     flow = { &["explain", "127.0.0.1:1", "--admin", "127.0.0.1:1"], "expected CALLER->SERVICE" },
+    unused_option = { &["check", "f", "--admin", "127.0.0.1:1"], "check does not use --admin" },
     limit = { &["flows", "--limit", "-1", "--admin", "127.0.0.1:1"], "--limit: expected a whole number, found \"-1\"" },
 )]
 fn a_wrong_command_line_exits_with_2(arguments: &[&str], expected: &str) {
--- a/crates/cardamomwinch_ctl/tests/host_command.rs
+++ b/crates/cardamomwinch_ctl/tests/host_command.rs
@@ -7,6 +7,7 @@
 use std::process::{Command, Output};
 use std::thread;
 
+use socket2::{Domain, Socket, Type};
 use yare::parameterized;
 
 /// Reads one HTTP request and returns its body.
@@ -189,11 +190,14 @@
     assert_eq!(output.status.code(), Some(3));
 }
 
+/// The process of a host has ended. Its port stays bound here without
+/// listening, so that no other test can be given it.
 #[test]
 fn a_host_that_does_not_listen_exits_with_3() {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    socket.bind(&any.into()).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
     let output = run(address, &["status"]);
     assert!(
         text(&output.stderr).contains("can't connect"),
