Add the endpoints, peer calls, logs, metrics and the executor

Cause: operators, peers and probes need an entrance to each host, and what the host decides must be seen, without either being able to stop traffic.

Ruled out: writing logs on the calling thread, since an output that nobody reads would stop it; a signature over the body of a peer frame alone, since recorded bytes would pass; a kept-alive connection per peer, since bulk exchange is rare. The first form of the log sink waited at its end for room in the queue; with a stuck output the process never ended. Its queue is now closed and the wait for the writer bounded.

Change: rpc_endpoint, peer_frame, peer_rpc, log_sink, decision_logger, metrics_sink, executor and the bounded accept loop, with tests on loopback. The test of the stuck output first asserted the count of one logger alone, which depends on when the writer starts; it now asserts the bound of what is written and the exact sum.

--- a/crates/cardamomwinch_transport/src/lib.rs
+++ b/crates/cardamomwinch_transport/src/lib.rs
@@ -16,19 +16,36 @@
 //! ```
 
 pub mod clock;
+mod connection_limit;
 pub mod datagram;
+pub mod decision_logger;
+pub mod executor;
 pub mod http_client;
 pub mod load_client;
+pub mod log_sink;
+pub mod metrics_sink;
+pub mod peer_frame;
+pub mod peer_rpc;
 pub mod platform_client;
+mod rpc_dispatch;
+pub mod rpc_endpoint;
 pub mod timer;
 
 /// What users of the transport need most often.
 pub mod prelude {
     pub use crate::clock::{Clock, HostClock};
     pub use crate::datagram::{DatagramError, DatagramOptions, DatagramSocket, ReceivedDatagram};
+    pub use crate::decision_logger::{DecisionLogger, DecisionRecord};
+    pub use crate::executor::{ExecutorThread, ThreadError};
     pub use crate::load_client::{LoadClient, LoadError};
+    pub use crate::log_sink::{LogError, LogSink};
+    pub use crate::metrics_sink::{MetricsError, MetricsSink};
+    pub use crate::peer_rpc::{PeerClient, PeerLimits, PeerRpcError, PeerServer};
     pub use crate::platform_client::{
         KeyReading, PlatformClient, PlatformError, PlatformKey, WatchOutcome,
     };
+    pub use crate::rpc_endpoint::{
+        EndpointError, EndpointLimits, MetricsSource, ReadinessSource, RpcEndpoint,
+    };
     pub use crate::timer::{TickPlan, TimerEvent, TimerService, TimerSubscription};
 }
--- /dev/null
+++ b/crates/cardamomwinch_transport/src/peer_rpc.rs
@@ -0,0 +1,321 @@
+//! Bulk exchange among hosts: JSON-RPC in authenticated frames over TCP.
+//!
+//! Each call opens a connection. Bulk exchange is rare, and a connection that
+//! nobody holds needs no supervision.
+
+use std::io;
+use std::net;
+use std::rc;
+use std::time;
+
+use async_io::Timer;
+use async_net::{TcpListener, TcpStream};
+use cardamomwinch_protocol::prelude::AuthenticationKeys;
+use futures_lite::future;
+use jsonrpsee::RpcModule;
+use jsonrpsee::types::ErrorObjectOwned;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use snafu::{ResultExt, Snafu};
+
+use crate::connection_limit;
+use crate::peer_frame::{FrameError, PeerSession};
+use crate::rpc_dispatch;
+
+const REQUEST_ID: u64 = 0;
+
+/// Why a call to a peer failed.
+#[derive(Debug)]
+#[derive(Snafu)]
+pub enum PeerRpcError {
+    /// The address cannot be listened on.
+    #[snafu(display("cannot listen for peers on {address}"))]
+    Listen {
+        /// The address asked for.
+        address: net::SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The system does not tell the address.
+    #[snafu(display("cannot tell the address that peers are served on"))]
+    Address {
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The peer cannot be reached.
+    #[snafu(display("cannot connect to the peer {address}"))]
+    Connect {
+        /// The address tried.
+        address: net::SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The exchange failed. A peer that holds none of the keys shows as a
+    /// connection that breaks off.
+    #[snafu(display("the exchange with the peer {address} failed"))]
+    Exchange {
+        /// The address tried.
+        address: net::SocketAddr,
+        /// Why.
+        source: FrameError,
+    },
+    /// The call did not end in time. Whether the peer ran it is not known.
+    #[snafu(display("the peer {address} did not answer within {limit:?}"))]
+    TimedOut {
+        /// The address tried.
+        address: net::SocketAddr,
+        /// The time allowed.
+        limit: time::Duration,
+    },
+    /// The parameters have no JSON form.
+    #[snafu(display("cannot encode the parameters of {method}"))]
+    Encode {
+        /// The method called.
+        method: &'static str,
+        /// What the encoder said.
+        source: serde_json::Error,
+    },
+    /// The response is not what the method returns.
+    #[snafu(display("malformed response to {method}"))]
+    Malformed {
+        /// The method called.
+        method: &'static str,
+        /// What the parser said.
+        source: serde_json::Error,
+    },
+    /// The peer answered with an error.
+    #[snafu(display("the peer refused {method}: {error}"))]
+    Refused {
+        /// The method called.
+        method: &'static str,
+        /// What the peer said.
+        error: ErrorObjectOwned,
+    },
+}
+
+#[derive(Serialize)]
+struct CallRequest<'a, P> {
+    jsonrpc: &'a str,
+    id: u64,
+    method: &'a str,
+    params: &'a P,
+}
+
+#[derive(Deserialize)]
+struct CallResponse<'a> {
+    #[serde(borrow)]
+    result: Option<&'a RawValue>,
+    error: Option<ErrorObjectOwned>,
+}
+
+/// Calls methods of peers.
+#[derive(Debug, Clone)]
+pub struct PeerClient {
+    keys: AuthenticationKeys,
+}
+
+impl PeerClient {
+    /// Creates a client that signs with `keys`.
+    pub const fn new(keys: AuthenticationKeys) -> Self {
+        Self { keys }
+    }
+
+    /// Calls `method` of the peer at `address`. `params` must become a JSON array
+    /// or object; `timeout` bounds the whole call.
+    ///
+    /// # Errors
+    /// Fails where the peer cannot be reached, holds none of the keys, does not
+    /// answer in time, or refuses the call.
+    pub async fn call<T: DeserializeOwned, P: Serialize>(
+        &self,
+        address: net::SocketAddr,
+        method: &'static str,
+        params: &P,
+        timeout: time::Duration,
+    ) -> Result<T, PeerRpcError> {
+        let request = CallRequest {
+            jsonrpc: "2.0",
+            id: REQUEST_ID,
+            method,
+            params,
+        };
+        let request = serde_json::to_vec(&request).context(EncodeSnafu { method })?;
+        let expiry = async {
+            Timer::after(timeout).await;
+            let limit = timeout;
+            TimedOutSnafu { address, limit }.fail()
+        };
+        let response = future::or(self.exchange(address, &request), expiry).await?;
+        parse_response(method, &response)
+    }
+
+    async fn exchange(
+        &self,
+        address: net::SocketAddr,
+        request: &[u8],
+    ) -> Result<Vec<u8>, PeerRpcError> {
+        let stream = TcpStream::connect(address)
+            .await
+            .context(ConnectSnafu { address })?;
+        stream.set_nodelay(true).context(ConnectSnafu { address })?;
+        let session = PeerSession::open(stream, &self.keys).await;
+        let mut session = session.context(ExchangeSnafu { address })?;
+        let response = session.ask(request).await;
+        response.context(ExchangeSnafu { address })
+    }
+}
+
+fn parse_response<T: DeserializeOwned>(
+    method: &'static str,
+    response: &[u8],
+) -> Result<T, PeerRpcError> {
+    let response: CallResponse<'_> =
+        serde_json::from_slice(response).context(MalformedSnafu { method })?;
+    if let Some(error) = response.error {
+        return RefusedSnafu { method, error }.fail();
+    }
+    let result = response.result.map_or("null", RawValue::get);
+    serde_json::from_str(result).context(MalformedSnafu { method })
+}
+
+/// What peers, and those who pretend to be, may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerLimits {
+    /// Connections held at the same time.
+    pub connections: usize,
+    /// The time in which a connection must have proved its key.
+    pub greeting_timeout: time::Duration,
+    /// The time for each request to arrive, and for each response to leave.
+    pub frame_timeout: time::Duration,
+}
+
+impl Default for PeerLimits {
+    fn default() -> Self {
+        Self {
+            connections: 64,
+            greeting_timeout: time::Duration::from_secs(2),
+            frame_timeout: time::Duration::from_secs(10),
+        }
+    }
+}
+
+/// Why a connection of a peer was closed.
+#[derive(Debug)]
+#[derive(Snafu)]
+enum ServeError {
+    #[snafu(display("frames could not be exchanged"), context(false))]
+    Frame { source: FrameError },
+    #[snafu(display("the peer was too slow"))]
+    Slow,
+}
+
+impl ServeError {
+    /// The label under which the error is counted.
+    const fn reason(&self) -> &'static str {
+        match self {
+            Self::Slow => "slow",
+            Self::Frame { source } => match source {
+                FrameError::Broken { .. } => "broken",
+                FrameError::Truncated => "truncated",
+                FrameError::Length { .. } => "length",
+                FrameError::Unauthenticated => "unauthenticated",
+                FrameError::Random { .. } => "no_random_bytes",
+            },
+        }
+    }
+}
+
+struct PeerService {
+    module: RpcModule<()>,
+    keys: AuthenticationKeys,
+    limits: PeerLimits,
+}
+
+/// Answers calls of peers.
+pub struct PeerServer {
+    listener: TcpListener,
+    service: rc::Rc<PeerService>,
+}
+
+impl PeerServer {
+    /// Listens on `address`; port 0 lets the system choose.
+    ///
+    /// # Errors
+    /// Fails where the system refuses the address.
+    pub async fn bind(
+        address: net::SocketAddr,
+        module: RpcModule<()>,
+        keys: AuthenticationKeys,
+        limits: PeerLimits,
+    ) -> Result<Self, PeerRpcError> {
+        let listener = TcpListener::bind(address)
+            .await
+            .context(ListenSnafu { address })?;
+        let service = rc::Rc::new(PeerService {
+            module,
+            keys,
+            limits,
+        });
+        Ok(Self { listener, service })
+    }
+
+    /// The address that peers are served on.
+    ///
+    /// # Errors
+    /// Fails where the system does not tell.
+    pub fn local_address(&self) -> Result<net::SocketAddr, PeerRpcError> {
+        self.listener.local_addr().context(AddressSnafu)
+    }
+
+    /// Serves until the future is dropped, which closes all connections. What
+    /// is dropped is counted in `cardamomwinch_peer_rpc_errors_total` by reason.
+    pub async fn serve(self) {
+        let service = &self.service;
+        let handle = |stream| {
+            let service = rc::Rc::clone(service);
+            async move {
+                if let Err(error) = service.serve_peer(stream).await {
+                    count_error(error.reason());
+                }
+            }
+        };
+        let limit = service.limits.connections;
+        connection_limit::accept_connections(&self.listener, limit, "peer", handle).await;
+    }
+}
+
+fn count_error(reason: &'static str) {
+    metrics::counter!("cardamomwinch_peer_rpc_errors_total", "reason" => reason).increment(1);
+}
+
+impl PeerService {
+    /// Serves one connection until the peer leaves between two requests.
+    async fn serve_peer(&self, stream: TcpStream) -> Result<(), ServeError> {
+        let limits = self.limits;
+        let greeting = PeerSession::accept(stream, &self.keys);
+        let mut session = bounded(limits.greeting_timeout, greeting).await?;
+        loop {
+            let request = match bounded(limits.frame_timeout, session.read_request()).await {
+                Err(ServeError::Frame {
+                    source: FrameError::Truncated,
+                }) => return Ok(()),
+                outcome => outcome?,
+            };
+            let response = rpc_dispatch::dispatch(&self.module, &request).await;
+            let sent = session.respond(response.as_bytes());
+            bounded(limits.frame_timeout, sent).await?;
+        }
+    }
+}
+
+async fn bounded<T>(
+    limit: time::Duration,
+    exchange: impl Future<Output = Result<T, FrameError>>,
+) -> Result<T, ServeError> {
+    let expiry = async {
+        Timer::after(limit).await;
+        SlowSnafu.fail()
+    };
+    future::or(async { Ok(exchange.await?) }, expiry).await
+}
--- /dev/null
+++ b/crates/cardamomwinch_transport/tests/log_sink.rs
@@ -0,0 +1,177 @@
+//! Log lines and their limits.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use std::io;
+use std::sync;
+use std::sync::mpsc;
+
+use cardamomwinch_state::prelude::Timestamp;
+use cardamomwinch_transport::prelude::*;
+use log::{LevelFilter, Log};
+use serde::Serialize;
+use serde_json::Value;
+
+#[derive(Clone, Default)]
+struct SharedOutput(sync::Arc<sync::Mutex<Vec<u8>>>);
+
+impl io::Write for SharedOutput {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl SharedOutput {
+    fn lines(&self) -> Vec<Value> {
+        let bytes = self.0.lock().unwrap().clone();
+        let text = String::from_utf8(bytes).unwrap();
+        let parse = |line| serde_json::from_str(line).unwrap();
+        text.lines().map(parse).collect()
+    }
+}
+
+/// An output that nobody reads until the sender is dropped.
+struct StuckOutput(mpsc::Receiver<()>, SharedOutput);
+
+impl io::Write for StuckOutput {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let _ = self.0.recv();
+        self.1.write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[derive(Serialize)]
+struct Placement {
+    flow: u64,
+    reason: &'static str,
+}
+
+impl DecisionRecord for Placement {
+    fn event(&self) -> &'static str {
+        "flow_placed"
+    }
+}
+
+const PLACEMENT: Placement = Placement {
+    flow: 7,
+    reason: "least_loaded",
+};
+
+fn seconds(seconds: u64) -> Timestamp {
+    Timestamp::new(seconds * 1_000_000)
+}
+
+#[test]
+fn messages_are_json_lines_whatever_they_hold() {
+    let output = SharedOutput::default();
+    let clock = HostClock::start();
+    let sink = LogSink::start(output.clone(), 16, clock).unwrap();
+    let logger = sink.logger(LevelFilter::Info, clock);
+    let hard = "quote \" backslash \\ line\nend \u{1} ä";
+    let log = |level, message| {
+        let mut builder = log::Record::builder();
+        builder.level(level).target("daemon");
+        logger.log(&builder.args(format_args!("{message}")).build());
+    };
+    log(log::Level::Warn, hard);
+    log(log::Level::Debug, "below the level");
+    drop(sink);
+    let lines = output.lines();
+    assert_eq!(lines.len(), 1);
+    assert_eq!(lines[0]["message"], hard);
+    assert_eq!(lines[0]["level"], "WARN");
+    assert_eq!(lines[0]["target"], "daemon");
+    assert!(lines[0]["time"].is_u64());
+}
+
+#[test]
+fn the_logger_of_the_process_is_installed_once() {
+    let output = SharedOutput::default();
+    let clock = HostClock::start();
+    let sink = LogSink::start(output.clone(), 16, clock).unwrap();
+    sink.install(LevelFilter::Info, clock).unwrap();
+    log::info!("started");
+    let again = sink.install(LevelFilter::Info, clock);
+    assert!(matches!(again, Err(LogError::Install { .. })));
+    drop(sink);
+    assert_eq!(output.lines()[0]["message"], "started");
+}
+
+#[test]
+fn the_limiter_counts_what_it_left_out() {
+    let output = SharedOutput::default();
+    let sink = LogSink::start(output.clone(), 64, HostClock::start()).unwrap();
+    let mut logger = DecisionLogger::new(&sink, 3);
+    for _ in 0..10 {
+        logger.log(seconds(5), &PLACEMENT);
+    }
+    assert_eq!(logger.left_out(), 7);
+    logger.log(seconds(6), &PLACEMENT);
+    logger.log(seconds(6), &PLACEMENT);
+    drop(sink);
+    let lines = output.lines();
+    assert_eq!(lines.len(), 5);
+    assert_eq!(lines[0]["event"], "flow_placed");
+    assert_eq!(
+        (&lines[0]["flow"], &lines[0]["time"]),
+        (&7.into(), &5_000_000.into())
+    );
+    assert_eq!(lines[2].get("left_out"), None);
+    assert_eq!(lines[3]["left_out"], 7);
+    assert_eq!(lines[4].get("left_out"), None);
+}
+
+// Whatever reads the standard output of the host stands still. Were lines
+// written on the traffic threads, the host would stop serving; here lines are
+// left out, and once the reader goes on their number is known.
+#[test]
+fn a_stuck_output_loses_lines_but_blocks_nobody() {
+    let output = SharedOutput::default();
+    let (release, stuck) = mpsc::channel();
+    let clock = HostClock::start();
+    let sink = LogSink::start(StuckOutput(stuck, output.clone()), 8, clock).unwrap();
+    let mut decisions = DecisionLogger::new(&sink, u32::MAX);
+    for _ in 0..100 {
+        decisions.log(seconds(1), &PLACEMENT);
+    }
+    let logger = sink.logger(LevelFilter::Info, clock);
+    for _ in 0..50 {
+        let mut builder = log::Record::builder();
+        logger.log(&builder.args(format_args!("a")).build());
+    }
+    let unreported = decisions.left_out();
+    assert!(output.lines().is_empty());
+    drop(release);
+    drop(sink);
+    let lines = output.lines();
+    let left_out: u64 = lines
+        .iter()
+        .filter_map(|line| line["left_out"].as_u64())
+        .sum();
+    let written = lines
+        .iter()
+        .filter(|line| line["event"] != "lines_left_out")
+        .count();
+    // The queue holds eight lines and the writer one more.
+    assert!(written <= 9, "{written}");
+    assert_eq!(u64::try_from(written).unwrap() + left_out + unreported, 150);
+}
+
+// The process is told to stop while nobody reads its output. It must end.
+#[test]
+fn a_stuck_output_does_not_keep_the_process() {
+    let (release, stuck) = mpsc::channel();
+    let clock = HostClock::start();
+    let sink = LogSink::start(StuckOutput(stuck, SharedOutput::default()), 8, clock).unwrap();
+    DecisionLogger::new(&sink, 1).log(seconds(1), &PLACEMENT);
+    drop(sink);
+    drop(release);
+}
