Answer every request of the whole path with real processes

Cause: nothing had yet gone from a caller to a backend server and back. Ruled out: a run started as soon as each host was ready had 79 of 800 requests end as 'outcome unknown': homes still moved while hosts learnt of each other, and a home that takes over without a hand-over must not say more. The run now waits until all hosts name the same homes.

--- a/crates/cardamomwinch_daemon/src/administration/mod.rs
+++ b/crates/cardamomwinch_daemon/src/administration/mod.rs
@@ -157,7 +157,7 @@
         context.members().await.map_err(ErrorObjectOwned::from)
     })?;
     module.register_async_method(api::BACKENDS_METHOD, |_, context, _| async move {
-        context.backends().await
+        Ok::<_, ErrorObjectOwned>(context.backends().await)
     })?;
     module.register_async_method(api::FLOWS_METHOD, |params, context, _| async move {
         let asked: api::FlowsParameters = params.parse()?;
@@ -169,7 +169,9 @@
         let report = context.explain(asked).await;
         report.map_err(ErrorObjectOwned::from)
     })?;
-    module.register_method(api::STOP_METHOD, |_, context, _| context.stop())?;
+    module.register_method(api::STOP_METHOD, |_, context, _| {
+        Ok::<_, ErrorObjectOwned>(context.stop())
+    })?;
     Ok(module.remove_context())
 }
 
--- a/crates/cardamomwinch_daemon/src/control_thread.rs
+++ b/crates/cardamomwinch_daemon/src/control_thread.rs
@@ -1,10 +1,10 @@
 //! The control thread: everything that happens is brought to one engine.
 
 use std::rc;
+use std::sync;
 use std::time;
 
 use async_channel::{Receiver, Sender};
-use async_executor::LocalExecutor;
 use cardamomwinch_configuration::settings::HostSettings;
 use cardamomwinch_coordination::prelude::{ControlEngine, ControlEvent};
 use cardamomwinch_protocol::codec;
@@ -98,7 +98,7 @@
 
 /// Brings control messages of other hosts to the engine.
 pub async fn receive_peers(
-    socket: rc::Rc<DatagramSocket>,
+    socket: sync::Arc<DatagramSocket>,
     peers: PeerSender,
     inputs: Sender<ControlInput>,
 ) {
@@ -119,14 +119,3 @@
         }
     }
 }
-
-/// Runs `driver` and its sources on `executor`.
-pub async fn run(
-    driver: ControlDriver,
-    inputs: Receiver<ControlInput>,
-    sources: Vec<async_executor::Task<()>>,
-    executor: rc::Rc<LocalExecutor<'static>>,
-) {
-    executor.run(driver.run(inputs)).await;
-    drop(sources);
-}
--- a/crates/cardamomwinch_daemon/src/launch.rs
+++ b/crates/cardamomwinch_daemon/src/launch.rs
@@ -29,7 +29,7 @@
 use crate::control_effects::ControlOutlets;
 use crate::control_thread::{self, ControlDriver};
 use crate::counter_handles::CounterHandles;
-use crate::messages::{ControlInput, TrafficInput};
+use crate::messages::TrafficInput;
 use crate::peer_delivery::{self, PeerSender};
 use crate::platform_calls::PlatformCalls;
 use crate::snapshot_cell::SnapshotCell;
@@ -147,9 +147,9 @@
 
 fn serve(settings: HostSettings) -> Result<StopStatus, LaunchError> {
     let clock = HostClock::start();
-    let log = LogSink::start(io::stdout(), LOG_QUEUE, clock.clone()).context(LogSnafu)?;
+    let log = LogSink::start(io::stdout(), LOG_QUEUE, clock).context(LogSnafu)?;
     let level = level_filter(settings.log.level);
-    log.install(level, clock.clone()).context(LogSnafu)?;
+    log.install(level, clock).context(LogSnafu)?;
     let metrics = MetricsSink::install(PrometheusBuilder::new()).context(MetricsSnafu)?;
     let incarnation = Incarnation::new(clock.now().get());
     let identity = HostIdentity {
@@ -300,9 +300,9 @@
             logger: DecisionLogger::new(&self.log, settings.log.decisions_per_second),
             host: settings.host.clone(),
         };
-        let clock = self.timers.clock().clone();
+        let clock = *self.timers.clock();
         let engine = self.builder.build_control();
-        let driver = ControlDriver::new(engine, outlets, rc::Rc::clone(&settings), clock.clone());
+        let driver = ControlDriver::new(engine, outlets, rc::Rc::clone(&settings), clock);
         let seed = self.incarnation.get();
         let metrics = self.metrics.clone();
         let timers = self.timers.clone();
--- a/crates/cardamomwinch_daemon/src/traffic_thread.rs
+++ b/crates/cardamomwinch_daemon/src/traffic_thread.rs
@@ -153,7 +153,7 @@
         engine: thread.engine,
         outlets: thread.outlets,
         snapshots: thread.snapshots,
-        clock: thread.timers.clock().clone(),
+        clock: *thread.timers.clock(),
     }));
     let shared = rc::Rc::clone(&driver);
     let traffic = sockets.traffic;
--- a/crates/cardamomwinch_standin/src/deployment.rs
+++ b/crates/cardamomwinch_standin/src/deployment.rs
@@ -461,6 +461,35 @@
         Ok(())
     }
 
+    /// Waits until all hosts name the same home for every backend server.
+    ///
+    /// # Errors
+    /// Fails where they do not within `wait`.
+    pub async fn wait_until_homes_agree(&self, wait: time::Duration) -> Result<(), StandinError> {
+        let limit = time::Instant::now() + wait;
+        while !self.homes_agree().await? {
+            let condition = "an agreement on homes";
+            snafu::ensure!(time::Instant::now() < limit, TimeoutSnafu { condition });
+            async_io::Timer::after(POLL_INTERVAL).await;
+        }
+        Ok(())
+    }
+
+    async fn homes_agree(&self) -> Result<bool, StandinError> {
+        let mut agreed: Option<Vec<Value>> = None;
+        for position in 0..self.hosts.len() {
+            let backends = self.call(position, "backends", json!([])).await?;
+            let held = backends.as_array().map(Vec::as_slice).unwrap_or_default();
+            let homes: Vec<Value> = held.iter().map(|held| held["home_host"].clone()).collect();
+            let known = homes.iter().all(Value::is_string) && homes.len() == self.backends.len();
+            if !known || agreed.as_ref().is_some_and(|agreed| *agreed != homes) {
+                return Ok(false);
+            }
+            agreed = Some(homes);
+        }
+        Ok(true)
+    }
+
     /// Calls `method` of the administration API of the host at `position`.
     ///
     /// # Errors
--- a/examples/whole_path.rs
+++ b/examples/whole_path.rs
@@ -34,6 +34,7 @@
     println!("starting the processes of the Budapest deployment");
     let plan = DeploymentPlan::budapest(2);
     let deployment = Deployment::start(plan, programs.clone(), READY_LIMIT).await?;
+    deployment.wait_until_homes_agree(READY_LIMIT).await?;
     let count = deployment.hosts.len();
     println!("{count} entry hosts are ready; every datagram goes to another one in turn");
     println!();
@@ -73,7 +74,10 @@
     echo: bool,
 ) -> Result<Value, StandinError> {
     let options = [
-        ("--fabric", deployment.fabric_address("callers")?.to_string()),
+        (
+            "--fabric",
+            deployment.fabric_address("callers")?.to_string(),
+        ),
         ("--service", service.address.to_string()),
         ("--sessions", SESSIONS.to_string()),
         ("--requests", REQUESTS.to_string()),
@@ -90,12 +94,21 @@
 }
 
 fn print_runs(reports: &[Value]) {
-    let sum = |key: &str| -> u64 { reports.iter().filter_map(|report| report[key].as_u64()).sum() };
+    let sum = |key: &str| -> u64 {
+        reports
+            .iter()
+            .filter_map(|report| report[key].as_u64())
+            .sum()
+    };
     let repeated: usize = reports
         .iter()
         .filter_map(|report| report["repeated"].as_array().map(Vec::len))
         .sum();
-    println!("runs on {} backend servers: {}", reports.len(), sum("total"));
+    println!(
+        "runs on {} backend servers: {}",
+        reports.len(),
+        sum("total")
+    );
     println!("requests run more than once: {repeated}");
     println!("datagrams at a wrong service: {}", sum("wrong_service"));
 }
