Bring hand-overs between the control and the traffic threads

The daemon passes freezing, chunks and reports by the queues that the threads have already; a full queue loses a word, which breaks the hand-over off. A graceful stop now also waits until no home is left, within its deadline.

--- a/crates/cardamomwinch_daemon/src/control_effects.rs
+++ b/crates/cardamomwinch_daemon/src/control_effects.rs
@@ -8,7 +8,7 @@
 use async_executor::LocalExecutor;
 use cardamomwinch_coordination::control::event::{LoadFailure, PlatformRequest};
 use cardamomwinch_coordination::prelude::{
-    ControlEffect, ControlEvent, ControlSink, DecisionRecord,
+    ControlEffect, ControlEvent, ControlSink, DecisionRecord, ThreadPlace,
 };
 use cardamomwinch_protocol::prelude::PeerEnvelope;
 use cardamomwinch_state::prelude::{BackendId, Timestamp};
@@ -16,10 +16,11 @@
 
 use crate::counter_handles::CounterHandles;
 use crate::decision_line::DecisionLine;
-use crate::messages::ControlInput;
+use crate::messages::{ControlInput, HandOverInput, TrafficInput};
 use crate::peer_delivery::PeerSender;
 use crate::platform_calls::PlatformCalls;
 use crate::snapshot_cell::SnapshotCell;
+use crate::stopping::DrainedFlag;
 
 /// How long the load endpoint of a backend server may take to answer.
 const LOAD_TIMEOUT: time::Duration = time::Duration::from_millis(500);
@@ -36,6 +37,10 @@
     pub platform: PlatformCalls,
     /// Towards traffic.
     pub snapshots: SnapshotCell,
+    /// Towards the traffic threads, by position.
+    pub threads: Vec<Sender<TrafficInput>>,
+    /// Set once nothing is held any more.
+    pub drained: DrainedFlag,
     /// Counts.
     pub counters: CounterHandles,
     /// Logs decisions.
@@ -73,6 +78,21 @@
         self.executor.spawn(task).detach();
     }
 
+    /// Brings word of a hand-over to the thread of its shard. Where its queue is
+    /// full the word is lost and the hand-over is broken off.
+    fn tell_thread(&self, input: HandOverInput) {
+        let place = ThreadPlace {
+            index: 0,
+            count: self.threads.len() as u16,
+        };
+        let owner = usize::from(place.owner(input.shard()));
+        let sender = self.threads.get(owner);
+        let input = TrafficInput::HandOver(input);
+        if sender.is_none_or(|sender| sender.try_send(input).is_err()) {
+            metrics::counter!("cardamomwinch_thread_queue_drops_total").increment(1);
+        }
+    }
+
     fn log(&mut self, now: Timestamp, record: &DecisionRecord) {
         let snapshot = self.snapshots.load();
         let line = DecisionLine::new(&self.host, record, &snapshot);
@@ -99,6 +119,21 @@
                 self.outlets.ask_load(backend, address);
             }
             ControlEffect::Publish(snapshot) => self.outlets.snapshots.publish(snapshot),
+            ControlEffect::ReleaseShard {
+                hand_over,
+                frozen_until,
+            } => self.outlets.tell_thread(HandOverInput::Release {
+                hand_over,
+                frozen_until,
+            }),
+            ControlEffect::ForgetShard { shard } => {
+                self.outlets.tell_thread(HandOverInput::Forget(shard));
+            }
+            ControlEffect::TakeOver { chunk } => {
+                let chunk = Box::new(chunk);
+                self.outlets.tell_thread(HandOverInput::TakeOver(chunk));
+            }
+            ControlEffect::Drained => self.outlets.drained.set(),
             ControlEffect::Decide(record) => self.outlets.log(self.now, &record),
             ControlEffect::Count(counter) => self.outlets.counters.count(counter),
         }
--- a/crates/cardamomwinch_daemon/src/messages.rs
+++ b/crates/cardamomwinch_daemon/src/messages.rs
@@ -3,7 +3,9 @@
 use async_channel::Sender;
 use cardamomwinch_coordination::prelude::ControlEvent;
 use cardamomwinch_protocol::administration::{FlowReport, MemberReport, StatusReport};
-use cardamomwinch_state::prelude::{BackendId, FlowKey, SortedVector};
+use cardamomwinch_protocol::peer::hand_over::HandOverChunk;
+use cardamomwinch_protocol::peer::homes::HandOverId;
+use cardamomwinch_state::prelude::{BackendId, FlowKey, ShardId, SortedVector, Timestamp};
 
 /// Something for the control thread.
 #[derive(Debug)]
@@ -30,10 +32,39 @@
 pub enum TrafficInput {
     /// An encoded envelope from another traffic thread of this process.
     Envelope(Box<[u8]>),
+    /// Control hands a shard over, or has one handed over.
+    HandOver(HandOverInput),
     /// An operator asks, or the process wants to stop.
     Query(TrafficQuery),
 }
 
+/// What control tells the thread of a shard about its hand-over.
+#[derive(Debug)]
+pub enum HandOverInput {
+    /// Freeze the shard and give out what is known of it.
+    Release {
+        /// The hand-over.
+        hand_over: HandOverId,
+        /// When the shard thaws.
+        frozen_until: Timestamp,
+    },
+    /// The shard is handed over.
+    Forget(ShardId),
+    /// Take a chunk in.
+    TakeOver(Box<HandOverChunk>),
+}
+
+impl HandOverInput {
+    /// The shard that it is about.
+    pub fn shard(&self) -> ShardId {
+        match self {
+            Self::Release { hand_over, .. } => hand_over.shard,
+            Self::Forget(shard) => *shard,
+            Self::TakeOver(chunk) => chunk.hand_over.shard,
+        }
+    }
+}
+
 /// What is asked of a traffic thread; the answer goes to the sender.
 #[derive(Debug)]
 pub enum TrafficQuery {
--- a/crates/cardamomwinch_daemon/src/stopping.rs
+++ b/crates/cardamomwinch_daemon/src/stopping.rs
@@ -1,6 +1,8 @@
 //! Signals and the graceful stop.
 
+use std::cell;
 use std::io;
+use std::rc;
 use std::time;
 
 use async_channel::{Receiver, Sender};
@@ -14,6 +16,24 @@
 /// How often the traffic threads are asked whether they are done.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
+/// Tells that the host was told to stop and is home of nothing any more.
+#[derive(Debug, Default, Clone)]
+pub struct DrainedFlag {
+    flag: rc::Rc<cell::Cell<bool>>,
+}
+
+impl DrainedFlag {
+    /// Sets the flag.
+    pub fn set(&self) {
+        self.flag.set(true);
+    }
+
+    /// Whether it is set.
+    pub fn is_set(&self) -> bool {
+        self.flag.get()
+    }
+}
+
 /// How the process ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StopStatus {
@@ -50,13 +70,14 @@
     total
 }
 
-/// Waits for the first signal or request to stop, then until nothing is
-/// pending, the deadline has passed, or a second signal came.
+/// Waits for the first signal or request to stop, then until every home is
+/// handed over and nothing is pending, the deadline has passed, or a second signal came.
 pub async fn wait_until_stopped<C: Clock>(
     signals: &mut Signals,
     stop_requests: &Receiver<()>,
     control: &Sender<ControlInput>,
     threads: &[Sender<TrafficInput>],
+    homes: &DrainedFlag,
     deadline: time::Duration,
     clock: &C,
 ) -> StopStatus {
@@ -81,7 +102,7 @@
         loop {
             Timer::after(POLL_INTERVAL).await;
             let pending_requests = gather_load(threads).await.pending_requests;
-            if pending_requests == 0 {
+            if pending_requests == 0 && homes.is_set() {
                 return StopStatus::Graceful;
             }
             if clock.now() >= latest {
--- a/crates/cardamomwinch_daemon/src/traffic_thread.rs
+++ b/crates/cardamomwinch_daemon/src/traffic_thread.rs
@@ -16,7 +16,7 @@
 use cardamomwinch_state::prelude::{BackendId, FlowHasher, FlowKey};
 use cardamomwinch_transport::prelude::{Clock, DatagramSocket, HostClock, TickPlan, TimerService};
 
-use crate::messages::{TrafficInput, TrafficLoad, TrafficQuery};
+use crate::messages::{HandOverInput, TrafficInput, TrafficLoad, TrafficQuery};
 use crate::snapshot_cell::SnapshotCell;
 use crate::traffic_effects::{OutletSink, TrafficOutlets, TrafficSockets};
 
@@ -82,10 +82,25 @@
                     self.handle(TrafficEvent::Relay(envelope));
                 }
             }
+            TrafficInput::HandOver(input) => self.hand_over(&input),
             TrafficInput::Query(query) => self.answer(query),
         }
     }
 
+    fn hand_over(&mut self, input: &HandOverInput) {
+        self.handle(match input {
+            HandOverInput::Release {
+                hand_over,
+                frozen_until,
+            } => TrafficEvent::ReleaseShard {
+                hand_over: *hand_over,
+                frozen_until: *frozen_until,
+            },
+            HandOverInput::Forget(shard) => TrafficEvent::ForgetShard { shard: *shard },
+            HandOverInput::TakeOver(chunk) => TrafficEvent::TakeOver { chunk },
+        });
+    }
+
     /// Answers go into channels with room for one; who asked may have left.
     fn answer(&self, query: TrafficQuery) {
         match query {
