Tell a peer that leaves between frames from one that breaks off

Cause: both ended a connection without being counted, so that a peer which dies within a request left no trace.

Change: the end of the stream before the first byte of a frame has an error of its own; anything later is counted as truncated. A test covers the latter.

--- a/crates/cardamomwinch_transport/src/peer_frame.rs
+++ b/crates/cardamomwinch_transport/src/peer_frame.rs
@@ -38,6 +38,9 @@
         /// What the system said.
         source: io::Error,
     },
+    /// The peer left between two frames.
+    #[snafu(display("the peer left"))]
+    Ended,
     /// The peer left before a whole frame had arrived.
     #[snafu(display("the peer left within a frame"))]
     Truncated,
@@ -190,7 +193,10 @@
 
     async fn read(&mut self, purpose: FramePurpose, limit: usize) -> Result<Vec<u8>, FrameError> {
         let mut announced = [0; LENGTH_LENGTH];
-        self.read_exactly(&mut announced).await?;
+        let (first, rest) = announced.split_at_mut(1);
+        let begun = self.stream.read(first).await.context(BrokenSnafu)?;
+        snafu::ensure!(begun > 0, EndedSnafu);
+        self.read_exactly(rest).await?;
         // A length that no `usize` can hold is longer than any limit.
         let length = usize::try_from(u32::from_be_bytes(announced)).unwrap_or(usize::MAX);
         let allowed = (CODE_LENGTH..=limit).contains(&length);
--- a/crates/cardamomwinch_transport/src/peer_rpc.rs
+++ b/crates/cardamomwinch_transport/src/peer_rpc.rs
@@ -217,6 +217,7 @@
             Self::Slow => "slow",
             Self::Frame { source } => match source {
                 FrameError::Broken { .. } => "broken",
+                FrameError::Ended => "ended",
                 FrameError::Truncated => "truncated",
                 FrameError::Length { .. } => "length",
                 FrameError::Unauthenticated => "unauthenticated",
@@ -298,7 +299,7 @@
         loop {
             let request = match bounded(limits.frame_timeout, session.read_request()).await {
                 Err(ServeError::Frame {
-                    source: FrameError::Truncated,
+                    source: FrameError::Ended,
                 }) => return Ok(()),
                 outcome => outcome?,
             };
--- a/crates/cardamomwinch_transport/tests/peer_rpc.rs
+++ b/crates/cardamomwinch_transport/tests/peer_rpc.rs
@@ -141,10 +141,23 @@
     let error = run(address, keys(3, None)).unwrap_err();
     assert!(matches!(error, PeerRpcError::Exchange { .. }), "{error:?}");
     assert_eq!(counter.load(atomic::Ordering::SeqCst), 0);
-    let counted = "cardamomwinch_peer_rpc_errors_total{reason=\"unauthenticated\"}";
+    await_count("unauthenticated");
+}
+
+#[test]
+fn a_frame_that_breaks_off_is_counted() {
+    let (address, _) = start(keys(1, None), limits());
+    let mut stream = connect(address);
+    stream.write_all(&[0, 0]).unwrap();
+    drop(stream);
+    await_count("truncated");
+}
+
+fn await_count(reason: &str) {
+    let counted = format!("cardamomwinch_peer_rpc_errors_total{{reason=\"{reason}\"}}");
     let metrics = METRICS.get().unwrap();
     let limit = time::Instant::now() + PATIENCE;
-    while !metrics.render().contains(counted) {
+    while !metrics.render().contains(&counted) {
         assert!(time::Instant::now() < limit, "{}", metrics.render());
         thread::sleep(time::Duration::from_millis(5));
     }
