Tell a cold host of the hosts that held before its list

Cause: a host that had just started knew only the newest list. Ruled out: a longer wait, which only moves the bound. Change: voters that know of an earlier list name its hosts to an unsure candidate, who then needs a majority of those as well. Left: a majority of voters that have all just started cannot name anybody; then time alone decides.

--- a/crates/cardamomwinch_coordination/src/control/homes/eras.rs
+++ b/crates/cardamomwinch_coordination/src/control/homes/eras.rs
@@ -8,9 +8,10 @@
 //! on they refuse every candidate that still takes them to be. Earlier voters
 //! that the list has dropped are not waited for.
 
+use cardamomwinch_protocol::peer::homes::EarlierHosts;
 use cardamomwinch_state::prelude::{HostId, HostListVersion, HostTable, ShardId, Timestamp};
 
-use crate::control::homes::ranking;
+use crate::control::homes::ranking::{self, VOTER_COUNT};
 
 /// What a voter has granted to this host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,6 +28,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct EarlierVoters {
     voters: Vec<HostId>,
+    /// Whether all of them are needed, because their witness is not known.
+    all: bool,
     replaced_in: HostListVersion,
 }
 
@@ -45,6 +48,7 @@
             let replaced = std::mem::replace(&mut self.present, voters);
             self.earlier.push(EarlierVoters {
                 voters: replaced,
+                all: false,
                 replaced_in: hosts.version,
             });
         }
@@ -54,6 +58,32 @@
         self.earlier.retain(|era| !era.voters.is_empty());
     }
 
+    /// Takes in what a voter says of earlier hosts of the domain. Of fewer than
+    /// three, each one is needed: a holder may rest on any one of them and on a
+    /// witness that is not known here.
+    pub fn learn_earlier(&mut self, earlier: &EarlierHosts, hosts: &HostTable, shard: ShardId) {
+        if earlier.replaced_in > hosts.version {
+            return;
+        }
+        let mut voters = ranking::ranked(earlier.hosts.iter().copied(), shard);
+        voters.truncate(VOTER_COUNT);
+        voters.sort_unstable();
+        voters.retain(|voter| hosts.get(*voter).is_some());
+        let known = self.earlier.iter().any(|era| era.voters == voters);
+        if voters.is_empty() || voters == self.present || known {
+            return;
+        }
+        let era = EarlierVoters {
+            all: earlier.hosts.len() < VOTER_COUNT,
+            voters,
+            replaced_in: earlier.replaced_in,
+        };
+        let position = self
+            .earlier
+            .partition_point(|known| known.replaced_in <= era.replaced_in);
+        self.earlier.insert(position, era);
+    }
+
     /// Whether only the present voters count.
     pub fn are_settled(&self) -> bool {
         self.earlier.is_empty()
@@ -74,9 +104,8 @@
     /// Until when `grants` are enough to begin to hold: a majority of every
     /// set of voters, since somebody may hold with any of them.
     pub fn acquirable_until(&self, grants: &[HeldGrant]) -> Timestamp {
-        let earlier = self.earlier.iter().map(|era| era.voters.as_slice());
-        let sets = earlier.chain([self.present.as_slice()]);
-        let ends = sets.map(|voters| majority_until(voters, grants));
+        let earlier = self.earlier.iter().map(|era| era.granted_until(grants));
+        let ends = earlier.chain([majority_until(&self.present, grants)]);
         ends.min().unwrap_or(Timestamp::ZERO)
     }
 
@@ -84,8 +113,16 @@
     /// majority of the oldest voters that count. Nobody can have replaced them
     /// meanwhile, because that takes their majority.
     pub fn extendable_until(&self, grants: &[HeldGrant]) -> Timestamp {
-        let oldest = self.earlier.first().map(|era| era.voters.as_slice());
-        majority_until(oldest.unwrap_or(&self.present), grants)
+        self.granted_until(0, grants)
+    }
+
+    /// Until when the earlier voters at `position`, or else the present ones,
+    /// have granted.
+    fn granted_until(&self, position: usize, grants: &[HeldGrant]) -> Timestamp {
+        match self.earlier.get(position) {
+            Some(era) => era.granted_until(grants),
+            None => majority_until(&self.present, grants),
+        }
     }
 
     /// Drops earlier voters that `grants` show to have moved on, as long as the
@@ -97,10 +134,7 @@
                 .copied()
                 .filter(|grant| grant.host_list >= oldest.replaced_in)
                 .collect();
-            let next = self.earlier.get(1).map(|era| era.voters.as_slice());
-            let next = next.unwrap_or(&self.present);
-            let settled =
-                now < majority_until(&oldest.voters, &moved) && now < majority_until(next, grants);
+            let settled = now < oldest.granted_until(&moved) && now < self.granted_until(1, grants);
             if !settled {
                 return;
             }
@@ -109,14 +143,27 @@
     }
 }
 
+impl EarlierVoters {
+    fn granted_until(&self, grants: &[HeldGrant]) -> Timestamp {
+        let needed = match self.all {
+            true => self.voters.len(),
+            false => ranking::majority(self.voters.len()),
+        };
+        granted_until(&self.voters, needed, grants)
+    }
+}
+
 /// Until when a majority of `voters` has granted.
 fn majority_until(voters: &[HostId], grants: &[HeldGrant]) -> Timestamp {
+    granted_until(voters, ranking::majority(voters.len()), grants)
+}
+
+fn granted_until(voters: &[HostId], needed: usize, grants: &[HeldGrant]) -> Timestamp {
     let mut ends: Vec<Timestamp> = voters
         .iter()
         .filter_map(|voter| grants.iter().find(|grant| grant.voter == *voter))
         .map(|grant| grant.until)
         .collect();
     ends.sort_unstable_by_key(|end| std::cmp::Reverse(*end));
-    let needed = ranking::majority(voters.len());
     ends.get(needed - 1).copied().unwrap_or(Timestamp::ZERO)
 }
--- a/crates/cardamomwinch_coordination/src/control/homes/leases.rs
+++ b/crates/cardamomwinch_coordination/src/control/homes/leases.rs
@@ -146,17 +146,13 @@
             stopping: world.is_stopping(),
             wanted: set(&|_| true),
             held: set(&|shard| self.lease(now, *shard).is_some()),
-            unsettled: set(&|shard| !self.is_settled(now, *shard)),
+            unsettled: set(&|shard| !self.is_settled(*shard)),
         }
     }
 
-    fn is_settled(&self, now: Timestamp, shard: ShardId) -> bool {
+    fn is_settled(&self, shard: ShardId) -> bool {
         let state = self.shards.get(&shard);
-        state.is_some_and(|state| state.eras.are_settled() && !self.is_unsure(now, state))
-    }
-
-    fn is_unsure(&self, now: Timestamp, state: &CandidateShard) -> bool {
-        state.unsure && now < self.sure_from
+        state.is_some_and(|state| state.eras.are_settled() && !state.unsure)
     }
 
     /// Takes another host's word about voters of earlier lists.
@@ -179,7 +175,7 @@
     pub fn take_grant(
         &mut self,
         now: Timestamp,
-        limits: &ConfigurationLimits,
+        world: &HomeWorld<'_>,
         voter: HostId,
         grant: &LeaseGrant,
     ) -> Vec<ShardId> {
@@ -190,6 +186,11 @@
         };
         let sure = now >= self.sure_from;
         for (shard, state) in self.shards.iter_mut() {
+            if state.unsure {
+                for earlier in &grant.earlier {
+                    state.eras.learn_earlier(earlier, world.hosts, *shard);
+                }
+            }
             if !grant.granted.contains(shard.index) || grant.round <= state.ignored_through {
                 continue;
             }
@@ -199,7 +200,7 @@
                 host_list: grant.host_list,
             });
             let may_begin = sure || !state.unsure;
-            if state.renew(now, limits.clock_skew, may_begin) {
+            if state.renew(now, world.limits.clock_skew, may_begin) {
                 begun.push(*shard);
             }
         }
@@ -293,6 +294,7 @@
         let begun = running.is_none();
         if begun {
             self.inherited = None;
+            self.unsure = false;
         }
         begun
     }
--- a/crates/cardamomwinch_coordination/src/control/homes/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/homes/mod.rs
@@ -360,7 +360,7 @@
         grant: &LeaseGrant,
         out: &mut Vec<HomeAction>,
     ) {
-        let begun = self.leases.take_grant(now, world.limits, voter, grant);
+        let begun = self.leases.take_grant(now, world, voter, grant);
         if !begun.is_empty() {
             out.push(HomeAction::Publish);
         }
--- a/crates/cardamomwinch_coordination/src/control/homes/ranking.rs
+++ b/crates/cardamomwinch_coordination/src/control/homes/ranking.rs
@@ -44,7 +44,8 @@
     voters
 }
 
-fn ranked(hosts: impl Iterator<Item = HostId>, shard: ShardId) -> Vec<HostId> {
+/// `hosts` in the order in which they are preferred for `shard`.
+pub(crate) fn ranked(hosts: impl Iterator<Item = HostId>, shard: ShardId) -> Vec<HostId> {
     let mut ranked: Vec<HostId> = hosts.collect();
     ranked.sort_unstable_by_key(|host| std::cmp::Reverse((score(*host, shard), *host)));
     ranked
--- a/crates/cardamomwinch_coordination/src/control/homes/voters.rs
+++ b/crates/cardamomwinch_coordination/src/control/homes/voters.rs
@@ -11,12 +11,16 @@
 //!   domain changed gets nothing new, because the majority that it counts may
 //!   not be one any more. A holder is renewed meanwhile: its running grant keeps
 //!   everybody else out anyway.
+//! - A candidate that has just started never heard of earlier voters, who may
+//!   still be counted on by a holder that lags behind; it is told of them.
 //! - Requests and releases of one host are taken in their order only, so that
 //!   a release that was held up cannot end a later grant.
 
 use std::time;
 
-use cardamomwinch_protocol::peer::homes::{LeaseGrant, LeaseRelease, LeaseRequest, LeaseRound};
+use cardamomwinch_protocol::peer::homes::{
+    EarlierHosts, LeaseGrant, LeaseRelease, LeaseRequest, LeaseRound, ShardSet,
+};
 use cardamomwinch_state::prelude::{
     DomainId, HostId, HostListVersion, HostTable, Incarnation, ShardId, SortedVector, Timestamp,
 };
@@ -53,8 +57,37 @@
 
 #[derive(Debug)]
 struct DomainHosts {
-    hosts: Vec<HostId>,
+    /// The hosts that voters are taken from.
+    pool: Vec<HostId>,
+    /// Those of the domain itself.
+    own: Vec<HostId>,
     changed: HostListVersion,
+    earlier: Vec<EarlierHosts>,
+}
+
+/// Earlier lists of a domain's hosts that are remembered.
+const EARLIER_LIMIT: usize = 8;
+
+impl DomainHosts {
+    fn replace(&mut self, pool: Vec<HostId>, own: Vec<HostId>, hosts: &HostTable) {
+        if self.pool != pool {
+            let replaced_in = hosts.version;
+            let replaced = std::mem::replace(&mut self.own, own);
+            self.pool = pool;
+            self.changed = replaced_in;
+            self.earlier.retain(|earlier| earlier.hosts != replaced);
+            self.earlier.push(EarlierHosts {
+                hosts: replaced,
+                replaced_in,
+            });
+        }
+        for earlier in &mut self.earlier {
+            earlier.hosts.retain(|host| hosts.get(*host).is_some());
+        }
+        self.earlier.retain(|earlier| !earlier.hosts.is_empty());
+        let excess = self.earlier.len().saturating_sub(EARLIER_LIMIT);
+        self.earlier.drain(..excess);
+    }
 }
 
 /// The promises of this host.
@@ -85,19 +118,19 @@
         named.sort_unstable();
         named.dedup();
         for domain in named {
-            let mut ids: Vec<HostId> = hosts.in_domain(domain).map(|host| host.id).collect();
-            if ids.len() < VOTER_COUNT {
-                ids = hosts.hosts.keys().copied().collect();
-            }
+            let own: Vec<HostId> = hosts.in_domain(domain).map(|host| host.id).collect();
+            let pool = match own.len() < VOTER_COUNT {
+                true => hosts.hosts.keys().copied().collect(),
+                false => own.clone(),
+            };
             let changed = hosts.version;
             let known = self.domains.get_or_insert_with(domain, || DomainHosts {
-                hosts: Vec::new(),
+                pool: Vec::new(),
+                own: Vec::new(),
                 changed,
+                earlier: Vec::new(),
             });
-            if known.hosts != ids {
-                known.hosts = ids;
-                known.changed = changed;
-            }
+            known.replace(pool, own, hosts);
         }
     }
 
@@ -116,7 +149,8 @@
         let mut grant = LeaseGrant {
             round: request.round,
             host_list: world.hosts.version,
-            granted: Default::default(),
+            granted: ShardSet::default(),
+            earlier: Vec::new(),
         };
         let entry = world.hosts.get(candidate.host)?;
         let limits = world.limits;
@@ -126,7 +160,11 @@
         let domain = entry.domain;
         let asked = time::Duration::from_millis(request.lease_millis.into());
         let until = now.after(asked.min(LONGEST_GRANT));
-        let changed = self.domains.get(&domain).map(|known| known.changed);
+        let known = self.domains.get(&domain);
+        let changed = known.map(|known| known.changed);
+        if !request.unsettled.is_empty() {
+            grant.earlier = known.map_or_else(Vec::new, |known| known.earlier.clone());
+        }
         let may_be_new = ranking::may_hold(entry, domain)
             && changed.is_some_and(|changed| request.host_list >= changed);
         for index in request.wanted.iter(request.shard_count) {
--- a/crates/cardamomwinch_protocol/src/peer/homes.rs
+++ b/crates/cardamomwinch_protocol/src/peer/homes.rs
@@ -2,7 +2,7 @@
 //! [`HolderNotice`] concern shards of the candidate's own failure domain, so
 //! that a shard is named by its position alone.
 
-use cardamomwinch_state::prelude::{DomainId, HostListVersion, ShardId, Timestamp};
+use cardamomwinch_state::prelude::{DomainId, HostId, HostListVersion, ShardId, Timestamp};
 use serde::{Deserialize, Serialize};
 
 use crate::peer::hand_over::HandOverChunk;
@@ -75,7 +75,8 @@
     pub wanted: ShardSet,
     /// The shards of `wanted` that it holds.
     pub held: ShardSet,
-    /// Shards of `wanted` for which an earlier set of voters may still be relied on.
+    /// Shards of `wanted` for which an earlier set of voters, known to the
+    /// sender or not, may still be relied on.
     pub unsettled: ShardSet,
 }
 
@@ -89,6 +90,19 @@
     pub host_list: HostListVersion,
     /// The shards that were granted.
     pub granted: ShardSet,
+    /// Earlier hosts of the candidate's failure domain, for a candidate that
+    /// may never have heard of them.
+    pub earlier: Vec<EarlierHosts>,
+}
+
+/// The hosts of a failure domain by a list that a later one has replaced.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct EarlierHosts {
+    /// The hosts.
+    pub hosts: Vec<HostId>,
+    /// The list that replaced them.
+    pub replaced_in: HostListVersion,
 }
 
 /// Gives up leases after a hand-over.
