Show by test what a hand-over keeps and what leases cost

A datagram for a shard that was taken over and whose lease is still on its way is now dropped, so that the caller sends again, instead of being answered 'outcome unknown'.

--- a/crates/cardamomwinch_coordination/src/traffic/caller_datagrams.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/caller_datagrams.rs
@@ -182,6 +182,11 @@
                     DecisionSubject { peer, ..subject },
                 );
             }
+            // The lease comes within milliseconds, and the caller sends again: to
+            // say "outcome unknown" would end a request that can still run.
+            _ if self.frozen.is_awaited(shard, context.now) => {
+                context.count(Counter::FrozenDropped);
+            }
             _ => self.without_home(context, routed, claim, decided),
         }
     }
--- a/crates/cardamomwinch_coordination/src/traffic/handover.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/handover.rs
@@ -42,6 +42,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct FrozenShards {
     shards: SortedVector<ShardId, FrozenShard>,
+    /// Shards taken over whose lease is still to come, and how long that may take.
+    awaited: SortedVector<ShardId, Timestamp>,
 }
 
 impl FrozenShards {
@@ -52,6 +54,12 @@
             .is_some_and(|frozen| now < frozen.until)
     }
 
+    /// Whether `shard` was handed over to this host just now, so that its lease
+    /// is to be expected.
+    pub(crate) fn is_awaited(&self, shard: ShardId, now: Timestamp) -> bool {
+        self.awaited.get(&shard).is_some_and(|until| now < *until)
+    }
+
     /// Keeps a reply until it is known who is home.
     pub(crate) fn hold_back(&mut self, shard: ShardId, reply: &BackendReply<'_>) {
         let Some(frozen) = self.shards.get_mut(&shard) else {
@@ -237,6 +245,7 @@
     /// Sends on, or applies, what was held back for shards that are frozen no more.
     pub(crate) fn thaw<S: TrafficSink>(&mut self, context: &mut EventContext<'_, S>) {
         let now = context.now;
+        self.frozen.awaited.retain(|_, until| now < *until);
         let mut thawed = Vec::new();
         self.frozen.shards.retain(|shard, frozen| {
             let keep = !frozen.handed_over && now < frozen.until;
@@ -279,6 +288,8 @@
         if !self.place.owns(shard) {
             return;
         }
+        let lease = context.snapshot.configuration.limits.home_lease;
+        self.frozen.awaited.insert(shard, context.now.after(lease));
         let mut whole = true;
         for item in &chunk.items {
             whole &= match item {
--- /dev/null
+++ b/crates/cardamomwinch_coordination/tests/homes_cost.rs
@@ -0,0 +1,129 @@
+//! What leases cost, and what a stop takes, at nine hosts.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod homes_common;
+
+use cardamomwinch_coordination::prelude::*;
+use cardamomwinch_state::prelude::*;
+use homes_common::Exchange;
+
+const NINE: &[(&str, &str)] = &[
+    ("bud-angyal-1", "bud-angyal"),
+    ("bud-angyal-2", "bud-angyal"),
+    ("bud-angyal-3", "bud-angyal"),
+    ("bud-csepel-1", "bud-csepel"),
+    ("bud-csepel-2", "bud-csepel"),
+    ("bud-csepel-3", "bud-csepel"),
+    ("bud-budaors-1", "bud-budaors"),
+    ("bud-budaors-2", "bud-budaors"),
+    ("bud-budaors-3", "bud-budaors"),
+];
+const SHARDS: u16 = 32;
+/// Bytes a second that leases may take of a host, headers included.
+const BUDGET: usize = 700;
+
+fn settled(seed: u64) -> Exchange {
+    let mut exchange = Exchange::new(seed, NINE, SHARDS);
+    let all: Vec<usize> = (0..NINE.len()).collect();
+    exchange.publish(&all, &[]);
+    for host in all {
+        exchange.start(host, 1);
+    }
+    exchange.pass(10_000_000);
+    for (_, domain) in NINE {
+        assert!(exchange.all_held(DomainId::from_name(domain), SHARDS));
+    }
+    exchange
+}
+
+/// Callers' traffic shares a thin line with control: in calm, leases stay
+/// within their budget on every host.
+#[test]
+fn leases_cost_no_more_than_their_budget() {
+    let mut exchange = settled(1);
+    exchange.counting = true;
+    let seconds = 60;
+    exchange.pass(seconds as u64 * 1_000_000);
+    let mut most = 0;
+    for host in &exchange.hosts {
+        let (messages, bytes) = host.sent["homes"];
+        println!(
+            "{}: {:.1} messages/s, {} B/s for homes",
+            host.name,
+            messages as f64 / seconds as f64,
+            bytes / seconds
+        );
+        most = most.max(bytes / seconds);
+    }
+    assert!(most <= BUDGET, "{most} B/s");
+}
+
+/// A host is stopped for replacement. Every shard that it is home of goes to
+/// another host with its records, the process may exit, and a replacement that
+/// starts later gets its shards back the same way.
+#[test]
+fn a_stop_hands_over_every_shard_and_a_start_gets_them_back() {
+    for seed in 0..10 {
+        let mut exchange = settled(seed);
+        let domain = DomainId::from_name("bud-angyal");
+        let shards: Vec<ShardId> = (0..SHARDS).map(|index| ShardId { domain, index }).collect();
+        let held: Vec<ShardId> = shards
+            .iter()
+            .copied()
+            .filter(|shard| exchange.holders(*shard) == [0])
+            .collect();
+        assert!(!held.is_empty());
+        let since = |exchange: &Exchange, host: usize, shard: ShardId| {
+            let snapshot = exchange.hosts[host].engine.as_ref().unwrap().snapshot();
+            snapshot
+                .lease_at(shard, exchange.local(host))
+                .unwrap()
+                .records_since
+        };
+        let before: Vec<Timestamp> = held
+            .iter()
+            .map(|shard| since(&exchange, 0, *shard))
+            .collect();
+        let stopped = exchange.now;
+        exchange.control(0, ControlEvent::Stop);
+        let mut longest_gap = 0;
+        let mut gaps = vec![0_u64; shards.len()];
+        while !exchange.hosts[0].drained {
+            exchange.pass(1_000);
+            for (gap, shard) in gaps.iter_mut().zip(&shards) {
+                *gap = if exchange.holders(*shard).is_empty() {
+                    *gap + 1
+                } else {
+                    0
+                };
+                longest_gap = longest_gap.max(*gap);
+            }
+            assert!(
+                exchange.now < stopped + 10_000_000,
+                "seed {seed}: not drained in time"
+            );
+        }
+        let took = (exchange.now - stopped) / 1_000;
+        exchange.crash(0);
+        exchange.pass(500_000);
+        for (shard, since_before) in held.iter().zip(before) {
+            let holders = exchange.holders(*shard);
+            assert_eq!(holders.len(), 1, "seed {seed}: {shard}");
+            let since = since(&exchange, holders[0], *shard);
+            assert_eq!(since, since_before, "seed {seed}: {shard} lost its records");
+        }
+        println!(
+            "seed {seed}: {} shards handed over in {took} ms, longest without a home {longest_gap} ms",
+            held.len()
+        );
+        exchange.start(0, 1);
+        exchange.pass(10_000_000);
+        for shard in held {
+            assert_eq!(
+                exchange.holders(shard),
+                [0],
+                "seed {seed}: {shard} is not back"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/cardamomwinch_coordination/tests/homes_hand_over.rs
@@ -0,0 +1,550 @@
+//! A home that stops leaves what it knows to the next, so that nothing runs
+//! twice and nothing is refused that then runs.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod homes_common;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cardamomwinch_coordination::prelude::*;
+use cardamomwinch_coordination::traffic::requests::RequestState;
+use cardamomwinch_protocol::prelude::*;
+use cardamomwinch_state::prelude::*;
+use homes_common::{Exchange, Faults, Outside};
+use rand::Rng;
+
+const HOSTS: &[(&str, &str)] = &[("a1", "a"), ("a2", "a"), ("a3", "a"), ("b1", "b")];
+/// The hosts of the domain of the servers.
+const OWN: std::ops::Range<usize> = 0..3;
+const SERVICE: &str = "127.0.0.1:7001";
+const SHARDS: u16 = 4;
+
+/// Hosts, servers and callers.
+struct Bench {
+    exchange: Exchange,
+    /// How often each request was run.
+    runs: BTreeMap<RequestId, u32>,
+    /// Requests that a caller was told were not run.
+    not_run: BTreeSet<RequestId>,
+    answered: BTreeSet<RequestId>,
+    tokens: BTreeMap<FlowKey, RoutingToken>,
+    /// How long a server takes for a request, in microseconds; none where it
+    /// never answers.
+    service_time: Option<u64>,
+    /// The longest time that a datagram takes to its server.
+    way: u64,
+    arriving: Vec<(u64, Vec<u8>)>,
+    answering: Vec<(u64, FlowKey, BackendId, HostId, RequestId, AttemptNumber)>,
+}
+
+fn flow(number: u16) -> FlowKey {
+    FlowKey {
+        caller: format!("127.0.0.1:{}", 20_000 + number).parse().unwrap(),
+        service: SERVICE.parse().unwrap(),
+    }
+}
+
+impl Bench {
+    fn new(seed: u64, slots: u32) -> Self {
+        Self::with_connections(seed, slots, 2_000)
+    }
+
+    fn with_connections(seed: u64, slots: u32, connections: u32) -> Self {
+        let mut exchange = Exchange::new(seed, HOSTS, SHARDS);
+        let backends = (0..6).map(|index| {
+            format!(
+                r#""s{index}": {{"domain": "a", "address": "127.0.0.1:{}", "slots": {slots}, "connections": {connections}}}"#,
+                9_000 + index
+            )
+        });
+        let backends = backends.collect::<Vec<_>>().join(", ");
+        exchange.fragment = format!(
+            r#"{{"team": "t", "services": {{"desk": {{"address": "{SERVICE}", "backends": {{{backends}}}}}}}, "presets": {{}}}}"#
+        );
+        exchange.root = format!(
+            r#"{{"preset": "p", "teams": {{"t": 1}}, "limits": {{"shards_per_domain": {SHARDS}, "request_lifetime_ms": 2000}}}}"#
+        );
+        exchange.traffic = true;
+        exchange.publish(&[0, 1, 2, 3], &[]);
+        for host in 0..4 {
+            exchange.start(host, 1);
+        }
+        let mut bench = Self {
+            exchange,
+            runs: BTreeMap::new(),
+            not_run: BTreeSet::new(),
+            answered: BTreeSet::new(),
+            tokens: BTreeMap::new(),
+            service_time: Some(20_000),
+            way: 1_000,
+            arriving: Vec::new(),
+            answering: Vec::new(),
+        };
+        bench.pass(10_000_000);
+        bench
+    }
+
+    fn pass(&mut self, micros: u64) {
+        let end = self.exchange.now + micros;
+        while self.exchange.now < end {
+            self.exchange.pass(5_000.min(end - self.exchange.now));
+            self.serve();
+        }
+    }
+
+    fn serve(&mut self) {
+        for outside in std::mem::take(&mut self.exchange.outside) {
+            match outside {
+                Outside::ToBackend { bytes, .. } => {
+                    let way = self.exchange.rng.random_range(0..=self.way);
+                    self.arriving.push((self.exchange.now + way, bytes));
+                }
+                Outside::ToCaller { bytes, .. } => self.tell_caller(&bytes),
+            }
+        }
+        let now = self.exchange.now;
+        let (due, later) = std::mem::take(&mut self.arriving)
+            .into_iter()
+            .partition(|entry: &(u64, Vec<u8>)| entry.0 <= now);
+        self.arriving = later;
+        let due: Vec<(u64, Vec<u8>)> = due;
+        for (_, bytes) in due {
+            self.run(&bytes);
+        }
+        let (due, later) = std::mem::take(&mut self.answering)
+            .into_iter()
+            .partition(|entry: &(u64, _, _, _, _, _)| entry.0 <= now);
+        self.answering = later;
+        let due: Vec<(u64, FlowKey, BackendId, HostId, RequestId, AttemptNumber)> = due;
+        for (_, flow, backend, via, request, attempt) in due {
+            let kind = BackendReplyKind::Answer {
+                request,
+                attempt,
+                part: PartNumber::WHOLE,
+                payload: b"done",
+            };
+            let host = self.any_host();
+            self.exchange.fabric(
+                host,
+                FabricDatagram::Backend(BackendReply {
+                    flow,
+                    backend,
+                    via,
+                    kind,
+                }),
+            );
+        }
+    }
+
+    fn any_host(&mut self) -> usize {
+        loop {
+            let host = self.exchange.rng.random_range(0..HOSTS.len());
+            if self.exchange.is_up(host) {
+                return host;
+            }
+        }
+    }
+
+    fn run(&mut self, bytes: &[u8]) {
+        let datagram: BackendDatagram<'_> = codec::decode(bytes).unwrap();
+        let Some(request) = datagram.request else {
+            return;
+        };
+        if datagram.kind == BackendKind::Cancel || request.start_before.get() <= self.exchange.now {
+            return;
+        }
+        *self.runs.entry(request.id).or_default() += 1;
+        if let Some(time) = self.service_time {
+            let due = self.exchange.now + time;
+            self.answering.push((
+                due,
+                datagram.flow,
+                datagram.backend,
+                datagram.via,
+                request.id,
+                request.attempt,
+            ));
+        }
+    }
+
+    fn tell_caller(&mut self, bytes: &[u8]) {
+        let reply: CallerReply<'_> = codec::decode(bytes).unwrap();
+        match reply.kind {
+            CallerReplyKind::Opened { token } => drop(self.tokens.insert(reply.flow, token)),
+            CallerReplyKind::NotRun {
+                request: Some(request),
+                ..
+            } => drop(self.not_run.insert(request)),
+            CallerReplyKind::Answer { request, .. } => drop(self.answered.insert(request)),
+            _ => {}
+        }
+    }
+
+    fn open(&mut self, number: u16) -> FlowKey {
+        let flow = flow(number);
+        let host = self.any_host();
+        self.exchange.fabric(
+            host,
+            FabricDatagram::Caller(CallerDatagram::open(flow, b"")),
+        );
+        self.pass(20_000);
+        flow
+    }
+
+    fn header(&self, id: u64) -> RequestHeader {
+        let deadline = Timestamp::new(self.exchange.now + 2_000_000);
+        RequestHeader {
+            id: RequestId::new(id),
+            idempotent: false,
+            deadline,
+        }
+    }
+
+    fn send(&mut self, host: usize, flow: FlowKey, header: RequestHeader) {
+        let token = self.tokens.get(&flow).copied();
+        let datagram = CallerDatagram::carry(flow, token, b"submit").with_request(header);
+        self.exchange.fabric(host, FabricDatagram::Caller(datagram));
+    }
+
+    /// The home of the server of `flow`.
+    fn home(&self, flow: &FlowKey) -> usize {
+        let claim = *self.tokens[flow].unverified_claim();
+        let shard = ShardId::of_backend(claim.domain, claim.backend, SHARDS);
+        let holders = self.exchange.holders(shard);
+        assert_eq!(holders.len(), 1);
+        holders[0]
+    }
+
+    fn wait_held(&mut self) {
+        let domain = DomainId::from_name("a");
+        for _ in 0..300 {
+            if self.exchange.all_held(domain, SHARDS) {
+                return;
+            }
+            self.pass(50_000);
+        }
+        panic!("some shard has no home");
+    }
+
+    fn wait_drained(&mut self, host: usize) {
+        for _ in 0..300 {
+            if self.exchange.hosts[host].drained {
+                return;
+            }
+            self.pass(50_000);
+        }
+        panic!("host {host} is not drained");
+    }
+
+    fn dispatched(&self, id: u64) -> u32 {
+        self.runs
+            .get(&RequestId::new(id))
+            .copied()
+            .unwrap_or_default()
+    }
+}
+
+/// An inspector submits a finding; its home is stopped for maintenance while
+/// the server works on it, and the tablet sends the finding again, by way of
+/// other hosts. The finding runs once, and the copy sent after the answer gets
+/// that answer. Cause of what could go wrong: only the old home knew of it.
+#[test]
+fn a_request_that_runs_during_a_stop_is_not_run_again() {
+    let mut bench = Bench::new(1, 2);
+    let flow = bench.open(1);
+    let home = bench.home(&flow);
+    bench.service_time = Some(1_000_000);
+    let header = bench.header(7);
+    bench.send(home, flow, header);
+    bench.pass(50_000);
+    assert_eq!(bench.dispatched(7), 1);
+    bench.exchange.control(home, ControlEvent::Stop);
+    bench.wait_drained(home);
+    bench.exchange.crash(home);
+    let next = bench.home(&flow);
+    assert_ne!(next, home);
+    for host in OWN.filter(|host| *host != home) {
+        bench.send(host, flow, header);
+    }
+    bench.pass(1_100_000);
+    assert_eq!(bench.dispatched(7), 1, "run again by the next home");
+    assert!(bench.answered.contains(&header.id));
+    bench.answered.clear();
+    bench.send(next, flow, header);
+    bench.pass(20_000);
+    assert!(
+        bench.answered.contains(&header.id),
+        "the next home kept the answer"
+    );
+    let engine = bench.exchange.hosts[next].engine.as_ref().unwrap();
+    assert!(
+        engine
+            .traffic()
+            .ledgers()
+            .iter()
+            .all(|(_, ledger)| ledger.busy == 0),
+        "the slot is free again"
+    );
+    assert!(
+        engine
+            .traffic()
+            .remembered_requests()
+            .iter()
+            .any(|(key, record)| {
+                key.id == header.id && matches!(record.state, RequestState::Answered { .. })
+            })
+    );
+}
+
+/// Two findings wait for one slot when their home stops. The next home knows
+/// that the slot is taken, runs the waiting one once the first is answered, and
+/// runs each once.
+#[test]
+fn a_request_that_waits_during_a_stop_runs_once_at_the_next_home() {
+    let mut bench = Bench::new(2, 1);
+    let flow = bench.open(1);
+    let home = bench.home(&flow);
+    bench.service_time = Some(600_000);
+    let headers = [bench.header(1), bench.header(2)];
+    for header in headers {
+        bench.send(home, flow, header);
+    }
+    bench.pass(50_000);
+    assert_eq!((bench.dispatched(1), bench.dispatched(2)), (1, 0));
+    bench.exchange.control(home, ControlEvent::Stop);
+    bench.wait_drained(home);
+    bench.exchange.crash(home);
+    assert_eq!(bench.dispatched(2), 0, "the slot is still taken");
+    bench.pass(1_500_000);
+    assert_eq!((bench.dispatched(1), bench.dispatched(2)), (1, 1));
+    assert!(
+        headers
+            .iter()
+            .all(|header| bench.answered.contains(&header.id))
+    );
+}
+
+/// A home dies while a finding runs, without a word. Copies of the finding reach
+/// the next home: it cannot know, says so, and does not run it.
+#[test]
+fn a_request_of_a_home_that_died_is_answered_as_unknown() {
+    let mut bench = Bench::new(3, 2);
+    let flow = bench.open(1);
+    let home = bench.home(&flow);
+    bench.service_time = None;
+    let mut header = bench.header(7);
+    // As long-lived as is allowed, so that the next home is there in time.
+    header.deadline = header.deadline.after(std::time::Duration::from_millis(50));
+    bench.send(home, flow, header);
+    bench.pass(50_000);
+    bench.exchange.crash(home);
+    for _ in 0..19 {
+        bench.pass(100_000);
+        let host = bench.any_host();
+        bench.send(host, flow, header);
+    }
+    bench.pass(50_000);
+    assert_eq!(bench.dispatched(7), 1);
+    assert!(!bench.not_run.contains(&header.id));
+}
+
+/// Callers without tokens have flows on servers that their lookup table does
+/// not name, because the named ones were full. Each host in turn is replaced;
+/// every datagram of a flow still goes to its server, and no server is taken to
+/// hold more or fewer flows than it does.
+#[test]
+fn flows_off_their_table_keep_their_servers_over_replacements() {
+    let mut bench = Bench::with_connections(4, 2, 3);
+    let mut pins = BTreeMap::new();
+    for number in 0..60 {
+        let datagram = CallerDatagram {
+            echoes_token: false,
+            ..CallerDatagram::open(flow(number), b"")
+        };
+        let host = bench.any_host();
+        bench
+            .exchange
+            .fabric(host, FabricDatagram::Caller(datagram));
+        bench.pass(10_000);
+        if let Some(token) = bench.tokens.remove(&flow(number)) {
+            pins.insert(flow(number), token.unverified_claim().backend);
+        }
+    }
+    let snapshot = bench.exchange.hosts[0].engine.as_ref().unwrap().snapshot();
+    let service = snapshot.service_of(SERVICE.parse().unwrap()).unwrap().id;
+    let hasher = FlowHasher::new(snapshot.configuration.limits.flow_hash_seed);
+    let table = |flow: &FlowKey| snapshot.generations[0].select(service, hasher.hash(flow));
+    let off_table = pins
+        .iter()
+        .filter(|(flow, backend)| table(flow) != Some(**backend))
+        .count();
+    println!("{} flows, {off_table} off their table", pins.len());
+    assert!(off_table >= 3);
+    for home in OWN {
+        bench.exchange.control(home, ControlEvent::Stop);
+        bench.wait_drained(home);
+        bench.exchange.crash(home);
+        // Hosts of other domains relay to the stopped host until they miss its
+        // heartbeats; callers send again meanwhile.
+        bench.pass(1_500_000);
+        bench.wait_held();
+        check_flows(&mut bench, &pins);
+        bench.exchange.start(home, 1);
+        bench.pass(8_000_000);
+        bench.wait_held();
+        check_flows(&mut bench, &pins);
+    }
+}
+
+fn check_flows(bench: &mut Bench, pins: &BTreeMap<FlowKey, BackendId>) {
+    bench.exchange.outside.clear();
+    for (flow, backend) in pins {
+        let host = bench.any_host();
+        let datagram = CallerDatagram::carry(*flow, None, b"x");
+        bench
+            .exchange
+            .fabric(host, FabricDatagram::Caller(datagram));
+        bench.exchange.pass(10_000);
+        let mut arrived = 0;
+        for outside in std::mem::take(&mut bench.exchange.outside) {
+            if let Outside::ToBackend { bytes, .. } = outside {
+                let sent: BackendDatagram<'_> = codec::decode(&bytes).unwrap();
+                assert_eq!((sent.flow, sent.backend), (*flow, *backend));
+                arrived += 1;
+            }
+        }
+        assert_eq!(arrived, 1, "{flow}");
+    }
+    let mut counted: BTreeMap<BackendId, u32> = BTreeMap::new();
+    for host in OWN.filter(|host| bench.exchange.is_up(*host)) {
+        let engine = bench.exchange.hosts[host].engine.as_ref().unwrap();
+        for (backend, ledger) in engine.traffic().ledgers().iter() {
+            *counted.entry(*backend).or_default() += ledger.connections;
+        }
+    }
+    for (backend, connections) in counted {
+        let open = pins.values().filter(|pinned| **pinned == backend).count();
+        assert_eq!(connections as usize, open);
+    }
+}
+
+/// The successor's acknowledgements are lost: the hand-over is broken off, and
+/// the home serves on, since it still holds its lease.
+#[test]
+fn a_hand_over_that_is_broken_off_leaves_the_home_serving() {
+    let mut bench = Bench::new(5, 2);
+    let flow = bench.open(1);
+    let home = bench.home(&flow);
+    for other in OWN.filter(|host| *host != home) {
+        bench.exchange.cuts.insert((other, home));
+    }
+    bench.exchange.control(home, ControlEvent::Stop);
+    bench.pass(1_600_000);
+    let holds = bench.exchange.holders(ShardId::of_backend(
+        DomainId::from_name("a"),
+        bench.tokens[&flow].unverified_claim().backend,
+        SHARDS,
+    ));
+    assert!(holds.len() <= 1);
+    bench.exchange.cuts.clear();
+    bench.wait_drained(home);
+    bench.exchange.crash(home);
+    bench.pass(4_000_000);
+    let header = bench.header(9);
+    let host = bench.any_host();
+    bench.send(host, flow, header);
+    bench.pass(100_000);
+    assert_eq!(bench.dispatched(9), 1);
+}
+
+/// Hosts are replaced in turn, by plan or by a crash, while callers send every
+/// finding two or three times through any host, messages between hosts are lost
+/// and datagrams to servers are held up. No finding runs twice, and none runs
+/// of which a caller was told that it was not run.
+#[test]
+fn nothing_runs_twice_while_homes_move() {
+    let mut totals = (0, 0, 0, 0);
+    for seed in 100..130 {
+        let mut bench = Bench::new(seed, 2);
+        bench.exchange.faults = Faults {
+            loss: 0.03,
+            doubled: 0.05,
+            delay: 15_000,
+        };
+        bench.way = 80_000;
+        let flows: Vec<FlowKey> = (0..8).map(|number| bench.open(number)).collect();
+        let mut copies: Vec<(u64, FlowKey, RequestHeader)> = Vec::new();
+        let mut id = seed * 100_000;
+        let mut stopping: Option<(usize, u64)> = None;
+        for _ in 0..1_200 {
+            bench.pass(20_000);
+            let now = bench.exchange.now;
+            if bench.exchange.rng.random_bool(0.5) {
+                id += 1;
+                let flow = flows[bench.exchange.rng.random_range(0..flows.len())];
+                let header = bench.header(id);
+                for _ in 0..bench.exchange.rng.random_range(1..=3) {
+                    let at = now + bench.exchange.rng.random_range(0..1_500_000);
+                    copies.push((at, flow, header));
+                }
+            }
+            let (due, later) = copies.into_iter().partition(|copy| copy.0 <= now);
+            copies = later;
+            let due: Vec<(u64, FlowKey, RequestHeader)> = due;
+            for (_, flow, header) in due {
+                let host = bench.any_host();
+                bench.send(host, flow, header);
+            }
+            stopping = replace(&mut bench, stopping);
+        }
+        let twice: Vec<_> = bench.runs.iter().filter(|(_, runs)| **runs > 1).collect();
+        assert!(twice.is_empty(), "seed {seed}: run twice {twice:?}");
+        let contradicted: Vec<_> = bench
+            .not_run
+            .iter()
+            .filter(|id| bench.runs.contains_key(id))
+            .collect();
+        assert!(
+            contradicted.is_empty(),
+            "seed {seed}: refused and run {contradicted:?}"
+        );
+        totals.0 += id - seed * 100_000;
+        totals.1 += bench.runs.len();
+        totals.2 += bench.answered.len();
+        totals.3 += bench.not_run.len();
+    }
+    println!(
+        "{} requests, {} run, {} answered, {} refused",
+        totals.0, totals.1, totals.2, totals.3
+    );
+    assert!(
+        totals.1 as u64 * 2 > totals.0,
+        "most requests must run for the test to show anything"
+    );
+}
+
+/// Stops or crashes one host at a time; starts it again a little later.
+fn replace(bench: &mut Bench, stopping: Option<(usize, u64)>) -> Option<(usize, u64)> {
+    let now = bench.exchange.now;
+    match stopping {
+        None if bench.exchange.rng.random_bool(0.02) => {
+            let host = bench.exchange.rng.random_range(OWN);
+            match bench.exchange.rng.random_bool(0.8) {
+                true => bench.exchange.control(host, ControlEvent::Stop),
+                false => bench.exchange.crash(host),
+            }
+            Some((host, now + 3_000_000))
+        }
+        Some((host, again)) => {
+            if bench.exchange.hosts[host].drained {
+                bench.exchange.crash(host);
+            }
+            if now >= again && !bench.exchange.is_up(host) {
+                bench.exchange.start(host, 1);
+                return None;
+            }
+            stopping
+        }
+        None => None,
+    }
+}
