Measure what a host holds and spends at three sizes each

The page on capacity must be worked out from slopes that a reader can measure again: backend servers, listed hosts and pinned flows, each in a process of its own so that memory given back earlier hides nothing.

--- /dev/null
+++ b/examples/capacity_slopes.rs
@@ -0,0 +1,352 @@
+//! Measures what one host holds and spends as configuration, fleet and flows
+//! grow: each at three sizes, in a process of its own, so that the figures of
+//! `docs/CAPACITY.md` can be worked out again.
+//!
+//! `cargo run --release --example capacity_slopes` prints the table;
+//! `-- --json` prints one JSON object a line besides.
+#![allow(missing_docs)]
+
+use std::env;
+use std::fmt::Write;
+use std::fs;
+use std::hint;
+use std::net;
+use std::process;
+use std::time;
+
+use cardamomwinch::coordination::control::event::PlatformAnswer;
+use cardamomwinch::prelude::*;
+use serde_json::json;
+
+const SECOND: u64 = 1_000_000;
+const PAGE: u64 = 4096;
+/// Ticks of the control thread in one measured minute.
+const TICKS: u64 = 600;
+const PACKETS: u32 = 200_000;
+
+/// What is made larger.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Subject {
+    Servers,
+    Hosts,
+    Flows,
+}
+
+impl Subject {
+    const ALL: [Self; 3] = [Self::Servers, Self::Hosts, Self::Flows];
+
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Servers => "backend servers",
+            Self::Hosts => "listed hosts",
+            Self::Flows => "pinned flows",
+        }
+    }
+
+    const fn sizes(self) -> [u64; 3] {
+        match self {
+            Self::Servers => [2_600, 10_400, 26_000],
+            Self::Hosts => [320, 1_280, 3_200],
+            Self::Flows => [10_000, 70_000, 500_000],
+        }
+    }
+}
+
+fn main() {
+    let words: Vec<String> = env::args().skip(1).collect();
+    match words.as_slice() {
+        [subject, size] if subject.parse::<usize>().is_ok() => {
+            let subject = Subject::ALL[subject.parse::<usize>().unwrap_or_default()];
+            measure(subject, size.parse().unwrap_or_default());
+        }
+        _ => measure_all(words.iter().any(|word| word == "--json")),
+    }
+}
+
+/// Runs each measurement in a process of its own: memory that an earlier one
+/// gave back would hide what a later one takes.
+fn measure_all(json: bool) {
+    println!(
+        "{:<16}{:>10}{:>16}{:>16}{:>18}",
+        "grows", "size", "resident KiB", "adoption ms", "per unit"
+    );
+    for (index, subject) in Subject::ALL.into_iter().enumerate() {
+        for size in subject.sizes() {
+            let program = env::current_exe().expect("a running program has a path");
+            let mut command = process::Command::new(program);
+            let output = command.args([index.to_string(), size.to_string()]).output();
+            let Ok(output) = output else {
+                eprintln!("cannot measure {} at {size}", subject.name());
+                continue;
+            };
+            let line = String::from_utf8_lossy(&output.stdout);
+            let Ok(value) = serde_json::from_str::<serde_json::Value>(&line) else {
+                eprintln!("no figure for {} at {size}", subject.name());
+                continue;
+            };
+            println!(
+                "{:<16}{:>10}{:>16}{:>16}{:>18}",
+                subject.name(),
+                size,
+                value["resident_kib"].as_u64().unwrap_or_default(),
+                value["adoption_ms"].as_u64().unwrap_or_default(),
+                value["unit"].as_str().unwrap_or_default(),
+            );
+            if json {
+                println!("{value}");
+            }
+        }
+    }
+}
+
+fn measure(subject: Subject, size: u64) {
+    let plan = match subject {
+        Subject::Servers => FleetPlan {
+            servers: size,
+            hosts: 9,
+        },
+        Subject::Hosts => FleetPlan {
+            servers: 18,
+            hosts: size,
+        },
+        Subject::Flows => FleetPlan {
+            servers: 18,
+            hosts: 1,
+        },
+    };
+    let documents = plan.documents();
+    let before = resident_kib();
+    let started = time::Instant::now();
+    let mut fleet = DrivenHost::start(&documents);
+    let adoption = started.elapsed();
+    let unit = match subject {
+        Subject::Servers | Subject::Hosts => fleet.measure_ticks(),
+        Subject::Flows => fleet.measure_flows(size),
+    };
+    let value = json!({
+        "grows": subject.name(),
+        "size": size,
+        "resident_kib": resident_kib().saturating_sub(before),
+        "adoption_ms": adoption.as_millis() as u64,
+        "unit": unit,
+    });
+    println!("{value}");
+    hint::black_box(&fleet);
+}
+
+fn resident_kib() -> u64 {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1);
+    let pages: u64 = pages
+        .and_then(|pages| pages.parse().ok())
+        .unwrap_or_default();
+    pages * PAGE / 1024
+}
+
+/// How large the fleet is.
+struct FleetPlan {
+    servers: u64,
+    hosts: u64,
+}
+
+const DOMAINS: u64 = 10;
+const SERVERS_PER_SERVICE: u64 = 10;
+const SERVICES_PER_TEAM: u64 = 10;
+/// So many that the flow table is the bound that is met first.
+const CONNECTIONS: u64 = 100_000;
+
+/// The documents of a fleet.
+struct FleetDocuments {
+    root: String,
+    hosts: String,
+    teams: Vec<String>,
+}
+
+impl FleetPlan {
+    fn documents(&self) -> FleetDocuments {
+        let services = self.servers.div_ceil(SERVERS_PER_SERVICE);
+        let teams = services.div_ceil(SERVICES_PER_TEAM);
+        let mut listed = serde_json::Map::new();
+        for team in 0..teams {
+            listed.insert(format!("team-{team}"), json!(1));
+        }
+        let limits = json!({"request_lifetime_ms": 5000});
+        FleetDocuments {
+            root: json!({"preset": "ordinary", "teams": listed, "limits": limits}).to_string(),
+            hosts: self.hosts(),
+            teams: (0..teams).map(|team| self.fragment(team)).collect(),
+        }
+    }
+
+    fn hosts(&self) -> String {
+        let mut text = "{\"hosts\": {".to_owned();
+        for host in 0..self.hosts {
+            let comma = if host == 0 { "" } else { "," };
+            let domain = host % DOMAINS.min(self.hosts);
+            let address = |port: u16| address(1, host, port);
+            write!(
+                text,
+                "{comma}\"host-{host}\": {{\"domain\": \"domain-{domain}\", \
+                 \"traffic_address\": \"{}\", \"relay_address\": \"{}\", \
+                 \"peer_address\": \"{}\"}}",
+                address(7100),
+                address(7101),
+                address(7102)
+            )
+            .expect("text takes whatever is written to it");
+        }
+        text.push_str("}}");
+        text
+    }
+
+    fn fragment(&self, team: u64) -> String {
+        let mut services = serde_json::Map::new();
+        let first = team * SERVICES_PER_TEAM;
+        for service in first..first + SERVICES_PER_TEAM {
+            let mut backends = serde_json::Map::new();
+            let begin = service * SERVERS_PER_SERVICE;
+            for server in begin..(begin + SERVERS_PER_SERVICE).min(self.servers) {
+                let domain = server % DOMAINS.min(self.hosts);
+                let definition = json!({
+                    "domain": format!("domain-{domain}"),
+                    "address": address(2, server, 9000).to_string(),
+                    "connections": CONNECTIONS,
+                });
+                backends.insert(format!("server-{server}"), definition);
+            }
+            if !backends.is_empty() {
+                let address = address(3, service, 80).to_string();
+                let definition = json!({"address": address, "backends": backends});
+                services.insert(format!("service-{service}"), definition);
+            }
+        }
+        json!({"team": format!("team-{team}"), "services": services}).to_string()
+    }
+}
+
+/// Loopback addresses, of which the second byte tells what they are for. No
+/// datagram is ever sent to them.
+fn address(kind: u8, index: u64, port: u16) -> net::SocketAddr {
+    let [.., high, low] = (index as u32).to_be_bytes();
+    net::SocketAddr::from(([127, kind, high, low], port))
+}
+
+/// One host, driven through its public interface.
+struct DrivenHost {
+    engine: HostEngine,
+    now: Timestamp,
+}
+
+impl DrivenHost {
+    fn start(documents: &FleetDocuments) -> Self {
+        let identity = HostIdentity {
+            host: HostId::from_name("host-0"),
+            domain: DomainId::from_name("domain-0"),
+            incarnation: Incarnation::new(1),
+        };
+        let keys = AuthenticationKeys::new(SecretKey::new([7; 32]), None);
+        let engine = HostBuilder::new(identity, keys).build();
+        let now = Timestamp::new(SECOND);
+        let mut host = Self { engine, now };
+        let mut calls = host.control(ControlEvent::Start);
+        for _ in 0..200 {
+            let mut next = Vec::new();
+            for request in calls {
+                next.extend(host.answer(request, documents));
+            }
+            next.extend(host.step());
+            calls = next;
+        }
+        host
+    }
+
+    fn answer(
+        &mut self,
+        request: PlatformRequest,
+        documents: &FleetDocuments,
+    ) -> Vec<PlatformRequest> {
+        if request.after.is_some_and(|after| after > 0) {
+            return Vec::new();
+        }
+        let text = match &request.key {
+            PlatformKey::Root => documents.root.clone(),
+            PlatformKey::Hosts => documents.hosts.clone(),
+            PlatformKey::Team(name) => {
+                let number = name.trim_start_matches("team-").parse::<usize>();
+                documents.teams[number.unwrap_or_default()].clone()
+            }
+        };
+        let result = Ok(PlatformAnswer::Value { revision: 1, text });
+        let outcome = PlatformOutcome { request, result };
+        self.control(ControlEvent::Platform(outcome))
+    }
+
+    fn control(&mut self, event: ControlEvent) -> Vec<PlatformRequest> {
+        let mut calls = Vec::new();
+        let event = HostEvent::Control(event);
+        self.engine
+            .handle(self.now, event, &mut |effect: HostEffect<'_>| {
+                if let HostEffect::Control(ControlEffect::Platform(request)) = effect {
+                    calls.push(request);
+                }
+            });
+        calls
+    }
+
+    fn step(&mut self) -> Vec<PlatformRequest> {
+        self.now = Timestamp::new(self.now.get() + SECOND / 10);
+        self.control(ControlEvent::Tick)
+    }
+
+    /// Processor time of the control thread with nothing happening.
+    fn measure_ticks(&mut self) -> String {
+        let started = time::Instant::now();
+        for _ in 0..TICKS {
+            hint::black_box(self.step());
+        }
+        let spent = started.elapsed();
+        let share = spent.as_secs_f64() / 60.0 * 100.0;
+        format!("{share:.2} % of a core")
+    }
+
+    /// Opens `count` flows and sends packets of them.
+    fn measure_flows(&mut self, count: u64) -> String {
+        let before = resident_kib();
+        for index in 0..count {
+            self.send(CallerDatagram::open(flow(index), b""));
+            if index % 2000 == 0 {
+                self.step();
+            }
+        }
+        let bytes = resident_kib().saturating_sub(before) * 1024 / count;
+        let started = time::Instant::now();
+        for index in 0..u64::from(PACKETS) {
+            if index % 2000 == 0 {
+                self.step();
+            }
+            let datagram = CallerDatagram::carry(flow(index * 7919 % count), None, b"");
+            self.send(datagram);
+        }
+        let each = started.elapsed().as_nanos() as u64 / u64::from(PACKETS);
+        format!("{bytes} B, {each} ns")
+    }
+
+    fn send(&mut self, datagram: CallerDatagram<'_>) {
+        let event = TrafficEvent::Fabric(FabricDatagram::Caller(datagram));
+        self.engine.handle(
+            self.now,
+            HostEvent::Traffic(event),
+            &mut |effect: HostEffect<'_>| {
+                hint::black_box(&effect);
+            },
+        );
+    }
+}
+
+fn flow(index: u64) -> FlowKey {
+    let port = 1024 + (index % 60_000) as u16;
+    FlowKey {
+        caller: address(4, index / 60_000, port),
+        service: address(3, index % 2, 80),
+    }
+}
