Thaw a shard when its hand-over is broken off, not by a short clock

Cause: a shard thawed 1.5 s after it was frozen, whatever control did. A control thread held up between its last check and giving the lease up could release the shard later than that, while the traffic thread went on by a lease published before. Now the shard stays frozen until every lease published before the latest point of giving up has run out, and control thaws it sooner where it breaks off.

--- a/crates/cardamomwinch_coordination/src/control/effect.rs
+++ b/crates/cardamomwinch_coordination/src/control/effect.rs
@@ -44,6 +44,11 @@
         /// When the shard thaws.
         frozen_until: Timestamp,
     },
+    /// Tell the traffic thread of the shard that the hand-over is broken off.
+    ThawShard {
+        /// The shard.
+        shard: ShardId,
+    },
     /// Tell the traffic thread of the shard that it is handed over.
     ForgetShard {
         /// The shard.
--- a/crates/cardamomwinch_coordination/src/control/home_dispatch.rs
+++ b/crates/cardamomwinch_coordination/src/control/home_dispatch.rs
@@ -106,6 +106,7 @@
                     hand_over,
                     frozen_until,
                 }),
+                HomeAction::ThawShard { shard } => sink.emit(ControlEffect::ThawShard { shard }),
                 HomeAction::ForgetShard { shard } => {
                     sink.emit(ControlEffect::Count(Counter::ShardHandedOver));
                     sink.emit(ControlEffect::ForgetShard { shard });
--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/control/homes/handing_over.rs
@@ -0,0 +1,220 @@
+//! Hand-overs and the graceful stop: which shards leave, to whom, and what
+//! happens once the successor has everything.
+
+use std::time;
+
+use cardamomwinch_protocol::peer::hand_over::HandOverChunk;
+use cardamomwinch_protocol::peer::homes::{HandOverCommit, HomeMessage, LeaseRelease, ShardSet};
+use cardamomwinch_state::prelude::{HostId, ShardId, SortedVector, Timestamp};
+
+use crate::control::event::TakeOverReport;
+use crate::control::homes::incoming::ImportedHandOver;
+use crate::control::homes::leases::InheritedRecords;
+use crate::control::homes::outgoing::OutgoingHandOver;
+use crate::control::homes::{HomeAction, HomeTable, HomeWorld, ranking};
+
+/// Releases are repeated at this interval, and for this long.
+const RELEASE_INTERVAL: time::Duration = time::Duration::from_millis(100);
+const RELEASE_LIMIT: time::Duration = time::Duration::from_millis(350);
+
+impl HomeTable {
+    /// Sends on what the traffic thread has given out.
+    pub fn take_exported(
+        &mut self,
+        now: Timestamp,
+        chunk: HandOverChunk,
+        out: &mut Vec<HomeAction>,
+    ) {
+        self.outgoing.take_chunk(now, chunk, out);
+    }
+
+    /// Notes that the traffic thread has taken a chunk in.
+    pub fn take_imported(
+        &mut self,
+        now: Timestamp,
+        world: &HomeWorld<'_>,
+        report: TakeOverReport,
+        out: &mut Vec<HomeAction>,
+    ) {
+        let imported = self.incoming.note_imported(report);
+        let Some(ImportedHandOver {
+            commit,
+            records_since,
+        }) = imported
+        else {
+            return;
+        };
+        // A third host could hold the shard, and let its lease run out, only
+        // after a whole lease from the release on; later than that, records may
+        // be missing here.
+        let limits = world.limits;
+        let valid_until = commit
+            .released
+            .after(limits.home_lease)
+            .before(limits.clock_skew);
+        let inherited = InheritedRecords {
+            records_since,
+            valid_until,
+        };
+        let shard = report.hand_over.shard;
+        self.leases.inherit(shard, inherited);
+        self.request(now, world, &[shard], out);
+    }
+
+    /// Asks at once again for shards that were handed over to this host: the
+    /// release may reach the voters after the first request.
+    pub(super) fn ask_for_inherited(
+        &mut self,
+        now: Timestamp,
+        world: &HomeWorld<'_>,
+        out: &mut Vec<HomeAction>,
+    ) {
+        let shards: Vec<ShardId> = self.leases.inherited(now).collect();
+        self.request(now, world, &shards, out);
+    }
+
+    pub(super) fn begin_hand_overs(
+        &mut self,
+        now: Timestamp,
+        world: &HomeWorld<'_>,
+        out: &mut Vec<HomeAction>,
+    ) {
+        let leaving = world.is_stopping() || !world.may_hold();
+        let candidates = self.holders.candidates(now, world, world.identity.domain);
+        let others: Vec<HostId> = candidates
+            .into_iter()
+            .filter(|host| *host != world.identity.host)
+            .filter(|host| !self.outgoing.is_avoided(now, *host))
+            .collect();
+        let held: Vec<ShardId> = self.leases.held(now).collect();
+        for shard in held {
+            if !self.outgoing.may_begin(shard) {
+                continue;
+            }
+            let successor = match leaving {
+                true => ranking::best(&others, shard),
+                false => self.better_claimant(now, world, &others, shard),
+            };
+            if let Some(successor) = successor {
+                let lease = world.limits.home_lease;
+                self.outgoing.begin(now, shard, successor, lease, out);
+            }
+        }
+    }
+
+    /// A host that ranks before this one and has asked for the shard of late.
+    pub(super) fn better_claimant(
+        &self,
+        now: Timestamp,
+        world: &HomeWorld<'_>,
+        others: &[HostId],
+        shard: ShardId,
+    ) -> Option<HostId> {
+        let claim = self.claims.get(&shard)?;
+        let recent = now.since(claim.heard) < world.limits.home_lease;
+        let own = world.identity.host;
+        let better = ranking::best(&[own, claim.host], shard) == Some(claim.host);
+        let fit = recent && better && others.contains(&claim.host);
+        fit.then_some(claim.host)
+    }
+
+    /// Gives the lease up, in this order: from here on this host does not act
+    /// on it, the traffic thread forgets the shard, the successor may use what
+    /// it has put by, the voters may grant the shard to it.
+    pub(super) fn commit(
+        &mut self,
+        now: Timestamp,
+        world: &HomeWorld<'_>,
+        ready: OutgoingHandOver,
+        out: &mut Vec<HomeAction>,
+    ) {
+        let shard = ready.id.shard;
+        let Some(lease) = self.leases.lease(now, shard) else {
+            return;
+        };
+        self.leases.give_up(shard);
+        self.claims.remove(&shard);
+        out.push(HomeAction::ForgetShard { shard });
+        out.push(HomeAction::Publish);
+        let commit = HandOverCommit {
+            hand_over: ready.id,
+            released: now,
+            records_since: lease.records_since,
+        };
+        self.outgoing.commit(now, ready.successor, commit, out);
+        let until = now.after(world.limits.home_lease);
+        let shards: ShardSet = std::iter::once(shard.index).collect();
+        let (domain, count) = (shard.domain, self.shard_count);
+        self.holders
+            .learn(ready.successor, domain, &shards, count, until);
+        self.releases.insert(shard, now);
+        self.send_releases(now, world, &[shard], out);
+    }
+
+    pub(super) fn send_releases(
+        &mut self,
+        now: Timestamp,
+        world: &HomeWorld<'_>,
+        shards: &[ShardId],
+        out: &mut Vec<HomeAction>,
+    ) {
+        self.next_release = now.after(RELEASE_INTERVAL);
+        let mut told: SortedVector<HostId, ShardSet> = SortedVector::new();
+        for shard in shards {
+            for host in self.leases.voters(*shard) {
+                told.get_or_insert_with(host, ShardSet::default)
+                    .insert(shard.index);
+            }
+        }
+        if told.is_empty() {
+            return;
+        }
+        let round = self.leases.next_round();
+        for (host, shards) in told.iter() {
+            let shards = shards.clone();
+            let release = LeaseRelease { round, shards };
+            if *host == world.identity.host {
+                self.voters.release(world, world.life(), &release);
+                continue;
+            }
+            out.push(HomeAction::Send {
+                host: *host,
+                message: HomeMessage::Release(release),
+            });
+        }
+    }
+
+    /// Repeats releases that may have been lost: a voter that missed one keeps
+    /// the successor out for the rest of a lease.
+    pub(super) fn repeat_releases(
+        &mut self,
+        now: Timestamp,
+        world: &HomeWorld<'_>,
+        out: &mut Vec<HomeAction>,
+    ) {
+        self.releases
+            .retain(|_, released| now.since(*released) < RELEASE_LIMIT);
+        if now < self.next_release {
+            return;
+        }
+        let shards: Vec<ShardId> = self.releases.keys().copied().collect();
+        self.send_releases(now, world, &shards, out);
+    }
+
+    pub(super) fn finish_stop(&mut self, now: Timestamp, out: &mut Vec<HomeAction>) {
+        let Some(stop_by) = self.stop_by else {
+            return;
+        };
+        if now >= stop_by {
+            // Nobody took the rest. The leases run out by themselves; to end
+            // them early would let a successor begin without the records.
+            self.leases.give_up_all();
+        }
+        let empty = self.leases.held(now).next().is_none() && self.outgoing.is_idle();
+        if !self.drained && (empty || now >= stop_by) {
+            self.drained = true;
+            out.push(HomeAction::Publish);
+            out.push(HomeAction::Drained);
+        }
+    }
+}
--- a/crates/cardamomwinch_coordination/src/control/homes/leases.rs
+++ b/crates/cardamomwinch_coordination/src/control/homes/leases.rs
@@ -134,19 +134,17 @@
         round: LeaseRound,
         wanted: &[ShardId],
     ) -> LeaseRequest {
-        let set = |keep: &dyn Fn(&ShardId) -> bool| -> ShardSet {
-            let kept = wanted.iter().filter(|shard| keep(shard));
-            kept.map(|shard| shard.index).collect()
-        };
+        let held = |shard: &ShardId| self.lease(now, *shard).is_some();
+        let unsettled = |shard: &ShardId| !self.is_settled(*shard);
         LeaseRequest {
             round,
             lease_millis: world.limits.home_lease.as_millis() as u32,
             host_list: world.hosts.version,
             shard_count: world.limits.shards_per_domain,
             stopping: world.is_stopping(),
-            wanted: set(&|_| true),
-            held: set(&|shard| self.lease(now, *shard).is_some()),
-            unsettled: set(&|shard| !self.is_settled(*shard)),
+            wanted: shard_set(wanted, |_| true),
+            held: shard_set(wanted, held),
+            unsettled: shard_set(wanted, unsettled),
         }
     }
 
@@ -246,6 +244,11 @@
     }
 }
 
+fn shard_set(shards: &[ShardId], keep: impl Fn(&ShardId) -> bool) -> ShardSet {
+    let kept = shards.iter().filter(|shard| keep(shard));
+    kept.map(|shard| shard.index).collect()
+}
+
 fn fresh(hosts: &HostTable, shard: ShardId) -> CandidateShard {
     let mut state = CandidateShard {
         unsure: true,
--- a/crates/cardamomwinch_coordination/src/control/homes/outgoing.rs
+++ b/crates/cardamomwinch_coordination/src/control/homes/outgoing.rs
@@ -16,10 +16,6 @@
 
 /// A hand-over that has not got so far in this time is broken off.
 pub const HAND_OVER_LIMIT: time::Duration = time::Duration::from_millis(500);
-/// The traffic thread keeps the shard frozen for this long. Longer than the
-/// limit by more than a traffic thread can lag behind without noticing that it
-/// slept, so that it never thaws beside a successor.
-pub const FROZEN_FOR: time::Duration = time::Duration::from_millis(1500);
 /// What was not acknowledged is sent again after this time.
 const RESEND_AFTER: time::Duration = time::Duration::from_millis(100);
 /// A successor that did not acknowledge is left alone for this long.
@@ -89,12 +85,16 @@
         self.avoided.get(&host).is_some_and(|until| now < *until)
     }
 
-    /// Begins to hand `shard` over.
+    /// Begins to hand `shard` over. Guards against a control thread that is held
+    /// up just before it gives up the lease, while the traffic thread goes on:
+    /// the shard stays frozen, unless control thaws it, until every lease that
+    /// was published before that point has run out.
     pub fn begin(
         &mut self,
         now: Timestamp,
         shard: ShardId,
         successor: HostId,
+        lease: time::Duration,
         out: &mut Vec<HomeAction>,
     ) {
         let id = HandOverId { shard, begun: now };
@@ -107,7 +107,7 @@
         self.running.insert(shard, hand_over);
         out.push(HomeAction::ReleaseShard {
             hand_over: id,
-            frozen_until: now.after(FROZEN_FOR),
+            frozen_until: now.after(HAND_OVER_LIMIT + lease),
         });
     }
 
@@ -185,6 +185,8 @@
             let overdue = running.is_overdue(now);
             if overdue {
                 avoided.insert(running.successor, now.after(AVOID_FOR));
+                let shard = running.id.shard;
+                out.push(HomeAction::ThawShard { shard });
             }
             !overdue
         });
--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/control/homes/views.rs
@@ -0,0 +1,81 @@
+//! The homes as this host sees them, and what it tells others of its own.
+
+use std::time;
+
+use cardamomwinch_protocol::peer::homes::{HolderNotice, HomeMessage};
+use cardamomwinch_state::prelude::{DomainId, HostId, HostTable, ShardId, SortedVector, Timestamp};
+
+use crate::control::homes::{HomeAction, HomeTable, HomeWorld};
+use crate::snapshot::ShardView;
+
+/// How often a host tells one host of another domain what it holds.
+const NOTICE_INTERVAL: time::Duration = time::Duration::from_secs(2);
+
+impl HomeTable {
+    pub(super) fn send_notice(
+        &mut self,
+        now: Timestamp,
+        world: &HomeWorld<'_>,
+        out: &mut Vec<HomeAction>,
+    ) {
+        if now < self.next_notice {
+            return;
+        }
+        self.next_notice = now.after(NOTICE_INTERVAL);
+        let domain = world.identity.domain;
+        let held = self.leases.held(now).map(|shard| shard.index).collect();
+        let hosts = world.hosts.hosts.values();
+        let others: Vec<HostId> = hosts
+            .filter(|entry| entry.domain != domain)
+            .map(|entry| entry.id)
+            .collect();
+        if others.is_empty() {
+            return;
+        }
+        self.notices = self.notices.wrapping_add(1);
+        let notice = HolderNotice {
+            domain,
+            shard_count: self.shard_count,
+            held,
+        };
+        out.push(HomeAction::Send {
+            host: others[self.notices % others.len()],
+            message: HomeMessage::Holders(notice),
+        });
+    }
+
+    /// Works out the homes anew, for a snapshot.
+    pub fn refresh(&mut self, now: Timestamp, world: &HomeWorld<'_>) {
+        let mut views = SortedVector::new();
+        for domain in domains(world.hosts) {
+            let forecast = self.holders.forecast(now, world, domain).to_vec();
+            for (index, expected) in (0..).zip(forecast) {
+                let shard = ShardId { domain, index };
+                views.insert(shard, self.view(now, world, shard, expected));
+            }
+        }
+        self.views = views;
+    }
+
+    pub(super) fn view(
+        &self,
+        now: Timestamp,
+        world: &HomeWorld<'_>,
+        shard: ShardId,
+        expected: Option<HostId>,
+    ) -> ShardView {
+        let lease = self.leases.lease(now, shard);
+        let home = match lease {
+            Some(_) => Some(world.identity.host),
+            None => self.holders.learnt(now, world, shard).or(expected),
+        };
+        ShardView { home, lease }
+    }
+}
+
+fn domains(hosts: &HostTable) -> Vec<DomainId> {
+    let mut domains: Vec<DomainId> = hosts.hosts.values().map(|host| host.domain).collect();
+    domains.sort_unstable();
+    domains.dedup();
+    domains
+}
--- a/crates/cardamomwinch_coordination/src/host_engine.rs
+++ b/crates/cardamomwinch_coordination/src/host_engine.rs
@@ -102,6 +102,7 @@
         hand_over: HandOverId,
         frozen_until: Timestamp,
     },
+    Thaw(ShardId),
     Forget(ShardId),
     TakeOver(HandOverChunk),
     Exported(HandOverChunk),
@@ -153,6 +154,7 @@
                 hand_over: *hand_over,
                 frozen_until: *frozen_until,
             },
+            PassedEvent::Thaw(shard) => TrafficEvent::ThawShard { shard: *shard },
             PassedEvent::Forget(shard) => TrafficEvent::ForgetShard { shard: *shard },
             PassedEvent::TakeOver(chunk) => TrafficEvent::TakeOver { chunk },
         };
@@ -191,6 +193,7 @@
                 hand_over,
                 frozen_until,
             }),
+            ControlEffect::ThawShard { shard } => passed.push_back(PassedEvent::Thaw(shard)),
             ControlEffect::ForgetShard { shard } => passed.push_back(PassedEvent::Forget(shard)),
             ControlEffect::TakeOver { chunk } => passed.push_back(PassedEvent::TakeOver(chunk)),
             effect => sink.emit(HostEffect::Control(effect)),
--- a/crates/cardamomwinch_coordination/src/traffic/event.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/event.rs
@@ -22,6 +22,11 @@
         /// When the shard thaws, where this host still holds its lease.
         frozen_until: Timestamp,
     },
+    /// The hand-over is broken off: go on with the shard.
+    ThawShard {
+        /// The shard.
+        shard: ShardId,
+    },
     /// The shard is handed over: forget it.
     ForgetShard {
         /// The shard.
--- a/crates/cardamomwinch_coordination/src/traffic/handover.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/handover.rs
@@ -242,6 +242,17 @@
         });
     }
 
+    pub(crate) fn thaw_shard<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        shard: ShardId,
+    ) {
+        if let Some(frozen) = self.frozen.shards.get_mut(&shard) {
+            frozen.until = context.now;
+        }
+        self.thaw(context);
+    }
+
     /// Sends on, or applies, what was held back for shards that are frozen no more.
     pub(crate) fn thaw<S: TrafficSink>(&mut self, context: &mut EventContext<'_, S>) {
         let now = context.now;
--- a/crates/cardamomwinch_coordination/src/traffic/mod.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/mod.rs
@@ -118,6 +118,7 @@
                 hand_over,
                 frozen_until,
             } => self.release_shard(&mut context, hand_over, frozen_until),
+            TrafficEvent::ThawShard { shard } => self.thaw_shard(&mut context, shard),
             TrafficEvent::ForgetShard { shard } => self.forget_shard(&mut context, shard),
             TrafficEvent::TakeOver { chunk } => self.take_over(&mut context, chunk),
         }
--- a/crates/cardamomwinch_daemon/src/control_effects.rs
+++ b/crates/cardamomwinch_daemon/src/control_effects.rs
@@ -126,6 +126,9 @@
                 hand_over,
                 frozen_until,
             }),
+            ControlEffect::ThawShard { shard } => {
+                self.outlets.tell_thread(HandOverInput::Thaw(shard));
+            }
             ControlEffect::ForgetShard { shard } => {
                 self.outlets.tell_thread(HandOverInput::Forget(shard));
             }
--- a/crates/cardamomwinch_daemon/src/messages.rs
+++ b/crates/cardamomwinch_daemon/src/messages.rs
@@ -48,6 +48,8 @@
         /// When the shard thaws.
         frozen_until: Timestamp,
     },
+    /// The hand-over is broken off.
+    Thaw(ShardId),
     /// The shard is handed over.
     Forget(ShardId),
     /// Take a chunk in.
@@ -59,7 +61,7 @@
     pub fn shard(&self) -> ShardId {
         match self {
             Self::Release { hand_over, .. } => hand_over.shard,
-            Self::Forget(shard) => *shard,
+            Self::Thaw(shard) | Self::Forget(shard) => *shard,
             Self::TakeOver(chunk) => chunk.hand_over.shard,
         }
     }
--- a/crates/cardamomwinch_daemon/src/traffic_thread.rs
+++ b/crates/cardamomwinch_daemon/src/traffic_thread.rs
@@ -96,6 +96,7 @@
                 hand_over: *hand_over,
                 frozen_until: *frozen_until,
             },
+            HandOverInput::Thaw(shard) => TrafficEvent::ThawShard { shard: *shard },
             HandOverInput::Forget(shard) => TrafficEvent::ForgetShard { shard: *shard },
             HandOverInput::TakeOver(chunk) => TrafficEvent::TakeOver { chunk },
         });
