Let lease messages of one host overtake each other

Cause: a voter took the requests and releases of one host in order only, so that one release overtaken by another was dropped and its shard stayed without a home until the next repetition. Only two orders matter: an old release must not end a later grant, an old request must not bring back a released one. Both are now kept per shard.

--- a/crates/cardamomwinch_coordination/src/control/homes/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/homes/mod.rs
@@ -223,7 +223,6 @@
         if self.shard_count > 0 {
             self.outgoing.advance(now, out);
             self.incoming.advance(now);
-            self.voters.sweep(now);
             self.repeat_releases(now, world, out);
             self.ask_for_inherited(now, world, out);
             if now >= self.next_round {
--- a/crates/cardamomwinch_coordination/src/control/homes/voters.rs
+++ b/crates/cardamomwinch_coordination/src/control/homes/voters.rs
@@ -13,8 +13,10 @@
 //!   everybody else out anyway.
 //! - A candidate that has just started never heard of earlier voters, who may
 //!   still be counted on by a holder that lags behind; it is told of them.
-//! - Requests and releases of one host are taken in their order only, so that
-//!   a release that was held up cannot end a later grant.
+//! - Messages of one host may overtake each other. A release that was held up
+//!   does not end a grant that its sender asked for later, and a request that
+//!   was held up does not bring back what its sender has released since. Other
+//!   requests may come in any order: a grant only adds a promise.
 
 use std::time;
 
@@ -45,14 +47,10 @@
 pub struct VoterGrant {
     /// To whom it was given.
     pub holder: CandidateLife,
-    /// When it runs out, by this host's clock.
+    /// When it runs out, by this host's clock; already past once released.
     pub until: Timestamp,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct HeardLife {
-    incarnation: Incarnation,
-    round: LeaseRound,
+    /// The latest request or release of the holder about the shard.
+    pub round: LeaseRound,
 }
 
 #[derive(Debug)]
@@ -94,7 +92,7 @@
 #[derive(Debug, Default)]
 pub struct VoterTable {
     grants: SortedVector<ShardId, VoterGrant>,
-    heard: SortedVector<HostId, HeardLife>,
+    lives: SortedVector<HostId, Incarnation>,
     domains: SortedVector<DomainId, DomainHosts>,
     silent_until: Timestamp,
 }
@@ -134,8 +132,8 @@
         }
     }
 
-    /// Decides about a request of `candidate`. `None` where this host may not
-    /// even refuse, because the request is out of order.
+    /// Decides about a request of `candidate`. `None` where it is not worth an
+    /// answer: from an earlier life, or of a host that is not listed.
     pub fn decide(
         &mut self,
         now: Timestamp,
@@ -143,7 +141,7 @@
         candidate: CandidateLife,
         request: &LeaseRequest,
     ) -> Option<LeaseGrant> {
-        if !self.in_order(candidate, request.round) {
+        if !self.is_latest_life(candidate) {
             return None;
         }
         let mut grant = LeaseGrant {
@@ -169,13 +167,23 @@
             && changed.is_some_and(|changed| request.host_list >= changed);
         for index in request.wanted.iter(request.shard_count) {
             let shard = ShardId { domain, index };
-            let running = self.grants.get(&shard).filter(|grant| now < grant.until);
-            let allowed = running.map_or(may_be_new, |grant| grant.holder == candidate);
+            let known = self.grants.get(&shard);
+            let own = known.filter(|known| known.holder == candidate);
+            let released = own.is_some_and(|own| own.until == Timestamp::ZERO);
+            if released && own.is_some_and(|own| request.round <= own.round) {
+                continue;
+            }
+            let running = known.filter(|known| now < known.until);
+            let allowed = running.map_or(may_be_new, |known| known.holder == candidate);
             if !allowed {
                 continue;
             }
-            let holder = candidate;
-            self.grants.insert(shard, VoterGrant { holder, until });
+            let promise = VoterGrant {
+                holder: candidate,
+                until: own.map_or(until, |own| own.until.max(until)),
+                round: own.map_or(request.round, |own| own.round.max(request.round)),
+            };
+            self.grants.insert(shard, promise);
             grant.granted.insert(index);
         }
         Some(grant)
@@ -191,37 +199,30 @@
         let Some(entry) = world.hosts.get(candidate.host) else {
             return;
         };
-        if !self.in_order(candidate, release.round) {
+        if !self.is_latest_life(candidate) {
             return;
         }
         for index in release.shards.iter(world.limits.shards_per_domain) {
             let domain = entry.domain;
             let shard = ShardId { domain, index };
-            let held = self.grants.get(&shard);
-            if held.is_some_and(|grant| grant.holder == candidate) {
-                self.grants.remove(&shard);
+            let Some(held) = self.grants.get_mut(&shard) else {
+                continue;
+            };
+            if held.holder == candidate && release.round > held.round {
+                held.until = Timestamp::ZERO;
+                held.round = release.round;
             }
         }
     }
 
-    /// Guards against messages that were held up on their way, and against the
-    /// earlier life of a host that has restarted: both show as a life and round
-    /// that are not above the last ones taken.
-    fn in_order(&mut self, candidate: CandidateLife, round: LeaseRound) -> bool {
+    /// Guards against the earlier life of a host that has restarted: its
+    /// messages may still be on their way.
+    fn is_latest_life(&mut self, candidate: CandidateLife) -> bool {
         let incarnation = candidate.incarnation;
-        let known = self.heard.get(&candidate.host);
-        let newer =
-            known.is_none_or(|known| (incarnation, round) > (known.incarnation, known.round));
-        if newer {
-            let heard = HeardLife { incarnation, round };
-            self.heard.insert(candidate.host, heard);
-        }
-        newer
-    }
-
-    /// Forgets grants that ran out long ago, and hosts that are not listed.
-    pub fn sweep(&mut self, now: Timestamp) {
-        self.grants
-            .retain(|_, grant| now < grant.until.after(LONGEST_GRANT));
+        let known = self
+            .lives
+            .get_or_insert_with(candidate.host, || incarnation);
+        *known = incarnation.max(*known);
+        *known == incarnation
     }
 }
--- a/crates/cardamomwinch_protocol/src/peer/homes.rs
+++ b/crates/cardamomwinch_protocol/src/peer/homes.rs
@@ -51,8 +51,8 @@
     }
 }
 
-/// Numbers the requests and releases of one life of a host, from one. A voter
-/// takes none that is not above the last it took.
+/// Numbers the requests and releases of one life of a host, from one, so that
+/// a voter can tell which of two about one shard was sent later.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct LeaseRound(pub u32);
