--- a/crates/cardamomwinch_coordination/src/control/home_dispatch.rs
+++ b/crates/cardamomwinch_coordination/src/control/home_dispatch.rs
@@ -3,7 +3,7 @@
 use cardamomwinch_protocol::peer::hand_over::HandOverChunk;
 use cardamomwinch_protocol::peer::homes::HomeMessage;
 use cardamomwinch_protocol::prelude::{PeerEnvelope, PeerMessage};
-use cardamomwinch_state::prelude::{ConfigurationVersion, Timestamp};
+use cardamomwinch_state::prelude::{ConfigurationVersion, HostId, ShardId, Timestamp};
 
 use crate::control::ControlEngine;
 use crate::control::effect::{ControlEffect, ControlSink};
@@ -11,6 +11,7 @@
 use crate::control::homes::voters::CandidateLife;
 use crate::control::homes::{HomeAction, HomeWorld};
 use crate::counter::Counter;
+use crate::decision::{DecisionReason, DecisionRecord};
 
 /// The home table with all that it is decided by. A macro, because a method
 /// would borrow the whole engine.
@@ -88,6 +89,20 @@
         homes.refresh(now, &world);
     }
 
+    fn home_record(&self, now: Timestamp, shard: ShardId, home: HostId) -> DecisionRecord {
+        DecisionRecord {
+            time: now,
+            host: self.identity.host,
+            version: self.adoption.version(),
+            reason: DecisionReason::HomeChanged,
+            flow: None,
+            service: None,
+            backend: None,
+            peer: Some(home),
+            shard: Some(shard),
+        }
+    }
+
     fn carry_out<S: ControlSink>(
         &mut self,
         now: Timestamp,
@@ -112,6 +127,10 @@
                     sink.emit(ControlEffect::ForgetShard { shard });
                 }
                 HomeAction::TakeOver { chunk } => sink.emit(ControlEffect::TakeOver { chunk }),
+                HomeAction::HomeChanged { shard, home } => {
+                    let record = self.home_record(now, shard, home);
+                    sink.emit(ControlEffect::Decide(record));
+                }
                 HomeAction::Publish => self.publish(now, sink),
                 HomeAction::Drained => sink.emit(ControlEffect::Drained),
             }
--- a/crates/cardamomwinch_coordination/src/control/homes/asking.rs
+++ b/crates/cardamomwinch_coordination/src/control/homes/asking.rs
@@ -53,9 +53,13 @@
         out: &mut Vec<HomeAction>,
     ) {
         let begun = self.leases.take_grant(now, world, voter, grant);
-        if !begun.is_empty() {
-            out.push(HomeAction::Publish);
+        if begun.is_empty() {
+            return;
         }
+        let home = world.identity.host;
+        let changes = begun.into_iter();
+        out.extend(changes.map(|shard| HomeAction::HomeChanged { shard, home }));
+        out.push(HomeAction::Publish);
     }
 
     /// Asks voters for what this host holds, and for what it should.
--- a/crates/cardamomwinch_coordination/src/control/homes/handing_over.rs
+++ b/crates/cardamomwinch_coordination/src/control/homes/handing_over.rs
@@ -135,6 +135,8 @@
         self.leases.give_up(shard);
         self.claims.remove(&shard);
         out.push(HomeAction::ForgetShard { shard });
+        let home = ready.successor;
+        out.push(HomeAction::HomeChanged { shard, home });
         out.push(HomeAction::Publish);
         let commit = HandOverCommit {
             hand_over: ready.id,
--- a/crates/cardamomwinch_coordination/src/control/homes/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/homes/mod.rs
@@ -110,6 +110,13 @@
         /// What to take in.
         chunk: HandOverChunk,
     },
+    /// The home of a shard changed, to or from this host.
+    HomeChanged {
+        /// The shard.
+        shard: ShardId,
+        /// Its home from now on.
+        home: HostId,
+    },
     /// The homes changed, so that a new snapshot is due.
     Publish,
     /// This host stops and holds nothing any more.
--- a/crates/cardamomwinch_coordination/tests/homes_common/mod.rs
+++ b/crates/cardamomwinch_coordination/tests/homes_common/mod.rs
@@ -74,6 +74,8 @@
     pub hosts: Vec<Host>,
     pub faults: Faults,
     pub cuts: BTreeSet<(usize, usize)>,
+    /// Like `cuts`, for control messages alone.
+    pub peer_cuts: BTreeSet<(usize, usize)>,
     pub root: String,
     pub fragment: String,
     /// Published lists, from version one.
@@ -116,6 +118,7 @@
             hosts,
             faults: Faults::NONE,
             cuts: BTreeSet::new(),
+            peer_cuts: BTreeSet::new(),
             root: format!(
                 r#"{{"preset": "p", "teams": {{"t": 1}}, "limits": {{"shards_per_domain": {shards}}}}}"#
             ),
@@ -257,6 +260,9 @@
             HostEffect::Control(ControlEffect::ToPeer { host, envelope, .. }) => {
                 self.count(from, &envelope);
                 let to = self.index(host);
+                if self.peer_cuts.contains(&(from, to)) {
+                    return;
+                }
                 self.send(from, to, || Packet::Peer {
                     from,
                     envelope: envelope.clone(),
--- a/crates/cardamomwinch_coordination/tests/homes_leases.rs
+++ b/crates/cardamomwinch_coordination/tests/homes_leases.rs
@@ -320,3 +320,38 @@
     assert!(exchange.all_held(DomainId::from_name("a"), 8));
     assert!(exchange.all_held(DomainId::from_name("b"), 8));
 }
+
+/// A host is paused for longer than a lease and wakes with its old beliefs. It
+/// holds nothing until others grant it anew, and for one lease it promises
+/// nothing itself, since it cannot know what it missed.
+#[test]
+fn a_host_that_slept_holds_and_promises_nothing_at_first() {
+    let mut exchange = Exchange::new(9, HOSTS, 8);
+    exchange.publish(&[0, 1, 2, 5, 6], &[]);
+    for host in [0, 1, 2, 5, 6] {
+        exchange.start(host, 1);
+    }
+    exchange.pass(6_000_000);
+    exchange.pause(0, 5_000_000);
+    exchange.pass(5_050_000);
+    let engine = exchange.hosts[0].engine.as_ref().unwrap();
+    let held = engine.control().homes().leases().held(exchange.local(0));
+    assert_eq!(held.count(), 0);
+    for _ in 0..14 {
+        exchange.pass(100_000);
+        let now = exchange.local(0);
+        let engine = exchange.hosts[0].engine.as_ref().unwrap();
+        let homes = engine.control().homes();
+        assert!(
+            homes
+                .voters()
+                .grants()
+                .values()
+                .all(|grant| grant.until <= now)
+        );
+    }
+    exchange.pass(8_000_000);
+    let domain = DomainId::from_name("a");
+    assert!(exchange.all_held(domain, 8));
+    assert!((0..8).any(|index| exchange.holders(ShardId { domain, index }) == [0]));
+}
