--- a/crates/cardamomwinch_coordination/src/snapshot.rs
+++ b/crates/cardamomwinch_coordination/src/snapshot.rs
@@ -40,13 +40,38 @@
     pub lease: Option<HomeLease>,
 }
 
-/// What is known about the load of a backend server.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+/// What the load endpoint of a backend server said last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReportedLoad {
+    /// When it said so.
+    pub made: Timestamp,
+    /// Requests that it says are running.
+    pub busy_slots: u32,
+}
+
+/// What is known about the health and load of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BackendView {
     /// Whether new flows are kept away because the server seems to fail.
     pub ejected: bool,
+    /// Whether new flows are kept away because the server says that it drains.
+    pub draining: bool,
     /// The share of its slots that a cold server is given, in percent.
     pub warm_percent: u8,
+    /// Its last load report, where this host asks for one.
+    pub report: Option<ReportedLoad>,
+}
+
+impl Default for BackendView {
+    /// A server that is healthy and warm.
+    fn default() -> Self {
+        Self {
+            ejected: false,
+            draining: false,
+            warm_percent: 100,
+            report: None,
+        }
+    }
 }
 
 /// Everything that traffic threads decide against. A new one is published as a
@@ -144,8 +169,14 @@
         (now < lease.held_until).then_some(lease)
     }
 
+    /// What is known about the health and load of `backend`.
+    pub fn view(&self, backend: BackendId) -> BackendView {
+        self.backends.get(&backend).copied().unwrap_or_default()
+    }
+
     /// Whether new flows are kept away from `backend`.
     pub fn is_ejected(&self, backend: BackendId) -> bool {
-        self.backends.get(&backend).is_some_and(|view| view.ejected)
+        let view = self.view(backend);
+        view.ejected || view.draining
     }
 }
--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/traffic/dispatching.rs
@@ -0,0 +1,194 @@
+//! Sends waiting requests to their backend server, within its slots and within
+//! this home's lease.
+
+use cardamomwinch_protocol::backend::BackendRequest;
+use cardamomwinch_protocol::prelude::{
+    AttemptNumber, BackendDatagram, BackendKind, CallerKind, TokenClaim,
+};
+use cardamomwinch_state::prelude::{BackendEntry, BackendId, ShardId, Timestamp};
+
+use crate::counter::Counter;
+use crate::traffic::TrafficEngine;
+use crate::traffic::context::EventContext;
+use crate::traffic::effect::{TrafficEffect, TrafficSink};
+use crate::traffic::ledger::{QueueEntry, RunningSlot};
+use crate::traffic::requests::{
+    HeldRequest, PartTracker, RequestKey, RequestState, RunningRequest,
+};
+use crate::traffic::resolve;
+
+impl TrafficEngine {
+    /// Whether this thread may send requests to the servers of `shard`. Guards
+    /// against a home that acts after its time: an answer or a tick may free a
+    /// slot long after the requests came in, when the lease has run out or the
+    /// process has slept; the next home may be running them by then.
+    pub(crate) fn may_dispatch<S: TrafficSink>(
+        &self,
+        context: &EventContext<'_, S>,
+        shard: ShardId,
+    ) -> bool {
+        self.place.owns(shard)
+            && context.snapshot.lease_at(shard, context.now).is_some()
+            && self.may_act(context.now, context.snapshot)
+    }
+
+    /// Sends waiting requests of `entry` while slots are free.
+    pub(crate) fn start_queued<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        entry: &BackendEntry,
+    ) {
+        let shard = context.snapshot.shard_of(entry);
+        if !self.may_dispatch(context, shard) {
+            return;
+        }
+        let view = context.snapshot.view(entry.id);
+        let now = context.now;
+        loop {
+            let ledger = self.ledgers.of(entry.id);
+            if !ledger.has_free_slot(now, entry, view) {
+                return;
+            }
+            let Some(waiting) = ledger.next_waiting(now) else {
+                return;
+            };
+            self.dispatch(context, &TokenClaim::from(entry), waiting.entry);
+        }
+    }
+
+    /// Sends a waiting request to its server, unless it waits no more.
+    fn dispatch<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        claim: &TokenClaim,
+        queued: QueueEntry,
+    ) {
+        let now = context.now;
+        let taken = self.requests.change(queued.hash, &queued.key, |record| {
+            let RequestState::Queued { attempt, held, .. } = &mut record.state else {
+                return None;
+            };
+            let attempt = *attempt;
+            let empty = HeldRequest {
+                header: held.header,
+                kind: held.kind,
+                payload: Box::default(),
+            };
+            let held = std::mem::replace(held, empty);
+            let start_before = start_before(context, claim, &held, record.idempotent);
+            send(context, claim, &queued.key, attempt, start_before, &held);
+            let deadline = held.header.deadline;
+            record.state = RequestState::Running(Box::new(RunningRequest {
+                backend: claim.backend,
+                attempt,
+                sent: now,
+                held,
+                tracker: PartTracker::default(),
+                kept: Vec::new(),
+                complete: true,
+            }));
+            Some((attempt, deadline))
+        });
+        let Some((attempt, deadline)) = taken.flatten() else {
+            return;
+        };
+        context.count(match attempt {
+            AttemptNumber(0) => Counter::RequestDispatched,
+            AttemptNumber(_) => Counter::RequestRetried,
+        });
+        self.ledgers.of(claim.backend).start(RunningSlot {
+            entry: queued,
+            sent: now,
+            progress: now,
+            deadline,
+            overdue: false,
+        });
+    }
+
+    /// Sends what waits for `backend`, after a slot has come free.
+    pub(crate) fn start_next<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        backend: BackendId,
+    ) {
+        if let Some(entry) = context.snapshot.backend(backend) {
+            self.start_queued(context, entry);
+        }
+    }
+}
+
+fn send<S: TrafficSink>(
+    context: &mut EventContext<'_, S>,
+    claim: &TokenClaim,
+    key: &RequestKey,
+    attempt: AttemptNumber,
+    start_before: Timestamp,
+    held: &HeldRequest,
+) {
+    let kind = match held.kind {
+        CallerKind::Open => BackendKind::Open,
+        CallerKind::Carry | CallerKind::Close => BackendKind::Carry,
+    };
+    context.sink.emit(TrafficEffect::ToBackend {
+        address: claim.address,
+        datagram: BackendDatagram {
+            flow: key.flow,
+            backend: claim.backend,
+            via: context.identity.host,
+            kind,
+            request: Some(BackendRequest {
+                id: key.id,
+                attempt,
+                start_before,
+                deadline: held.header.deadline,
+            }),
+            payload: &held.payload,
+        },
+    });
+}
+
+/// The point from which the server must not begin the request any more. For a
+/// request that must not run twice it lies within this home's lease, so that a
+/// datagram that is held up on its way cannot run beside the next home's.
+fn start_before<S: TrafficSink>(
+    context: &EventContext<'_, S>,
+    claim: &TokenClaim,
+    held: &HeldRequest,
+    idempotent: bool,
+) -> Timestamp {
+    let shard = resolve::shard_of(context.snapshot, claim);
+    let lease = context.snapshot.lease_at(shard, context.now);
+    match lease {
+        Some(lease) if !idempotent => held.header.deadline.min(lease.held_until),
+        _ => held.header.deadline,
+    }
+}
+
+/// Tells the server that nobody waits for the answer any more.
+pub(crate) fn cancel<S: TrafficSink>(
+    context: &mut EventContext<'_, S>,
+    key: &RequestKey,
+    backend: BackendId,
+    attempt: AttemptNumber,
+    deadline: Timestamp,
+) {
+    let Some(entry) = context.snapshot.backend(backend) else {
+        return;
+    };
+    context.sink.emit(TrafficEffect::ToBackend {
+        address: entry.address,
+        datagram: BackendDatagram {
+            flow: key.flow,
+            backend,
+            via: context.identity.host,
+            kind: BackendKind::Cancel,
+            request: Some(BackendRequest {
+                id: key.id,
+                attempt,
+                start_before: deadline,
+                deadline,
+            }),
+            payload: &[],
+        },
+    });
+}
--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
@@ -0,0 +1,333 @@
+//! What the home does with each tick about requests that wait or run: each gets
+//! its last word as soon as the home gives it up, never later.
+
+use std::time;
+
+use cardamomwinch_protocol::prelude::{
+    AttemptNumber, CallerDatagram, RefusalReason, RelayFrame, TokenClaim,
+};
+use cardamomwinch_state::prelude::{BackendId, ShardId};
+
+use crate::counter::Counter;
+use crate::decision::DecisionReason;
+use crate::traffic::TrafficEngine;
+use crate::traffic::caller_datagrams::RETRY_AFTER;
+use crate::traffic::context::{DecisionSubject, EventContext};
+use crate::traffic::dispatching;
+use crate::traffic::effect::TrafficSink;
+use crate::traffic::ledger::{QueueEntry, RunningSlot, WaitingRequest};
+use crate::traffic::requests::{HeldRequest, RequestState};
+
+/// A request is sent to its server at most this often.
+const ATTEMPT_LIMIT: u8 = 4;
+/// A request that has less time than this left is not sent again.
+const LEAST_TIME_LEFT: time::Duration = time::Duration::from_millis(10);
+
+impl TrafficEngine {
+    /// Goes through everything that waits or runs.
+    pub(crate) fn review_requests<S: TrafficSink>(&mut self, context: &mut EventContext<'_, S>) {
+        for backend in self.ledgers.servers() {
+            let view = context.snapshot.view(backend);
+            let ledger = self.ledgers.of(backend);
+            let busy = ledger.busy();
+            ledger.estimate.take_report(context.now, view, busy);
+            self.end_running(context, backend);
+            self.retry_overdue(context, backend);
+            self.release_strayed(context, backend);
+            self.refuse_waiting(context, backend);
+            self.start_next(context, backend);
+        }
+    }
+
+    /// Ends the requests whose deadline has passed while they ran.
+    fn end_running<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        backend: BackendId,
+    ) {
+        let slots = self.ledgers.of(backend).running().iter();
+        let passed: Vec<RunningSlot> = slots
+            .filter(|slot| slot.deadline <= context.now)
+            .copied()
+            .collect();
+        for slot in passed {
+            let QueueEntry { hash, key } = slot.entry;
+            self.free_lingering(context, backend, &slot);
+            let state = self.requests.put(hash, &key, RequestState::Unknown);
+            context.count(Counter::RequestExpired);
+            if let Some(RequestState::Running(running)) = state {
+                let attempt = running.attempt;
+                dispatching::cancel(context, &key, backend, attempt, slot.deadline);
+                let wait = self.ledgers.of(backend).service_times.mean();
+                context.outcome_unknown(key.flow, key.id, wait.max(RETRY_AFTER));
+            }
+        }
+    }
+
+    /// Frees the slot of a request that may still run on: the server may take
+    /// as long again to notice that it was cancelled.
+    fn free_lingering<S: TrafficSink>(
+        &mut self,
+        context: &EventContext<'_, S>,
+        backend: BackendId,
+        slot: &RunningSlot,
+    ) {
+        let ledger = self.ledgers.of(backend);
+        ledger.finish(&slot.entry.key);
+        let until = context.now.after(ledger.service_times.mean());
+        ledger.estimate.note_lingering(context.now, until);
+    }
+
+    /// Sends an idempotent request again that its server seems to have lost.
+    fn retry_overdue<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        backend: BackendId,
+    ) {
+        for slot in self.ledgers.of(backend).mark_overdue(context.now) {
+            let QueueEntry { hash, key } = slot.entry;
+            let Some(record) = self.requests.get(hash, &key) else {
+                continue;
+            };
+            let RequestState::Running(running) = &record.state else {
+                continue;
+            };
+            // Parts that came have reached the caller too; a second run would
+            // only begin from the start.
+            if !record.idempotent || !running.tracker.is_empty() {
+                continue;
+            }
+            let attempt = running.attempt;
+            if self.may_retry(context, &slot, attempt, time::Duration::ZERO) {
+                dispatching::cancel(context, &key, backend, attempt, slot.deadline);
+                self.free_lingering(context, backend, &slot);
+                self.queue_again(context, backend, &slot, time::Duration::ZERO);
+            }
+        }
+    }
+
+    /// Whether a request that did not run, or may run twice, is sent once more
+    /// after `pause`; pays for it from the budget.
+    pub(crate) fn may_retry<S: TrafficSink>(
+        &mut self,
+        context: &EventContext<'_, S>,
+        slot: &RunningSlot,
+        attempt: AttemptNumber,
+        pause: time::Duration,
+    ) -> bool {
+        let snapshot = context.snapshot;
+        let needed = pause + LEAST_TIME_LEFT;
+        let Some(service) = snapshot.service_of(slot.entry.key.flow.service) else {
+            return false;
+        };
+        attempt.0 + 1 < ATTEMPT_LIMIT
+            && context.now.after(needed) < slot.deadline
+            && self
+                .retry_budgets
+                .take(service.id, snapshot.configuration.limits.retry_percent)
+    }
+
+    /// Puts a request that was sent back into the queue, ahead of all others,
+    /// for its next attempt.
+    pub(crate) fn queue_again<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        backend: BackendId,
+        slot: &RunningSlot,
+        pause: time::Duration,
+    ) {
+        let QueueEntry { hash, key } = slot.entry;
+        self.requests.change(hash, &key, |record| {
+            let RequestState::Running(running) = &mut record.state else {
+                return;
+            };
+            let held = HeldRequest {
+                header: running.held.header,
+                kind: running.held.kind,
+                payload: std::mem::take(&mut running.held.payload),
+            };
+            record.state = RequestState::Queued {
+                backend,
+                attempt: AttemptNumber(running.attempt.0.saturating_add(1)),
+                held,
+            };
+        });
+        let subject = DecisionSubject {
+            flow: Some(key.flow),
+            backend: Some(backend),
+            ..DecisionSubject::default()
+        };
+        context.decide(DecisionReason::Retried, subject);
+        let ledger = self.ledgers.of(backend);
+        let patience = pause + ledger.service_times.attempt_timeout();
+        ledger.queue.push_front(WaitingRequest {
+            entry: slot.entry,
+            not_before: context.now.after(pause),
+            give_up: context.now.after(patience).min(slot.deadline),
+        });
+    }
+
+    /// Guards against requests that wait at a host which has lost the lease of
+    /// their server: they would stay there without a word. They have never been
+    /// sent, or provably did not run, but only the next home may say so and may
+    /// send them, so they go there; without one nothing can be promised.
+    fn release_strayed<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        backend: BackendId,
+    ) {
+        let Some(entry) = context.snapshot.backend(backend) else {
+            return self.refuse_unlisted(context, backend);
+        };
+        let shard = context.snapshot.shard_of(entry);
+        if context.snapshot.lease_at(shard, context.now).is_some() {
+            return;
+        }
+        let claim = TokenClaim::from(entry);
+        for waiting in std::mem::take(&mut self.ledgers.of(backend).queue) {
+            self.bring_to_next_home(context, waiting.entry, claim, shard);
+        }
+    }
+
+    fn bring_to_next_home<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        waiting: QueueEntry,
+        claim: TokenClaim,
+        shard: ShardId,
+    ) {
+        let QueueEntry { hash, key } = waiting;
+        let home = context.snapshot.shard(shard).home;
+        let home = home.filter(|host| *host != self.identity.host);
+        let record = self.requests.get(hash, &key);
+        let relayed = match (home, record.map(|record| &record.state)) {
+            // An earlier attempt is known to this host only. Were its number
+            // lost, parts of two runs could be taken for one answer.
+            (Some(host), Some(RequestState::Queued { attempt, held, .. }))
+                if *attempt == AttemptNumber(0) =>
+            {
+                let datagram = CallerDatagram {
+                    flow: key.flow,
+                    kind: held.kind,
+                    echoes_token: true,
+                    token: Some(self.tokens.issue(&key.flow, claim)),
+                    request: Some(held.header),
+                    payload: &held.payload,
+                };
+                let frame = RelayFrame::Caller {
+                    datagram,
+                    backend: Some(claim.backend),
+                    shard,
+                    hops: 1,
+                };
+                context.relay(host, frame)
+            }
+            _ => false,
+        };
+        if relayed {
+            self.requests.remove(hash, &key);
+        } else {
+            self.give_up_unknown(context, waiting);
+        }
+    }
+
+    fn give_up_unknown<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        entry: QueueEntry,
+    ) {
+        let QueueEntry { hash, key } = entry;
+        self.requests.put(hash, &key, RequestState::Unknown);
+        let wait = context.snapshot.configuration.limits.home_lease;
+        context.outcome_unknown(key.flow, key.id, wait);
+    }
+
+    /// Requests cannot wait for a server that is not known any more.
+    fn refuse_unlisted<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        backend: BackendId,
+    ) {
+        for waiting in std::mem::take(&mut self.ledgers.of(backend).queue) {
+            self.refuse_known(
+                context,
+                waiting.entry,
+                RefusalReason::NoBackend,
+                RETRY_AFTER,
+            );
+        }
+    }
+
+    /// Refuses the requests that have waited too long.
+    fn refuse_waiting<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        backend: BackendId,
+    ) {
+        let Some(entry) = context.snapshot.backend(backend) else {
+            return;
+        };
+        let now = context.now;
+        let view = context.snapshot.view(backend);
+        let ledger = self.ledgers.of(backend);
+        let mut passed = Vec::new();
+        ledger.queue.retain(|held| {
+            let keep = held.give_up > now;
+            if !keep {
+                passed.push(held.entry);
+            }
+            keep
+        });
+        for queued in passed {
+            let ledger = self.ledgers.of(backend);
+            let retry_after = ledger.retry_after(now, entry, view, queued.hash);
+            self.refuse_known(context, queued, RefusalReason::Full, retry_after);
+        }
+    }
+
+    /// Refuses a remembered request that did not run and is not sent any more.
+    /// "Not run" is said only while the lease holds: later a copy may run at
+    /// the next home.
+    pub(crate) fn refuse_known<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        entry: QueueEntry,
+        reason: RefusalReason,
+        retry_after: time::Duration,
+    ) {
+        let QueueEntry { hash, key } = entry;
+        let shard = self.requests.get(hash, &key).map(|record| record.shard);
+        let held = shard.and_then(|shard| context.snapshot.lease_at(shard, context.now));
+        if held.is_none() {
+            return self.give_up_unknown(context, entry);
+        }
+        self.requests
+            .put(hash, &key, RequestState::Refused { reason });
+        context.refuse(key.flow, Some(key.id), reason, retry_after);
+    }
+
+    /// Ends the requests of a flow that its server does not hold (any more).
+    /// Which datagram the server means is not said: what waits has not run, but
+    /// what was sent may have run before the flow was closed.
+    pub(crate) fn end_flow_requests<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        backend: BackendId,
+        flow: &cardamomwinch_state::prelude::FlowKey,
+    ) {
+        let ledger = self.ledgers.of(backend);
+        let slots = ledger.running().iter().map(|slot| slot.entry);
+        let sent: Vec<QueueEntry> = slots.filter(|entry| entry.key.flow == *flow).collect();
+        let waiting = ledger.queue.iter().map(|held| held.entry);
+        let waiting: Vec<QueueEntry> = waiting.filter(|entry| entry.key.flow == *flow).collect();
+        for entry in sent {
+            self.ledgers.of(backend).finish(&entry.key);
+            self.give_up_unknown(context, entry);
+        }
+        for entry in waiting {
+            self.ledgers.of(backend).leave_queue(&entry.key);
+            self.refuse_known(context, entry, RefusalReason::NoBackend, RETRY_AFTER);
+        }
+        self.start_next(context, backend);
+    }
+}
--- a/crates/cardamomwinch_coordination/src/traffic/ledger.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/ledger.rs
@@ -1,18 +1,25 @@
-//! What a home counts for each backend server whose home it is.
+//! What a home counts for each backend server whose home it is. Only the home
+//! sends requests to the server, so that its own count is exact.
 
 use std::collections;
 use std::time;
 
-use cardamomwinch_state::prelude::{BackendEntry, BackendId, FlowHash, SortedVector, Timestamp};
+use cardamomwinch_state::prelude::{
+    BackendEntry, BackendId, FlowHash, FlowKey, SortedVector, Timestamp,
+};
 
+use crate::snapshot::BackendView;
 use crate::traffic::requests::RequestKey;
+use crate::traffic::service_time::ServiceTimes;
+use crate::traffic::slots::SlotEstimate;
 
-/// Service time assumed of a server that has not answered yet.
-const ASSUMED_SERVICE_TIME: time::Duration = time::Duration::from_millis(50);
-/// A new measurement counts one part in this many.
-const SMOOTHING: u32 = 8;
+/// A caller that is refused is told to wait at least this long.
+const SHORTEST_RETRY: time::Duration = time::Duration::from_millis(20);
+/// A caller that is refused is told to wait at most this long, so that a server
+/// that has become fast again is found out.
+const LONGEST_RETRY: time::Duration = time::Duration::from_secs(5);
 
-/// A request that waits for a slot.
+/// A request in a queue or in a slot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QueueEntry {
     /// The hash of its flow.
@@ -21,43 +28,89 @@
     pub key: RequestKey,
 }
 
+/// A request that waits for a slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WaitingRequest {
+    /// Which.
+    pub entry: QueueEntry,
+    /// It must not be sent earlier: it was shed a moment ago.
+    pub not_before: Timestamp,
+    /// When it is refused if no slot has come free.
+    pub give_up: Timestamp,
+}
+
+/// A request that was sent and has not finished.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunningSlot {
+    /// Which.
+    pub entry: QueueEntry,
+    /// When it was sent.
+    pub sent: Timestamp,
+    /// When it was sent, or the last part of its answer came.
+    pub progress: Timestamp,
+    /// When nobody waits for the answer any more.
+    pub deadline: Timestamp,
+    /// Whether it has made no progress for longer than the server usually
+    /// takes, while the server answered others.
+    pub overdue: bool,
+}
+
 /// Slots, connections and waiting requests of one backend server.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct ServerLedger {
-    /// Requests sent and not yet finished.
-    pub busy: u32,
     /// Flows placed on the server and not closed.
     pub connections: u32,
     /// Requests waiting for a slot, oldest first.
-    pub queue: collections::VecDeque<QueueEntry>,
-    /// The smoothed time from sending a request to its answer.
-    pub service_time: time::Duration,
-    /// When the server last answered anything.
-    pub last_answer: Timestamp,
+    pub queue: collections::VecDeque<WaitingRequest>,
+    /// How long the server takes.
+    pub service_times: ServiceTimes,
+    /// What else takes slots of the server.
+    pub estimate: SlotEstimate,
+    /// When the server last said anything.
+    pub last_heard: Timestamp,
+    /// What happened since control was last told.
+    pub unreported: LedgerCounts,
+    running: Vec<RunningSlot>,
+    overdue: u32,
 }
 
-impl Default for ServerLedger {
-    fn default() -> Self {
-        Self {
-            busy: 0,
-            connections: 0,
-            queue: collections::VecDeque::new(),
-            service_time: ASSUMED_SERVICE_TIME,
-            last_answer: Timestamp::ZERO,
-        }
-    }
+/// What a server did since control was last told.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct LedgerCounts {
+    /// Requests answered whole.
+    pub answers: u32,
+    /// Requests and openings shed.
+    pub sheds: u32,
+    /// Requests that the server left without a word for longer than usual.
+    pub silences: u32,
 }
 
 impl ServerLedger {
+    /// Requests sent and not yet finished.
+    pub fn busy(&self) -> u32 {
+        self.running.len() as u32
+    }
+
+    /// The requests sent and not yet finished, in the order of their keys.
+    pub fn running(&self) -> &[RunningSlot] {
+        &self.running
+    }
+
     /// Requests running and waiting, per thousand slots: the load to compare.
-    pub fn load(&self, entry: &BackendEntry) -> u64 {
-        let held = u64::from(self.busy) + self.queue.len() as u64;
-        held * 1000 / u64::from(entry.slots.get().max(1))
+    /// A cold server has fewer slots to offer, so that it looks fuller.
+    pub fn load(&self, now: Timestamp, entry: &BackendEntry, view: BackendView) -> u64 {
+        let held = u64::from(self.busy()) + self.queue.len() as u64;
+        let usable = self.estimate.usable(now, entry.slots.get(), view);
+        held * 1000 / u64::from(usable.max(1))
     }
 
-    /// Whether a slot is free.
-    pub fn has_free_slot(&self, entry: &BackendEntry) -> bool {
-        self.busy < entry.slots.get()
+    /// Whether a slot is free. An overdue request does not count: where its
+    /// answer, or the copy of it that tells this home, was lost, the slot would
+    /// stay taken until the deadline. Where it does run on, the server sheds
+    /// what comes too much, and [`SlotEstimate`] learns from that.
+    pub fn has_free_slot(&self, now: Timestamp, entry: &BackendEntry, view: BackendView) -> bool {
+        let occupied = self.busy() - self.overdue;
+        occupied < self.estimate.usable(now, entry.slots.get(), view)
     }
 
     /// Whether one more flow may be placed.
@@ -65,21 +118,125 @@
         self.connections < entry.connections.get()
     }
 
-    /// Whether one more request may wait, at `per_slot` for each slot.
-    pub fn has_queue_room(&self, entry: &BackendEntry, per_slot: u32) -> bool {
-        self.queue.len() < (entry.slots.get() * per_slot) as usize
-    }
-
     /// How long one more request would wait for a slot.
-    pub fn expected_wait(&self, entry: &BackendEntry) -> time::Duration {
+    pub fn expected_wait(
+        &self,
+        now: Timestamp,
+        entry: &BackendEntry,
+        view: BackendView,
+    ) -> time::Duration {
         let ahead = self.queue.len() as u32 + 1;
-        self.service_time * ahead / entry.slots.get().max(1)
+        let usable = self.estimate.usable(now, entry.slots.get(), view);
+        self.service_times.mean() * ahead / usable.max(1)
+    }
+
+    /// When a refused caller should come back: once those ahead of it are
+    /// served, spread over as long again so that not all come back at once.
+    pub fn retry_after(
+        &self,
+        now: Timestamp,
+        entry: &BackendEntry,
+        view: BackendView,
+        hash: FlowHash,
+    ) -> time::Duration {
+        let wait = self.expected_wait(now, entry, view);
+        let wait = wait.clamp(SHORTEST_RETRY, LONGEST_RETRY / 2);
+        let spread = u32::from(hash.mixed_with(now.get()) as u8);
+        wait + wait * spread / 256
+    }
+
+    /// Requests of `flow` that wait.
+    pub fn waiting_of(&self, flow: &FlowKey) -> usize {
+        let waiting = self.queue.iter();
+        waiting.filter(|held| held.entry.key.flow == *flow).count()
+    }
+
+    /// Requests of `flow` that run.
+    pub fn running_of(&self, flow: &FlowKey) -> usize {
+        let first = self
+            .running
+            .partition_point(|slot| slot.entry.key.flow < *flow);
+        let slots = self.running[first..].iter();
+        slots
+            .take_while(|slot| slot.entry.key.flow == *flow)
+            .count()
+    }
+
+    /// Takes the next request out of the queue: of those that may be sent at
+    /// `now`, the oldest one of a flow with the fewest requests running.
+    pub fn next_waiting(&mut self, now: Timestamp) -> Option<WaitingRequest> {
+        let ready = self.queue.iter().enumerate();
+        let ready = ready.filter(|(_, held)| held.not_before <= now);
+        let (position, _) = ready.min_by_key(|(_, held)| self.running_of(&held.entry.key.flow))?;
+        self.queue.remove(position)
+    }
+
+    /// Takes a request out of the queue.
+    pub fn leave_queue(&mut self, key: &RequestKey) -> bool {
+        let before = self.queue.len();
+        self.queue.retain(|held| held.entry.key != *key);
+        self.queue.len() < before
+    }
+
+    /// Notes that a request was sent.
+    pub fn start(&mut self, slot: RunningSlot) {
+        match self.slot_position(&slot.entry.key) {
+            Ok(position) => self.running[position] = slot,
+            Err(position) => self.running.insert(position, slot),
+        }
+        self.estimate.note_busy(self.busy());
+    }
+
+    /// Frees the slot of a request. Nothing happens where it has none: an
+    /// answer that comes after the slot was freed must not free it again.
+    pub fn finish(&mut self, key: &RequestKey) -> Option<RunningSlot> {
+        let position = self.slot_position(key).ok()?;
+        let slot = self.running.remove(position);
+        self.overdue -= u32::from(slot.overdue);
+        Some(slot)
+    }
+
+    /// Notes that a part of an answer came.
+    pub fn note_progress(&mut self, now: Timestamp, key: &RequestKey) {
+        self.last_heard = now;
+        if let Ok(position) = self.slot_position(key) {
+            let slot = &mut self.running[position];
+            slot.progress = now;
+            self.overdue -= u32::from(slot.overdue);
+            slot.overdue = false;
+        }
     }
 
     /// Notes that a request took `taken` to be answered.
     pub fn note_answer(&mut self, now: Timestamp, taken: time::Duration) {
-        self.service_time = (self.service_time * (SMOOTHING - 1) + taken) / SMOOTHING;
-        self.last_answer = now;
+        self.service_times.note(taken);
+        self.estimate.note_answer(now);
+        self.last_heard = now;
+        self.unreported.answers += 1;
+    }
+
+    /// Marks the requests that have become overdue and returns them.
+    pub fn mark_overdue(&mut self, now: Timestamp) -> Vec<RunningSlot> {
+        let timeout = self.service_times.attempt_timeout();
+        let heard = self.last_heard;
+        let mut late = Vec::new();
+        for slot in &mut self.running {
+            let silent = !slot.overdue && now.since(slot.progress) > timeout;
+            // A server that says nothing at all may be stuck with everything it
+            // was sent; more must not be piled on it.
+            if silent && heard > slot.sent {
+                slot.overdue = true;
+                self.overdue += 1;
+                self.unreported.silences += 1;
+                late.push(*slot);
+            }
+        }
+        late
+    }
+
+    fn slot_position(&self, key: &RequestKey) -> Result<usize, usize> {
+        self.running
+            .binary_search_by(|slot| slot.entry.key.cmp(key))
     }
 }
 
@@ -101,6 +258,16 @@
             .get_or_insert_with(backend, ServerLedger::default)
     }
 
+    /// The servers that there are ledgers of.
+    pub fn servers(&self) -> Vec<BackendId> {
+        self.ledgers.keys().copied().collect()
+    }
+
+    /// Forgets the ledgers for which `keep` does not hold.
+    pub fn retain(&mut self, mut keep: impl FnMut(BackendId) -> bool) {
+        self.ledgers.retain(|backend, _| keep(*backend));
+    }
+
     /// All ledgers.
     pub fn iter(&self) -> impl Iterator<Item = (&BackendId, &ServerLedger)> {
         self.ledgers.iter()
--- a/crates/cardamomwinch_coordination/src/traffic/mod.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/mod.rs
@@ -3,15 +3,20 @@
 
 pub(crate) mod caller_datagrams;
 pub(crate) mod context;
+pub(crate) mod dispatching;
 pub mod effect;
 pub mod event;
+pub(crate) mod giving_up;
 pub mod ledger;
 pub(crate) mod opening;
 pub mod pins;
 pub(crate) mod replies;
 pub mod requests;
 pub(crate) mod resolve;
+pub mod retry_budget;
+pub mod service_time;
 pub(crate) mod serving;
+pub mod slots;
 pub(crate) mod sweeping;
 
 use cardamomwinch_protocol::prelude::{
@@ -30,6 +35,7 @@
 use crate::traffic::ledger::ServerLedgers;
 use crate::traffic::pins::FlowPin;
 use crate::traffic::requests::RequestTable;
+use crate::traffic::retry_budget::RetryBudgets;
 
 /// A datagram that was relayed this often is dropped instead of relayed again.
 pub const HOP_LIMIT: u8 = 4;
@@ -44,7 +50,7 @@
     pub(crate) pins: FlowTable<FlowPin>,
     pub(crate) requests: RequestTable,
     pub(crate) ledgers: ServerLedgers,
-    pub(crate) held_bytes: usize,
+    pub(crate) retry_budgets: RetryBudgets,
     pub(crate) sweep_position: usize,
     last_event: Timestamp,
     slept_until: Option<Timestamp>,
@@ -65,7 +71,7 @@
             pins: FlowTable::new(bounds.flows),
             requests: RequestTable::new(bounds.request_records),
             ledgers: ServerLedgers::default(),
-            held_bytes: 0,
+            retry_budgets: RetryBudgets::default(),
             sweep_position: 0,
             last_event: Timestamp::ZERO,
             slept_until: None,
@@ -105,12 +111,17 @@
         };
         self.notice_sleep(&mut context);
         match event {
-            TrafficEvent::Tick => self.sweep(&mut context),
+            TrafficEvent::Tick => self.tick(&mut context),
             TrafficEvent::Fabric(datagram) => self.handle_fabric(&mut context, datagram),
             TrafficEvent::Relay(envelope) => self.handle_relay(&mut context, envelope.frame),
         }
     }
 
+    fn tick<S: TrafficSink>(&mut self, context: &mut EventContext<'_, S>) {
+        self.review_requests(context);
+        self.sweep(context.now);
+    }
+
     fn handle_fabric<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
--- a/crates/cardamomwinch_coordination/src/traffic/opening.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/opening.rs
@@ -43,11 +43,12 @@
             Some(_) => Some((claim, DecisionReason::RelayedDecision)),
             None => self.place(context, routed, claim),
         };
+        let shard = resolve::shard_of(context.snapshot, &claim);
         let Some((claim, reason)) = placed else {
-            return self.refuse_request(context, routed, RefusalReason::Full);
+            return self.refuse_request(context, routed, shard, RefusalReason::Full);
         };
         if !self.pin(context, routed, claim) {
-            return self.refuse_request(context, routed, RefusalReason::TableFull);
+            return self.refuse_request(context, routed, shard, RefusalReason::TableFull);
         }
         let subject = DecisionSubject {
             backend: Some(claim.backend),
@@ -112,7 +113,7 @@
         let first = context.snapshot.backend(preferred.backend);
         let first = first.filter(|entry| self.has_room(context, entry));
         if let Some(entry) = first {
-            let idle = self.load_of(entry) == 0;
+            let idle = self.load_of(context, entry) == 0;
             if idle || !routed.datagram.echoes_token {
                 return Some((TokenClaim::from(entry), DecisionReason::PlacedByTable));
             }
@@ -139,7 +140,10 @@
             .filter_map(|id| snapshot.backend(*id))
             .filter(|entry| self.is_home_of(context, entry))
             .filter(|entry| self.has_room(context, entry))
-            .min_by_key(|entry| (self.load_of(entry), routed.hash.mixed_with(entry.id.get())))
+            .min_by_key(|entry| {
+                let load = self.load_of(context, entry);
+                (load, routed.hash.mixed_with(entry.id.get()))
+            })
     }
 
     fn is_home_of<S: TrafficSink>(
@@ -161,9 +165,10 @@
         free && !context.snapshot.is_ejected(entry.id)
     }
 
-    fn load_of(&self, entry: &BackendEntry) -> u64 {
+    fn load_of<S: TrafficSink>(&self, context: &EventContext<'_, S>, entry: &BackendEntry) -> u64 {
+        let view = context.snapshot.view(entry.id);
         let ledger = self.ledgers.get(entry.id);
-        ledger.map_or(0, |ledger| ledger.load(entry))
+        ledger.map_or(0, |ledger| ledger.load(context.now, entry, view))
     }
 
     /// Pins a flow to its server; `false` where no more flows can be held.
--- a/crates/cardamomwinch_coordination/src/traffic/replies.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/replies.rs
@@ -1,11 +1,13 @@
 //! Replies of backend servers. The fabric hands them to any host: that host
 //! sends on at once what concerns the caller, and tells the home of the server.
 
+use std::time;
+
 use cardamomwinch_protocol::prelude::{
-    AttemptNumber, BackendReply, BackendReplyKind, CallerReplyKind, PartNumber, RefusalReason,
-    RelayFrame, ResetReason,
+    AttemptNumber, BackendReply, BackendReplyKind, CallerKind, CallerReplyKind, PartNumber,
+    RefusalReason, RelayFrame, ResetReason,
 };
-use cardamomwinch_state::prelude::{FlowHash, RequestId, ShardId};
+use cardamomwinch_state::prelude::{BackendId, FlowHash, RequestId, ShardId, Timestamp};
 
 use crate::counter::Counter;
 use crate::traffic::caller_datagrams::RETRY_AFTER;
@@ -14,7 +16,7 @@
 use crate::traffic::requests::{
     KEPT_PARTS_LIMIT, KeptPart, RequestKey, RequestState, RunningRequest,
 };
-use crate::traffic::{HOP_LIMIT, TrafficEngine, serving};
+use crate::traffic::{HOP_LIMIT, TrafficEngine, dispatching};
 
 impl TrafficEngine {
     pub(crate) fn take_reply<S: TrafficSink>(
@@ -78,15 +80,27 @@
                 attempt,
                 part,
                 payload,
-            } => self.note_part(context, hash, reply, request, attempt, part, payload),
+            } => {
+                let answered = AnswerPart {
+                    attempt,
+                    part,
+                    payload,
+                };
+                let key = request_key(reply, request);
+                self.note_part(context, hash, reply.backend, &key, answered);
+            }
             BackendReplyKind::Shed { request, attempt } => {
                 context.count(Counter::BackendShed);
                 match request {
-                    Some(request) => self.note_shed(context, hash, reply, request, attempt),
+                    Some(request) => {
+                        let key = request_key(reply, request);
+                        self.note_shed(context, hash, reply.backend, &key, attempt);
+                    }
                     None => self.note_opening_shed(context, hash, reply),
                 }
             }
             BackendReplyKind::UnknownFlow => {
+                self.end_flow_requests(context, reply.backend, &reply.flow);
                 self.forget_flow(context, reply.flow, ResetReason::UnknownFlow);
             }
             BackendReplyKind::Closed => {
@@ -98,75 +112,103 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
+    /// Notes a part of an answer. A part of an earlier attempt is never mixed
+    /// into a later one; but a whole answer in one part ends the request,
+    /// whichever attempt gave it.
     fn note_part<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
         hash: FlowHash,
-        reply: &BackendReply<'_>,
-        request: RequestId,
-        attempt: AttemptNumber,
-        part: PartNumber,
-        payload: &[u8],
+        backend: BackendId,
+        key: &RequestKey,
+        answered: AnswerPart<'_>,
     ) {
-        let key = RequestKey {
-            flow: reply.flow,
-            id: request,
-        };
-        let Some(record) = self.requests.get_mut(hash, &key) else {
-            return;
-        };
-        let RequestState::Running(running) = &mut record.state else {
-            return;
-        };
-        if running.attempt != attempt || !running.tracker.note(part) {
-            return;
-        }
-        keep_part(
-            running,
-            &mut self.held_bytes,
-            self.bounds.held_bytes,
-            part,
-            payload,
-        );
-        if !running.tracker.is_whole() {
-            return;
+        let limit = self.bounds.held_bytes;
+        let held_bytes = self.requests.held_bytes();
+        let room = limit.saturating_sub(held_bytes);
+        let noted = self.requests.change(hash, key, |record| {
+            note_in_state(&mut record.state, answered, room)
+        });
+        match noted.unwrap_or(PartOutcome::Ignored) {
+            PartOutcome::Ignored => {}
+            PartOutcome::Progress => self.ledgers.of(backend).note_progress(context.now, key),
+            PartOutcome::Whole => {
+                context.count(Counter::RequestAnswered);
+                let ledger = self.ledgers.of(backend);
+                if let Some(slot) = ledger.finish(key) {
+                    ledger.note_answer(context.now, context.now.since(slot.sent));
+                }
+                self.start_next(context, backend);
+            }
+            PartOutcome::Superseded { attempt, deadline } => {
+                context.count(Counter::RequestAnswered);
+                let ledger = self.ledgers.of(backend);
+                ledger.leave_queue(key);
+                ledger.finish(key);
+                if let Some(attempt) = attempt {
+                    dispatching::cancel(context, key, backend, attempt, deadline);
+                }
+                self.start_next(context, backend);
+            }
         }
-        let backend = running.backend;
-        let taken = serving::service_time(context.now, running.sent);
-        let kept = running.complete.then(|| std::mem::take(&mut running.kept));
-        record.state = RequestState::Answered { attempt, kept };
-        context.count(Counter::RequestAnswered);
-        self.ledgers.of(backend).note_answer(context.now, taken);
-        self.release_slot(context, backend);
     }
 
+    /// Takes a server's word that it did not run a request and will not. It
+    /// counts only for the attempt that is under way, and only while no part of
+    /// an answer has come: a doubled datagram may be shed in one copy and run
+    /// in the other.
     fn note_shed<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
         hash: FlowHash,
-        reply: &BackendReply<'_>,
-        request: RequestId,
+        backend: BackendId,
+        key: &RequestKey,
         attempt: AttemptNumber,
     ) {
-        let key = RequestKey {
-            flow: reply.flow,
-            id: request,
-        };
-        let Some(record) = self.requests.get_mut(hash, &key) else {
+        let record = self.requests.get(hash, key);
+        let Some(RequestState::Running(running)) = record.map(|record| &record.state) else {
             return;
         };
-        let RequestState::Running(running) = &record.state else {
+        if running.attempt != attempt || !running.tracker.is_empty() {
             return;
-        };
-        if running.attempt != attempt {
+        }
+        let opens = running.held.kind == CallerKind::Open;
+        let ledger = self.ledgers.of(backend);
+        ledger.last_heard = context.now;
+        ledger.unreported.sheds += 1;
+        let pause = ledger.estimate.pause();
+        let Some(slot) = ledger.finish(key) else {
             return;
+        };
+        let entry = context.snapshot.backend(backend);
+        let slots = entry.map_or(1, |entry| entry.slots.get());
+        let busy = ledger.busy();
+        ledger.estimate.note_shed(context.now, slots, busy);
+        if entry.is_some() && self.may_retry(context, &slot, attempt, pause) {
+            self.queue_again(context, backend, &slot, pause);
+        } else {
+            let wait = self.wait_after_shed(context, backend, hash, pause);
+            self.refuse_known(context, slot.entry, RefusalReason::Shed, wait);
+            if opens && let Some(pin) = self.pins.remove(hash, &key.flow) {
+                self.uncount(&pin);
+            }
         }
-        let backend = running.backend;
-        let reason = RefusalReason::Shed;
-        record.state = RequestState::Refused { reason };
-        context.refuse(key.flow, Some(key.id), reason, RETRY_AFTER);
-        self.release_slot(context, backend);
+        self.start_next(context, backend);
+    }
+
+    fn wait_after_shed<S: TrafficSink>(
+        &mut self,
+        context: &EventContext<'_, S>,
+        backend: BackendId,
+        hash: FlowHash,
+        pause: time::Duration,
+    ) -> time::Duration {
+        let Some(entry) = context.snapshot.backend(backend) else {
+            return RETRY_AFTER;
+        };
+        let view = context.snapshot.view(backend);
+        let ledger = self.ledgers.of(backend);
+        pause.max(ledger.retry_after(context.now, entry, view, hash))
     }
 
     fn note_opening_shed<S: TrafficSink>(
@@ -215,20 +257,85 @@
     reply
 }
 
-fn keep_part(
-    running: &mut RunningRequest,
-    held_bytes: &mut usize,
-    limit: usize,
+fn request_key(reply: &BackendReply<'_>, request: RequestId) -> RequestKey {
+    RequestKey {
+        flow: reply.flow,
+        id: request,
+    }
+}
+
+/// A part of an answer, as it came.
+#[derive(Debug, Clone, Copy)]
+struct AnswerPart<'p> {
+    attempt: AttemptNumber,
     part: PartNumber,
-    payload: &[u8],
-) {
-    if part.total > KEPT_PARTS_LIMIT || *held_bytes + payload.len() > limit {
+    payload: &'p [u8],
+}
+
+impl AnswerPart<'_> {
+    fn kept(&self) -> KeptPart {
+        KeptPart {
+            part: self.part,
+            payload: self.payload.into(),
+        }
+    }
+}
+
+/// What a part of an answer did.
+#[derive(Debug, Clone, Copy)]
+enum PartOutcome {
+    /// Nothing: it was known, malformed, or of an attempt that is over.
+    Ignored,
+    /// More parts have to come.
+    Progress,
+    /// The attempt under way is answered whole.
+    Whole,
+    /// An earlier attempt is answered whole; the one under way is not needed.
+    Superseded {
+        attempt: Option<AttemptNumber>,
+        deadline: Timestamp,
+    },
+}
+
+/// Notes a part in the state of its request, of which at most `room` more bytes
+/// may be kept.
+fn note_in_state(state: &mut RequestState, answered: AnswerPart<'_>, room: usize) -> PartOutcome {
+    let (current, begun, deadline) = match &*state {
+        RequestState::Queued { attempt, held, .. } => (*attempt, false, held.header.deadline),
+        RequestState::Running(running) => (running.attempt, true, running.held.header.deadline),
+        _ => return PartOutcome::Ignored,
+    };
+    if answered.attempt < current && answered.part == PartNumber::WHOLE {
+        let kept = (answered.payload.len() <= room).then(|| vec![answered.kept()]);
+        let attempt = answered.attempt;
+        *state = RequestState::Answered { attempt, kept };
+        let attempt = begun.then_some(current);
+        return PartOutcome::Superseded { attempt, deadline };
+    }
+    let RequestState::Running(running) = state else {
+        return PartOutcome::Ignored;
+    };
+    if answered.attempt != current || !running.tracker.note(answered.part) {
+        return PartOutcome::Ignored;
+    }
+    keep_part(running, answered, room);
+    if !running.tracker.is_whole() {
+        return PartOutcome::Progress;
+    }
+    let attempt = current;
+    let kept = running.complete.then(|| std::mem::take(&mut running.kept));
+    *state = RequestState::Answered { attempt, kept };
+    PartOutcome::Whole
+}
+
+/// Keeps a part for a repeated request, unless the answer is long or too many
+/// bytes are held already; then what was kept of it is of no use either.
+fn keep_part(running: &mut RunningRequest, answered: AnswerPart<'_>, room: usize) {
+    if answered.part.total > KEPT_PARTS_LIMIT || answered.payload.len() > room {
         running.complete = false;
-        return;
+        running.kept.clear();
+    }
+    if running.complete {
+        running.kept.push(answered.kept());
     }
-    *held_bytes += payload.len();
-    running.kept.push(KeptPart {
-        part,
-        payload: payload.into(),
-    });
 }
--- a/crates/cardamomwinch_coordination/src/traffic/requests.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/requests.rs
@@ -5,7 +5,7 @@
     AttemptNumber, CallerKind, PartNumber, RefusalReason, RequestHeader,
 };
 use cardamomwinch_state::prelude::{
-    BackendId, FlowHash, FlowKey, PartedTable, RequestId, TableFullError, Timestamp,
+    BackendId, FlowHash, FlowKey, PartedTable, RequestId, ShardId, TableFullError, Timestamp,
 };
 
 /// Answers of more parts than this are not kept for a repeated request.
@@ -62,6 +62,11 @@
         new
     }
 
+    /// Whether no part has come yet.
+    pub fn is_empty(&self) -> bool {
+        self.seen == 0
+    }
+
     /// Whether every part has come.
     pub fn is_whole(&self) -> bool {
         self.total > 0 && self.seen == self.total
@@ -126,9 +131,31 @@
     Unknown,
 }
 
+impl RequestState {
+    /// Bytes of payloads that are held for the request.
+    pub fn held_bytes(&self) -> usize {
+        let sum = |kept: &[KeptPart]| kept.iter().map(|part| part.payload.len()).sum();
+        match self {
+            Self::Queued { held, .. } => held.payload.len(),
+            Self::Running(running) => running.held.payload.len() + sum(&running.kept),
+            Self::Answered {
+                kept: Some(kept), ..
+            } => sum(kept),
+            Self::Answered { kept: None, .. } | Self::Refused { .. } | Self::Unknown => 0,
+        }
+    }
+
+    /// Whether the request waits or runs, so that its last word is still to come.
+    pub const fn is_live(&self) -> bool {
+        matches!(self, Self::Queued { .. } | Self::Running(_))
+    }
+}
+
 /// A remembered request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RequestRecord {
+    /// The shard of its server, whose home answers for it.
+    pub shard: ShardId,
     /// When no copy of the request can be accepted any more.
     pub expires: Timestamp,
     /// Whether running it twice is harmless.
@@ -137,10 +164,14 @@
     pub state: RequestState,
 }
 
-/// The requests that a home remembers, bounded in number.
+/// The requests that a home remembers, bounded in number. The table itself
+/// counts the bytes that its records hold, so that no way of changing,
+/// converting or forgetting a record can leave the count wrong.
 #[derive(Debug)]
 pub struct RequestTable {
     records: PartedTable<RequestKey, RequestRecord>,
+    limit: usize,
+    held_bytes: usize,
 }
 
 impl RequestTable {
@@ -148,6 +179,8 @@
     pub fn new(limit: usize) -> Self {
         Self {
             records: PartedTable::new(limit),
+            limit,
+            held_bytes: 0,
         }
     }
 
@@ -161,14 +194,45 @@
         self.records.is_empty()
     }
 
+    /// The most requests that may be remembered.
+    pub fn limit(&self) -> usize {
+        self.limit
+    }
+
+    /// Bytes of request payloads and kept answers, in total.
+    pub fn held_bytes(&self) -> usize {
+        self.held_bytes
+    }
+
     /// The record of a request.
     pub fn get(&self, hash: FlowHash, key: &RequestKey) -> Option<&RequestRecord> {
         self.records.get(hash, key)
     }
 
-    /// The record of a request, to be changed.
-    pub fn get_mut(&mut self, hash: FlowHash, key: &RequestKey) -> Option<&mut RequestRecord> {
-        self.records.get_mut(hash, key)
+    /// Changes the record of a request, where there is one.
+    pub fn change<R>(
+        &mut self,
+        hash: FlowHash,
+        key: &RequestKey,
+        change: impl FnOnce(&mut RequestRecord) -> R,
+    ) -> Option<R> {
+        let record = self.records.get_mut(hash, key)?;
+        let before = record.state.held_bytes();
+        let result = change(record);
+        self.held_bytes = self.held_bytes - before + record.state.held_bytes();
+        Some(result)
+    }
+
+    /// Puts a request into `state` and returns the state it was in.
+    pub fn put(
+        &mut self,
+        hash: FlowHash,
+        key: &RequestKey,
+        state: RequestState,
+    ) -> Option<RequestState> {
+        self.change(hash, key, |record| {
+            std::mem::replace(&mut record.state, state)
+        })
     }
 
     /// Remembers a request.
@@ -181,7 +245,18 @@
         key: RequestKey,
         record: RequestRecord,
     ) -> Result<(), TableFullError> {
-        self.records.insert(hash, key, record).map(drop)
+        let added = record.state.held_bytes();
+        let replaced = self.records.insert(hash, key, record)?;
+        let released = replaced.map_or(0, |record| record.state.held_bytes());
+        self.held_bytes = self.held_bytes + added - released;
+        Ok(())
+    }
+
+    /// Forgets a request.
+    pub fn remove(&mut self, hash: FlowHash, key: &RequestKey) -> Option<RequestRecord> {
+        let removed = self.records.remove(hash, key)?;
+        self.held_bytes -= removed.state.held_bytes();
+        Some(removed)
     }
 
     /// All records, in no particular order.
@@ -189,21 +264,30 @@
         self.records.iter()
     }
 
-    /// Hands every expired record of one part of the table to `expired` and
-    /// forgets it.
-    pub fn sweep_part(
-        &mut self,
-        position: usize,
-        now: Timestamp,
-        mut expired: impl FnMut(&RequestKey, RequestState),
-    ) {
-        self.records.retain_part(position, |key, record| {
-            let keep = record.expires > now;
+    /// Keeps only the records for which `keep` holds.
+    pub fn retain(&mut self, mut keep: impl FnMut(&RequestKey, &mut RequestRecord) -> bool) {
+        let mut held_bytes = 0;
+        self.records.retain(|key, record| {
+            let keep = keep(key, record);
+            if keep {
+                held_bytes += record.state.held_bytes();
+            }
+            keep
+        });
+        self.held_bytes = held_bytes;
+    }
+
+    /// Forgets the expired records of one part of the table. Requests that wait
+    /// or run stay: whoever counts their slots ends them first.
+    pub fn sweep_part(&mut self, position: usize, now: Timestamp) {
+        let mut released = 0;
+        self.records.retain_part(position, |_, record| {
+            let keep = record.expires > now || record.state.is_live();
             if !keep {
-                let state = std::mem::replace(&mut record.state, RequestState::Unknown);
-                expired(key, state);
+                released += record.state.held_bytes();
             }
             keep
         });
+        self.held_bytes -= released;
     }
 }
--- a/crates/cardamomwinch_coordination/src/traffic/serving.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/serving.rs
@@ -1,28 +1,47 @@
-//! What the home of a backend server does with requests: run each at most
-//! once where it is not idempotent, within the server's slots, and answer each
-//! once for all.
+//! What the home of a backend server does with requests that come to it: each
+//! is remembered before anything is done with it, so that none runs twice where
+//! it is not idempotent and each is answered once for all.
 
 use std::time;
 
-use cardamomwinch_protocol::backend::BackendRequest;
 use cardamomwinch_protocol::prelude::{
-    AttemptNumber, BackendDatagram, BackendKind, CallerKind, CallerReplyKind, RefusalReason,
-    RequestHeader, TokenClaim,
+    AttemptNumber, CallerKind, CallerReplyKind, PartNumber, RefusalReason, RequestHeader,
+    TokenClaim,
+};
+use cardamomwinch_state::prelude::{
+    BackendEntry, BackendPhase, FlowHash, ShardId, SlotCount, Timestamp, Weight,
 };
-use cardamomwinch_state::prelude::{BackendEntry, BackendId, FlowHash, Timestamp};
 
 use crate::counter::Counter;
 use crate::decision::DecisionReason;
 use crate::traffic::TrafficEngine;
 use crate::traffic::caller_datagrams::{RETRY_AFTER, RoutedDatagram};
 use crate::traffic::context::{DecisionSubject, EventContext};
-use crate::traffic::effect::{TrafficEffect, TrafficSink};
-use crate::traffic::ledger::QueueEntry;
-use crate::traffic::requests::{
-    HeldRequest, PartTracker, RequestKey, RequestRecord, RequestState, RunningRequest,
-};
+use crate::traffic::effect::TrafficSink;
+use crate::traffic::ledger::{QueueEntry, ServerLedger, WaitingRequest};
+use crate::traffic::requests::{HeldRequest, RequestKey, RequestRecord, RequestState};
 use crate::traffic::resolve;
 
+/// A request waits for at least this long before it is refused.
+const SHORTEST_PATIENCE: time::Duration = time::Duration::from_millis(500);
+/// A request is refused once it has waited this many times as long as expected.
+const PATIENCE_FACTOR: u32 = 4;
+/// One flow may fill this part of a queue.
+const FLOW_SHARE: usize = 4;
+/// Requests that open their flow may fill this part of a queue.
+const OPENING_SHARE: usize = 2;
+/// Slots assumed of a server that is not in the configuration any more.
+const UNLISTED_SLOTS: SlotCount = SlotCount::new(2);
+
+/// What is known about a request that has just come in.
+#[derive(Debug, Clone, Copy)]
+struct ArrivingRequest {
+    key: RequestKey,
+    hash: FlowHash,
+    shard: ShardId,
+    header: RequestHeader,
+}
+
 impl TrafficEngine {
     /// Handles a request at the home of the server of `claim`.
     pub(crate) fn serve_request<S: TrafficSink>(
@@ -32,12 +51,9 @@
         claim: TokenClaim,
         header: RequestHeader,
     ) {
-        let key = RequestKey {
-            flow: routed.datagram.flow,
-            id: header.id,
-        };
-        if self.requests.get(routed.hash, &key).is_some() {
-            return self.repeat(context, routed.hash, &key);
+        let arriving = arriving(context, routed, &claim, header);
+        if self.requests.get(routed.hash, &arriving.key).is_some() {
+            return self.repeat(context, routed, claim, &arriving);
         }
         if header.deadline <= context.now {
             // Nobody waits any more, and an earlier copy may have run and been
@@ -45,16 +61,24 @@
             return context.count(Counter::RequestLate);
         }
         let limits = &context.snapshot.configuration.limits;
-        let furthest = context
-            .now
-            .after(limits.request_lifetime + limits.clock_skew);
-        if header.deadline > furthest {
-            return self.refuse_request(context, routed, RefusalReason::Deadline);
+        let lifetime = limits.request_lifetime + limits.clock_skew;
+        if header.deadline > context.now.after(lifetime * 2) {
+            // Guards against records that stay for years: a refusal has to be
+            // remembered until the deadline, and a caller that sets absurd ones
+            // would fill the table. Without a record nothing can be promised.
+            return context.outcome_unknown(arriving.key.flow, header.id, RETRY_AFTER);
+        }
+        if header.deadline > context.now.after(lifetime) {
+            return self.refuse_request(context, routed, arriving.shard, RefusalReason::Deadline);
         }
         if !header.idempotent && self.may_be_known_elsewhere(context, &claim, &header) {
-            return context.outcome_unknown(key.flow, key.id, RETRY_AFTER);
+            return context.outcome_unknown(arriving.key.flow, header.id, RETRY_AFTER);
         }
-        self.admit(context, routed, claim, header);
+        self.retry_budgets.note_first_try(
+            routed.service.id,
+            context.snapshot.configuration.limits.retry_percent,
+        );
+        self.admit(context, routed, claim, &arriving, AttemptNumber(0));
     }
 
     /// Guards against a second run after the home has moved without a hand-over:
@@ -76,83 +100,112 @@
         header.deadline.before(lifetime) < lease.records_since
     }
 
+    /// Queues a request for its server, or refuses it where it could not be
+    /// served in time.
     fn admit<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
         routed: &RoutedDatagram<'_, '_>,
         claim: TokenClaim,
-        header: RequestHeader,
+        arriving: &ArrivingRequest,
+        attempt: AttemptNumber,
     ) {
-        let Some(entry) = context.snapshot.backend(claim.backend) else {
-            return self.admit_unlisted(context, routed, claim, header);
+        if !Self::may_reach(context, routed, &claim) {
+            return self.refuse_arriving(context, arriving, RefusalReason::NoBackend, RETRY_AFTER);
+        }
+        let listed = context.snapshot.backend(claim.backend);
+        let unlisted = listed.is_none().then(|| unlisted_server(routed, &claim));
+        let Some(entry) = listed.or(unlisted.as_ref()) else {
+            return;
+        };
+        let view = context.snapshot.view(entry.id);
+        let hash = routed.hash;
+        let room = match listed {
+            Some(entry) => self.queue_room(entry, routed.datagram.kind),
+            // Nothing tells when a slot of an unknown server comes free.
+            None => 0,
         };
+        let now = context.now;
         let ledger = self.ledgers.of(entry.id);
-        let free = ledger.has_free_slot(entry);
-        let wait = ledger.expected_wait(entry);
-        let room = ledger.has_queue_room(entry, self.bounds.queue_per_slot);
-        let may_wait = room && context.now.after(wait) < header.deadline;
-        if !free && !may_wait {
-            return self.refuse_request(context, routed, RefusalReason::Full);
+        let free = ledger.queue.is_empty() && ledger.has_free_slot(now, entry, view);
+        if !free
+            && !may_wait(
+                now,
+                ledger,
+                entry,
+                view,
+                room,
+                &arriving.key,
+                &arriving.header,
+            )
+        {
+            let retry_after = ledger.retry_after(now, entry, view, hash);
+            return self.refuse_arriving(context, arriving, RefusalReason::Full, retry_after);
+        }
+        let give_up = give_up_time(now, ledger, entry, view, arriving.header.deadline);
+        if self.payload_is_too_much(routed) {
+            context.count(Counter::TableFull);
+            return self.refuse_arriving(context, arriving, RefusalReason::TableFull, RETRY_AFTER);
         }
         let state = RequestState::Queued {
             backend: entry.id,
-            attempt: AttemptNumber(0),
-            held: held(routed, header),
-        };
-        let Some(entry_in_queue) = self.remember(context, routed, header, state) else {
-            return;
+            attempt,
+            held: held(routed, arriving.header),
         };
-        self.ledgers.of(entry.id).queue.push_back(entry_in_queue);
-        self.start_queued(context, entry);
+        if let Some(queued) = self.remember(context, arriving, routed.datagram.kind, state) {
+            self.ledgers.of(entry.id).queue.push_back(WaitingRequest {
+                entry: queued,
+                not_before: now,
+                give_up,
+            });
+            self.start_queued(context, entry);
+        }
     }
 
-    /// Serves a flow whose server has left the configuration: its slots are
-    /// not known any more, so its requests are not queued.
-    fn admit_unlisted<S: TrafficSink>(
-        &mut self,
-        context: &mut EventContext<'_, S>,
-        routed: &RoutedDatagram<'_, '_>,
-        claim: TokenClaim,
-        header: RequestHeader,
-    ) {
-        if !Self::may_reach(context, routed, &claim) {
-            return self.refuse_request(context, routed, RefusalReason::NoBackend);
-        }
-        let state = RequestState::Queued {
-            backend: claim.backend,
-            attempt: AttemptNumber(0),
-            held: held(routed, header),
-        };
-        if let Some(queued) = self.remember(context, routed, header, state) {
-            self.dispatch(context, &claim, queued);
+    fn payload_is_too_much(&self, routed: &RoutedDatagram<'_, '_>) -> bool {
+        let added = routed.datagram.payload.len();
+        self.requests.held_bytes() + added > self.bounds.held_bytes
+    }
+
+    /// How many requests may wait for `entry` before one of this kind. Guards
+    /// against a flood of new flows: it fills only its part of the queue, and
+    /// established flows still find room.
+    fn queue_room(&self, entry: &BackendEntry, kind: CallerKind) -> usize {
+        let room = (entry.slots.get() * self.bounds.queue_per_slot) as usize;
+        match kind {
+            CallerKind::Open => room.div_ceil(OPENING_SHARE),
+            CallerKind::Carry | CallerKind::Close => room,
         }
     }
 
+    /// Remembers a request before anything is done with it; where it cannot be
+    /// remembered its caller is told that the outcome is unknown, because a
+    /// copy could still run after a refusal. The last quarter of the table is
+    /// kept for flows that are open already.
     fn remember<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
-        routed: &RoutedDatagram<'_, '_>,
-        header: RequestHeader,
+        arriving: &ArrivingRequest,
+        kind: CallerKind,
         state: RequestState,
     ) -> Option<QueueEntry> {
-        let key = RequestKey {
-            flow: routed.datagram.flow,
-            id: header.id,
-        };
+        let ArrivingRequest {
+            key, hash, header, ..
+        } = *arriving;
         let skew = context.snapshot.configuration.limits.clock_skew;
         let record = RequestRecord {
+            shard: arriving.shard,
             expires: header.deadline.after(skew),
             idempotent: header.idempotent,
             state,
         };
-        if self.requests.insert(routed.hash, key, record).is_err() {
-            // Without a record a copy could run after a refusal, so that "not
-            // run" could not be promised.
+        let limit = self.requests.limit();
+        let reserved = kind == CallerKind::Open && self.requests.len() >= limit - limit / 4;
+        if reserved || self.requests.insert(hash, key, record).is_err() {
             context.count(Counter::TableFull);
             context.outcome_unknown(key.flow, key.id, RETRY_AFTER);
             return None;
         }
-        let hash = routed.hash;
         Some(QueueEntry { hash, key })
     }
 
@@ -162,112 +215,84 @@
         &mut self,
         context: &mut EventContext<'_, S>,
         routed: &RoutedDatagram<'_, '_>,
+        shard: ShardId,
         reason: RefusalReason,
     ) {
         let flow = routed.datagram.flow;
         let Some(header) = routed.datagram.request else {
             return context.refuse(flow, None, reason, RETRY_AFTER);
         };
-        let key = RequestKey {
-            flow,
-            id: header.id,
+        let arriving = ArrivingRequest {
+            key: RequestKey {
+                flow,
+                id: header.id,
+            },
+            hash: routed.hash,
+            shard,
+            header,
         };
-        if self.requests.get(routed.hash, &key).is_some() {
-            return self.repeat(context, routed.hash, &key);
-        }
-        let state = RequestState::Refused { reason };
-        if self.remember(context, routed, header, state).is_some() {
-            context.refuse(flow, Some(header.id), reason, RETRY_AFTER);
+        if self.requests.get(routed.hash, &arriving.key).is_some() {
+            return self.repeat_known(context, &arriving);
         }
+        self.refuse_arriving(context, &arriving, reason, RETRY_AFTER);
     }
 
-    /// Sends waiting requests of `entry` while slots are free.
-    pub(crate) fn start_queued<S: TrafficSink>(
+    fn refuse_arriving<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
-        entry: &BackendEntry,
+        arriving: &ArrivingRequest,
+        reason: RefusalReason,
+        retry_after: time::Duration,
     ) {
-        loop {
-            let ledger = self.ledgers.of(entry.id);
-            if !ledger.has_free_slot(entry) {
-                return;
-            }
-            let Some(queued) = ledger.queue.pop_front() else {
-                return;
-            };
-            if self.dispatch(context, &TokenClaim::from(entry), queued) {
-                self.ledgers.of(entry.id).busy += 1;
-            }
+        let state = RequestState::Refused { reason };
+        let kind = CallerKind::Carry;
+        if self.remember(context, arriving, kind, state).is_some() {
+            let ArrivingRequest { key, .. } = arriving;
+            context.refuse(key.flow, Some(key.id), reason, retry_after);
         }
     }
 
-    /// Sends a waiting request to its server; `false` where it waits no more.
-    fn dispatch<S: TrafficSink>(
+    /// Handles a copy of a request that is remembered. An idempotent one whose
+    /// answer was not kept may run again, as an attempt of its own, so that the
+    /// parts of two runs are never mixed.
+    fn repeat<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
-        claim: &TokenClaim,
-        queued: QueueEntry,
-    ) -> bool {
-        let Some(record) = self.requests.get_mut(queued.hash, &queued.key) else {
-            return false;
-        };
-        let taken = std::mem::replace(&mut record.state, RequestState::Unknown);
-        let RequestState::Queued { attempt, held, .. } = taken else {
-            record.state = taken;
-            return false;
-        };
-        let start_before = start_before(context, claim, &held, record.idempotent);
-        let request = BackendRequest {
-            id: held.header.id,
-            attempt,
-            start_before,
-            deadline: held.header.deadline,
-        };
-        let kind = match held.kind {
-            CallerKind::Open => BackendKind::Open,
-            CallerKind::Carry | CallerKind::Close => BackendKind::Carry,
-        };
-        context.sink.emit(TrafficEffect::ToBackend {
-            address: claim.address,
-            datagram: BackendDatagram {
-                flow: queued.key.flow,
-                backend: claim.backend,
-                via: context.identity.host,
-                kind,
-                request: Some(request),
-                payload: &held.payload,
-            },
-        });
-        context.count(match attempt {
-            AttemptNumber(0) => Counter::RequestDispatched,
-            AttemptNumber(_) => Counter::RequestRetried,
+        routed: &RoutedDatagram<'_, '_>,
+        claim: TokenClaim,
+        arriving: &ArrivingRequest,
+    ) {
+        let record = self.requests.get(arriving.hash, &arriving.key);
+        let attempt = record.and_then(|record| match record.state {
+            RequestState::Answered {
+                attempt,
+                kept: None,
+            } if record.idempotent => attempt.0.checked_add(1),
+            _ => None,
         });
-        record.state = RequestState::Running(Box::new(RunningRequest {
-            backend: claim.backend,
-            attempt,
-            sent: context.now,
-            held,
-            tracker: PartTracker::default(),
-            kept: Vec::new(),
-            complete: true,
-        }));
-        true
+        let percent = context.snapshot.configuration.limits.retry_percent;
+        let in_time = arriving.header.deadline > context.now;
+        match attempt {
+            Some(attempt) if in_time && self.retry_budgets.take(routed.service.id, percent) => {
+                self.admit(context, routed, claim, arriving, AttemptNumber(attempt));
+            }
+            _ => self.repeat_known(context, arriving),
+        }
     }
 
-    /// Handles a copy of a request that is remembered.
-    fn repeat<S: TrafficSink>(
+    fn repeat_known<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
-        hash: FlowHash,
-        key: &RequestKey,
+        arriving: &ArrivingRequest,
     ) {
+        let key = arriving.key;
         context.count(Counter::RequestDuplicate);
         let subject = DecisionSubject {
             flow: Some(key.flow),
             ..DecisionSubject::default()
         };
         context.decide(DecisionReason::Duplicate, subject);
-        let Some(record) = self.requests.get(hash, key) else {
+        let Some(record) = self.requests.get(arriving.hash, &key) else {
             return;
         };
         match &record.state {
@@ -275,8 +300,7 @@
             RequestState::Running(running) => {
                 for kept in &running.kept {
                     let (attempt, part) = (running.attempt, kept.part);
-                    let payload = &kept.payload;
-                    context.reply(key.flow, answer(key, attempt, part, payload));
+                    context.reply(key.flow, answer(&key, attempt, part, &kept.payload));
                 }
             }
             RequestState::Answered {
@@ -284,7 +308,7 @@
                 kept: Some(parts),
             } => {
                 for kept in parts {
-                    context.reply(key.flow, answer(key, *attempt, kept.part, &kept.payload));
+                    context.reply(key.flow, answer(&key, *attempt, kept.part, &kept.payload));
                 }
             }
             RequestState::Refused { reason } => {
@@ -295,35 +319,71 @@
             }
         }
     }
-
-    /// Frees the slot of a request that has finished on `backend`.
-    pub(crate) fn release_slot<S: TrafficSink>(
-        &mut self,
-        context: &mut EventContext<'_, S>,
-        backend: BackendId,
-    ) {
-        let ledger = self.ledgers.of(backend);
-        ledger.busy = ledger.busy.saturating_sub(1);
-        if let Some(entry) = context.snapshot.backend(backend) {
-            self.start_queued(context, entry);
-        }
-    }
 }
 
-/// The point from which the server must not begin the request any more. For a
-/// request that must not run twice it lies within this home's lease, so that a
-/// datagram that is held up on its way cannot run beside the next home's.
-fn start_before<S: TrafficSink>(
+fn arriving<S: TrafficSink>(
     context: &EventContext<'_, S>,
+    routed: &RoutedDatagram<'_, '_>,
     claim: &TokenClaim,
-    held: &HeldRequest,
-    idempotent: bool,
+    header: RequestHeader,
+) -> ArrivingRequest {
+    ArrivingRequest {
+        key: RequestKey {
+            flow: routed.datagram.flow,
+            id: header.id,
+        },
+        hash: routed.hash,
+        shard: resolve::shard_of(context.snapshot, claim),
+        header,
+    }
+}
+
+/// Whether a request may wait: the queue has room, its flow does not fill the
+/// queue alone, and there will be time left to serve it.
+fn may_wait(
+    now: Timestamp,
+    ledger: &ServerLedger,
+    entry: &BackendEntry,
+    view: crate::snapshot::BackendView,
+    room: usize,
+    key: &RequestKey,
+    header: &RequestHeader,
+) -> bool {
+    let share = room.div_ceil(FLOW_SHARE);
+    let needed = ledger.expected_wait(now, entry, view) + ledger.service_times.mean();
+    ledger.queue.len() < room
+        && ledger.waiting_of(&key.flow) < share
+        && now.after(needed) < header.deadline
+}
+
+/// When a request that starts to wait now is refused: once it has waited far
+/// longer than expected, or could not be served in time any more.
+pub(crate) fn give_up_time(
+    now: Timestamp,
+    ledger: &ServerLedger,
+    entry: &BackendEntry,
+    view: crate::snapshot::BackendView,
+    deadline: Timestamp,
 ) -> Timestamp {
-    let shard = resolve::shard_of(context.snapshot, claim);
-    let lease = context.snapshot.lease_at(shard, context.now);
-    match lease {
-        Some(lease) if !idempotent => held.header.deadline.min(lease.held_until),
-        _ => held.header.deadline,
+    let expected = ledger.expected_wait(now, entry, view);
+    let patience = (expected * PATIENCE_FACTOR).max(SHORTEST_PATIENCE);
+    let latest = deadline.before(ledger.service_times.mean());
+    now.after(patience).min(latest)
+}
+
+/// Stands for a server that has left the configuration and was never known
+/// here: its flows are still served, on the word of their tokens.
+fn unlisted_server(routed: &RoutedDatagram<'_, '_>, claim: &TokenClaim) -> BackendEntry {
+    BackendEntry {
+        id: claim.backend,
+        name: claim.backend.to_string(),
+        service: routed.service.id,
+        domain: claim.domain,
+        address: claim.address,
+        slots: UNLISTED_SLOTS,
+        connections: cardamomwinch_state::prelude::ConnectionCount::MAX,
+        weight: Weight::ZERO,
+        phase: BackendPhase::Draining,
     }
 }
 
@@ -338,7 +398,7 @@
 pub(crate) fn answer<'p>(
     key: &RequestKey,
     attempt: AttemptNumber,
-    part: cardamomwinch_protocol::prelude::PartNumber,
+    part: PartNumber,
     payload: &'p [u8],
 ) -> CallerReplyKind<'p> {
     CallerReplyKind::Answer {
@@ -348,8 +408,3 @@
         payload,
     }
 }
-
-/// The time since `sent`, as the service time of a request.
-pub(crate) fn service_time(now: Timestamp, sent: Timestamp) -> time::Duration {
-    now.since(sent)
-}
--- /dev/null
+++ b/crates/cardamomwinch_coordination/tests/requests_given_up.rs
@@ -0,0 +1,217 @@
+//! What a caller is told, and when, about a request that its home gives up.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod admission_support;
+
+use std::time;
+
+use admission_support::{Bench, Told, host, request};
+use cardamomwinch_coordination::prelude::*;
+use cardamomwinch_protocol::prelude::*;
+
+/// An inspector signs a finding; the server takes it and falls silent. The
+/// deadline passes while the request runs. The tablet shows a spinner for ever,
+/// because the home forgot the request in silence. It must hear "outcome
+/// unknown" at that moment, once, and the server must hear that nobody waits.
+#[test]
+fn a_deadline_that_passes_while_the_request_runs_is_told_at_once() {
+    let mut bench = Bench::new(1, 2);
+    let token = bench.open(1);
+    let header = bench.header(7, false, 1000);
+    bench.ask(1, token, header);
+    bench.take();
+    bench.pass_ms(950);
+    assert_eq!(bench.take().finals(request(7)), Vec::<&Told>::new());
+    bench.pass_ms(100);
+    let wanted = bench.take();
+    assert!(
+        matches!(wanted.finals(request(7))[..], [Told::OutcomeUnknown(..)]),
+        "{wanted:?}"
+    );
+    assert_eq!(wanted.cancellations().len(), 1);
+    bench.pass_ms(3000);
+    assert_eq!(bench.take().finals(request(7)), Vec::<&Told>::new());
+}
+
+/// Both slots of a server hang. A third request waits in the queue and hears
+/// nothing until its deadline, though the home knows much earlier that no slot
+/// comes free in time. It must be refused as not run long before, with a time
+/// to come back, and a copy that comes later must get the same word.
+#[test]
+fn a_request_that_waits_too_long_is_refused_before_its_deadline() {
+    let mut bench = Bench::new(1, 2);
+    let token = bench.open(1);
+    for number in 1..=3 {
+        let header = bench.header(number, false, 9000);
+        bench.ask(1, token, header);
+    }
+    let late = bench.header(3, false, 9000);
+    assert_eq!(bench.take().runs().len(), 2);
+    bench.pass_ms(2000);
+    let wanted = bench.take();
+    let Some(Told::NotRun(_, RefusalReason::Full, after)) =
+        wanted.finals(request(3)).first().copied()
+    else {
+        panic!("not refused: {wanted:?}");
+    };
+    assert!(*after > time::Duration::ZERO);
+    bench.ask(1, token, late);
+    let wanted = bench.take();
+    assert!(matches!(
+        wanted.finals(request(3))[..],
+        [Told::NotRun(Some(_), RefusalReason::Full, _)]
+    ));
+    assert!(wanted.runs().is_empty());
+}
+
+/// The home of a server loses its lease while a request waits for a slot there.
+/// The request was never sent, but only the next home may say so: it must be
+/// brought there, and must not be sent from here when a slot comes free.
+#[test]
+fn a_waiting_request_goes_to_the_next_home_when_the_lease_is_lost() {
+    let mut bench = Bench::new(1, 2);
+    let token = bench.open(1);
+    for number in 1..=3 {
+        let header = bench.header(number, false, 9000);
+        bench.ask(1, token, header);
+    }
+    let first = bench.take().runs()[0].clone();
+    bench.lose_home(Some(host("muc-nord-2")));
+    bench.answer(1, &first);
+    assert!(bench.take().runs().is_empty(), "sent after the lease ended");
+    bench.pass_ms(100);
+    let wanted = bench.take();
+    let brought: Vec<_> = wanted
+        .relayed
+        .iter()
+        .filter(|(_, of)| of.is_some())
+        .collect();
+    assert_eq!(brought, [&(host("muc-nord-2"), Some(request(3)))]);
+    assert!(wanted.runs().is_empty());
+    bench.pass_ms(2000);
+    let wanted = bench.take();
+    assert!(wanted.runs().is_empty());
+    assert!(wanted.finals(request(3)).is_empty(), "{wanted:?}");
+}
+
+/// The same, but nobody is home any more. "Not run" cannot be promised, since a
+/// copy may reach the next home; silence until the deadline helps nobody.
+#[test]
+fn a_waiting_request_without_any_home_gets_a_final_word_at_once() {
+    let mut bench = Bench::new(1, 1);
+    let token = bench.open(1);
+    for number in 1..=2 {
+        let header = bench.header(number, true, 9000);
+        bench.ask(1, token, header);
+    }
+    bench.take();
+    bench.lose_home(None);
+    bench.pass_ms(100);
+    let wanted = bench.take();
+    assert!(matches!(
+        wanted.finals(request(2))[..],
+        [Told::OutcomeUnknown(..)]
+    ));
+}
+
+/// The lease ran out while the control thread hung; the snapshot still shows
+/// it. An answer frees a slot, and the waiting request must not be sent: the
+/// next home may be running it already.
+#[test]
+fn nothing_is_sent_after_the_end_of_the_lease() {
+    let mut bench = Bench::new(1, 1);
+    let token = bench.open(1);
+    for number in 1..=2 {
+        let header = bench.header(number, false, 9000);
+        bench.ask(1, token, header);
+    }
+    let first = bench.take().runs()[0].clone();
+    bench.hold_until(bench.now.after(time::Duration::from_millis(300)));
+    bench.now = bench.now.after(time::Duration::from_millis(400));
+    bench.answer(1, &first);
+    assert!(bench.take().runs().is_empty());
+}
+
+/// A caller (or someone who means harm) sends requests with a deadline a year
+/// away. Each is refused, but the record of the refusal stayed for a year, so
+/// that the table filled and every honest request got "outcome unknown".
+#[test]
+fn far_deadlines_do_not_fill_the_table() {
+    let mut bench = Bench::new(1, 2);
+    let token = bench.open(1);
+    for number in 0..100 {
+        let header = bench.header(number, true, 31_536_000_000);
+        bench.ask(1, token, header);
+    }
+    let wanted = bench.take();
+    assert!(wanted.runs().is_empty());
+    bench.pass_ms(30_000);
+    assert_eq!(bench.engine.remembered_requests().len(), 0);
+    assert_eq!(wanted.count(Counter::RequestDispatched), 0);
+}
+
+/// A server sheds the request of an established flow. The request did not run,
+/// and its flow cannot move to another server: a pause later there may be a
+/// slot. Only once the retry budget is spent is the caller told to come back.
+#[test]
+fn a_shed_request_is_sent_again_to_its_server() {
+    let mut bench = Bench::new(2, 2);
+    let token = bench.open(1);
+    let header = bench.header(1, false, 5000);
+    bench.ask(1, token, header);
+    let first = bench.take().runs()[0].clone();
+    bench.shed(1, &first);
+    assert!(bench.take().finals(request(1)).is_empty());
+    bench.pass_ms(1000);
+    let wanted = bench.take();
+    let [second] = wanted.runs()[..] else {
+        panic!("not sent again: {wanted:?}");
+    };
+    assert_eq!(second.backend, first.backend);
+    assert_eq!(second.request.unwrap().attempt, AttemptNumber(1));
+    // A late copy of the first attempt's fate says nothing about the second.
+    bench.shed(1, &first);
+    let second = second.clone();
+    bench.answer(1, &second);
+    let wanted = bench.take();
+    assert!(wanted.finals(request(1)).is_empty(), "{wanted:?}");
+    assert_eq!(wanted.count(Counter::RequestAnswered), 1);
+}
+
+/// A download of thirty parts is answered whole, but not kept. The caller lost
+/// a part and sends the request again. It is idempotent: it may run again, as
+/// an attempt of its own, so that parts of two runs are never mixed.
+#[test]
+fn a_lost_part_of_an_answer_not_kept_runs_an_idempotent_request_again() {
+    let mut bench = Bench::new(1, 2);
+    let token = bench.open(1);
+    for idempotent in [true, false] {
+        let number = u64::from(idempotent);
+        let header = bench.header(number, idempotent, 5000);
+        bench.ask(1, token, header);
+        let sent = bench.take().runs()[0].clone();
+        for index in 0..30 {
+            let kind = BackendReplyKind::Answer {
+                request: header.id,
+                attempt: sent.request.unwrap().attempt,
+                part: PartNumber { index, total: 30 },
+                payload: b"part",
+            };
+            bench.reply(1, sent.backend, kind);
+        }
+        bench.take();
+        bench.ask(1, token, header);
+        let wanted = bench.take();
+        if idempotent {
+            let again = wanted.runs()[0].request.unwrap();
+            assert_eq!(again.attempt, AttemptNumber(1));
+        } else {
+            assert!(wanted.runs().is_empty());
+            assert!(matches!(
+                wanted.finals(header.id)[..],
+                [Told::OutcomeUnknown(..)]
+            ));
+        }
+    }
+}
--- a/crates/cardamomwinch_daemon/src/traffic_thread.rs
+++ b/crates/cardamomwinch_daemon/src/traffic_thread.rs
@@ -107,7 +107,10 @@
         TrafficLoad {
             flows: self.engine.pinned_flows().len() as u64,
             pending_requests: pending.count() as u64,
-            busy_slots: ledgers.iter().map(|(id, held)| (*id, held.busy)).collect(),
+            busy_slots: ledgers
+                .iter()
+                .map(|(id, held)| (*id, held.busy()))
+                .collect(),
             connections: ledgers
                 .iter()
                 .map(|(id, held)| (*id, held.connections))
