Never say "not run" of a request that an earlier attempt may have run

Cause: a request that is sent again after its answer did not come, or whose answer was not kept, may have run. When its later attempt was shed, refused for want of a slot or waited too long, it was refused as "not run" like a first attempt. And the opening of a flow whose first request waits or is refused was answered with a token although its server had never heard of the flow, so that the caller's next datagram would have found it unknown.

Ruled out: telling by the number of the attempt alone. An attempt that was shed provably did not run, and a request with only such attempts may still be refused; so the record says whether any attempt may have run.

Change: records carry may_have_run; what may have run is given up as "outcome unknown". A flow whose first request does not go to the server at once is opened there without it. An idempotent request without any sign from a silent server becomes overdue too; only its slot stays counted until the server answers others.

--- a/crates/cardamomwinch_coordination/src/traffic/dispatching.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/dispatching.rs
@@ -102,6 +102,7 @@
             progress: now,
             deadline,
             overdue: false,
+            counted: true,
         });
     }
 
--- a/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
@@ -101,6 +101,8 @@
             if self.may_retry(context, &slot, attempt, time::Duration::ZERO) {
                 dispatching::cancel(context, &key, backend, attempt, slot.deadline);
                 self.free_lingering(context, backend, &slot);
+                self.requests
+                    .change(hash, &key, |record| record.may_have_run = true);
                 self.queue_again(context, backend, &slot, time::Duration::ZERO);
             }
         }
@@ -227,7 +229,8 @@
         if relayed {
             self.requests.remove(hash, &key);
         } else {
-            self.give_up_unknown(context, waiting);
+            let wait = context.snapshot.configuration.limits.home_lease;
+            self.give_up_unknown(context, waiting, wait);
         }
     }
 
@@ -235,11 +238,11 @@
         &mut self,
         context: &mut EventContext<'_, S>,
         entry: QueueEntry,
+        retry_after: time::Duration,
     ) {
         let QueueEntry { hash, key } = entry;
         self.requests.put(hash, &key, RequestState::Unknown);
-        let wait = context.snapshot.configuration.limits.home_lease;
-        context.outcome_unknown(key.flow, key.id, wait);
+        context.outcome_unknown(key.flow, key.id, retry_after);
     }
 
     /// Requests cannot wait for a server that is not known any more.
@@ -285,9 +288,9 @@
         }
     }
 
-    /// Refuses a remembered request that did not run and is not sent any more.
-    /// "Not run" is said only while the lease holds: later a copy may run at
-    /// the next home.
+    /// Gives up a remembered request that waits. "Not run" is said only where no
+    /// attempt may have run, and only while the lease holds: later a copy may
+    /// run at the next home.
     pub(crate) fn refuse_known<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
@@ -296,10 +299,13 @@
         retry_after: time::Duration,
     ) {
         let QueueEntry { hash, key } = entry;
-        let shard = self.requests.get(hash, &key).map(|record| record.shard);
+        let record = self.requests.get(hash, &key);
+        let shard = record
+            .filter(|record| !record.may_have_run)
+            .map(|record| record.shard);
         let held = shard.and_then(|shard| context.snapshot.lease_at(shard, context.now));
         if held.is_none() {
-            return self.give_up_unknown(context, entry);
+            return self.give_up_unknown(context, entry, retry_after);
         }
         self.requests
             .put(hash, &key, RequestState::Refused { reason });
@@ -322,7 +328,7 @@
         let waiting: Vec<QueueEntry> = waiting.filter(|entry| entry.key.flow == *flow).collect();
         for entry in sent {
             self.ledgers.of(backend).finish(&entry.key);
-            self.give_up_unknown(context, entry);
+            self.give_up_unknown(context, entry, RETRY_AFTER);
         }
         for entry in waiting {
             self.ledgers.of(backend).leave_queue(&entry.key);
--- a/crates/cardamomwinch_coordination/src/traffic/ledger.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/ledger.rs
@@ -50,9 +50,10 @@
     pub progress: Timestamp,
     /// When nobody waits for the answer any more.
     pub deadline: Timestamp,
-    /// Whether it has made no progress for longer than the server usually
-    /// takes, while the server answered others.
+    /// Whether it has made no progress for longer than the server usually takes.
     pub overdue: bool,
+    /// Whether it counts as taking a slot.
+    pub counted: bool,
 }
 
 /// Slots, connections and waiting requests of one backend server.
@@ -71,7 +72,7 @@
     /// What happened since control was last told.
     pub unreported: LedgerCounts,
     running: Vec<RunningSlot>,
-    overdue: u32,
+    uncounted: u32,
 }
 
 /// What a server did since control was last told.
@@ -104,12 +105,13 @@
         held * 1000 / u64::from(usable.max(1))
     }
 
-    /// Whether a slot is free. An overdue request does not count: where its
-    /// answer, or the copy of it that tells this home, was lost, the slot would
-    /// stay taken until the deadline. Where it does run on, the server sheds
-    /// what comes too much, and [`SlotEstimate`] learns from that.
+    /// Whether a slot is free. An overdue request does not count once the server
+    /// has answered others since: where its answer, or the copy of it that tells
+    /// this home, was lost, the slot would stay taken until the deadline. Where
+    /// it does run on, the server sheds what comes too much, and
+    /// [`SlotEstimate`] learns from that.
     pub fn has_free_slot(&self, now: Timestamp, entry: &BackendEntry, view: BackendView) -> bool {
-        let occupied = self.busy() - self.overdue;
+        let occupied = self.busy() - self.uncounted;
         occupied < self.estimate.usable(now, entry.slots.get(), view)
     }
 
@@ -192,7 +194,7 @@
     pub fn finish(&mut self, key: &RequestKey) -> Option<RunningSlot> {
         let position = self.slot_position(key).ok()?;
         let slot = self.running.remove(position);
-        self.overdue -= u32::from(slot.overdue);
+        self.uncounted -= u32::from(!slot.counted);
         Some(slot)
     }
 
@@ -202,7 +204,8 @@
         if let Ok(position) = self.slot_position(key) {
             let slot = &mut self.running[position];
             slot.progress = now;
-            self.overdue -= u32::from(slot.overdue);
+            self.uncounted -= u32::from(!slot.counted);
+            slot.counted = true;
             slot.overdue = false;
         }
     }
@@ -221,15 +224,17 @@
         let heard = self.last_heard;
         let mut late = Vec::new();
         for slot in &mut self.running {
-            let silent = !slot.overdue && now.since(slot.progress) > timeout;
-            // A server that says nothing at all may be stuck with everything it
-            // was sent; more must not be piled on it.
-            if silent && heard > slot.sent {
+            if !slot.overdue && now.since(slot.progress) > timeout {
                 slot.overdue = true;
-                self.overdue += 1;
                 self.unreported.silences += 1;
                 late.push(*slot);
             }
+            // A server that says nothing at all may be stuck with everything it
+            // was sent; more must not be piled on it.
+            if slot.overdue && slot.counted && heard > slot.sent {
+                slot.counted = false;
+                self.uncounted += 1;
+            }
         }
         late
     }
--- a/crates/cardamomwinch_coordination/src/traffic/opening.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/opening.rs
@@ -58,7 +58,10 @@
         let token = self.tokens.issue(&routed.datagram.flow, claim);
         context.reply(routed.datagram.flow, CallerReplyKind::Opened { token });
         match routed.datagram.request {
-            Some(request) => self.serve_request(context, routed, claim, request),
+            Some(request) => {
+                self.serve_request(context, routed, claim, request);
+                self.open_without_request(context, routed, &claim, request.id);
+            }
             None => caller_datagrams::forward(context, routed.datagram, &claim, BackendKind::Open),
         }
     }
--- a/crates/cardamomwinch_coordination/src/traffic/requests.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/requests.rs
@@ -160,6 +160,9 @@
     pub expires: Timestamp,
     /// Whether running it twice is harmless.
     pub idempotent: bool,
+    /// Whether an earlier attempt may have run, so that "not run" must not be
+    /// said any more. An attempt that was shed did not run.
+    pub may_have_run: bool,
     /// Where it stands.
     pub state: RequestState,
 }
--- a/crates/cardamomwinch_coordination/src/traffic/serving.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/serving.rs
@@ -5,17 +5,19 @@
 use std::time;
 
 use cardamomwinch_protocol::prelude::{
-    AttemptNumber, CallerKind, CallerReplyKind, PartNumber, RefusalReason, RequestHeader,
-    TokenClaim,
+    AttemptNumber, BackendKind, CallerDatagram, CallerKind, CallerReplyKind, PartNumber,
+    RefusalReason, RequestHeader, TokenClaim,
 };
 use cardamomwinch_state::prelude::{
-    BackendEntry, BackendPhase, FlowHash, ShardId, SlotCount, Timestamp, Weight,
+    BackendEntry, BackendPhase, ConnectionCount, FlowHash, RequestId, ShardId, SlotCount,
+    Timestamp, Weight,
 };
 
 use crate::counter::Counter;
 use crate::decision::DecisionReason;
+use crate::snapshot::BackendView;
 use crate::traffic::TrafficEngine;
-use crate::traffic::caller_datagrams::{RETRY_AFTER, RoutedDatagram};
+use crate::traffic::caller_datagrams::{self, RETRY_AFTER, RoutedDatagram};
 use crate::traffic::context::{DecisionSubject, EventContext};
 use crate::traffic::effect::TrafficSink;
 use crate::traffic::ledger::{QueueEntry, ServerLedger, WaitingRequest};
@@ -111,7 +113,8 @@
         attempt: AttemptNumber,
     ) {
         if !Self::may_reach(context, routed, &claim) {
-            return self.refuse_arriving(context, arriving, RefusalReason::NoBackend, RETRY_AFTER);
+            let reason = RefusalReason::NoBackend;
+            return self.refuse_attempt(context, arriving, attempt, reason, RETRY_AFTER);
         }
         let listed = context.snapshot.backend(claim.backend);
         let unlisted = listed.is_none().then(|| unlisted_server(routed, &claim));
@@ -140,12 +143,14 @@
             )
         {
             let retry_after = ledger.retry_after(now, entry, view, hash);
-            return self.refuse_arriving(context, arriving, RefusalReason::Full, retry_after);
+            let reason = RefusalReason::Full;
+            return self.refuse_attempt(context, arriving, attempt, reason, retry_after);
         }
         let give_up = give_up_time(now, ledger, entry, view, arriving.header.deadline);
         if self.payload_is_too_much(routed) {
             context.count(Counter::TableFull);
-            return self.refuse_arriving(context, arriving, RefusalReason::TableFull, RETRY_AFTER);
+            let reason = RefusalReason::TableFull;
+            return self.refuse_attempt(context, arriving, attempt, reason, RETRY_AFTER);
         }
         let state = RequestState::Queued {
             backend: entry.id,
@@ -197,6 +202,14 @@
             shard: arriving.shard,
             expires: header.deadline.after(skew),
             idempotent: header.idempotent,
+            may_have_run: !matches!(
+                state,
+                RequestState::Refused { .. }
+                    | RequestState::Queued {
+                        attempt: AttemptNumber(0),
+                        ..
+                    }
+            ),
             state,
         };
         let limit = self.requests.limit();
@@ -209,6 +222,37 @@
         Some(QueueEntry { hash, key })
     }
 
+    /// Opens a flow at its server where the request that came with the opening
+    /// waits or was refused. Guards against a flow that its caller was told is
+    /// open while the server has never heard of it: the caller's next datagram
+    /// would find it unknown there, and the session would break.
+    pub(crate) fn open_without_request<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        routed: &RoutedDatagram<'_, '_>,
+        claim: &TokenClaim,
+        request: RequestId,
+    ) {
+        let key = RequestKey {
+            flow: routed.datagram.flow,
+            id: request,
+        };
+        let record = self.requests.get(routed.hash, &key);
+        let reaches_server = record.is_some_and(|record| {
+            !matches!(
+                record.state,
+                RequestState::Queued { .. } | RequestState::Refused { .. }
+            )
+        });
+        if !reaches_server {
+            let bare = CallerDatagram {
+                payload: &[],
+                ..*routed.datagram
+            };
+            caller_datagrams::forward(context, &bare, claim, BackendKind::Open);
+        }
+    }
+
     /// Refuses the request of a datagram for good, or the opening where it
     /// carries none.
     pub(crate) fn refuse_request<S: TrafficSink>(
@@ -237,6 +281,25 @@
         self.refuse_arriving(context, &arriving, reason, RETRY_AFTER);
     }
 
+    /// Refuses an attempt. Where it is not the first one, an earlier one has
+    /// run: what is remembered of that stays, and "not run" is not said.
+    fn refuse_attempt<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        arriving: &ArrivingRequest,
+        attempt: AttemptNumber,
+        reason: RefusalReason,
+        retry_after: time::Duration,
+    ) {
+        match attempt {
+            AttemptNumber(0) => self.refuse_arriving(context, arriving, reason, retry_after),
+            AttemptNumber(_) => {
+                let ArrivingRequest { key, .. } = arriving;
+                context.outcome_unknown(key.flow, key.id, retry_after);
+            }
+        }
+    }
+
     fn refuse_arriving<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
@@ -344,7 +407,7 @@
     now: Timestamp,
     ledger: &ServerLedger,
     entry: &BackendEntry,
-    view: crate::snapshot::BackendView,
+    view: BackendView,
     room: usize,
     key: &RequestKey,
     header: &RequestHeader,
@@ -362,7 +425,7 @@
     now: Timestamp,
     ledger: &ServerLedger,
     entry: &BackendEntry,
-    view: crate::snapshot::BackendView,
+    view: BackendView,
     deadline: Timestamp,
 ) -> Timestamp {
     let expected = ledger.expected_wait(now, entry, view);
@@ -381,7 +444,7 @@
         domain: claim.domain,
         address: claim.address,
         slots: UNLISTED_SLOTS,
-        connections: cardamomwinch_state::prelude::ConnectionCount::MAX,
+        connections: ConnectionCount::MAX,
         weight: Weight::ZERO,
         phase: BackendPhase::Draining,
     }
--- a/examples/whole_path.rs
+++ b/examples/whole_path.rs
@@ -34,6 +34,7 @@
     println!("starting the processes of the Budapest deployment");
     let plan = DeploymentPlan::budapest(2);
     let deployment = Deployment::start(plan, programs.clone(), READY_LIMIT).await?;
+    deployment.wait_until_homes_agree(READY_LIMIT).await?;
     let count = deployment.hosts.len();
     println!("{count} entry hosts are ready; every datagram goes to another one in turn");
     println!();
