Keep a part of the request table for flows that are open

Ruled out: refusing the flood without a record. A copy of such a request could run later, so that "not run" would be no promise.

Change: what is remembered knows whether it opens its flow, whatever state it is in. Tests of slots: shares of flows, cold servers, load reports that lag or lie, sheds, lost copies of answers, the retry budget.

--- a/crates/cardamomwinch_coordination/src/traffic/serving.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/serving.rs
@@ -42,6 +42,7 @@
     hash: FlowHash,
     shard: ShardId,
     header: RequestHeader,
+    kind: CallerKind,
 }
 
 impl TrafficEngine {
@@ -157,7 +158,7 @@
             attempt,
             held: held(routed, arriving.header),
         };
-        if let Some(queued) = self.remember(context, arriving, routed.datagram.kind, state) {
+        if let Some(queued) = self.remember(context, arriving, state) {
             self.ledgers.of(entry.id).queue.push_back(WaitingRequest {
                 entry: queued,
                 not_before: now,
@@ -191,7 +192,6 @@
         &mut self,
         context: &mut EventContext<'_, S>,
         arriving: &ArrivingRequest,
-        kind: CallerKind,
         state: RequestState,
     ) -> Option<QueueEntry> {
         let ArrivingRequest {
@@ -213,7 +213,8 @@
             state,
         };
         let limit = self.requests.limit();
-        let reserved = kind == CallerKind::Open && self.requests.len() >= limit - limit / 4;
+        let opens = arriving.kind == CallerKind::Open;
+        let reserved = opens && self.requests.len() >= limit - limit / 4;
         if reserved || self.requests.insert(hash, key, record).is_err() {
             context.count(Counter::TableFull);
             context.outcome_unknown(key.flow, key.id, RETRY_AFTER);
@@ -274,6 +275,7 @@
             hash: routed.hash,
             shard,
             header,
+            kind: routed.datagram.kind,
         };
         if self.requests.get(routed.hash, &arriving.key).is_some() {
             return self.repeat_known(context, &arriving);
@@ -308,8 +310,7 @@
         retry_after: time::Duration,
     ) {
         let state = RequestState::Refused { reason };
-        let kind = CallerKind::Carry;
-        if self.remember(context, arriving, kind, state).is_some() {
+        if self.remember(context, arriving, state).is_some() {
             let ArrivingRequest { key, .. } = arriving;
             context.refuse(key.flow, Some(key.id), reason, retry_after);
         }
@@ -398,6 +399,7 @@
         hash: routed.hash,
         shard: resolve::shard_of(context.snapshot, claim),
         header,
+        kind: routed.datagram.kind,
     }
 }
 
