--- a/crates/cardamomwinch_coordination/tests/admission_slots.rs
+++ b/crates/cardamomwinch_coordination/tests/admission_slots.rs
@@ -224,7 +224,6 @@
     }
     runs(&mut bench);
     let mut served = 0;
-    let mut number = 10;
     bench.pass_ms(600);
     let ledger = bench.engine.ledgers().get(bench.server()).unwrap();
     assert_eq!(ledger.busy(), 2);
@@ -232,23 +231,16 @@
     let header = bench.header(9, true, 9000);
     bench.ask(1, token, header);
     assert_eq!(runs(&mut bench).len(), 0);
-    let stuck = Sent {
-        flow: flow(1),
-        backend: bench.server(),
-        kind: BackendKind::Carry,
-        request: None,
-        payload: Vec::new(),
-    };
     let kind = BackendReplyKind::Answer {
         request: request(0),
         attempt: AttemptNumber(0),
         part: PartNumber::WHOLE,
         payload: b"",
     };
-    bench.reply(1, stuck.backend, kind);
-    for _ in 0..20 {
+    let server = bench.server();
+    bench.reply(1, server, kind);
+    for number in 10..30 {
         let header = bench.header(number, true, 9000);
-        number += 1;
         bench.ask(1, token, header);
         bench.pass_ms(50);
         let sent = runs(&mut bench);
