Let the home of a server judge its health, and keep new flows from bad ones

Cause: load reports were taken in and thrown away, and nobody asked for any. A server that said it drained went on getting new flows; so did one that had fallen silent; a new or returned one got all of its slots at once.

Ruled out: every host asking every endpoint (3,200 questions a second for each server at the size to come); believing the endpoint before the traffic; ejecting by a count of failures alone, which in a cut ejects every server; agreeing among homes on how many are ejected: each server has one home, so that half of each home's own servers is at most half of all.

Change: control/health asks the endpoints of servers whose shard this host holds, about once a second and out of step, and takes in what the traffic threads see, gathered over 250 ms. Silence of one server while others of its domain answer ejects it, with a time out that doubles; silence of all ejects none. Draining reports stop new flows at once. New and returned servers warm up over 15 s. Each turn is a decision line and a counter.

Thin: a home that has only one server of a service in the domain never ejects it.

--- a/crates/cardamomwinch_coordination/src/control/event.rs
+++ b/crates/cardamomwinch_coordination/src/control/event.rs
@@ -6,6 +6,8 @@
 use cardamomwinch_protocol::prelude::{LoadReport, PeerEnvelope};
 use cardamomwinch_state::prelude::BackendId;
 
+use crate::control::health::observation::BackendObservation;
+
 /// A key of the platform's configuration service.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum PlatformKey {
@@ -89,6 +91,8 @@
         /// What it answered.
         result: Result<LoadReport, LoadFailure>,
     },
+    /// Traffic threads saw this of backend servers.
+    Observed(Vec<BackendObservation>),
     /// The host is to stop gracefully.
     Stop,
 }
--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/control/health/asking.rs
@@ -0,0 +1,83 @@
+//! When the load endpoint of a server is asked.
+
+use std::time;
+
+use cardamomwinch_state::flow;
+use cardamomwinch_state::prelude::{BackendId, Timestamp};
+
+/// How often an endpoint is asked.
+const ASK_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// Each interval is longer or shorter by up to one part in this many, so that
+/// homes do not ask in step.
+const JITTER_PARTS: u32 = 8;
+/// The longest interval while a server is ejected.
+const LONGEST_INTERVAL: time::Duration = time::Duration::from_secs(30);
+
+/// The schedule of one server's questions.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct AskSchedule {
+    next: Timestamp,
+    interval: time::Duration,
+    seed: u64,
+    open: bool,
+    backs_off: bool,
+    /// Questions in a row that were not answered.
+    pub(crate) failures: u32,
+}
+
+impl AskSchedule {
+    pub(crate) fn new(now: Timestamp, backend: BackendId) -> Self {
+        Self {
+            next: now,
+            interval: ASK_INTERVAL,
+            seed: backend.get(),
+            open: false,
+            backs_off: false,
+            failures: 0,
+        }
+    }
+
+    /// Whether the endpoint is to be asked now; notes that it is.
+    pub(crate) fn ask_if_due(&mut self, now: Timestamp) -> bool {
+        if now < self.next {
+            return false;
+        }
+        // A question that was never answered at all counts as failed.
+        self.failures += u32::from(self.open);
+        self.open = true;
+        self.next = now.after(self.jittered());
+        if self.backs_off {
+            self.interval = (self.interval * 2).min(LONGEST_INTERVAL);
+        }
+        true
+    }
+
+    fn jittered(&mut self) -> time::Duration {
+        self.seed = flow::mix(self.seed.wrapping_add(1));
+        let part = self.interval / JITTER_PARTS;
+        let spread = (self.seed % 512) as u32;
+        self.interval - part + part * spread / 256
+    }
+
+    pub(crate) fn note_answer(&mut self) {
+        self.open = false;
+        self.failures = 0;
+    }
+
+    pub(crate) fn note_failure(&mut self) {
+        self.open = false;
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    /// Asks at intervals that double, because the server is ejected.
+    pub(crate) fn back_off(&mut self) {
+        self.backs_off = true;
+    }
+
+    /// Asks as often as usual.
+    pub(crate) fn resume(&mut self, now: Timestamp) {
+        self.backs_off = false;
+        self.interval = ASK_INTERVAL;
+        self.next = self.next.min(now.after(ASK_INTERVAL));
+    }
+}
--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/control/health/mod.rs
@@ -0,0 +1,304 @@
+//! Health of the backend servers that this host is the home of. Only the home
+//! asks a server's load endpoint, and only the home sees all of its traffic, so
+//! that nobody else needs to know.
+//!
+//! Endpoint and traffic may both mislead; what the home sees itself goes first.
+//! A server that answers requests is well, whatever its endpoint says. One that
+//! leaves requests without a word, while others of its failure domain answer,
+//! is ejected: it gets no new flows, but keeps those it has. Where no server of
+//! a domain answers the fault lies between here and there, and none is ejected.
+
+pub(crate) mod asking;
+pub mod observation;
+pub(crate) mod server;
+pub(crate) mod warmth;
+
+use std::net;
+use std::time;
+
+use cardamomwinch_protocol::prelude::LoadReport;
+use cardamomwinch_state::prelude::{
+    BackendEntry, BackendId, DomainId, InForceConfiguration, ServiceId, ShardId, SortedVector,
+    Timestamp,
+};
+
+use crate::control::event::LoadFailure;
+use crate::control::health::observation::BackendObservation;
+use crate::control::health::server::{HealthState, ServerHealth};
+use crate::control::health::warmth::ColdServers;
+use crate::snapshot::{BackendView, ShardView};
+
+/// How often it is looked up which servers this host is the home of.
+const FOLLOW_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
+/// Which way a server's health went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HealthTurn {
+    /// It gets no new flows, because it seems to fail.
+    Ejected,
+    /// It gets new flows again, slowly.
+    Returned,
+    /// It says that it drains, and gets no new flows.
+    Draining,
+    /// It does not say so any more.
+    DrainingEnded,
+}
+
+/// A change of one server's health.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HealthChange {
+    /// The server.
+    pub backend: BackendId,
+    /// Its service.
+    pub service: ServiceId,
+    /// Its shard.
+    pub shard: ShardId,
+    /// Which way its health went.
+    pub turn: HealthTurn,
+}
+
+/// A load endpoint that is to be asked now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadQuestion {
+    /// The server.
+    pub backend: BackendId,
+    /// Where the endpoint is.
+    pub address: net::SocketAddr,
+}
+
+/// The health of the servers that this host is the home of.
+#[derive(Debug, Default)]
+pub struct HealthTable {
+    servers: SortedVector<BackendId, ServerHealth>,
+    cold: ColdServers,
+    next_follow: Timestamp,
+}
+
+impl HealthTable {
+    /// Takes note that `next` comes into force after `earlier`: servers that
+    /// are new in it are cold.
+    pub fn note_configuration(
+        &mut self,
+        now: Timestamp,
+        earlier: &InForceConfiguration,
+        next: &InForceConfiguration,
+    ) {
+        self.next_follow = now;
+        if earlier.backends.is_empty() {
+            // This host itself is new; the servers are not.
+            return;
+        }
+        for backend in next.backends.keys() {
+            if !earlier.backends.contains_key(backend) {
+                self.cold.note(now, *backend);
+            }
+        }
+    }
+
+    /// Follows the servers whose shards this host holds by its own lease, and
+    /// no others. Looking through all of them costs time, so that it is done
+    /// only every so often.
+    pub fn follow(
+        &mut self,
+        now: Timestamp,
+        configuration: &InForceConfiguration,
+        shards: &SortedVector<ShardId, ShardView>,
+    ) {
+        if now < self.next_follow {
+            return;
+        }
+        self.next_follow = now.after(FOLLOW_INTERVAL);
+        let count = configuration.limits.shards_per_domain;
+        let is_home = |entry: &BackendEntry| {
+            let view = shards.get(&entry.shard(count));
+            let lease = view.and_then(|view| view.lease);
+            lease.is_some_and(|lease| now < lease.held_until)
+        };
+        self.servers
+            .retain(|id, _| configuration.backends.get(id).is_some_and(is_home));
+        for entry in configuration.backends.values() {
+            if is_home(entry) {
+                self.servers
+                    .get_or_insert_with(entry.id, || ServerHealth::new(now, entry.id));
+            }
+        }
+    }
+
+    /// The load endpoints that are to be asked now.
+    pub fn due_questions(
+        &mut self,
+        now: Timestamp,
+        configuration: &InForceConfiguration,
+    ) -> Vec<LoadQuestion> {
+        let mut questions = Vec::new();
+        for (backend, server) in self.servers.iter_mut() {
+            let entry = configuration.backends.get(backend);
+            if let Some(entry) = entry.filter(|_| server.asking.ask_if_due(now)) {
+                questions.push(LoadQuestion {
+                    backend: *backend,
+                    address: entry.address,
+                });
+            }
+        }
+        questions
+    }
+
+    /// Takes in what a load endpoint answered.
+    pub fn take_load(
+        &mut self,
+        now: Timestamp,
+        backend: BackendId,
+        result: Result<LoadReport, LoadFailure>,
+    ) {
+        if let Some(server) = self.servers.get_mut(&backend) {
+            server.take_load(now, result);
+        }
+    }
+
+    /// Takes in what traffic threads saw.
+    pub fn take_observations(&mut self, now: Timestamp, observations: &[BackendObservation]) {
+        for observation in observations {
+            if let Some(server) = self.servers.get_mut(&observation.backend) {
+                server.take_observation(now, observation);
+            }
+        }
+    }
+
+    /// Judges all servers anew and returns what has changed.
+    pub fn review(
+        &mut self,
+        now: Timestamp,
+        configuration: &InForceConfiguration,
+    ) -> Vec<HealthChange> {
+        let mut changes = Vec::new();
+        self.cold.forget_warm(now);
+        self.note_draining(configuration, &mut changes);
+        self.return_well(now, configuration, &mut changes);
+        self.eject_failing(now, configuration, &mut changes);
+        changes
+    }
+
+    fn note_draining(
+        &mut self,
+        configuration: &InForceConfiguration,
+        changes: &mut Vec<HealthChange>,
+    ) {
+        for (backend, server) in self.servers.iter_mut() {
+            let turn = match (server.draining, server.told_draining) {
+                (true, false) => HealthTurn::Draining,
+                (false, true) => HealthTurn::DrainingEnded,
+                _ => continue,
+            };
+            server.told_draining = server.draining;
+            changes.extend(change(configuration, *backend, turn));
+        }
+    }
+
+    fn return_well(
+        &mut self,
+        now: Timestamp,
+        configuration: &InForceConfiguration,
+        changes: &mut Vec<HealthChange>,
+    ) {
+        for (backend, server) in self.servers.iter_mut() {
+            if server.return_if_well(now) {
+                self.cold.note(now, *backend);
+                changes.extend(change(configuration, *backend, HealthTurn::Returned));
+            }
+        }
+    }
+
+    /// Guards against ejecting servers that are well: where a whole failure
+    /// domain is silent the network is cut, and where many servers of a service
+    /// seem to fail at once the fault is more likely in what they share.
+    fn eject_failing(
+        &mut self,
+        now: Timestamp,
+        configuration: &InForceConfiguration,
+        changes: &mut Vec<HealthChange>,
+    ) {
+        for backend in self.failing(now) {
+            let Some(entry) = configuration.backends.get(&backend) else {
+                continue;
+            };
+            let answered = self.domain_answers(now, configuration, entry.domain);
+            if !answered || !self.may_eject(configuration, entry) {
+                continue;
+            }
+            if let Some(server) = self.servers.get_mut(&backend) {
+                server.eject(now);
+                changes.extend(change(configuration, backend, HealthTurn::Ejected));
+            }
+        }
+    }
+
+    fn failing(&self, now: Timestamp) -> Vec<BackendId> {
+        let servers = self.servers.iter();
+        let failing = servers
+            .filter(|(_, server)| !server.is_ejected())
+            .filter(|(_, server)| server.is_failing(now));
+        failing.map(|(backend, _)| *backend).collect()
+    }
+
+    fn domain_answers(
+        &self,
+        now: Timestamp,
+        configuration: &InForceConfiguration,
+        domain: DomainId,
+    ) -> bool {
+        self.servers.iter().any(|(backend, server)| {
+            let entry = configuration.backends.get(backend);
+            entry.is_some_and(|entry| entry.domain == domain) && server.is_answering(now)
+        })
+    }
+
+    /// Whether one more server of the same service and failure domain may be
+    /// ejected: at most half of those that this host is the home of. As each
+    /// server has one home, at most half of all of them are ejected, without
+    /// the homes having to agree, and never the last one.
+    fn may_eject(&self, configuration: &InForceConfiguration, entry: &BackendEntry) -> bool {
+        let mut all = 0;
+        let mut ejected = 0;
+        for (backend, server) in self.servers.iter() {
+            let other = configuration.backends.get(backend);
+            let alike = other
+                .is_some_and(|held| held.service == entry.service && held.domain == entry.domain);
+            all += usize::from(alike);
+            ejected += usize::from(alike && server.is_ejected());
+        }
+        (ejected + 1) * 2 <= all
+    }
+
+    /// What traffic is to know of each server.
+    pub fn views(&self, now: Timestamp) -> SortedVector<BackendId, BackendView> {
+        let mut views: SortedVector<BackendId, BackendView> = SortedVector::new();
+        for (backend, warm_percent) in self.cold.percents(now) {
+            let view = BackendView {
+                warm_percent,
+                ..BackendView::default()
+            };
+            views.insert(backend, view);
+        }
+        for (backend, server) in self.servers.iter() {
+            let view = views.get_or_insert_with(*backend, BackendView::default);
+            view.ejected = matches!(server.state, HealthState::Ejected { .. });
+            view.draining = server.draining;
+            view.report = server.report;
+        }
+        views
+    }
+}
+
+fn change(
+    configuration: &InForceConfiguration,
+    backend: BackendId,
+    turn: HealthTurn,
+) -> Option<HealthChange> {
+    let entry = configuration.backends.get(&backend)?;
+    Some(HealthChange {
+        backend,
+        service: entry.service,
+        shard: entry.shard(configuration.limits.shards_per_domain),
+        turn,
+    })
+}
--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/control/health/server.rs
@@ -0,0 +1,163 @@
+//! The health of one server.
+
+use std::time;
+
+use cardamomwinch_protocol::prelude::LoadReport;
+use cardamomwinch_state::prelude::{BackendId, Timestamp};
+
+use crate::control::event::LoadFailure;
+use crate::control::health::asking::AskSchedule;
+use crate::control::health::observation::BackendObservation;
+use crate::snapshot::ReportedLoad;
+
+/// A server is failing after it was silent for this long.
+const SILENT_FOR: time::Duration = time::Duration::from_secs(2);
+/// A sign of life counts for this long.
+const ALIVE_FOR: time::Duration = time::Duration::from_millis(2500);
+/// This many requests without a word show that a server whose endpoint answers
+/// fails all the same.
+const UNANSWERED_LIMIT: u32 = 2;
+/// An endpoint is silent after this many questions without an answer.
+const FAILURE_LIMIT: u32 = 3;
+/// How long a server is ejected at least, the first time.
+const FIRST_EJECTION: time::Duration = time::Duration::from_secs(2);
+/// How long a server is ejected at least, after many times.
+const LONGEST_EJECTION: time::Duration = time::Duration::from_secs(30);
+/// A server that has been well for this long is ejected like the first time.
+const FORGIVEN_AFTER: time::Duration = time::Duration::from_secs(60);
+
+/// Whether a server gets new flows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum HealthState {
+    /// It does.
+    Serving,
+    /// It does not.
+    Ejected {
+        /// Since when.
+        since: Timestamp,
+        /// It is not taken back before this point.
+        until: Timestamp,
+    },
+}
+
+/// What is known about one server.
+#[derive(Debug, Clone)]
+pub(crate) struct ServerHealth {
+    pub(crate) state: HealthState,
+    pub(crate) asking: AskSchedule,
+    pub(crate) report: Option<ReportedLoad>,
+    /// Whether the server said last that it drains. This holds on while the
+    /// endpoint is silent: a server that leaves often ends with silence.
+    pub(crate) draining: bool,
+    /// Whether that was logged.
+    pub(crate) told_draining: bool,
+    says_unhealthy: bool,
+    /// When its endpoint last answered.
+    last_report: Timestamp,
+    /// When it last answered or shed a request.
+    last_answer: Timestamp,
+    /// Since when requests are without a word.
+    silent_since: Option<Timestamp>,
+    /// How many there are.
+    unanswered: u32,
+    ejection: time::Duration,
+    ejection_ended: Timestamp,
+}
+
+impl ServerHealth {
+    /// A server that is taken to be well from `now` on.
+    pub(crate) fn new(now: Timestamp, backend: BackendId) -> Self {
+        Self {
+            state: HealthState::Serving,
+            asking: AskSchedule::new(now, backend),
+            report: None,
+            draining: false,
+            told_draining: false,
+            says_unhealthy: false,
+            last_report: Timestamp::ZERO,
+            last_answer: Timestamp::ZERO,
+            silent_since: None,
+            unanswered: 0,
+            ejection: FIRST_EJECTION,
+            ejection_ended: Timestamp::ZERO,
+        }
+    }
+
+    pub(crate) fn take_load(&mut self, now: Timestamp, result: Result<LoadReport, LoadFailure>) {
+        let Ok(load) = result else {
+            return self.asking.note_failure();
+        };
+        self.asking.note_answer();
+        self.last_report = now;
+        self.says_unhealthy = !load.healthy;
+        self.draining = load.draining;
+        self.report = Some(ReportedLoad {
+            made: now,
+            busy_slots: load.busy_slots,
+        });
+    }
+
+    pub(crate) fn take_observation(&mut self, now: Timestamp, observation: &BackendObservation) {
+        if observation.answers + observation.sheds > 0 {
+            self.last_answer = now;
+        }
+        let silent = observation.unanswered > 0;
+        self.silent_since = silent.then(|| now.before(observation.silent_for));
+        self.unanswered = observation.unanswered;
+    }
+
+    pub(crate) fn is_ejected(&self) -> bool {
+        matches!(self.state, HealthState::Ejected { .. })
+    }
+
+    /// Whether the server shows no life where it should. What traffic shows
+    /// goes first: an endpoint may fail, or call itself unhealthy, while the
+    /// server works; and it may call itself well while requests get no word.
+    pub(crate) fn is_failing(&self, now: Timestamp) -> bool {
+        if now.since(self.last_answer) < SILENT_FOR {
+            return false;
+        }
+        let silent = self
+            .silent_since
+            .is_some_and(|since| now.since(since) > SILENT_FOR);
+        // One request may simply take long, where the endpoint answers.
+        let reported = now.since(self.last_report) < ALIVE_FOR;
+        let traffic = silent && (self.unanswered >= UNANSWERED_LIMIT || !reported);
+        traffic || self.asking.failures >= FAILURE_LIMIT || self.says_unhealthy
+    }
+
+    /// Whether the server showed life a moment ago.
+    pub(crate) fn is_answering(&self, now: Timestamp) -> bool {
+        let last = self.last_answer.max(self.last_report);
+        now.since(last) < ALIVE_FOR && !self.is_failing(now)
+    }
+
+    pub(crate) fn eject(&mut self, now: Timestamp) {
+        if now.since(self.ejection_ended) > FORGIVEN_AFTER {
+            self.ejection = FIRST_EJECTION;
+        }
+        self.state = HealthState::Ejected {
+            since: now,
+            until: now.after(self.ejection),
+        };
+        self.asking.back_off();
+        self.ejection = (self.ejection * 2).min(LONGEST_EJECTION);
+    }
+
+    /// Takes the server back where it has shown life since it was ejected. The
+    /// time out doubles with each ejection, so that a server whose endpoint
+    /// answers while its requests do not is tried ever more rarely.
+    pub(crate) fn return_if_well(&mut self, now: Timestamp) -> bool {
+        let HealthState::Ejected { since, until } = self.state else {
+            return false;
+        };
+        let life = self.last_answer.max(self.last_report);
+        if now < until || life <= since || !self.is_answering(now) {
+            return false;
+        }
+        self.state = HealthState::Serving;
+        self.ejection_ended = now;
+        self.asking.resume(now);
+        true
+    }
+}
--- a/crates/cardamomwinch_coordination/src/control/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/mod.rs
@@ -4,6 +4,7 @@
 pub mod adoption;
 pub mod effect;
 pub mod event;
+pub mod health;
 pub mod homes;
 pub mod membership;
 pub(crate) mod publication;
@@ -22,6 +23,7 @@
 use crate::control::adoption::{AdoptionOutcome, ConfigurationAdoption};
 use crate::control::effect::{ControlEffect, ControlSink};
 use crate::control::event::{ControlEvent, PlatformOutcome, PlatformRequest};
+use crate::control::health::{HealthChange, HealthTable, HealthTurn};
 use crate::control::homes::HomeTable;
 use crate::control::membership::PeerMembership;
 use crate::control::publication::SnapshotPublisher;
@@ -38,6 +40,7 @@
     adoption: ConfigurationAdoption,
     membership: PeerMembership,
     homes: HomeTable,
+    health: HealthTable,
     publisher: SnapshotPublisher,
     refused: Vec<RefusedFragment>,
     domain_names: SortedVector<DomainId, String>,
@@ -62,6 +65,7 @@
             adoption: ConfigurationAdoption::default(),
             membership: PeerMembership::default(),
             homes: HomeTable::default(),
+            health: HealthTable::default(),
             publisher: SnapshotPublisher::default(),
             refused: Vec::new(),
             domain_names: SortedVector::new(),
@@ -122,7 +126,13 @@
             ControlEvent::Tick => self.tick(now, sink),
             ControlEvent::Peer(envelope) => self.take_peer(now, &envelope, sink),
             ControlEvent::Platform(outcome) => self.take_platform(now, outcome, sink),
-            ControlEvent::Load { .. } => {}
+            ControlEvent::Load { backend, result } => {
+                self.health.take_load(now, backend, result);
+                self.review_health(now, sink);
+            }
+            ControlEvent::Observed(observations) => {
+                self.health.take_observations(now, &observations);
+            }
             ControlEvent::Stop => {
                 self.phase = ServingPhase::Stopping;
                 self.publish(now, sink);
@@ -147,9 +157,51 @@
             let message = MembershipMessage::Ping { digest };
             self.send(host, PeerMessage::Membership(message), sink);
         }
+        self.ask_loads(now, sink);
+        self.review_health(now, sink);
+        self.publish(now, sink);
+    }
+
+    fn ask_loads<S: ControlSink>(&mut self, now: Timestamp, sink: &mut S) {
+        let configuration = self.publisher.configuration();
+        self.health.follow(now, configuration, self.homes.shards());
+        for question in self.health.due_questions(now, configuration) {
+            sink.emit(ControlEffect::AskLoad {
+                backend: question.backend,
+                address: question.address,
+            });
+        }
+    }
+
+    /// Judges the servers anew; what changed is in force at once.
+    fn review_health<S: ControlSink>(&mut self, now: Timestamp, sink: &mut S) {
+        let changes = self.health.review(now, self.publisher.configuration());
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            sink.emit(ControlEffect::Count(match change.turn {
+                HealthTurn::Ejected => Counter::BackendEjected,
+                HealthTurn::Returned => Counter::BackendReturned,
+                HealthTurn::Draining => Counter::BackendDraining,
+                HealthTurn::DrainingEnded => Counter::BackendDrainingEnded,
+            }));
+            let record = self.health_record(now, change);
+            sink.emit(ControlEffect::Decide(record));
+        }
         self.publish(now, sink);
     }
 
+    fn health_record(&self, now: Timestamp, change: HealthChange) -> DecisionRecord {
+        DecisionRecord {
+            reason: DecisionReason::BackendHealth,
+            service: Some(change.service),
+            backend: Some(change.backend),
+            shard: Some(change.shard),
+            ..self.adopted_record(now)
+        }
+    }
+
     fn send<S: ControlSink>(&mut self, host: HostId, message: PeerMessage, sink: &mut S) {
         let Some(entry) = self.adoption.hosts().get(host) else {
             return;
@@ -224,6 +276,9 @@
             AdoptionOutcome::Configuration(resolution) => {
                 self.refused = resolution.refused;
                 self.domain_names = resolution.domain_names.clone();
+                let earlier = self.publisher.configuration();
+                self.health
+                    .note_configuration(now, earlier, &resolution.configuration);
                 self.publisher
                     .adopt(resolution.configuration, resolution.domain_names);
                 let record = self.adopted_record(now);
@@ -259,7 +314,7 @@
         let configuration = self.publisher.configuration();
         self.homes
             .choose(now, self.identity, configuration, hosts, &self.membership);
-        let snapshot = self.publisher.make(
+        let mut snapshot = self.publisher.make(
             now,
             self.identity,
             self.phase,
@@ -267,6 +322,7 @@
             &self.homes,
             &self.membership,
         );
+        snapshot.backends = self.health.views(now);
         sink.emit(ControlEffect::Publish(sync::Arc::new(snapshot)));
     }
 }
--- a/crates/cardamomwinch_coordination/src/counter.rs
+++ b/crates/cardamomwinch_coordination/src/counter.rs
@@ -59,6 +59,14 @@
     RequestLate => "requests_late",
     /// Requests and openings shed by a backend server.
     BackendShed => "backend_sheds",
+    /// Backend servers kept from new flows because they seem to fail.
+    BackendEjected => "backend_ejections",
+    /// Backend servers that get new flows again.
+    BackendReturned => "backend_returns",
+    /// Backend servers that have begun to say that they drain.
+    BackendDraining => "backend_drains",
+    /// Backend servers that do not say any more that they drain.
+    BackendDrainingEnded => "backend_drain_ends",
     /// Entries refused because a table holds its limit.
     TableFull => "table_full",
     /// Times a thread found that it had slept.
--- a/crates/cardamomwinch_coordination/src/host_engine.rs
+++ b/crates/cardamomwinch_coordination/src/host_engine.rs
@@ -28,7 +28,8 @@
 /// Something that a host is to do.
 #[derive(Debug, Clone)]
 pub enum HostEffect<'a> {
-    /// From control. Snapshots are taken over by the engine itself.
+    /// From control. Snapshots, and what traffic observes, are taken over by
+    /// the engine itself.
     Control(ControlEffect),
     /// From traffic.
     Traffic(TrafficEffect<'a>),
@@ -105,10 +106,24 @@
     pub fn handle<S: HostSink>(&mut self, now: Timestamp, event: HostEvent<'_>, sink: &mut S) {
         match event {
             HostEvent::Control(event) => self.handle_control(now, event, sink),
-            HostEvent::Traffic(event) => {
-                let mut emit = |effect: TrafficEffect<'_>| sink.emit(HostEffect::Traffic(effect));
-                self.traffic.handle(now, &self.snapshot, event, &mut emit);
-            }
+            HostEvent::Traffic(event) => self.handle_traffic(now, event, sink),
+        }
+    }
+
+    fn handle_traffic<S: HostSink>(
+        &mut self,
+        now: Timestamp,
+        event: TrafficEvent<'_>,
+        sink: &mut S,
+    ) {
+        let mut observed = Vec::new();
+        let mut emit = |effect: TrafficEffect<'_>| match effect {
+            TrafficEffect::Observe(observations) => observed = observations,
+            effect => sink.emit(HostEffect::Traffic(effect)),
+        };
+        self.traffic.handle(now, &self.snapshot, event, &mut emit);
+        if !observed.is_empty() {
+            self.handle_control(now, ControlEvent::Observed(observed), sink);
         }
     }
 
--- a/crates/cardamomwinch_coordination/src/traffic/effect.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/effect.rs
@@ -5,6 +5,7 @@
 use cardamomwinch_protocol::prelude::{BackendDatagram, CallerReply, RelayEnvelope};
 use cardamomwinch_state::prelude::HostId;
 
+use crate::control::health::observation::BackendObservation;
 use crate::counter::Counter;
 use crate::decision::DecisionRecord;
 
@@ -37,6 +38,8 @@
         /// The datagram.
         envelope: RelayEnvelope<'a>,
     },
+    /// Tell control what backend servers did.
+    Observe(Vec<BackendObservation>),
     /// Log a decision.
     Decide(DecisionRecord),
     /// Count something.
--- a/crates/cardamomwinch_coordination/src/traffic/ledger.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/ledger.rs
@@ -82,8 +82,6 @@
     pub answers: u32,
     /// Requests and openings shed.
     pub sheds: u32,
-    /// Requests that the server left without a word for longer than usual.
-    pub silences: u32,
 }
 
 impl ServerLedger {
@@ -226,7 +224,6 @@
         for slot in &mut self.running {
             if !slot.overdue && now.since(slot.progress) > timeout {
                 slot.overdue = true;
-                self.unreported.silences += 1;
                 late.push(*slot);
             }
             // A server that says nothing at all may be stuck with everything it
@@ -273,6 +270,11 @@
         self.ledgers.retain(|backend, _| keep(*backend));
     }
 
+    /// All ledgers, to be changed.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (&BackendId, &mut ServerLedger)> {
+        self.ledgers.iter_mut()
+    }
+
     /// All ledgers.
     pub fn iter(&self) -> impl Iterator<Item = (&BackendId, &ServerLedger)> {
         self.ledgers.iter()
--- a/crates/cardamomwinch_coordination/src/traffic/mod.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/mod.rs
@@ -8,6 +8,7 @@
 pub mod event;
 pub(crate) mod giving_up;
 pub mod ledger;
+pub(crate) mod observing;
 pub(crate) mod opening;
 pub mod pins;
 pub(crate) mod replies;
@@ -52,6 +53,7 @@
     pub(crate) ledgers: ServerLedgers,
     pub(crate) retry_budgets: RetryBudgets,
     pub(crate) sweep_position: usize,
+    pub(crate) next_observation: Timestamp,
     last_event: Timestamp,
     slept_until: Option<Timestamp>,
 }
@@ -73,6 +75,7 @@
             ledgers: ServerLedgers::default(),
             retry_budgets: RetryBudgets::default(),
             sweep_position: 0,
+            next_observation: Timestamp::ZERO,
             last_event: Timestamp::ZERO,
             slept_until: None,
             bounds,
@@ -120,6 +123,7 @@
     fn tick<S: TrafficSink>(&mut self, context: &mut EventContext<'_, S>) {
         self.review_requests(context);
         self.sweep(context.now);
+        self.observe(context);
     }
 
     fn handle_fabric<S: TrafficSink>(
--- /dev/null
+++ b/crates/cardamomwinch_coordination/tests/health_ejection.rs
@@ -0,0 +1,382 @@
+//! Which servers a home keeps new flows from, and which it must not.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use std::net;
+use std::time;
+
+use cardamomwinch_coordination::control::event::LoadFailure;
+use cardamomwinch_coordination::control::health::observation::BackendObservation;
+use cardamomwinch_coordination::control::health::{HealthChange, HealthTable, HealthTurn};
+use cardamomwinch_coordination::prelude::*;
+use cardamomwinch_coordination::snapshot::ShardView;
+use cardamomwinch_protocol::prelude::*;
+use cardamomwinch_state::prelude::*;
+
+const START: Timestamp = Timestamp::new(1_000_000_000_000);
+const STEP: time::Duration = time::Duration::from_millis(250);
+const WELL: LoadReport = LoadReport {
+    busy_slots: 0,
+    connections: 0,
+    healthy: true,
+    draining: false,
+};
+
+/// How a server of the test behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Conduct {
+    /// Endpoint and requests are answered.
+    Well,
+    /// Nothing is answered.
+    Silent,
+    /// The endpoint answers and says that all is well; requests do not.
+    OnlyEndpoint,
+    /// Requests are answered; the endpoint does not.
+    OnlyTraffic,
+    /// Both are answered, but the endpoint says that it is ill.
+    CallsItselfIll,
+    /// Both are answered, and the endpoint says that it drains.
+    Drains,
+}
+
+struct Bench {
+    table: HealthTable,
+    configuration: InForceConfiguration,
+    shards: SortedVector<ShardId, ShardView>,
+    now: Timestamp,
+    conduct: Vec<Conduct>,
+    questions: Vec<usize>,
+    /// When each server last answered a request, or had none.
+    answered: Vec<Timestamp>,
+    changes: Vec<HealthChange>,
+    ejections: Vec<Timestamp>,
+}
+
+fn domain() -> DomainId {
+    DomainId::from_name("bud-csepel")
+}
+
+fn service() -> ServiceId {
+    ServiceId::from_name("benchmark-desk")
+}
+
+fn server(index: u16) -> BackendEntry {
+    let address = net::SocketAddr::from(([10, 1, 0, 1], 9000 + index));
+    let name = format!("bd-{index}");
+    BackendEntry {
+        id: BackendId::from_role(service(), &name, address),
+        name,
+        service: service(),
+        domain: domain(),
+        address,
+        slots: SlotCount::new(2),
+        connections: ConnectionCount::new(2000),
+        weight: Weight::new(100),
+        phase: BackendPhase::Active,
+    }
+}
+
+fn configuration(servers: u16) -> InForceConfiguration {
+    let limits = ConfigurationLimits {
+        shards_per_domain: 1,
+        ..ConfigurationLimits::default()
+    };
+    InForceConfiguration {
+        version: ConfigurationVersion::new(u64::from(servers)),
+        limits,
+        backends: (0..servers)
+            .map(server)
+            .map(|held| (held.id, held))
+            .collect(),
+        ..InForceConfiguration::default()
+    }
+}
+
+impl Bench {
+    fn new(servers: u16) -> Self {
+        let view = ShardView {
+            home: Some(HostId::from_name("bud-csepel-1")),
+            lease: Some(HomeLease {
+                held_until: Timestamp::MAX,
+                records_since: Timestamp::ZERO,
+            }),
+        };
+        let shard = server(0).shard(1);
+        Self {
+            table: HealthTable::default(),
+            configuration: configuration(servers),
+            shards: [(shard, view)].into_iter().collect(),
+            now: START,
+            conduct: vec![Conduct::Well; usize::from(servers)],
+            questions: vec![0; usize::from(servers)],
+            answered: vec![START; usize::from(servers)],
+            changes: Vec::new(),
+            ejections: Vec::new(),
+        }
+    }
+
+    fn position(&self, backend: BackendId) -> usize {
+        let positions = 0..self.conduct.len();
+        positions
+            .into_iter()
+            .find(|index| server(*index as u16).id == backend)
+            .unwrap()
+    }
+
+    fn step(&mut self) {
+        self.now = self.now.after(STEP);
+        self.table
+            .follow(self.now, &self.configuration, &self.shards);
+        for question in self.table.due_questions(self.now, &self.configuration) {
+            let position = self.position(question.backend);
+            self.questions[position] += 1;
+            let result = match self.conduct[position] {
+                Conduct::Well | Conduct::OnlyEndpoint => Ok(WELL),
+                Conduct::Silent | Conduct::OnlyTraffic => Err(LoadFailure),
+                Conduct::CallsItselfIll => Ok(LoadReport {
+                    healthy: false,
+                    ..WELL
+                }),
+                Conduct::Drains => Ok(LoadReport {
+                    draining: true,
+                    ..WELL
+                }),
+            };
+            self.table.take_load(self.now, question.backend, result);
+        }
+        let observations: Vec<BackendObservation> = (0..self.conduct.len())
+            .map(|index| self.observed(index))
+            .collect();
+        self.table.take_observations(self.now, &observations);
+        let changes = self.table.review(self.now, &self.configuration);
+        let ejected = changes.iter().any(|held| held.turn == HealthTurn::Ejected);
+        self.ejections.extend(ejected.then_some(self.now));
+        self.changes.extend(changes);
+    }
+
+    fn observed(&mut self, index: usize) -> BackendObservation {
+        // A server that is out gets no requests any more that it could leave
+        // without a word.
+        let out = self.ejected().contains(&index);
+        let conduct = self.conduct[index];
+        let answers = !matches!(conduct, Conduct::Silent | Conduct::OnlyEndpoint);
+        if answers || out {
+            self.answered[index] = self.now;
+        }
+        let silent_for = self.now.since(self.answered[index]);
+        BackendObservation {
+            backend: server(index as u16).id,
+            answers: u32::from(answers),
+            sheds: 0,
+            unanswered: if silent_for.is_zero() { 0 } else { 2 },
+            silent_for,
+        }
+    }
+
+    fn pass(&mut self, seconds: u64) {
+        for _ in 0..seconds * 4 {
+            self.step();
+        }
+    }
+
+    fn ejected(&self) -> Vec<usize> {
+        let views = self.table.views(self.now);
+        let ejected = views.iter().filter(|(_, view)| view.ejected);
+        ejected.map(|(id, _)| self.position(*id)).collect()
+    }
+
+    fn warm_percent(&self, index: u16) -> u8 {
+        let views = self.table.views(self.now);
+        views.get(&server(index).id).unwrap().warm_percent
+    }
+
+    fn turns(&self, turn: HealthTurn) -> usize {
+        self.changes.iter().filter(|held| held.turn == turn).count()
+    }
+}
+
+/// One search server hangs while its three neighbours answer. Advisers placed
+/// there wait in vain; it must get no new flows after a few seconds. When it
+/// answers again it is taken back, slowly.
+#[test]
+fn a_silent_server_among_answering_ones_is_ejected_and_returns_slowly() {
+    let mut bench = Bench::new(4);
+    bench.pass(5);
+    assert_eq!(bench.ejected(), Vec::<usize>::new());
+    bench.conduct[1] = Conduct::Silent;
+    bench.pass(5);
+    assert_eq!(bench.ejected(), [1]);
+    bench.conduct[1] = Conduct::Well;
+    let mut percents = Vec::new();
+    for _ in 0..60 {
+        bench.pass(1);
+        if bench.ejected().is_empty() {
+            percents.push(bench.warm_percent(1));
+        }
+    }
+    assert!(percents[0] < 50, "{percents:?}");
+    assert!(percents.is_sorted(), "{percents:?}");
+    assert_eq!(percents.last(), Some(&100));
+    assert_eq!(bench.turns(HealthTurn::Ejected), 1);
+    assert_eq!(bench.turns(HealthTurn::Returned), 1);
+}
+
+/// The network between this host and all servers of the failure domain is cut.
+/// Every server looks dead. Ejecting them would leave nothing to serve with
+/// when the cut heals, so that none is ejected.
+#[test]
+fn a_cut_ejects_nobody() {
+    let mut bench = Bench::new(4);
+    bench.pass(5);
+    bench.conduct = vec![Conduct::Silent; 4];
+    bench.pass(60);
+    assert_eq!(bench.ejected(), Vec::<usize>::new());
+    bench.conduct = vec![Conduct::Well; 4];
+    bench.pass(5);
+    assert_eq!(bench.turns(HealthTurn::Ejected), 0);
+}
+
+/// Three of four servers fail one after the other. Were all three ejected, the
+/// last would get every new flow and fail too.
+#[test]
+fn at_most_half_of_the_servers_are_ejected() {
+    let mut bench = Bench::new(4);
+    bench.pass(5);
+    for index in 0..3 {
+        bench.conduct[index] = Conduct::Silent;
+        bench.pass(10);
+        assert!(bench.ejected().len() <= 2, "{:?}", bench.ejected());
+    }
+    assert_eq!(bench.ejected().len(), 2);
+}
+
+/// A service has a single server here, and it fails. Keeping new flows from it
+/// helps nobody.
+#[test]
+fn the_last_server_is_never_ejected() {
+    let mut bench = Bench::new(1);
+    bench.pass(5);
+    bench.conduct[0] = Conduct::Silent;
+    bench.pass(30);
+    assert_eq!(bench.ejected(), Vec::<usize>::new());
+}
+
+/// A load endpoint fails, or calls its server ill, while the server answers
+/// every request. What the home sees itself goes first.
+#[test]
+fn a_server_that_answers_requests_is_well_whatever_its_endpoint_says() {
+    let mut bench = Bench::new(4);
+    bench.conduct[0] = Conduct::OnlyTraffic;
+    bench.conduct[1] = Conduct::CallsItselfIll;
+    bench.pass(30);
+    assert_eq!(bench.ejected(), Vec::<usize>::new());
+}
+
+/// A server's endpoint says that all is well, while its requests get no word.
+/// It is ejected; its endpoint alone takes it back for a trial, ever more
+/// rarely, so that it does not flap.
+#[test]
+fn a_server_whose_endpoint_misleads_is_tried_ever_more_rarely() {
+    let mut bench = Bench::new(4);
+    bench.pass(5);
+    bench.conduct[2] = Conduct::OnlyEndpoint;
+    let before = bench.questions.clone();
+    bench.pass(130);
+    let times = &bench.ejections;
+    assert!((3..=8).contains(&times.len()), "{times:?}");
+    let gaps: Vec<_> = times
+        .windows(2)
+        .map(|pair| pair[1].since(pair[0]))
+        .collect();
+    assert!(gaps.is_sorted(), "{gaps:?}");
+    assert!(
+        bench.turns(HealthTurn::Returned) >= 2,
+        "{:?}",
+        bench.changes
+    );
+    let asked = |index: usize| bench.questions[index] - before[index];
+    assert!(asked(2) * 4 < asked(1) * 3, "{} of {}", asked(2), asked(1));
+}
+
+/// An operator drains a server by telling the server itself. It says so at its
+/// endpoint, and must get no new flow within three seconds. It then exits, and
+/// its silence must not look like the end of the draining.
+#[test]
+fn a_server_that_says_it_drains_gets_no_new_flow() {
+    let mut bench = Bench::new(2);
+    bench.pass(5);
+    bench.conduct[0] = Conduct::Drains;
+    let told = bench.now;
+    while bench.turns(HealthTurn::Draining) == 0 {
+        bench.step();
+    }
+    assert!(bench.now.since(told) < time::Duration::from_secs(3));
+    assert!(
+        bench
+            .table
+            .views(bench.now)
+            .get(&server(0).id)
+            .unwrap()
+            .draining
+    );
+    bench.conduct[0] = Conduct::Silent;
+    bench.pass(20);
+    assert!(
+        bench
+            .table
+            .views(bench.now)
+            .get(&server(0).id)
+            .unwrap()
+            .draining
+    );
+    assert_eq!(bench.turns(HealthTurn::DrainingEnded), 0);
+}
+
+/// A server joins while the service runs. It starts with a part of its slots;
+/// those that were there before, and those that a host finds when it starts
+/// itself, do not.
+#[test]
+fn a_server_that_joins_starts_slowly() {
+    let mut bench = Bench::new(3);
+    let cold_host = InForceConfiguration::default();
+    bench
+        .table
+        .note_configuration(bench.now, &cold_host, &bench.configuration);
+    bench.pass(1);
+    assert_eq!(bench.warm_percent(0), 100);
+    let next = configuration(4);
+    bench
+        .table
+        .note_configuration(bench.now, &bench.configuration, &next);
+    bench.configuration = next;
+    bench.conduct.push(Conduct::Well);
+    bench.questions.push(0);
+    bench.answered.push(bench.now);
+    bench.pass(1);
+    assert_eq!(bench.warm_percent(0), 100);
+    assert!(bench.warm_percent(3) < 30);
+    bench.pass(20);
+    assert_eq!(bench.warm_percent(3), 100);
+}
+
+/// Each endpoint is asked by the one home of its server, once a second and out
+/// of step; a host that loses the lease stops asking. Were all hosts to ask,
+/// each server would be asked three thousand times a second.
+#[test]
+fn only_the_home_asks_and_about_once_a_second() {
+    let mut bench = Bench::new(6);
+    bench.pass(60);
+    for asked in &bench.questions {
+        assert!((50..=70).contains(asked), "{:?}", bench.questions);
+    }
+    let shard = server(0).shard(1);
+    let elsewhere = ShardView {
+        home: Some(HostId::from_name("bud-csepel-2")),
+        lease: None,
+    };
+    bench.shards.insert(shard, elsewhere);
+    bench.pass(1);
+    let before = bench.questions.clone();
+    bench.pass(10);
+    assert_eq!(bench.questions, before);
+}
--- a/crates/cardamomwinch_daemon/src/launch.rs
+++ b/crates/cardamomwinch_daemon/src/launch.rs
@@ -29,7 +29,7 @@
 use crate::control_effects::ControlOutlets;
 use crate::control_thread::{self, ControlDriver};
 use crate::counter_handles::CounterHandles;
-use crate::messages::TrafficInput;
+use crate::messages::{ControlInput, TrafficInput};
 use crate::peer_delivery::{self, PeerSender};
 use crate::platform_calls::PlatformCalls;
 use crate::snapshot_cell::SnapshotCell;
@@ -134,6 +134,9 @@
     }
 }
 
+/// The queue of the control thread.
+type ControlChannel = (Sender<ControlInput>, Receiver<ControlInput>);
+
 /// What all threads of the process share.
 struct HostParts {
     settings: HostSettings,
@@ -191,20 +194,21 @@
             traffic: traffic[0].local_address().context(SocketSnafu)?,
             relay: relay[0].local_address().context(SocketSnafu)?,
         };
+        let control = async_channel::bounded(queue);
         let mut threads = Vec::new();
         let sockets = traffic.into_iter().zip(relay);
         for (index, ((_, inputs), (traffic, relay))) in
             channels.into_iter().zip(sockets).enumerate()
         {
             let sockets = TrafficSockets { traffic, relay };
-            let thread = self.traffic_thread(index, count, inputs, &senders, sockets);
+            let thread = self.traffic_thread(index, count, inputs, &senders, &control.0, sockets);
             let name = format!("traffic-{index}");
             let main = async move |executor: &LocalExecutor<'static>| {
                 traffic_thread::run(thread, executor).await;
             };
             threads.push(ExecutorThread::start(&name, main).context(ThreadSnafu)?);
         }
-        let status = self.control(senders, bound)?;
+        let status = self.control(senders, bound, control)?;
         for thread in threads {
             thread.join().context(ThreadSnafu)?;
         }
@@ -217,6 +221,7 @@
         count: usize,
         inputs: Receiver<TrafficInput>,
         senders: &[Sender<TrafficInput>],
+        control: &Sender<ControlInput>,
         sockets: TrafficSockets,
     ) -> TrafficThread {
         let place = ThreadPlace {
@@ -227,6 +232,7 @@
         let outlets = TrafficOutlets::new(
             sockets,
             senders.to_vec(),
+            control.clone(),
             self.settings.keys.clone(),
             DecisionLogger::new(&self.log, limit),
             self.settings.host.clone(),
@@ -245,10 +251,11 @@
         self,
         threads: Vec<Sender<TrafficInput>>,
         bound: BoundAddresses,
+        channel: ControlChannel,
     ) -> Result<StopStatus, LaunchError> {
         let executor = rc::Rc::new(LocalExecutor::new());
         let shared = rc::Rc::clone(&executor);
-        async_io::block_on(executor.run(self.control_main(shared, threads, bound)))
+        async_io::block_on(executor.run(self.control_main(shared, threads, bound, channel)))
     }
 
     async fn control_main(
@@ -256,9 +263,9 @@
         executor: rc::Rc<LocalExecutor<'static>>,
         threads: Vec<Sender<TrafficInput>>,
         bound: BoundAddresses,
+        (inputs, received): ControlChannel,
     ) -> Result<StopStatus, LaunchError> {
         let settings = rc::Rc::new(self.settings.clone());
-        let (inputs, received) = async_channel::bounded(settings.bounds.datagram_queue);
         let (stop, stop_requests) = async_channel::bounded(1);
         let module = peer_delivery::peer_module(inputs.clone()).context(MethodSnafu)?;
         let limits = PeerLimits::default();
--- a/crates/cardamomwinch_daemon/src/traffic_effects.rs
+++ b/crates/cardamomwinch_daemon/src/traffic_effects.rs
@@ -5,7 +5,7 @@
 
 use async_channel::Sender;
 use cardamomwinch_coordination::prelude::{
-    DecisionRecord, RoutingSnapshot, TrafficEffect, TrafficSink,
+    ControlEvent, DecisionRecord, RoutingSnapshot, TrafficEffect, TrafficSink,
 };
 use cardamomwinch_protocol::codec;
 use cardamomwinch_protocol::prelude::{AuthenticationKeys, RelayEnvelope};
@@ -16,7 +16,7 @@
 
 use crate::counter_handles::CounterHandles;
 use crate::decision_line::DecisionLine;
-use crate::messages::TrafficInput;
+use crate::messages::{ControlInput, TrafficInput};
 
 /// Room for a datagram, its envelope and its authentication code.
 const SEND_BUFFER: usize = codec::DATAGRAM_LIMIT + 512;
@@ -29,6 +29,8 @@
     pub relay: sync::Arc<DatagramSocket>,
     /// Towards the other traffic threads, by position.
     pub threads: Vec<Sender<TrafficInput>>,
+    /// Towards control.
+    pub control: Sender<ControlInput>,
     /// Signs what goes to other hosts.
     pub keys: AuthenticationKeys,
     /// Counts.
@@ -45,6 +47,7 @@
     pub fn new(
         sockets: TrafficSockets,
         threads: Vec<Sender<TrafficInput>>,
+        control: Sender<ControlInput>,
         keys: AuthenticationKeys,
         logger: DecisionLogger<DecisionLine>,
         host: String,
@@ -53,6 +56,7 @@
             traffic: sockets.traffic,
             relay: sockets.relay,
             threads,
+            control,
             keys,
             counters: CounterHandles::default(),
             logger,
@@ -86,6 +90,14 @@
         }
     }
 
+    fn tell_control(&self, event: ControlEvent) {
+        // Where the queue is full the word is lost; what is told again and
+        // again is made up for, and a hand-over is broken off.
+        if self.control.try_send(ControlInput::Event(event)).is_err() {
+            metrics::counter!("cardamomwinch_control_queue_drops_total").increment(1);
+        }
+    }
+
     fn log(&mut self, now: Timestamp, record: &DecisionRecord, snapshot: &RoutingSnapshot) {
         let line = DecisionLine::new(&self.host, record, snapshot);
         self.logger.log(now, &line);
@@ -130,6 +142,10 @@
                 address, envelope, ..
             } => self.outlets.relay(&envelope, address),
             TrafficEffect::ToThread { thread, envelope } => self.outlets.pass(thread, &envelope),
+            TrafficEffect::Observe(observations) => {
+                self.outlets
+                    .tell_control(ControlEvent::Observed(observations));
+            }
             TrafficEffect::Decide(record) => self.outlets.log(self.now, &record, self.snapshot),
             TrafficEffect::Count(counter) => self.outlets.counters.count(counter),
         }
