--- a/crates/cardamomwinch_coordination/src/traffic/dispatching.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/dispatching.rs
@@ -17,6 +17,9 @@
 };
 use crate::traffic::resolve;
 
+/// A request without progress counts as taking a slot for this many timeouts.
+const COUNTED_TIMEOUTS: u32 = 2;
+
 impl TrafficEngine {
     /// Whether this thread may send requests to the servers of `shard`. Guards
     /// against a home that acts after its time: an answer or a tick may free a
@@ -96,13 +99,16 @@
             AttemptNumber(0) => Counter::RequestDispatched,
             AttemptNumber(_) => Counter::RequestRetried,
         });
-        self.ledgers.of(claim.backend).start(RunningSlot {
+        let ledger = self.ledgers.of(claim.backend);
+        let timeout = ledger.service_times.attempt_timeout();
+        ledger.start(RunningSlot {
             entry: queued,
             sent: now,
             progress: now,
             deadline,
             overdue: false,
             counted: true,
+            counted_until: now.after(timeout * COUNTED_TIMEOUTS),
         });
     }
 
--- a/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
@@ -64,8 +64,8 @@
         }
     }
 
-    /// Frees the slot of a request that may still run on: the server may take
-    /// as long again to notice that it was cancelled.
+    /// Frees the slot of a request that may still run on. How long is not known;
+    /// with heavy-tailed times the best guess is as long again as it has run.
     fn free_lingering<S: TrafficSink>(
         &mut self,
         context: &EventContext<'_, S>,
@@ -74,8 +74,10 @@
     ) {
         let ledger = self.ledgers.of(backend);
         ledger.finish(&slot.entry.key);
-        let until = context.now.after(ledger.service_times.mean());
-        ledger.estimate.note_lingering(context.now, until);
+        if slot.counted {
+            let until = context.now.after(context.now.since(slot.sent));
+            ledger.estimate.note_lingering(context.now, until);
+        }
     }
 
     /// Sends an idempotent request again that its server seems to have lost.
--- a/crates/cardamomwinch_coordination/src/traffic/ledger.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/ledger.rs
@@ -54,6 +54,8 @@
     pub overdue: bool,
     /// Whether it counts as taking a slot.
     pub counted: bool,
+    /// It counts at least until this point.
+    pub counted_until: Timestamp,
 }
 
 /// Slots, connections and waiting requests of one backend server.
@@ -216,6 +218,18 @@
         self.unreported.answers += 1;
     }
 
+    /// Takes overdue requests to be running after all, because the server shed
+    /// another one: for as long again as they have been running.
+    pub fn count_overdue(&mut self, now: Timestamp) {
+        for slot in &mut self.running {
+            if !slot.counted {
+                slot.counted = true;
+                slot.counted_until = now.after(now.since(slot.sent));
+            }
+        }
+        self.uncounted = 0;
+    }
+
     /// Marks the requests that have become overdue and returns them.
     pub fn mark_overdue(&mut self, now: Timestamp) -> Vec<RunningSlot> {
         let timeout = self.service_times.attempt_timeout();
@@ -228,7 +242,8 @@
             }
             // A server that says nothing at all may be stuck with everything it
             // was sent; more must not be piled on it.
-            if slot.overdue && slot.counted && heard > slot.sent {
+            let over = now >= slot.counted_until;
+            if slot.overdue && slot.counted && over && heard > slot.sent {
                 slot.counted = false;
                 self.uncounted += 1;
             }
--- a/crates/cardamomwinch_coordination/src/traffic/replies.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/replies.rs
@@ -182,6 +182,7 @@
         };
         let entry = context.snapshot.backend(backend);
         let slots = entry.map_or(1, |entry| entry.slots.get());
+        ledger.count_overdue(context.now);
         let busy = ledger.busy();
         ledger.estimate.note_shed(context.now, slots, busy);
         if entry.is_some() && self.may_retry(context, &slot, attempt, pause) {
