--- a/crates/cardamomwinch_coordination/src/traffic/dispatching.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/dispatching.rs
@@ -23,8 +23,9 @@
 impl TrafficEngine {
     /// Whether this thread may send requests to the servers of `shard`. Guards
     /// against a home that acts after its time: an answer or a tick may free a
-    /// slot long after the requests came in, when the lease has run out or the
-    /// process has slept; the next home may be running them by then.
+    /// slot long after the requests came in, when the lease has run out, the
+    /// process has slept or the shard is being handed over; the next home may be
+    /// running them by then.
     pub(crate) fn may_dispatch<S: TrafficSink>(
         &self,
         context: &EventContext<'_, S>,
@@ -32,6 +33,7 @@
     ) -> bool {
         self.place.owns(shard)
             && context.snapshot.lease_at(shard, context.now).is_some()
+            && !self.frozen.is_frozen(shard, context.now)
             && self.may_act(context.now, context.snapshot)
     }
 
--- a/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
@@ -27,6 +27,11 @@
     /// Goes through everything that waits or runs.
     pub(crate) fn review_requests<S: TrafficSink>(&mut self, context: &mut EventContext<'_, S>) {
         for backend in self.ledgers.servers() {
+            let entry = context.snapshot.backend(backend);
+            let shard = entry.map(|entry| context.snapshot.shard_of(entry));
+            if shard.is_some_and(|shard| self.is_changing_home(context, backend, shard)) {
+                continue;
+            }
             let view = context.snapshot.view(backend);
             let ledger = self.ledgers.of(backend);
             let busy = ledger.busy();
--- a/crates/cardamomwinch_coordination/src/traffic/ledger.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/ledger.rs
@@ -63,6 +63,9 @@
 pub struct ServerLedger {
     /// Flows placed on the server and not closed.
     pub connections: u32,
+    /// Those of `connections` that are not pinned here: an earlier home handed
+    /// over their number alone.
+    pub unpinned: u32,
     /// Requests waiting for a slot, oldest first.
     pub queue: collections::VecDeque<WaitingRequest>,
     /// How long the server takes.
@@ -73,6 +76,8 @@
     pub last_heard: Timestamp,
     /// What happened since control was last told.
     pub unreported: LedgerCounts,
+    /// When an earlier home handed requests over, until the lease has followed.
+    pub taken_over: Option<Timestamp>,
     running: Vec<RunningSlot>,
     uncounted: u32,
 }
@@ -251,6 +256,14 @@
         late
     }
 
+    /// Forgets all that waits and runs, and returns it.
+    pub fn clear(&mut self) -> Vec<QueueEntry> {
+        self.uncounted = 0;
+        let waiting = self.queue.drain(..).map(|held| held.entry);
+        let running = self.running.drain(..).map(|slot| slot.entry);
+        waiting.chain(running).collect()
+    }
+
     fn slot_position(&self, key: &RequestKey) -> Result<usize, usize> {
         self.running
             .binary_search_by(|slot| slot.entry.key.cmp(key))
--- a/crates/cardamomwinch_coordination/src/traffic/mod.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/mod.rs
@@ -7,9 +7,12 @@
 pub mod effect;
 pub mod event;
 pub(crate) mod giving_up;
+pub(crate) mod handover;
+pub mod handover_items;
 pub mod ledger;
 pub(crate) mod observing;
 pub(crate) mod opening;
+pub(crate) mod packing;
 pub mod pins;
 pub(crate) mod replies;
 pub mod requests;
@@ -19,6 +22,7 @@
 pub(crate) mod serving;
 pub mod slots;
 pub(crate) mod sweeping;
+pub(crate) mod taking_over;
 
 use cardamomwinch_protocol::prelude::{
     AuthenticationKeys, FabricDatagram, RelayFrame, TokenIssuer,
@@ -33,6 +37,7 @@
 use crate::traffic::context::EventContext;
 use crate::traffic::effect::TrafficSink;
 use crate::traffic::event::TrafficEvent;
+use crate::traffic::handover::FrozenShards;
 use crate::traffic::ledger::ServerLedgers;
 use crate::traffic::pins::FlowPin;
 use crate::traffic::requests::RequestTable;
@@ -54,6 +59,7 @@
     pub(crate) retry_budgets: RetryBudgets,
     pub(crate) sweep_position: usize,
     pub(crate) next_observation: Timestamp,
+    pub(crate) frozen: FrozenShards,
     last_event: Timestamp,
     slept_until: Option<Timestamp>,
 }
@@ -76,6 +82,7 @@
             retry_budgets: RetryBudgets::default(),
             sweep_position: 0,
             next_observation: Timestamp::ZERO,
+            frozen: FrozenShards::default(),
             last_event: Timestamp::ZERO,
             slept_until: None,
             bounds,
@@ -117,12 +124,19 @@
             TrafficEvent::Tick => self.tick(&mut context),
             TrafficEvent::Fabric(datagram) => self.handle_fabric(&mut context, datagram),
             TrafficEvent::Relay(envelope) => self.handle_relay(&mut context, envelope.frame),
+            TrafficEvent::ReleaseShard {
+                hand_over,
+                frozen_until,
+            } => self.release_shard(&mut context, hand_over, frozen_until),
+            TrafficEvent::ForgetShard { shard } => self.forget_shard(&mut context, shard),
+            TrafficEvent::TakeOver { chunk } => self.take_over(&mut context, chunk),
         }
     }
 
     fn tick<S: TrafficSink>(&mut self, context: &mut EventContext<'_, S>) {
         self.review_requests(context);
         self.sweep(context.now);
+        self.thaw(context);
         self.observe(context);
     }
 
--- a/crates/cardamomwinch_coordination/src/traffic/requests.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/requests.rs
@@ -36,9 +36,9 @@
 /// Which parts of an answer have come.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct PartTracker {
-    total: u32,
-    seen: u32,
-    bits: Vec<u64>,
+    pub(crate) total: u32,
+    pub(crate) seen: u32,
+    pub(crate) bits: Vec<u64>,
 }
 
 impl PartTracker {
@@ -145,6 +145,16 @@
         }
     }
 
+    /// Whether an attempt before the present one may have run.
+    pub const fn may_have_run_before(&self) -> bool {
+        match self {
+            Self::Queued { attempt, .. } => attempt.0 > 0,
+            Self::Running(running) => running.attempt.0 > 0,
+            Self::Refused { .. } => false,
+            Self::Answered { .. } | Self::Unknown => true,
+        }
+    }
+
     /// Whether the request waits or runs, so that its last word is still to come.
     pub const fn is_live(&self) -> bool {
         matches!(self, Self::Queued { .. } | Self::Running(_))
--- a/crates/cardamomwinch_coordination/src/traffic/serving.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/serving.rs
@@ -202,14 +202,7 @@
             shard: arriving.shard,
             expires: header.deadline.after(skew),
             idempotent: header.idempotent,
-            may_have_run: !matches!(
-                state,
-                RequestState::Refused { .. }
-                    | RequestState::Queued {
-                        attempt: AttemptNumber(0),
-                        ..
-                    }
-            ),
+            may_have_run: state.may_have_run_before(),
             state,
         };
         let limit = self.requests.limit();
--- a/crates/cardamomwinch_daemon/src/launch.rs
+++ b/crates/cardamomwinch_daemon/src/launch.rs
@@ -33,7 +33,7 @@
 use crate::peer_delivery::{self, PeerSender};
 use crate::platform_calls::PlatformCalls;
 use crate::snapshot_cell::SnapshotCell;
-use crate::stopping::{self, StopStatus};
+use crate::stopping::{self, DrainedFlag, StopStatus};
 use crate::traffic_effects::{TrafficOutlets, TrafficSockets};
 use crate::traffic_thread::{self, TrafficThread};
 
@@ -266,6 +266,7 @@
         (inputs, received): ControlChannel,
     ) -> Result<StopStatus, LaunchError> {
         let settings = rc::Rc::new(self.settings.clone());
+        let drained = DrainedFlag::default();
         let (stop, stop_requests) = async_channel::bounded(1);
         let module = peer_delivery::peer_module(inputs.clone()).context(MethodSnafu)?;
         let limits = PeerLimits::default();
@@ -303,6 +304,8 @@
             peers: peers.clone(),
             platform: PlatformCalls::from(&settings.platform),
             snapshots: self.snapshots.clone(),
+            threads: threads.clone(),
+            drained: drained.clone(),
             counters: CounterHandles::default(),
             logger: DecisionLogger::new(&self.log, settings.log.decisions_per_second),
             host: settings.host.clone(),
@@ -333,6 +336,7 @@
             &stop_requests,
             &inputs,
             &threads,
+            &drained,
             deadline,
             &clock,
         )
--- a/crates/cardamomwinch_daemon/src/traffic_effects.rs
+++ b/crates/cardamomwinch_daemon/src/traffic_effects.rs
@@ -146,6 +146,12 @@
                 self.outlets
                     .tell_control(ControlEvent::Observed(observations));
             }
+            TrafficEffect::HandOver { chunk } => {
+                self.outlets.tell_control(ControlEvent::HandOver(chunk));
+            }
+            TrafficEffect::TookOver(report) => {
+                self.outlets.tell_control(ControlEvent::TookOver(report));
+            }
             TrafficEffect::Decide(record) => self.outlets.log(self.now, &record, self.snapshot),
             TrafficEffect::Count(counter) => self.outlets.counters.count(counter),
         }
