--- a/crates/cardamomwinch_coordination/src/host_engine.rs
+++ b/crates/cardamomwinch_coordination/src/host_engine.rs
@@ -13,6 +13,7 @@
 use crate::control::ControlEngine;
 use crate::control::effect::ControlEffect;
 use crate::control::event::{ControlEvent, TakeOverReport};
+use crate::control::health::observation::BackendObservation;
 use crate::identity::{HostIdentity, ThreadPlace};
 use crate::snapshot::RoutingSnapshot;
 use crate::traffic::TrafficEngine;
@@ -106,6 +107,7 @@
     TakeOver(HandOverChunk),
     Exported(HandOverChunk),
     Imported(TakeOverReport),
+    Observed(Vec<BackendObservation>),
 }
 
 /// One host: its control engine, one traffic engine, and the snapshot between.
@@ -146,6 +148,10 @@
                 let event = ControlEvent::TookOver(*report);
                 return self.handle_control(now, event, passed, sink);
             }
+            PassedEvent::Observed(observations) => {
+                let event = ControlEvent::Observed(observations.clone());
+                return self.handle_control(now, event, passed, sink);
+            }
             PassedEvent::Release {
                 hand_over,
                 frozen_until,
@@ -169,6 +175,9 @@
         let mut emit = |effect: TrafficEffect<'_>| match effect {
             TrafficEffect::HandOver { chunk } => passed.push_back(PassedEvent::Exported(chunk)),
             TrafficEffect::TookOver(report) => passed.push_back(PassedEvent::Imported(report)),
+            TrafficEffect::Observe(observations) => {
+                passed.push_back(PassedEvent::Observed(observations));
+            }
             effect => sink.emit(HostEffect::Traffic(effect)),
         };
         self.traffic.handle(now, &self.snapshot, event, &mut emit);
