--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/control/adoption/accepted.rs
@@ -0,0 +1,241 @@
+//! What a host has accepted, as a join-semilattice: merging the states of two
+//! hosts takes the newer of each part. Merging is commutative, associative and
+//! idempotent and lowers nothing, so hosts that exchange their states in any
+//! order, however often, end with the same one.
+
+use std::cmp;
+use std::sync;
+
+use cardamomwinch_protocol::peer::configuration::{
+    ConfigurationDigest, ConfigurationOffer, DocumentStamp, FragmentOffer, KnownDocuments,
+    KnownTeam,
+};
+use cardamomwinch_state::prelude::{ConfigurationVersion, HostListVersion, SortedVector};
+
+use crate::control::adoption::document::{self, HeldFragment, HeldRoot};
+use crate::control::adoption::host_lists::HostLists;
+
+/// Fragments of a team kept after they were in force. The second one serves
+/// where two hosts accepted, each for itself, fragments of two teams that clash.
+pub const ACCEPTED_KEPT: usize = 2;
+
+/// The fragments of one team.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct TeamFragments {
+    /// The newest one seen, whether or not it can be in force.
+    pub newest: Option<HeldFragment>,
+    /// The last ones that were in force somewhere, newest first.
+    pub accepted: Vec<HeldFragment>,
+}
+
+impl TeamFragments {
+    /// Notes a fragment that was published.
+    pub fn note(&mut self, fragment: &HeldFragment) {
+        let newest = self.newest.as_ref().map(|newest| newest.stamp);
+        if newest < Some(fragment.stamp) {
+            self.newest = Some(fragment.clone());
+        }
+    }
+
+    /// Notes a fragment that was in force.
+    pub fn accept(&mut self, fragment: &HeldFragment) {
+        self.note(fragment);
+        if self.accepted.contains(fragment) {
+            return;
+        }
+        self.accepted.push(fragment.clone());
+        self.accepted.sort_by_key(|held| cmp::Reverse(held.stamp));
+        self.accepted.truncate(ACCEPTED_KEPT);
+    }
+
+    fn merge(&mut self, other: &Self) {
+        if let Some(newest) = &other.newest {
+            self.note(newest);
+        }
+        for fragment in &other.accepted {
+            self.accept(fragment);
+        }
+    }
+
+    /// All distinct fragments, newest first.
+    pub fn choices(&self) -> Vec<&HeldFragment> {
+        let mut choices: Vec<&HeldFragment> = self.newest.iter().collect();
+        choices.extend(
+            self.accepted
+                .iter()
+                .filter(|held| Some(*held) != self.newest.as_ref()),
+        );
+        choices
+    }
+
+    fn newest_stamp(&self) -> DocumentStamp {
+        self.newest
+            .as_ref()
+            .map_or_else(DocumentStamp::default, |held| held.stamp)
+    }
+
+    fn known(&self, team: &str) -> KnownTeam {
+        KnownTeam {
+            team: team.to_owned(),
+            newest: self.newest_stamp(),
+            accepted: self.accepted.iter().map(|held| held.stamp).collect(),
+        }
+    }
+}
+
+/// Everything accepted.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct AcceptedState {
+    /// The root document.
+    pub root: Option<sync::Arc<HeldRoot>>,
+    /// The fragments by team.
+    pub teams: SortedVector<String, TeamFragments>,
+    /// The list of hosts.
+    pub hosts: HostLists,
+}
+
+impl AcceptedState {
+    /// The stamp of the root document; the lowest before there is one.
+    pub fn root_stamp(&self) -> DocumentStamp {
+        self.root
+            .as_ref()
+            .map_or_else(DocumentStamp::default, |root| root.stamp)
+    }
+
+    /// The version of the root document.
+    pub fn version(&self) -> ConfigurationVersion {
+        ConfigurationVersion::new(self.root_stamp().revision)
+    }
+
+    /// Takes `root` where it is newer.
+    pub fn raise_root(&mut self, root: HeldRoot) {
+        if root.stamp > self.root_stamp() {
+            self.root = Some(sync::Arc::new(root));
+        }
+    }
+
+    /// The fragments of `team`, to be raised.
+    pub fn team_mut(&mut self, team: &str) -> &mut TeamFragments {
+        self.teams
+            .get_or_insert_with(team.to_owned(), TeamFragments::default)
+    }
+
+    /// The revision of the newest fragment of `team`; zero where there is none.
+    pub fn newest_revision(&self, team: &String) -> u64 {
+        let team = self.teams.get(team);
+        team.map_or(0, |team| team.newest_stamp().revision)
+    }
+
+    /// Takes the newer of each part of `other`.
+    pub fn merge(&mut self, other: &Self) {
+        if other.root_stamp() > self.root_stamp() {
+            self.root.clone_from(&other.root);
+        }
+        for (name, team) in other.teams.iter() {
+            self.team_mut(name).merge(team);
+        }
+        self.hosts.merge(&other.hosts);
+    }
+
+    /// Names everything held.
+    pub fn known(&self) -> KnownDocuments {
+        let teams = self.teams.iter().map(|(name, team)| team.known(name));
+        KnownDocuments {
+            root: self.root_stamp(),
+            hosts: self.hosts.stamp(),
+            teams: teams.collect(),
+        }
+    }
+
+    /// Names everything held in a few bytes.
+    pub fn digest(&self) -> ConfigurationDigest {
+        let mut bytes = Vec::new();
+        push_stamp(&mut bytes, self.root_stamp());
+        push_stamp(&mut bytes, self.hosts.stamp());
+        for (name, team) in self.teams.iter() {
+            bytes.extend((name.len() as u64).to_le_bytes());
+            bytes.extend(name.as_bytes());
+            push_stamp(&mut bytes, team.newest_stamp());
+            bytes.push(team.accepted.len() as u8);
+            for held in &team.accepted {
+                push_stamp(&mut bytes, held.stamp);
+            }
+        }
+        ConfigurationDigest {
+            version: self.version(),
+            host_list: HostListVersion::new(self.hosts.stamp().revision),
+            hash: document::content_hash(&bytes),
+        }
+    }
+
+    /// What a host that holds `known` lacks.
+    pub fn difference(&self, known: &KnownDocuments, confirmed: bool) -> ConfigurationOffer {
+        let root = self.root.as_ref();
+        let newer_root = root.filter(|root| root.stamp > known.root);
+        let teams = self.teams.iter();
+        ConfigurationOffer {
+            digest: self.digest(),
+            confirmed,
+            root: newer_root.map(|root| root.published.clone()),
+            fragments: teams
+                .flat_map(|(name, team)| lacking(name, team, known_team(known, name)))
+                .collect(),
+            hosts: self.hosts.offer(known.hosts),
+        }
+    }
+
+    /// Whether a host that holds `known` holds something that is lacking here.
+    pub fn lacks(&self, known: &KnownDocuments) -> bool {
+        let team_lacks = |theirs: &KnownTeam| {
+            let Some(own) = self.teams.get(&theirs.team) else {
+                return true;
+            };
+            let accepted = own.known(&theirs.team).accepted;
+            let news = |stamp: &DocumentStamp| would_accept(&accepted, *stamp);
+            theirs.newest > own.newest_stamp() || theirs.accepted.iter().any(news)
+        };
+        known.root > self.root_stamp()
+            || known.hosts > self.hosts.stamp()
+            || known.teams.iter().any(team_lacks)
+    }
+}
+
+/// Whether a host that has accepted `held`, newest first, would keep `stamp`.
+fn would_accept(held: &[DocumentStamp], stamp: DocumentStamp) -> bool {
+    let displaces = held.len() < ACCEPTED_KEPT || held.last() < Some(&stamp);
+    displaces && !held.contains(&stamp)
+}
+
+fn push_stamp(bytes: &mut Vec<u8>, stamp: DocumentStamp) {
+    bytes.extend(stamp.revision.to_le_bytes());
+    bytes.extend(stamp.hash.to_le_bytes());
+}
+
+fn known_team<'k>(known: &'k KnownDocuments, name: &str) -> Option<&'k KnownTeam> {
+    let position = known
+        .teams
+        .binary_search_by(|team| team.team.as_str().cmp(name));
+    position.ok().map(|position| &known.teams[position])
+}
+
+fn lacking(name: &str, team: &TeamFragments, known: Option<&KnownTeam>) -> Vec<FragmentOffer> {
+    let known_newest = known.map(|known| known.newest).unwrap_or_default();
+    let known_accepted = known.map_or(&[][..], |known| &known.accepted);
+    let mut offers = Vec::new();
+    for held in team.choices() {
+        let accepted = team.accepted.contains(held);
+        let lacks = if accepted {
+            would_accept(known_accepted, held.stamp)
+        } else {
+            held.stamp > known_newest
+        };
+        if lacks {
+            offers.push(FragmentOffer {
+                team: name.to_owned(),
+                document: held.published.as_ref().clone(),
+                accepted,
+            });
+        }
+    }
+    offers
+}
--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/control/adoption/mod.rs
@@ -0,0 +1,424 @@
+//! Adopts configuration: what the platform publishes and what peers hold is
+//! merged into a state that only rises, and what is in force follows from that
+//! state alone.
+//!
+//! - [`accepted`] is the state, [`selection`] what is in force by it.
+//! - `readers` says who reads the platform, `calls` when, `pending` what a root
+//!   document still waits for.
+//! - `exchange` says whom to ask and whom to tell.
+//! - `confirmation` says whether the state was compared with others since the
+//!   host started or slept.
+
+pub mod accepted;
+mod calls;
+mod confirmation;
+pub mod document;
+pub mod effect;
+mod exchange;
+pub mod host_lists;
+mod pending;
+mod platform;
+mod readers;
+pub mod refusal;
+pub mod selection;
+
+use std::sync;
+
+use cardamomwinch_protocol::peer::configuration::{
+    ConfigurationDigest, ConfigurationMessage, ConfigurationOffer, DocumentStamp, KnownDocuments,
+};
+use cardamomwinch_state::flow;
+use cardamomwinch_state::prelude::{ConfigurationVersion, HostId, HostTable, Timestamp};
+
+use crate::control::adoption::accepted::AcceptedState;
+use crate::control::adoption::calls::PlatformCalls;
+use crate::control::adoption::confirmation::StateConfirmation;
+use crate::control::adoption::document::{HeldFragment, HeldRoot};
+use crate::control::adoption::effect::AdoptionEffect;
+use crate::control::adoption::exchange::PeerExchange;
+use crate::control::adoption::pending::PendingRoot;
+pub use crate::control::adoption::readers::READERS_PER_DOMAIN;
+use crate::control::adoption::readers::ReaderRanking;
+use crate::control::adoption::refusal::{RefusalReason, RefusedDocument};
+use crate::control::event::PlatformKey;
+use crate::control::membership::PeerMembership;
+use crate::counter::Counter;
+use crate::identity::HostIdentity;
+
+/// Says which hosts answer.
+pub trait PeerReachability {
+    /// Whether `host` was heard of lately.
+    fn is_reachable(&self, now: Timestamp, host: HostId) -> bool;
+}
+
+impl PeerReachability for PeerMembership {
+    fn is_reachable(&self, now: Timestamp, host: HostId) -> bool {
+        Self::is_reachable(self, now, host)
+    }
+}
+
+/// What was in force when it was last chosen.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+struct ChosenStamps {
+    root: DocumentStamp,
+    fragments: Vec<(String, DocumentStamp)>,
+}
+
+/// What this host has accepted, and what it is still reading. Effects are
+/// pushed to the vector that each call is given.
+#[derive(Debug)]
+pub struct ConfigurationAdoption {
+    identity: HostIdentity,
+    state: AcceptedState,
+    /// Follows from `state`; kept because every heartbeat carries it.
+    digest: ConfigurationDigest,
+    chosen: ChosenStamps,
+    /// The documents of teams that are refused under the root document in force.
+    refused: Vec<RefusedDocument>,
+    /// Refused documents that concern all teams, with their revisions.
+    refused_root: Option<RefusedDocument>,
+    refused_hosts: Option<RefusedDocument>,
+    pending: Option<PendingRoot>,
+    calls: PlatformCalls,
+    ranking: ReaderRanking,
+    exchange: PeerExchange,
+    confirmation: StateConfirmation,
+}
+
+impl ConfigurationAdoption {
+    /// Creates the state of a host that has just started. Its delays and
+    /// choices by chance follow from its identity alone.
+    pub fn new(identity: HostIdentity) -> Self {
+        let seed = flow::mix(identity.host.get() ^ flow::mix(identity.incarnation.get()));
+        let state = AcceptedState::default();
+        Self {
+            identity,
+            digest: state.digest(),
+            state,
+            chosen: ChosenStamps::default(),
+            refused: Vec::new(),
+            refused_root: None,
+            refused_hosts: None,
+            pending: None,
+            calls: PlatformCalls::new(seed),
+            ranking: ReaderRanking::default(),
+            exchange: PeerExchange::new(flow::mix(seed)),
+            confirmation: StateConfirmation::starting(),
+        }
+    }
+
+    /// The version in force; zero before the first.
+    pub fn version(&self) -> ConfigurationVersion {
+        self.state.version()
+    }
+
+    /// The list of hosts in force.
+    pub fn hosts(&self) -> &HostTable {
+        self.state.hosts.table()
+    }
+
+    /// The list of hosts in force, to be shared.
+    pub fn shared_hosts(&self) -> &sync::Arc<HostTable> {
+        self.state.hosts.table()
+    }
+
+    /// Everything accepted.
+    pub fn state(&self) -> &AcceptedState {
+        &self.state
+    }
+
+    /// What this host tells others about what it has accepted.
+    pub fn digest(&self) -> ConfigurationDigest {
+        self.digest
+    }
+
+    /// Whether this host has compared what it holds with peers or the platform
+    /// since it started or last slept. It must not serve before.
+    pub fn is_confirmed(&self) -> bool {
+        self.confirmation.is_done()
+    }
+
+    /// Whether this host reads the platform at present.
+    pub fn is_reader<R: PeerReachability>(&self, now: Timestamp, peers: &R) -> bool {
+        let rank = self.ranking.reader_rank(now, self.identity, peers);
+        self.confirmation.is_done() && rank.is_some()
+    }
+
+    /// Published documents that are not in force, and why.
+    pub fn refused(&self) -> Vec<RefusedDocument> {
+        let shared = self.refused_root.iter().chain(&self.refused_hosts);
+        shared.chain(&self.refused).cloned().collect()
+    }
+
+    /// The process has started.
+    pub fn start(&mut self, now: Timestamp, effects: &mut Vec<AdoptionEffect>) {
+        self.confirmation.note_start(now);
+        self.call_both(now, effects);
+    }
+
+    /// The process slept, or the control thread hung, until now.
+    pub fn note_sleep(&mut self, now: Timestamp) {
+        self.confirmation.note_sleep(now);
+    }
+
+    /// Time has passed.
+    pub fn tick<R: PeerReachability>(
+        &mut self,
+        now: Timestamp,
+        peers: &R,
+        effects: &mut Vec<AdoptionEffect>,
+    ) {
+        self.finish_pending(now, effects);
+        self.decide_confirmation(now);
+        self.call_platform(now, peers, effects);
+        self.ask_peers(now, effects);
+        self.announce(now, effects);
+        let hosts = self.state.hosts.table();
+        let greeted = self.exchange.due_greeting(now, self.identity, hosts, peers);
+        if let Some(host) = greeted {
+            self.announce_to(host, effects);
+        }
+    }
+
+    fn decide_confirmation(&mut self, now: Timestamp) {
+        let listed = self.hosts().hosts.len();
+        let peers = (listed > 0).then(|| {
+            let own = self.hosts().get(self.identity.host).is_some();
+            listed - usize::from(own)
+        });
+        let confirmed = self.confirmation.is_done();
+        self.confirmation.decide(now, peers);
+        if self.confirmation.is_done() && !confirmed {
+            self.exchange.begin_spread(now);
+        }
+    }
+
+    fn ask_peers(&mut self, now: Timestamp, effects: &mut Vec<AdoptionEffect>) {
+        let hosts = self.state.hosts.table();
+        let confirmation = &self.confirmation;
+        let asked = self
+            .exchange
+            .next_ask(now, self.digest, self.identity, hosts, confirmation);
+        if let Some(host) = asked {
+            effects.push(self.want(host, None));
+        }
+    }
+
+    fn want(&self, host: HostId, address: Option<std::net::SocketAddr>) -> AdoptionEffect {
+        let known = self.state.known();
+        let message = ConfigurationMessage::Want { known };
+        AdoptionEffect::Tell {
+            host,
+            address,
+            message,
+        }
+    }
+
+    fn announce(&mut self, now: Timestamp, effects: &mut Vec<AdoptionEffect>) {
+        let hosts = self.state.hosts.table();
+        let told = self.exchange.due_announcements(now, self.identity, hosts);
+        for host in told {
+            self.announce_to(host, effects);
+        }
+    }
+
+    fn announce_to(&self, host: HostId, effects: &mut Vec<AdoptionEffect>) {
+        let Some(own) = self.hosts().get(self.identity.host) else {
+            return;
+        };
+        let message = ConfigurationMessage::Announce {
+            digest: self.digest,
+            reply_to: own.peer_address,
+        };
+        effects.push(AdoptionEffect::Tell {
+            host,
+            address: None,
+            message,
+        });
+    }
+
+    /// A peer has said what it has accepted.
+    pub fn note_digest(
+        &mut self,
+        now: Timestamp,
+        sender: HostId,
+        digest: ConfigurationDigest,
+        effects: &mut Vec<AdoptionEffect>,
+    ) {
+        if exchange::may_be_ahead(digest, self.digest) {
+            self.exchange.note_ahead(sender, digest);
+            self.ask_peers(now, effects);
+        }
+    }
+
+    /// A peer has sent a message about configuration. Every message is safe to
+    /// take twice, late and from a host that the own list does not name yet,
+    /// since merging can only raise the state.
+    pub fn take_message(
+        &mut self,
+        now: Timestamp,
+        sender: HostId,
+        message: &ConfigurationMessage,
+        effects: &mut Vec<AdoptionEffect>,
+    ) {
+        match message {
+            ConfigurationMessage::Announce { digest, reply_to } => {
+                if self.hosts().get(sender).is_some() {
+                    self.note_digest(now, sender, *digest, effects);
+                } else if exchange::may_be_ahead(*digest, self.digest)
+                    && self.exchange.try_ask(now, sender)
+                {
+                    effects.push(self.want(sender, Some(*reply_to)));
+                }
+            }
+            ConfigurationMessage::Want { known } => self.take_want(now, sender, known, effects),
+            ConfigurationMessage::Offer(offer) => self.take_offer(now, sender, offer, effects),
+        }
+    }
+
+    fn take_want(
+        &mut self,
+        now: Timestamp,
+        sender: HostId,
+        known: &KnownDocuments,
+        effects: &mut Vec<AdoptionEffect>,
+    ) {
+        let offer = self.state.difference(known, self.confirmation.is_done());
+        effects.push(AdoptionEffect::Tell {
+            host: sender,
+            address: None,
+            message: ConfigurationMessage::Offer(offer),
+        });
+        if self.state.lacks(known) {
+            // Its digest is not known; one that differs from the own one is
+            // enough for it to be asked.
+            let digest = ConfigurationDigest {
+                hash: !self.digest.hash,
+                ..self.digest
+            };
+            self.exchange.note_ahead(sender, digest);
+            self.ask_peers(now, effects);
+        }
+    }
+
+    fn take_offer(
+        &mut self,
+        now: Timestamp,
+        sender: HostId,
+        offer: &ConfigurationOffer,
+        effects: &mut Vec<AdoptionEffect>,
+    ) {
+        let mut raised = self.state.clone();
+        if let Some(root) = &offer.root {
+            match HeldRoot::read(root.clone()) {
+                Ok(root) => raised.raise_root(root),
+                Err(_) => effects.push(AdoptionEffect::Count(Counter::DocumentRefused)),
+            }
+        }
+        for offered in &offer.fragments {
+            let fragment = HeldFragment::read(&offered.team, offered.document.clone());
+            let team = raised.team_mut(&offered.team);
+            if offered.accepted && fragment.is_well_formed() {
+                team.accept(&fragment);
+            } else {
+                team.note(&fragment);
+            }
+        }
+        if let Some(hosts) = &offer.hosts
+            && let Some(hosts) = raised.hosts.read(hosts)
+        {
+            raised.hosts.raise(hosts);
+        }
+        self.exchange.note_answer(sender);
+        self.confirmation.note_answer(sender, offer.confirmed);
+        self.drop_overtaken(&mut raised);
+        self.raise(now, raised, effects);
+        self.decide_confirmation(now);
+        if exchange::may_be_ahead(offer.digest, self.digest) {
+            self.exchange.note_ahead(sender, offer.digest);
+        }
+        self.ask_peers(now, effects);
+    }
+
+    /// Drops the root document that is being read where a peer's is as new;
+    /// the fragments that were read for it are kept.
+    fn drop_overtaken(&mut self, raised: &mut AcceptedState) {
+        let revision = raised.root_stamp().revision;
+        let overtaken = self
+            .pending
+            .take_if(|pending| pending.revision() <= revision);
+        if let Some(pending) = overtaken {
+            pending.raise(raised, false);
+        }
+    }
+
+    /// Takes `raised` as the state, and whatever follows from it into force.
+    fn raise(&mut self, now: Timestamp, raised: AcceptedState, effects: &mut Vec<AdoptionEffect>) {
+        let earlier = self.digest;
+        let earlier_hosts = self.state.hosts.stamp();
+        self.state = raised;
+        self.choose(effects);
+        self.digest = self.state.digest();
+        let stamp = self.state.hosts.stamp();
+        if stamp != earlier_hosts {
+            let hosts = self.state.hosts.table();
+            self.ranking.update(self.identity, stamp, hosts);
+            let overtaken = |refused: &mut RefusedDocument| refused.revision <= stamp.revision;
+            self.refused_hosts.take_if(overtaken);
+            effects.push(AdoptionEffect::Hosts);
+        }
+        if self.digest != earlier && self.confirmation.is_done() {
+            self.exchange.begin_spread(now);
+            self.announce(now, effects);
+        }
+    }
+
+    fn choose(&mut self, effects: &mut Vec<AdoptionEffect>) {
+        let Some(root) = self.state.root.clone() else {
+            return;
+        };
+        let selection = selection::select(&root, &self.state);
+        for (team, held) in &selection.chosen {
+            self.state.team_mut(team).accept(held);
+        }
+        self.report_refused(selection.refused, effects);
+        let overtaken = |refused: &mut RefusedDocument| refused.revision <= root.stamp.revision;
+        self.refused_root.take_if(overtaken);
+        let fragments = selection.chosen.into_iter();
+        let chosen = ChosenStamps {
+            root: root.stamp,
+            fragments: fragments.map(|(team, held)| (team, held.stamp)).collect(),
+        };
+        if chosen != self.chosen {
+            self.chosen = chosen;
+            effects.push(AdoptionEffect::InForce(Box::new(selection.resolution)));
+        }
+    }
+
+    fn report_refused(&mut self, refused: Vec<RefusedDocument>, effects: &mut Vec<AdoptionEffect>) {
+        for document in &refused {
+            if !self.refused.contains(document) {
+                report(document.clone(), effects);
+            }
+        }
+        self.refused = refused;
+    }
+}
+
+/// Counts and logs a refused document.
+fn report(document: RefusedDocument, effects: &mut Vec<AdoptionEffect>) {
+    effects.push(AdoptionEffect::Count(Counter::DocumentRefused));
+    effects.push(AdoptionEffect::Refused(document));
+}
+
+fn malformed(
+    key: PlatformKey,
+    revision: u64,
+    report: cardamomwinch_configuration::check::CheckReport,
+) -> RefusedDocument {
+    RefusedDocument {
+        key,
+        revision,
+        reason: RefusalReason::Malformed { report },
+    }
+}
--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/control/adoption/platform.rs
@@ -0,0 +1,322 @@
+//! The part of adoption that reads the platform.
+
+use std::time;
+
+use cardamomwinch_configuration::host_list;
+use cardamomwinch_protocol::peer::configuration::PublishedText;
+use cardamomwinch_state::prelude::{FragmentRevision, HostListVersion, Timestamp};
+
+use crate::control::adoption::document::{HeldFragment, HeldRoot};
+use crate::control::adoption::effect::AdoptionEffect;
+use crate::control::adoption::host_lists::HeldHosts;
+use crate::control::adoption::pending::PendingRoot;
+use crate::control::adoption::refusal::RefusedDocument;
+use crate::control::adoption::{self, ConfigurationAdoption, PeerReachability};
+use crate::control::event::{PlatformAnswer, PlatformKey, PlatformOutcome, PlatformRequest};
+use crate::counter::Counter;
+
+/// How long a watch waits at the platform. One whose connection was cut
+/// without a word is noticed no sooner.
+const WATCH_WAIT: time::Duration = time::Duration::from_secs(10);
+/// The longest rest of a reader: readers are few, and a change that is
+/// published right after an outage is to be seen within it.
+const READER_REST: time::Duration = time::Duration::from_secs(2);
+/// The longest rest of a host that starts: the whole fleet may start at once.
+const STARTER_REST: time::Duration = time::Duration::from_secs(8);
+/// How much later than those of another failure domain a reader fetches
+/// fragments: by then a peer has usually offered them.
+const DOMAIN_STAGGER: time::Duration = time::Duration::from_millis(20);
+/// How much later than the first reader of its domain another fetches fragments.
+const RANK_STAGGER: time::Duration = time::Duration::from_millis(250);
+/// Fragments are never fetched later than this after the root document.
+const LONGEST_STAGGER: time::Duration = time::Duration::from_millis(750);
+
+impl ConfigurationAdoption {
+    /// Reads both documents that name no team.
+    pub(super) fn call_both(&mut self, now: Timestamp, effects: &mut Vec<AdoptionEffect>) {
+        for key in [PlatformKey::Root, PlatformKey::Hosts] {
+            self.call(now, read(key), effects);
+        }
+    }
+
+    fn call(
+        &mut self,
+        now: Timestamp,
+        request: PlatformRequest,
+        effects: &mut Vec<AdoptionEffect>,
+    ) {
+        if self.calls.try_start(now, &request) {
+            let kind = match request.after {
+                None => Counter::PlatformRead,
+                Some(_) => Counter::PlatformWatch,
+            };
+            effects.push(AdoptionEffect::Count(kind));
+            effects.push(AdoptionEffect::Call(request));
+        }
+    }
+
+    /// Makes the calls that are due.
+    pub(super) fn call_platform<R: PeerReachability>(
+        &mut self,
+        now: Timestamp,
+        peers: &R,
+        effects: &mut Vec<AdoptionEffect>,
+    ) {
+        if self.confirmation.asks_platform(now) {
+            if !self.confirmation.has_read_root() {
+                self.call(now, read(PlatformKey::Root), effects);
+            }
+            if !self.confirmation.has_read_hosts() {
+                self.call(now, read(PlatformKey::Hosts), effects);
+            }
+        }
+        let reads = self.is_reader(now, peers);
+        if reads {
+            let root = seen(self.version().get(), &self.refused_root);
+            let hosts = seen(self.hosts().version.get(), &self.refused_hosts);
+            let pending = self.pending.as_ref().map_or(0, PendingRoot::revision);
+            self.call(now, watch(PlatformKey::Root, root.max(pending)), effects);
+            self.call(now, watch(PlatformKey::Hosts, hosts), effects);
+        }
+        for team in self.wanted_teams(now, reads) {
+            self.call(now, read(PlatformKey::Team(team)), effects);
+        }
+    }
+
+    /// The teams whose fragments are to be read: those that the pending root
+    /// document waits for, else, by readers, those of which the platform gave
+    /// less than the root document in force lists.
+    fn wanted_teams(&self, now: Timestamp, reads: bool) -> Vec<String> {
+        if let Some(pending) = &self.pending {
+            return pending.wanted(now, &self.state).cloned().collect();
+        }
+        let Some(root) = self.state.root.as_ref().filter(|_| reads) else {
+            return Vec::new();
+        };
+        let behind = root
+            .document
+            .teams
+            .iter()
+            .filter(|(team, listed)| self.state.newest_revision(team) < listed.get());
+        behind.map(|(team, _)| team.clone()).collect()
+    }
+
+    /// Takes the outcome of a call.
+    pub fn take_platform<R: PeerReachability>(
+        &mut self,
+        now: Timestamp,
+        outcome: PlatformOutcome,
+        peers: &R,
+        effects: &mut Vec<AdoptionEffect>,
+    ) {
+        let PlatformOutcome { request, result } = outcome;
+        match result {
+            Err(_) => {
+                self.rest(now, &request);
+                effects.push(AdoptionEffect::Count(Counter::PlatformFailed));
+            }
+            Ok(PlatformAnswer::Missing) => {
+                self.rest(now, &request);
+                effects.push(AdoptionEffect::Count(Counter::PlatformFailed));
+                if let (Some(pending), PlatformKey::Team(team)) = (&mut self.pending, request.key) {
+                    pending.note_missing(team);
+                }
+            }
+            Ok(PlatformAnswer::Unchanged) => self.calls.succeed(&request),
+            Ok(PlatformAnswer::Value { revision, text }) => {
+                let published = PublishedText { revision, text };
+                self.take_value(now, request, published, peers, effects);
+            }
+        }
+        self.finish_pending(now, effects);
+        self.decide_confirmation(now);
+        self.call_platform(now, peers, effects);
+    }
+
+    fn rest(&mut self, now: Timestamp, request: &PlatformRequest) {
+        let longest = if self.confirmation.is_done() {
+            READER_REST
+        } else {
+            STARTER_REST
+        };
+        self.calls.rest(now, request, longest);
+    }
+
+    fn take_value<R: PeerReachability>(
+        &mut self,
+        now: Timestamp,
+        request: PlatformRequest,
+        published: PublishedText,
+        peers: &R,
+        effects: &mut Vec<AdoptionEffect>,
+    ) {
+        let held = match &request.key {
+            PlatformKey::Root => self.version().get(),
+            PlatformKey::Hosts => self.hosts().version.get(),
+            PlatformKey::Team(team) => self.state.newest_revision(team),
+        };
+        // Guards against a platform that goes back: its older answer carries a
+        // lower revision than what is accepted.
+        if published.revision < held {
+            effects.push(AdoptionEffect::Count(Counter::PlatformStale));
+        }
+        // Guards against a busy loop: a watch that is answered with nothing
+        // new at once, or a read that gives less than is known to exist, rests.
+        let expected = self.expected_revision(&request).max(held);
+        if published.revision < expected {
+            self.rest(now, &request);
+        } else {
+            self.calls.succeed(&request);
+        }
+        match request.key {
+            PlatformKey::Root => self.take_root(now, published, peers, effects),
+            PlatformKey::Hosts => self.take_hosts(now, published, effects),
+            PlatformKey::Team(team) => {
+                self.take_fragment(now, team, published, effects);
+            }
+        }
+    }
+
+    /// The lowest revision that makes the answer to `request` useful.
+    fn expected_revision(&self, request: &PlatformRequest) -> u64 {
+        let PlatformKey::Team(team) = &request.key else {
+            return request.after.map_or(0, |after| after.saturating_add(1));
+        };
+        let pending = self.pending.as_ref();
+        let root = self.state.root.as_ref();
+        let listed = pending
+            .and_then(|pending| pending.listed(team))
+            .or_else(|| root.and_then(|root| root.document.teams.get(team).copied()));
+        listed.map_or(0, FragmentRevision::get)
+    }
+
+    fn take_root<R: PeerReachability>(
+        &mut self,
+        now: Timestamp,
+        published: PublishedText,
+        peers: &R,
+        effects: &mut Vec<AdoptionEffect>,
+    ) {
+        let revision = published.revision;
+        if revision >= self.version().get() {
+            self.confirmation.note_root();
+        }
+        let pending = self.pending.as_ref().map_or(0, PendingRoot::revision);
+        let newest = seen(self.version().get(), &self.refused_root).max(pending);
+        if revision <= newest {
+            return;
+        }
+        match HeldRoot::read(published) {
+            Ok(root) => {
+                let reads_from = now.after(self.stagger(now, revision, peers));
+                let mut begun = PendingRoot::new(root, now, reads_from);
+                if let Some(earlier) = self.pending.take() {
+                    begun.inherit(earlier);
+                }
+                self.pending = Some(begun);
+            }
+            Err(report) => {
+                let refused = adoption::malformed(PlatformKey::Root, revision, report);
+                adoption::report(refused.clone(), effects);
+                self.refused_root = Some(refused);
+            }
+        }
+    }
+
+    /// How long to leave the fetching of fragments to others. A host that
+    /// starts without being a reader leaves it to its peers at first.
+    fn stagger<R: PeerReachability>(
+        &self,
+        now: Timestamp,
+        version: u64,
+        peers: &R,
+    ) -> time::Duration {
+        let Some(rank) = self.ranking.reader_rank(now, self.identity, peers) else {
+            return LONGEST_STAGGER;
+        };
+        let position = self.ranking.domain_position(self.identity, version);
+        let by_domain = DOMAIN_STAGGER.saturating_mul(position as u32);
+        let by_rank = RANK_STAGGER.saturating_mul(rank as u32);
+        (by_domain + by_rank).min(LONGEST_STAGGER)
+    }
+
+    fn take_fragment(
+        &mut self,
+        now: Timestamp,
+        team: String,
+        published: PublishedText,
+        effects: &mut Vec<AdoptionEffect>,
+    ) {
+        let fragment = HeldFragment::read(&team, published);
+        if let Some(pending) = &mut self.pending {
+            return pending.note(team, fragment);
+        }
+        let mut raised = self.state.clone();
+        raised.team_mut(&team).note(&fragment);
+        self.raise(now, raised, effects);
+    }
+
+    /// Takes the pending root document into force where nothing is missing
+    /// any more.
+    pub(super) fn finish_pending(&mut self, now: Timestamp, effects: &mut Vec<AdoptionEffect>) {
+        let state = &self.state;
+        let complete = self
+            .pending
+            .take_if(|pending| pending.is_complete(now, state));
+        if let Some(pending) = complete {
+            let mut raised = self.state.clone();
+            pending.raise(&mut raised, true);
+            self.raise(now, raised, effects);
+        }
+    }
+
+    fn take_hosts(
+        &mut self,
+        now: Timestamp,
+        published: PublishedText,
+        effects: &mut Vec<AdoptionEffect>,
+    ) {
+        let revision = published.revision;
+        if revision >= self.hosts().version.get() {
+            self.confirmation.note_hosts();
+        }
+        if revision <= seen(self.hosts().version.get(), &self.refused_hosts) {
+            return;
+        }
+        let version = HostListVersion::new(revision);
+        match host_list::parse("hosts", &published.text, version) {
+            Ok(table) => {
+                let mut raised = self.state.clone();
+                raised.hosts.raise(HeldHosts::new(table));
+                self.raise(now, raised, effects);
+            }
+            Err(report) => {
+                let refused = adoption::malformed(PlatformKey::Hosts, revision, report);
+                adoption::report(refused.clone(), effects);
+                self.refused_hosts = Some(refused);
+            }
+        }
+    }
+}
+
+/// The highest revision seen of a key, whether accepted or refused.
+fn seen(accepted: u64, refused: &Option<RefusedDocument>) -> u64 {
+    let refused = refused.as_ref().map_or(0, |refused| refused.revision);
+    accepted.max(refused)
+}
+
+const fn read(key: PlatformKey) -> PlatformRequest {
+    PlatformRequest {
+        key,
+        after: None,
+        wait: time::Duration::ZERO,
+    }
+}
+
+const fn watch(key: PlatformKey, after: u64) -> PlatformRequest {
+    PlatformRequest {
+        key,
+        after: Some(after),
+        wait: WATCH_WAIT,
+    }
+}
--- a/crates/cardamomwinch_coordination/src/control/effect.rs
+++ b/crates/cardamomwinch_coordination/src/control/effect.rs
@@ -6,6 +6,7 @@
 use cardamomwinch_protocol::prelude::PeerEnvelope;
 use cardamomwinch_state::prelude::{BackendId, HostId};
 
+use crate::control::adoption::refusal::RefusedDocument;
 use crate::control::event::PlatformRequest;
 use crate::counter::Counter;
 use crate::decision::DecisionRecord;
@@ -36,6 +37,9 @@
     Publish(sync::Arc<RoutingSnapshot>),
     /// Log a decision.
     Decide(DecisionRecord),
+    /// Log that a published document is refused, and why. What was in force
+    /// under its key before stays in force.
+    Refused(RefusedDocument),
     /// Count something.
     Count(Counter),
 }
--- a/crates/cardamomwinch_coordination/src/control/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/mod.rs
@@ -8,18 +8,20 @@
 pub mod membership;
 pub(crate) mod publication;
 
+use std::net;
 use std::sync;
 
-use cardamomwinch_configuration::resolve::RefusedFragment;
 use cardamomwinch_protocol::peer::configuration::ConfigurationMessage;
 use cardamomwinch_protocol::peer::homes::HomeMessage;
 use cardamomwinch_protocol::peer::membership::MembershipMessage;
 use cardamomwinch_protocol::prelude::{PeerEnvelope, PeerMessage};
 use cardamomwinch_state::prelude::{ConfigurationVersion, HostId, Timestamp};
 
-use crate::control::adoption::{AdoptionOutcome, ConfigurationAdoption};
+use crate::control::adoption::ConfigurationAdoption;
+use crate::control::adoption::effect::AdoptionEffect;
+use crate::control::adoption::refusal::RefusedDocument;
 use crate::control::effect::{ControlEffect, ControlSink};
-use crate::control::event::{ControlEvent, PlatformOutcome, PlatformRequest};
+use crate::control::event::{ControlEvent, PlatformOutcome};
 use crate::control::homes::HomeTable;
 use crate::control::membership::PeerMembership;
 use crate::control::publication::SnapshotPublisher;
@@ -37,7 +39,9 @@
     membership: PeerMembership,
     homes: HomeTable,
     publisher: SnapshotPublisher,
-    refused: Vec<RefusedFragment>,
+    last_event: Option<Timestamp>,
+    /// Whether the last snapshot was published as confirmed.
+    published_confirmed: bool,
 }
 
 impl ControlEngine {
@@ -46,11 +50,12 @@
         Self {
             identity,
             phase: ServingPhase::Starting,
-            adoption: ConfigurationAdoption::default(),
+            adoption: ConfigurationAdoption::new(identity),
             membership: PeerMembership::default(),
             homes: HomeTable::default(),
             publisher: SnapshotPublisher::default(),
-            refused: Vec::new(),
+            last_event: None,
+            published_confirmed: false,
         }
     }
 
@@ -74,15 +79,20 @@
         &self.homes
     }
 
-    /// Fragments that were refused when the version in force was resolved.
-    pub fn refused_fragments(&self) -> &[RefusedFragment] {
-        &self.refused
+    /// Published documents that are not in force, and why.
+    pub fn refused_fragments(&self) -> Vec<RefusedDocument> {
+        self.adoption.refused()
     }
 
     /// Decides about `event` at `now` and gives the effects to `sink`.
     pub fn handle<S: ControlSink>(&mut self, now: Timestamp, event: ControlEvent, sink: &mut S) {
+        self.note_gap(now, sink);
         match event {
-            ControlEvent::Start => self.request(ConfigurationAdoption::first_requests(), sink),
+            ControlEvent::Start => {
+                let mut effects = Vec::new();
+                self.adoption.start(now, &mut effects);
+                self.apply(now, effects, sink);
+            }
             ControlEvent::Tick => self.tick(now, sink),
             ControlEvent::Peer(envelope) => self.take_peer(now, &envelope, sink),
             ControlEvent::Platform(outcome) => self.take_platform(now, outcome, sink),
@@ -94,17 +104,24 @@
         }
     }
 
-    fn request<S: ControlSink>(&self, requests: Vec<PlatformRequest>, sink: &mut S) {
-        for request in requests {
-            sink.emit(ControlEffect::Platform(request));
+    /// Guards against acting on old beliefs after the process was paused or
+    /// the control thread hung: events are further apart than any snapshot is
+    /// fresh, so that what happened meanwhile may have been missed. Snapshots
+    /// do not count again before what is accepted was compared with others.
+    fn note_gap<S: ControlSink>(&mut self, now: Timestamp, sink: &mut S) {
+        let last = self.last_event.replace(now);
+        let slept = last.is_some_and(|last| now.since(last) > publication::SNAPSHOT_FRESH_FOR);
+        if slept {
+            self.adoption.note_sleep(now);
+            sink.emit(ControlEffect::Count(Counter::WokeLate));
+            self.publish(now, sink);
         }
     }
 
     fn tick<S: ControlSink>(&mut self, now: Timestamp, sink: &mut S) {
-        let due = self.adoption.due_requests(now);
-        self.request(due, sink);
-        let completed = self.adoption.adopt_if_complete();
-        self.apply(now, completed, sink);
+        let mut effects = Vec::new();
+        self.adoption.tick(now, &self.membership, &mut effects);
+        self.apply(now, effects, sink);
         let hosts = self.adoption.hosts();
         for host in self.membership.due_heartbeats(now, self.identity, hosts) {
             let digest = self.adoption.digest();
@@ -115,10 +132,19 @@
     }
 
     fn send<S: ControlSink>(&mut self, host: HostId, message: PeerMessage, sink: &mut S) {
-        let Some(entry) = self.adoption.hosts().get(host) else {
-            return;
-        };
-        let address = entry.peer_address;
+        let entry = self.adoption.hosts().get(host);
+        if let Some(address) = entry.map(|entry| entry.peer_address) {
+            self.send_to(host, address, message, sink);
+        }
+    }
+
+    fn send_to<S: ControlSink>(
+        &mut self,
+        host: HostId,
+        address: net::SocketAddr,
+        message: PeerMessage,
+        sink: &mut S,
+    ) {
         let envelope = PeerEnvelope {
             sender: self.identity.host,
             incarnation: self.identity.incarnation,
@@ -134,18 +160,56 @@
 
     fn take_peer<S: ControlSink>(&mut self, now: Timestamp, envelope: &PeerEnvelope, sink: &mut S) {
         if self.adoption.hosts().get(envelope.sender).is_none() {
+            if let PeerMessage::Configuration(message) = &envelope.message {
+                // A host that starts, or whose list is old, learns from hosts
+                // that its own list does not name.
+                return self.take_configuration(now, envelope.sender, message, sink);
+            }
             return sink.emit(ControlEffect::Count(Counter::PeerUnlisted));
         }
+        let life = self
+            .membership
+            .get(envelope.sender)
+            .map(|peer| peer.incarnation);
         if self.membership.note(now, envelope).is_err() {
+            // Messages about configuration may overtake one another: merging
+            // what they say can only raise the state, whereas dropping an
+            // offer that a later heartbeat has overtaken leaves a host behind.
+            if let PeerMessage::Configuration(message) = &envelope.message
+                && life.is_none_or(|life| life <= envelope.incarnation)
+            {
+                return self.take_configuration(now, envelope.sender, message, sink);
+            }
             return sink.emit(ControlEffect::Count(Counter::PeerReplayed));
         }
         match &envelope.message {
-            PeerMessage::Membership(message) => self.take_membership(envelope, message, sink),
+            PeerMessage::Membership(message) => {
+                self.take_membership(envelope, message, sink);
+                let mut effects = Vec::new();
+                let (sender, digest) = (envelope.sender, message.digest());
+                self.adoption.note_digest(now, sender, digest, &mut effects);
+                self.apply(now, effects, sink);
+            }
             PeerMessage::Home(HomeMessage::Released { .. }) => self.publish(now, sink),
-            PeerMessage::Configuration(ConfigurationMessage::Want { .. }) => {}
+            PeerMessage::Configuration(message) => {
+                self.take_configuration(now, envelope.sender, message, sink);
+            }
         }
     }
 
+    fn take_configuration<S: ControlSink>(
+        &mut self,
+        now: Timestamp,
+        sender: HostId,
+        message: &ConfigurationMessage,
+        sink: &mut S,
+    ) {
+        let mut effects = Vec::new();
+        self.adoption
+            .take_message(now, sender, message, &mut effects);
+        self.apply(now, effects, sink);
+    }
+
     fn take_membership<S: ControlSink>(
         &mut self,
         envelope: &PeerEnvelope,
@@ -166,29 +230,49 @@
         outcome: PlatformOutcome,
         sink: &mut S,
     ) {
-        let mut next = Vec::new();
-        let taken = self.adoption.take(now, outcome, &mut next);
-        self.request(next, sink);
-        self.apply(now, taken, sink);
-    }
-
-    fn apply<S: ControlSink>(&mut self, now: Timestamp, taken: AdoptionOutcome, sink: &mut S) {
-        match taken {
-            AdoptionOutcome::Nothing => {}
-            AdoptionOutcome::Stale => sink.emit(ControlEffect::Count(Counter::PlatformStale)),
-            AdoptionOutcome::Failed => sink.emit(ControlEffect::Count(Counter::PlatformFailed)),
-            AdoptionOutcome::Refused { .. } => {
-                sink.emit(ControlEffect::Count(Counter::DocumentRefused));
-            }
-            AdoptionOutcome::Hosts => self.publish(now, sink),
-            AdoptionOutcome::Configuration(resolution) => {
-                self.refused = resolution.refused;
-                self.publisher.adopt(resolution.configuration);
-                let record = self.adopted_record(now);
-                sink.emit(ControlEffect::Decide(record));
-                self.publish(now, sink);
+        let mut effects = Vec::new();
+        self.adoption
+            .take_platform(now, outcome, &self.membership, &mut effects);
+        self.apply(now, effects, sink);
+    }
+
+    /// Carries out what adoption wants done, in its order.
+    fn apply<S: ControlSink>(
+        &mut self,
+        now: Timestamp,
+        effects: Vec<AdoptionEffect>,
+        sink: &mut S,
+    ) {
+        let mut changed = false;
+        for effect in effects {
+            match effect {
+                AdoptionEffect::Call(request) => sink.emit(ControlEffect::Platform(request)),
+                AdoptionEffect::Tell {
+                    host,
+                    address,
+                    message,
+                } => {
+                    let message = PeerMessage::Configuration(message);
+                    match address {
+                        Some(address) => self.send_to(host, address, message, sink),
+                        None => self.send(host, message, sink),
+                    }
+                }
+                AdoptionEffect::Count(counter) => sink.emit(ControlEffect::Count(counter)),
+                AdoptionEffect::Refused(document) => sink.emit(ControlEffect::Refused(document)),
+                AdoptionEffect::Hosts => changed = true,
+                AdoptionEffect::InForce(resolution) => {
+                    self.publisher.adopt(resolution.configuration);
+                    let record = self.adopted_record(now);
+                    sink.emit(ControlEffect::Decide(record));
+                    changed = true;
+                }
             }
         }
+        // What was awaited may have been confirmed without any change.
+        if changed || self.adoption.is_confirmed() != self.published_confirmed {
+            self.publish(now, sink);
+        }
     }
 
     fn adopted_record(&self, now: Timestamp) -> DecisionRecord {
@@ -210,6 +294,7 @@
         let adopted = self.adoption.version() > ConfigurationVersion::ZERO;
         if self.phase == ServingPhase::Starting
             && adopted
+            && self.adoption.is_confirmed()
             && hosts.get(self.identity.host).is_some()
         {
             self.phase = ServingPhase::Serving;
@@ -217,14 +302,21 @@
         let configuration = self.publisher.configuration();
         self.homes
             .choose(now, self.identity, configuration, hosts, &self.membership);
-        let snapshot = self.publisher.make(
+        let mut snapshot = self.publisher.make(
             now,
             self.identity,
             self.phase,
-            hosts,
+            self.adoption.shared_hosts(),
             &self.homes,
             &self.membership,
         );
+        self.published_confirmed = self.adoption.is_confirmed();
+        if !self.published_confirmed {
+            // Guards against routing by beliefs that went stale while the host
+            // slept: a snapshot that was never fresh makes traffic threads
+            // hand datagrams on to peers.
+            snapshot.fresh_until = Timestamp::ZERO;
+        }
         sink.emit(ControlEffect::Publish(sync::Arc::new(snapshot)));
     }
 }
--- a/crates/cardamomwinch_coordination/src/control/publication.rs
+++ b/crates/cardamomwinch_coordination/src/control/publication.rs
@@ -60,7 +60,7 @@
         now: Timestamp,
         identity: HostIdentity,
         phase: ServingPhase,
-        hosts: &HostTable,
+        hosts: &sync::Arc<HostTable>,
         homes: &HomeTable,
         membership: &PeerMembership,
     ) -> RoutingSnapshot {
@@ -69,7 +69,7 @@
             phase,
             fresh_until: now.after(SNAPSHOT_FRESH_FOR),
             configuration: sync::Arc::clone(&self.configuration),
-            hosts: sync::Arc::new(hosts.clone()),
+            hosts: sync::Arc::clone(hosts),
             generations: self.generations.clone(),
             retained: self.retained.clone(),
             server_addresses: sync::Arc::clone(&self.server_addresses),
--- a/crates/cardamomwinch_coordination/src/counter.rs
+++ b/crates/cardamomwinch_coordination/src/counter.rs
@@ -65,6 +65,10 @@
     WokeLate => "woke_late",
     /// Datagrams not decided because the host's beliefs were not confirmed.
     Unconfirmed => "unconfirmed_drops",
+    /// Reads of the platform.
+    PlatformRead => "platform_reads",
+    /// Watches that wait at the platform.
+    PlatformWatch => "platform_watches",
     /// Answers of the platform that were older than what is accepted.
     PlatformStale => "platform_stale_answers",
     /// Calls to the platform that failed.
--- /dev/null
+++ b/crates/cardamomwinch_coordination/tests/adoption_platform.rs
@@ -0,0 +1,133 @@
+//! The platform is silent, slow, stale, or comes back.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod adoption_support;
+
+use std::time;
+
+use adoption_support::TestFleet;
+use adoption_support::documents::FleetShape;
+use cardamomwinch_coordination::prelude::*;
+use yare::parameterized;
+
+const NINE: FleetShape = FleetShape {
+    domains: 3,
+    per_domain: 3,
+};
+
+fn seconds(count: u64) -> time::Duration {
+    time::Duration::from_secs(count)
+}
+
+/// The platform is restored from an old copy and answers with older versions.
+/// A host that believed it went back to the preset of last week. The answers
+/// are ignored and counted, and the next newer version comes into force.
+#[test]
+fn an_older_answer_is_never_adopted() {
+    let mut fleet = TestFleet::settled(NINE, 1);
+    let old = fleet.platform.remember();
+    fleet.publish_root("peak");
+    let list = fleet.shape.host_list(|host| host != 8);
+    fleet.publish(PlatformKey::Hosts, &list);
+    fleet.run_for(seconds(3));
+    fleet.platform.go_back(&old);
+    fleet.run_for(seconds(60));
+    for (index, host) in fleet.running() {
+        assert_eq!(host.preset(), "peak");
+        assert_eq!(host.snapshot.hosts.hosts.len(), 8, "at host {index}");
+    }
+    assert!(fleet.total(Counter::PlatformStale) > 0);
+    // Readers ask a stale platform ever more rarely.
+    let from = fleet.now;
+    fleet.run_for(seconds(30));
+    let calls = fleet.platform.calls_since(from);
+    assert!(calls <= 7 * 2 * 31, "{calls} calls in half a minute");
+    fleet.platform.come_forward();
+    fleet.publish_root("maintenance");
+    assert!(fleet.run_until(seconds(3), |fleet| fleet.all_have("maintenance")));
+}
+
+/// The platform is silent for a minute. Nobody loses anything meanwhile. When
+/// it comes back, not everyone may ask at once, and what was published
+/// meanwhile has to come into force.
+#[parameterized(nine = { 3, 3 }, thirty = { 3, 10 })]
+fn a_silent_platform_changes_nothing_and_meets_no_herd(domains: usize, per_domain: usize) {
+    let shape = FleetShape {
+        domains,
+        per_domain,
+    };
+    let mut fleet = TestFleet::settled(shape, 2);
+    fleet.platform.set_silent(true);
+    fleet.run_for(seconds(60));
+    fleet.expect_everywhere("ordinary");
+    fleet.publish_root("peak");
+    fleet.platform.set_silent(false);
+    let from = fleet.now;
+    assert!(fleet.run_until(seconds(4), |fleet| fleet.all_have("peak")));
+    fleet.run_for(seconds(10));
+    // Two readers a domain with two watches each, however many hosts there
+    // are: one answered and one made anew, and no more than ten seconds' renewal.
+    let calls = fleet.platform.calls_since(from);
+    let readers = domains * 2;
+    assert!(calls <= readers * 2 * 4, "{calls} calls");
+}
+
+/// Each answer of the platform takes half a second. A root document then comes
+/// into force as a whole after its fragments, and never before.
+#[test]
+fn a_slow_platform_delays_but_does_not_divide() {
+    let mut fleet = TestFleet::settled(NINE, 3);
+    fleet.platform.delay = time::Duration::from_millis(500);
+    fleet.run_for(seconds(2));
+    let fragment = adoption_support::documents::fragment("search", "desk", 7010, 9010);
+    let revision = fleet.publish_team("search", &fragment);
+    fleet.publish_root("peak");
+    let done = fleet.run_until(seconds(3), |fleet| {
+        for (_, host) in fleet.running() {
+            let address = "127.0.0.1:7010".parse().unwrap();
+            let moved = host.snapshot.configuration.service_at(address).is_some();
+            assert_eq!(
+                moved,
+                host.preset() == "peak",
+                "half of revision {revision}"
+            );
+        }
+        fleet.all_have("peak")
+    });
+    assert!(done);
+}
+
+/// The platform dies between the reading of a root document and that of its
+/// fragments. The switch of the preset must not be lost with it.
+#[test]
+fn a_root_document_does_not_wait_for_ever() {
+    let mut fleet = TestFleet::settled(NINE, 4);
+    let fragment = adoption_support::documents::fragment("search", "desk", 7010, 9010);
+    fleet.publish_team("search", &fragment);
+    fleet.publish_root("peak");
+    fleet.run_for(time::Duration::from_millis(4));
+    fleet.platform.set_silent(true);
+    assert!(fleet.run_until(seconds(3), |fleet| fleet.all_have("peak")));
+    fleet.platform.set_silent(false);
+    fleet.run_for(seconds(6));
+    for (_, host) in fleet.running() {
+        let address = "127.0.0.1:7010".parse().unwrap();
+        assert!(host.snapshot.configuration.service_at(address).is_some());
+    }
+    fleet.expect_same_state();
+}
+
+/// The keys of the platform vanish. What is in force stays.
+#[test]
+fn missing_keys_change_nothing() {
+    let mut fleet = TestFleet::settled(NINE, 5);
+    for key in [
+        PlatformKey::Root,
+        PlatformKey::Hosts,
+        PlatformKey::Team("search".into()),
+    ] {
+        fleet.platform.remove(&key);
+    }
+    fleet.run_for(seconds(30));
+    fleet.expect_everywhere("ordinary");
+}
--- /dev/null
+++ b/crates/cardamomwinch_coordination/tests/adoption_spreading.rs
@@ -0,0 +1,151 @@
+//! A change that is published comes into force on every host.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod adoption_support;
+
+use std::time;
+
+use adoption_support::TestFleet;
+use adoption_support::documents::{self, FleetShape};
+use cardamomwinch_coordination::prelude::*;
+use yare::parameterized;
+
+const NINE: FleetShape = FleetShape {
+    domains: 3,
+    per_domain: 3,
+};
+/// In force everywhere within this time of publishing.
+const SPREAD_LIMIT: time::Duration = time::Duration::from_secs(3);
+
+fn spread(fleet: &mut TestFleet, preset: &str) {
+    let done = fleet.run_until(SPREAD_LIMIT, |fleet| fleet.all_have(preset));
+    if !done {
+        fleet.expect_everywhere(preset);
+    }
+}
+
+/// Operators switch a preset while the network loses, delays and reorders
+/// messages. One host in nine kept the old preset for good, because the one
+/// message that would have told it was lost.
+#[parameterized(calm = { 1, 0.0, 2 }, lossy = { 2, 0.05, 20 }, lossier = { 3, 0.2, 60 }, other_seed = { 4, 0.2, 60 })]
+fn a_switch_is_in_force_on_every_host(seed: u64, loss: f64, delay: u64) {
+    let mut fleet = TestFleet::settled(NINE, seed);
+    fleet.loss = loss;
+    fleet.delay = time::Duration::from_millis(delay);
+    for preset in ["peak", "ordinary", "maintenance"] {
+        fleet.publish_root(preset);
+        spread(&mut fleet, preset);
+        fleet.run_for(time::Duration::from_secs(2));
+    }
+    fleet.expect_same_state();
+}
+
+/// A reader of a failure domain is killed just when a change is published,
+/// before or after it has told anyone. Nobody else in the domain was watching,
+/// so that the domain stayed on the old preset until the next change.
+#[parameterized(at_once = { 1, 0 }, while_reading = { 2, 6 }, while_telling = { 3, 12 }, later = { 4, 40 })]
+fn a_change_survives_the_death_of_its_readers(seed: u64, after: u64) {
+    let mut fleet = TestFleet::settled(NINE, seed);
+    let readers = fleet.readers();
+    assert_eq!(readers.len(), 6);
+    fleet.publish_team("search", &documents::fragment("search", "desk", 7001, 9101));
+    fleet.publish_root("peak");
+    fleet.run_for(time::Duration::from_millis(after));
+    for reader in readers {
+        fleet.kill(reader);
+    }
+    spread(&mut fleet, "peak");
+    fleet.run_for(time::Duration::from_secs(3));
+    fleet.expect_same_state();
+    assert_eq!(fleet.readers().len(), 3, "the survivors read");
+}
+
+/// Calm lasts for a minute. If every host watched by itself, the platform's
+/// calls would grow with the fleet and eat up what all of them may make.
+#[test]
+fn few_hosts_read_the_platform() {
+    let shape = FleetShape {
+        domains: 3,
+        per_domain: 8,
+    };
+    let mut fleet = TestFleet::settled(shape, 5);
+    assert_eq!(fleet.readers().len(), 6);
+    let from = fleet.now;
+    fleet.run_for(time::Duration::from_secs(60));
+    // Six readers hold two watches of ten seconds each.
+    let calls = fleet.platform.calls_since(from);
+    assert!(calls <= 6 * 2 * 7, "{calls} calls in a minute");
+}
+
+/// A failure domain is cut off from the platform, but not from the others. Its
+/// own readers hear nothing, so that what the others know has to reach it.
+#[test]
+fn a_domain_without_the_platform_learns_from_the_others() {
+    let mut fleet = TestFleet::settled(NINE, 6);
+    fleet.cut_platform(|host| host < 3);
+    fleet.run_for(time::Duration::from_secs(2));
+    fleet.publish_root("peak");
+    spread(&mut fleet, "peak");
+}
+
+/// A failure domain is cut off from the others and the platform while presets
+/// are switched twice. Once the cut heals it has to catch up, and what it
+/// still believes must not spread to the others.
+#[test]
+fn a_domain_that_was_cut_off_catches_up() {
+    let mut fleet = TestFleet::settled(NINE, 7);
+    fleet.cut_platform(|host| host < 3);
+    fleet.cut = Box::new(|from, to| (from < 3) != (to < 3));
+    fleet.publish_root("peak");
+    fleet.run_for(time::Duration::from_secs(20));
+    fleet.publish_root("maintenance");
+    fleet.run_for(time::Duration::from_secs(20));
+    for host in 0..9 {
+        let expected = if host < 3 { "ordinary" } else { "maintenance" };
+        assert_eq!(fleet.hosts[host].preset(), expected);
+        assert!(fleet.hosts[host].serves());
+    }
+    fleet.cut = Box::new(|_, _| false);
+    spread(&mut fleet, "maintenance");
+    fleet.run_for(time::Duration::from_secs(3));
+    fleet.expect_same_state();
+}
+
+/// Two operators switch presets at the same moment, and back again. Hosts see
+/// the switches in different orders and through different peers; if the last
+/// message won instead of the highest version, some would end with the first.
+#[parameterized(one = { 8, 0 }, two = { 9, 3 }, three = { 10, 30 }, four = { 11, 300 })]
+fn the_last_of_two_racing_switches_wins(seed: u64, apart: u64) {
+    let mut fleet = TestFleet::settled(NINE, seed);
+    fleet.loss = 0.1;
+    fleet.delay = time::Duration::from_millis(50);
+    for preset in ["peak", "maintenance", "peak", "ordinary", "maintenance"] {
+        fleet.publish_root(preset);
+        fleet.run_for(time::Duration::from_millis(apart));
+    }
+    spread(&mut fleet, "maintenance");
+    fleet.run_for(time::Duration::from_secs(4));
+    fleet.expect_everywhere("maintenance");
+    fleet.expect_same_state();
+}
+
+/// A host leaves the list, and another joins it. Hosts that are one list
+/// behind get the changes only, and end with the same list as all others.
+#[test]
+fn lists_of_hosts_spread_like_presets() {
+    let mut fleet = TestFleet::settled(NINE, 12);
+    fleet.loss = 0.1;
+    for gone in [8, 2, 5] {
+        let list = fleet.shape.host_list(|host| host != gone);
+        let revision = fleet.publish(PlatformKey::Hosts, &list);
+        let done = fleet.run_until(SPREAD_LIMIT, |fleet| {
+            let mut hosts = fleet.running().filter(|(index, _)| *index != gone);
+            hosts.all(|(_, host)| host.snapshot.hosts.version.get() >= revision)
+        });
+        assert!(done);
+        let counts = fleet
+            .running()
+            .map(|(_, host)| host.snapshot.hosts.hosts.len());
+        assert!(counts.filter(|count| *count == 8).count() >= 8);
+    }
+}
--- /dev/null
+++ b/crates/cardamomwinch_coordination/tests/adoption_starting.rs
@@ -0,0 +1,180 @@
+//! A host that starts, or wakes late, compares what it holds before it serves.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod adoption_support;
+
+use std::time;
+
+use adoption_support::TestFleet;
+use adoption_support::documents::FleetShape;
+use cardamomwinch_coordination::prelude::*;
+use cardamomwinch_state::prelude::*;
+use yare::parameterized;
+
+const NINE: FleetShape = FleetShape {
+    domains: 3,
+    per_domain: 3,
+};
+
+fn seconds(count: u64) -> time::Duration {
+    time::Duration::from_secs(count)
+}
+
+fn restart(fleet: &mut TestFleet, host: usize) {
+    fleet.kill(host);
+    fleet.run_for(seconds(2));
+    fleet.start(host);
+}
+
+/// Runs until `host` serves, and holds that it never served another preset.
+fn serves_only(fleet: &mut TestFleet, host: usize, preset: &str, limit: time::Duration) {
+    let done = fleet.run_until(limit, |fleet| fleet.hosts[host].serves());
+    assert!(done, "host {host} does not serve");
+    assert_eq!(fleet.hosts[host].preset(), preset);
+}
+
+/// The platform is down when a host is replaced. The new one holds no list of
+/// hosts, so it cannot call anybody; its peers have to find it.
+#[parameterized(calm = { 1, 0.0 }, lossy = { 2, 0.1 })]
+fn a_host_starts_from_peers_alone(seed: u64, loss: f64) {
+    let mut fleet = TestFleet::settled(NINE, seed);
+    fleet.loss = loss;
+    fleet.platform.set_silent(true);
+    for host in 0..9 {
+        restart(&mut fleet, host);
+        serves_only(&mut fleet, host, "ordinary", seconds(6));
+    }
+}
+
+/// No peer answers: the host starts from the platform alone, after it has
+/// given peers a moment to answer.
+#[test]
+fn a_host_starts_from_the_platform_alone() {
+    let mut fleet = TestFleet::settled(NINE, 3);
+    fleet.publish_root("peak");
+    fleet.cut = Box::new(|_, _| true);
+    restart(&mut fleet, 4);
+    serves_only(&mut fleet, 4, "peak", seconds(3));
+}
+
+/// The only host of a fleet has no peer to wait for.
+#[test]
+fn the_only_host_starts() {
+    let shape = FleetShape {
+        domains: 1,
+        per_domain: 1,
+    };
+    TestFleet::settled(shape, 4);
+}
+
+/// The whole fleet starts at once, from the platform.
+#[test]
+fn a_whole_fleet_starts_at_once() {
+    let shape = FleetShape {
+        domains: 4,
+        per_domain: 10,
+    };
+    let fleet = TestFleet::settled(shape, 5);
+    fleet.expect_same_state();
+}
+
+/// The platform is stale when a host is replaced, and answers before any peer
+/// does. Serving what the platform says for that moment sent requests to
+/// servers that had been taken out hours before.
+#[parameterized(near = { 6, 2 }, far = { 7, 60 }, lossy = { 8, 20 })]
+fn a_host_that_starts_takes_the_highest(seed: u64, delay: u64) {
+    let mut fleet = TestFleet::settled(NINE, seed);
+    let old = fleet.platform.remember();
+    fleet.publish_root("peak");
+    fleet.run_for(seconds(3));
+    fleet.platform.go_back(&old);
+    fleet.delay = time::Duration::from_millis(delay);
+    for host in 0..9 {
+        restart(&mut fleet, host);
+        serves_only(&mut fleet, host, "peak", seconds(4));
+        assert!(fleet.total(Counter::PlatformStale) > 0);
+    }
+}
+
+/// The platform is ahead of all peers, for they are cut off from it. The host
+/// that starts brings the news.
+#[test]
+fn a_host_that_starts_brings_what_is_newer() {
+    let mut fleet = TestFleet::settled(NINE, 9);
+    fleet.cut_platform(|host| host != 0);
+    fleet.kill(0);
+    fleet.publish_root("peak");
+    fleet.run_for(seconds(3));
+    fleet.expect_everywhere("ordinary");
+    fleet.start(0);
+    serves_only(&mut fleet, 0, "peak", seconds(3));
+    assert!(fleet.run_until(seconds(3), |fleet| fleet.all_have("peak")));
+}
+
+/// A host is paused for half a minute while a preset is switched. It wakes
+/// with a list of messages and its old beliefs; until it has asked, nothing
+/// that it publishes may count as fresh.
+#[parameterized(with_peers = { 10, false, false }, peers_only = { 11, true, false }, platform_only = { 12, false, true })]
+fn a_late_waker_asks_before_it_serves(seed: u64, platform_down: bool, peers_cut: bool) {
+    let mut fleet = TestFleet::settled(NINE, seed);
+    fleet.pause(4, seconds(30));
+    fleet.run_for(seconds(10));
+    fleet.publish_root("peak");
+    fleet.run_for(seconds(10));
+    fleet.platform.set_silent(platform_down);
+    if peers_cut {
+        fleet.cut = Box::new(|_, _| true);
+    }
+    fleet.run_for(seconds(9));
+    let woken = fleet.hosts[4].paused_until;
+    let done = fleet.run_until(seconds(12), |fleet| {
+        let snapshot = &fleet.hosts[4].snapshot;
+        if fleet.now >= woken && snapshot.made >= woken {
+            let fresh = snapshot.fresh_until > fleet.now;
+            assert!(!fresh || snapshot.configuration.preset == "peak");
+        }
+        fleet.hosts[4].preset() == "peak" && snapshot.fresh_until > fleet.now
+    });
+    assert!(done, "the host does not serve again");
+    assert_eq!(fleet.hosts[4].count(Counter::WokeLate), 1);
+}
+
+/// A host that sleeps and then hears of nobody at all does not serve: it
+/// cannot know whose addresses are whose any more.
+#[test]
+fn a_late_waker_alone_stays_silent() {
+    let mut fleet = TestFleet::settled(NINE, 13);
+    fleet.pause(4, seconds(30));
+    fleet.run_for(seconds(10));
+    fleet.platform.set_silent(true);
+    fleet.cut = Box::new(|_, _| true);
+    fleet.run_for(seconds(60));
+    assert_eq!(fleet.hosts[4].snapshot.fresh_until, Timestamp::ZERO);
+    fleet.cut = Box::new(|_, _| false);
+    let done = fleet.run_until(seconds(3), |fleet| {
+        fleet.hosts[4].snapshot.fresh_until > fleet.now
+    });
+    assert!(done);
+}
+
+/// All hosts of a failure domain are paused together, and wake cut off from
+/// everything else. None of them can vouch for the others, but there is nobody
+/// better to ask: after a while the domain serves on by itself.
+#[test]
+fn a_domain_that_slept_as_a_whole_serves_on() {
+    let mut fleet = TestFleet::settled(NINE, 14);
+    for host in 0..3 {
+        fleet.pause(host, seconds(20));
+    }
+    fleet.run_for(seconds(5));
+    fleet.platform.set_silent(true);
+    fleet.cut = Box::new(|from, to| (from < 3) != (to < 3));
+    fleet.run_for(seconds(15));
+    let done = fleet.run_until(seconds(6), |fleet| {
+        let domain = &fleet.hosts[..3];
+        domain
+            .iter()
+            .all(|host| host.snapshot.fresh_until > fleet.now)
+    });
+    assert!(done, "the domain does not serve again");
+}
--- /dev/null
+++ b/crates/cardamomwinch_coordination/tests/adoption_support/documents.rs
@@ -0,0 +1,72 @@
+//! The documents of a test fleet, and the names of its hosts.
+
+use cardamomwinch_coordination::prelude::*;
+use cardamomwinch_state::prelude::*;
+
+/// How many hosts stand in how many failure domains.
+#[derive(Debug, Clone, Copy)]
+pub struct FleetShape {
+    pub domains: usize,
+    pub per_domain: usize,
+}
+
+impl FleetShape {
+    pub const fn count(self) -> usize {
+        self.domains * self.per_domain
+    }
+
+    pub const fn domain_of(self, host: usize) -> usize {
+        host / self.per_domain
+    }
+
+    pub fn identity(self, host: usize, started: Timestamp) -> HostIdentity {
+        HostIdentity {
+            host: HostId::from_name(&host_name(host)),
+            domain: DomainId::from_name(&domain_name(self.domain_of(host))),
+            incarnation: Incarnation::new(started.get()),
+        }
+    }
+
+    /// The list of those hosts for which `listed` holds.
+    pub fn host_list(self, listed: impl Fn(usize) -> bool) -> String {
+        let hosts = (0..self.count()).filter(|host| listed(*host));
+        let hosts = hosts.map(|host| {
+            let (name, domain) = (host_name(host), domain_name(self.domain_of(host)));
+            let address = format!("127.{}.{}", host / 200 + 1, host % 200 + 1);
+            format!(
+                r#""{name}": {{"domain": "{domain}", "traffic_address": "{address}.1:4000",
+                "relay_address": "{address}.1:4001", "peer_address": "{address}.1:4002"}}"#
+            )
+        });
+        format!(
+            r#"{{"hosts": {{{}}}}}"#,
+            hosts.collect::<Vec<_>>().join(",")
+        )
+    }
+}
+
+pub fn host_name(host: usize) -> String {
+    format!("host-{host}")
+}
+
+pub fn domain_name(domain: usize) -> String {
+    format!("domain-{domain}")
+}
+
+/// A root document.
+pub fn root(preset: &str, teams: &[(String, u64)]) -> String {
+    let teams = teams
+        .iter()
+        .map(|(team, revision)| format!(r#""{team}": {revision}"#));
+    let teams = teams.collect::<Vec<_>>().join(", ");
+    format!(r#"{{"preset": "{preset}", "teams": {{{teams}}}}}"#)
+}
+
+/// A fragment with one service of one backend server.
+pub fn fragment(team: &str, service: &str, port: u16, backend: u16) -> String {
+    format!(
+        r#"{{"team": "{team}", "presets": {{}}, "services": {{"{service}": {{
+        "address": "127.0.0.1:{port}", "backends": {{"{service}-1": {{
+        "domain": "domain-0", "address": "127.0.0.1:{backend}"}}}}}}}}}}"#
+    )
+}
--- /dev/null
+++ b/crates/cardamomwinch_coordination/tests/adoption_support/platform.rs
@@ -0,0 +1,153 @@
+//! The platform of a test fleet: revisions count up over all keys.
+
+use std::time;
+
+use cardamomwinch_coordination::control::event::PlatformAnswer;
+use cardamomwinch_coordination::prelude::*;
+use cardamomwinch_state::prelude::*;
+
+/// A watch that waits.
+#[derive(Debug, Clone)]
+pub struct WaitingWatch {
+    pub host: usize,
+    pub life: u64,
+    pub request: PlatformRequest,
+}
+
+#[derive(Debug, Clone)]
+struct HeldValue {
+    revision: u64,
+    text: String,
+}
+
+type Values = SortedVector<PlatformKey, HeldValue>;
+
+/// The platform.
+#[derive(Debug)]
+pub struct TestPlatform {
+    values: Values,
+    /// What it answers with while it is stale.
+    stale: Option<Values>,
+    silent: bool,
+    revision: u64,
+    watches: Vec<WaitingWatch>,
+    /// How long an answer takes.
+    pub delay: time::Duration,
+    /// When each call came, and what it asked.
+    pub calls: Vec<(Timestamp, PlatformRequest)>,
+}
+
+impl Default for TestPlatform {
+    fn default() -> Self {
+        Self {
+            values: SortedVector::new(),
+            stale: None,
+            silent: false,
+            revision: 0,
+            watches: Vec::new(),
+            delay: time::Duration::from_millis(3),
+            calls: Vec::new(),
+        }
+    }
+}
+
+impl TestPlatform {
+    pub fn publish(&mut self, key: PlatformKey, text: &str) -> (u64, Vec<WaitingWatch>) {
+        self.revision += 1;
+        let revision = self.revision;
+        let text = text.to_owned();
+        self.values
+            .insert(key.clone(), HeldValue { revision, text });
+        if self.silent || self.stale.is_some() {
+            return (revision, Vec::new());
+        }
+        let woken = self
+            .watches
+            .extract_if(.., |watch| watch.request.key == key);
+        (revision, woken.collect())
+    }
+
+    /// Removes a key.
+    pub fn remove(&mut self, key: &PlatformKey) {
+        self.values.remove(key);
+    }
+
+    pub fn team_revisions(&self) -> Vec<(String, u64)> {
+        let teams = self.values.iter().filter_map(|(key, held)| match key {
+            PlatformKey::Team(team) => Some((team.clone(), held.revision)),
+            _ => None,
+        });
+        teams.collect()
+    }
+
+    /// A copy of all values, to go back to.
+    pub fn remember(&self) -> Self {
+        Self {
+            values: self.values.clone(),
+            ..Self::default()
+        }
+    }
+
+    /// Lets the watches of the hosts for which `rule` holds hang.
+    pub fn drop_watches(&mut self, rule: fn(usize) -> bool) {
+        self.watches.retain(|watch| !rule(watch.host));
+    }
+
+    /// Answers with what was remembered from now on; all watches are lost.
+    pub fn go_back(&mut self, to: &Self) {
+        self.stale = Some(to.values.clone());
+        self.watches.clear();
+    }
+
+    /// Answers with the truth again.
+    pub fn come_forward(&mut self) {
+        self.stale = None;
+    }
+
+    /// Answers nothing any more, or again.
+    pub fn set_silent(&mut self, silent: bool) {
+        self.silent = silent;
+        self.watches.clear();
+    }
+
+    pub fn is_silent(&self) -> bool {
+        self.silent
+    }
+
+    fn shown(&self) -> &Values {
+        self.stale.as_ref().unwrap_or(&self.values)
+    }
+
+    pub fn note_call(&mut self, now: Timestamp, request: &PlatformRequest) {
+        self.calls.push((now, request.clone()));
+    }
+
+    /// Whether `request` is a watch that has to wait.
+    pub fn would_wait(&self, request: &PlatformRequest) -> bool {
+        let held = self
+            .shown()
+            .get(&request.key)
+            .map_or(0, |held| held.revision);
+        // While it is stale it answers watches at once, with what is old.
+        self.stale.is_none() && request.after.is_some_and(|after| held <= after)
+    }
+
+    pub fn wait(&mut self, watch: WaitingWatch) {
+        self.watches.push(watch);
+    }
+
+    pub fn value(&self, key: &PlatformKey) -> PlatformAnswer {
+        match self.shown().get(key) {
+            None => PlatformAnswer::Missing,
+            Some(held) => PlatformAnswer::Value {
+                revision: held.revision,
+                text: held.text.clone(),
+            },
+        }
+    }
+
+    /// Calls made since `from`.
+    pub fn calls_since(&self, from: Timestamp) -> usize {
+        self.calls.iter().filter(|(at, _)| *at >= from).count()
+    }
+}
