--- a/crates/cardamomwinch_coordination/src/control/adoption/accepted.rs
+++ b/crates/cardamomwinch_coordination/src/control/adoption/accepted.rs
@@ -19,6 +19,10 @@
 /// where two hosts accepted, each for itself, fragments of two teams that clash.
 pub const ACCEPTED_KEPT: usize = 2;
 
+/// Fragments of more bytes than this together are not put into one offer: it
+/// has to pass as one message, into which it is escaped once more.
+pub const OFFER_LIMIT: usize = 1536 * 1024;
+
 /// The fragments of one team.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct TeamFragments {
@@ -173,13 +177,22 @@
         let root = self.root.as_ref();
         let newer_root = root.filter(|root| root.stamp > known.root);
         let teams = self.teams.iter();
+        let mut fragments: Vec<FragmentOffer> = teams
+            .flat_map(|(name, team)| lacking(name, team, known_team(known, name)))
+            .collect();
+        let fitting = fitting_count(&fragments);
+        let complete = fitting == fragments.len();
+        fragments.truncate(fitting);
         ConfigurationOffer {
             digest: self.digest(),
+            complete,
             confirmed,
-            root: newer_root.map(|root| root.published.clone()),
-            fragments: teams
-                .flat_map(|(name, team)| lacking(name, team, known_team(known, name)))
-                .collect(),
+            // The root document comes last, so that it never comes into force
+            // while fragments that it lists are still to come.
+            root: newer_root
+                .filter(|_| complete)
+                .map(|root| root.published.clone()),
+            fragments,
             hosts: self.hosts.offer(known.hosts),
         }
     }
@@ -206,6 +219,16 @@
     displaces && !held.contains(&stamp)
 }
 
+/// How many of the first `fragments` fit into one offer; one always does.
+fn fitting_count(fragments: &[FragmentOffer]) -> usize {
+    let sizes = fragments.iter().scan(0, |total, offer| {
+        *total += offer.document.text.len();
+        Some(*total)
+    });
+    let fitting = sizes.take_while(|total| *total <= OFFER_LIMIT).count();
+    fitting.max(1).min(fragments.len())
+}
+
 fn push_stamp(bytes: &mut Vec<u8>, stamp: DocumentStamp) {
     bytes.extend(stamp.revision.to_le_bytes());
     bytes.extend(stamp.hash.to_le_bytes());
--- a/crates/cardamomwinch_coordination/src/control/adoption/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/adoption/mod.rs
@@ -330,7 +330,9 @@
             raised.hosts.raise(hosts);
         }
         self.exchange.note_answer(sender);
-        self.confirmation.note_answer(sender, offer.confirmed);
+        if offer.complete {
+            self.confirmation.note_answer(sender, offer.confirmed);
+        }
         self.drop_overtaken(&mut raised);
         self.raise(now, raised, effects);
         self.decide_confirmation(now);
--- a/crates/cardamomwinch_coordination/src/control/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/mod.rs
@@ -15,7 +15,9 @@
 use cardamomwinch_protocol::peer::homes::HomeMessage;
 use cardamomwinch_protocol::peer::membership::MembershipMessage;
 use cardamomwinch_protocol::prelude::{PeerEnvelope, PeerMessage};
-use cardamomwinch_state::prelude::{ConfigurationVersion, HostId, Timestamp};
+use cardamomwinch_state::prelude::{
+    ConfigurationVersion, DomainId, HostId, InForceConfiguration, SortedVector, Timestamp,
+};
 
 use crate::control::adoption::ConfigurationAdoption;
 use crate::control::adoption::effect::AdoptionEffect;
@@ -42,6 +44,17 @@
     last_event: Option<Timestamp>,
     /// Whether the last snapshot was published as confirmed.
     published_confirmed: bool,
+    domain_names: SortedVector<DomainId, String>,
+    platform: PlatformHealth,
+}
+
+/// How the platform answers.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct PlatformHealth {
+    /// Whether the last call was answered.
+    pub reachable: bool,
+    /// Answers older than what was accepted already.
+    pub stale_answers: u64,
 }
 
 impl ControlEngine {
@@ -56,9 +69,32 @@
             publisher: SnapshotPublisher::default(),
             last_event: None,
             published_confirmed: false,
+            domain_names: SortedVector::new(),
+            platform: PlatformHealth::default(),
         }
     }
 
+    /// Who this host is.
+    pub fn identity(&self) -> HostIdentity {
+        self.identity
+    }
+
+    /// What is in force.
+    pub fn configuration(&self) -> &InForceConfiguration {
+        self.publisher.configuration()
+    }
+
+    /// How the platform answers.
+    pub fn platform_health(&self) -> PlatformHealth {
+        self.platform
+    }
+
+    /// The name of a failure domain, or its identifier where no fragment names it.
+    pub fn domain_name(&self, domain: DomainId) -> String {
+        let name = self.domain_names.get(&domain);
+        name.cloned().unwrap_or_else(|| domain.to_string())
+    }
+
     /// Whether the host serves.
     pub fn phase(&self) -> ServingPhase {
         self.phase
@@ -231,6 +267,7 @@
         sink: &mut S,
     ) {
         let mut effects = Vec::new();
+        self.platform.reachable = outcome.result.is_ok();
         self.adoption
             .take_platform(now, outcome, &self.membership, &mut effects);
         self.apply(now, effects, sink);
@@ -258,11 +295,18 @@
                         None => self.send(host, message, sink),
                     }
                 }
-                AdoptionEffect::Count(counter) => sink.emit(ControlEffect::Count(counter)),
+                AdoptionEffect::Count(counter) => {
+                    let stale = u64::from(counter == Counter::PlatformStale);
+                    self.platform.stale_answers += stale;
+                    sink.emit(ControlEffect::Count(counter));
+                }
                 AdoptionEffect::Refused(document) => sink.emit(ControlEffect::Refused(document)),
                 AdoptionEffect::Hosts => changed = true,
                 AdoptionEffect::InForce(resolution) => {
-                    self.publisher.adopt(resolution.configuration);
+                    let resolution = *resolution;
+                    self.domain_names = resolution.domain_names.clone();
+                    self.publisher
+                        .adopt(resolution.configuration, resolution.domain_names);
                     let record = self.adopted_record(now);
                     sink.emit(ControlEffect::Decide(record));
                     changed = true;
--- a/crates/cardamomwinch_coordination/tests/adoption_starting.rs
+++ b/crates/cardamomwinch_coordination/tests/adoption_starting.rs
@@ -6,7 +6,7 @@
 use std::time;
 
 use adoption_support::TestFleet;
-use adoption_support::documents::FleetShape;
+use adoption_support::documents::{self, FleetShape};
 use cardamomwinch_coordination::prelude::*;
 use cardamomwinch_state::prelude::*;
 use yare::parameterized;
@@ -33,6 +33,27 @@
     assert_eq!(fleet.hosts[host].preset(), preset);
 }
 
+/// The configuration is larger than one message may be. A host that starts
+/// from peers gets it in parts, and serves once it has them all.
+#[test]
+fn a_large_configuration_comes_in_parts() {
+    let mut fleet = TestFleet::settled(NINE, 15);
+    for (index, team) in ["search", "vault", "news", "desk"].iter().enumerate() {
+        let port = 7100 + index as u16;
+        let service = format!("{team}-service");
+        let text = documents::fragment(team, &service, port, port + 1000);
+        let padding = "x".repeat(900 * 1024);
+        fleet.publish_team(team, &format!("// {padding}\n{text}"));
+    }
+    fleet.publish_root("peak");
+    assert!(fleet.run_until(seconds(3), |fleet| fleet.all_have("peak")));
+    fleet.platform.set_silent(true);
+    restart(&mut fleet, 4);
+    serves_only(&mut fleet, 4, "peak", seconds(6));
+    let services = &fleet.hosts[4].snapshot.configuration.services;
+    assert_eq!(services.len(), 4);
+}
+
 /// The platform is down when a host is replaced. The new one holds no list of
 /// hosts, so it cannot call anybody; its peers have to find it.
 #[parameterized(calm = { 1, 0.0 }, lossy = { 2, 0.1 })]
--- a/crates/cardamomwinch_coordination/tests/adoption_support/documents.rs
+++ b/crates/cardamomwinch_coordination/tests/adoption_support/documents.rs
@@ -1,6 +1,8 @@
 //! The documents of a test fleet, and the names of its hosts.
 
 use cardamomwinch_coordination::prelude::*;
+use cardamomwinch_protocol::peer::configuration::ConfigurationMessage;
+use cardamomwinch_protocol::prelude::*;
 use cardamomwinch_state::prelude::*;
 
 /// How many hosts stand in how many failure domains.
@@ -70,3 +72,16 @@
         "domain": "domain-0", "address": "127.0.0.1:{backend}"}}}}}}}}}}"#
     )
 }
+
+/// Holds that `envelope` passes as one message: the transport takes at most
+/// four mebibytes, in which text is escaped.
+pub fn expect_deliverable(envelope: &PeerEnvelope) {
+    let PeerMessage::Configuration(ConfigurationMessage::Offer(offer)) = &envelope.message else {
+        return;
+    };
+    let root = offer.root.iter();
+    let fragments = offer.fragments.iter().map(|offer| &offer.document);
+    let documents = root.chain(fragments);
+    let bytes: usize = documents.map(|document| document.text.len()).sum();
+    assert!(bytes < 2 * 1024 * 1024, "{bytes} bytes in one message");
+}
--- a/crates/cardamomwinch_coordination/tests/adoption_support/mod.rs
+++ b/crates/cardamomwinch_coordination/tests/adoption_support/mod.rs
@@ -314,7 +314,10 @@
         match effect {
             ControlEffect::ToPeer {
                 host: to, envelope, ..
-            } => self.send(host, to, envelope),
+            } => {
+                documents::expect_deliverable(&envelope);
+                self.send(host, to, envelope);
+            }
             ControlEffect::Platform(request) => {
                 self.schedule(CALL_DELAY, Happening::Call(host, request));
             }
--- a/crates/cardamomwinch_protocol/src/peer/configuration.rs
+++ b/crates/cardamomwinch_protocol/src/peer/configuration.rs
@@ -98,6 +98,9 @@
 pub struct ConfigurationOffer {
     /// What the sender has accepted.
     pub digest: ConfigurationDigest,
+    /// Whether this is all that the asker lacks. What is left is handed over
+    /// when it asks again.
+    pub complete: bool,
     /// Whether the sender has compared its state with others since it started
     /// or last slept.
     pub confirmed: bool,
