--- a/crates/cardamomwinch_coordination/src/control/adoption/confirmation.rs
+++ b/crates/cardamomwinch_coordination/src/control/adoption/confirmation.rs
@@ -48,6 +48,14 @@
         Self::begin(Timestamp::ZERO, Occasion::Start)
     }
 
+    /// A comparison that is complete.
+    pub(crate) fn settled() -> Self {
+        Self {
+            done: true,
+            ..Self::starting()
+        }
+    }
+
     fn begin(now: Timestamp, occasion: Occasion) -> Self {
         Self {
             occasion,
--- a/crates/cardamomwinch_coordination/src/control/adoption/exchange.rs
+++ b/crates/cardamomwinch_coordination/src/control/adoption/exchange.rs
@@ -166,6 +166,11 @@
         self.spread = Some(SpreadRound { next: 0, due: now });
     }
 
+    /// Tells no more of what was new.
+    pub(crate) fn end_spread(&mut self) {
+        self.spread = None;
+    }
+
     /// The hosts to tell now.
     pub(crate) fn due_announcements(
         &mut self,
--- a/crates/cardamomwinch_coordination/src/control/adoption/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/adoption/mod.rs
@@ -107,6 +107,18 @@
         }
     }
 
+    /// Creates the state of a host that has held `state` for a while and has
+    /// compared it with others; for programs that drive fleets without starting
+    /// each host.
+    pub fn resume(identity: HostIdentity, now: Timestamp, state: AcceptedState) -> Self {
+        let mut adoption = Self::new(identity);
+        adoption.confirmation = StateConfirmation::settled();
+        let mut effects = Vec::new();
+        adoption.raise(now, state, &mut effects);
+        adoption.exchange.end_spread();
+        adoption
+    }
+
     /// The version in force; zero before the first.
     pub fn version(&self) -> ConfigurationVersion {
         self.state.version()
