--- a/crates/cardamomwinch_coordination/src/control/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/mod.rs
@@ -4,6 +4,7 @@
 pub mod adoption;
 pub mod effect;
 pub mod event;
+pub(crate) mod home_dispatch;
 pub mod homes;
 pub mod membership;
 pub(crate) mod publication;
@@ -12,7 +13,6 @@
 use std::sync;
 
 use cardamomwinch_protocol::peer::configuration::ConfigurationMessage;
-use cardamomwinch_protocol::peer::homes::HomeMessage;
 use cardamomwinch_protocol::peer::membership::MembershipMessage;
 use cardamomwinch_protocol::prelude::{PeerEnvelope, PeerMessage};
 use cardamomwinch_state::prelude::{
@@ -122,6 +122,7 @@
 
     /// Decides about `event` at `now` and gives the effects to `sink`.
     pub fn handle<S: ControlSink>(&mut self, now: Timestamp, event: ControlEvent, sink: &mut S) {
+        self.note_home_event(now);
         self.note_gap(now, sink);
         match event {
             ControlEvent::Start => {
@@ -133,8 +134,11 @@
             ControlEvent::Peer(envelope) => self.take_peer(now, &envelope, sink),
             ControlEvent::Platform(outcome) => self.take_platform(now, outcome, sink),
             ControlEvent::Load { .. } => {}
+            ControlEvent::HandOver(chunk) => self.take_exported(now, chunk, sink),
+            ControlEvent::TookOver(report) => self.take_imported(now, report, sink),
             ControlEvent::Stop => {
                 self.phase = ServingPhase::Stopping;
+                self.stop_homes(now, sink);
                 self.publish(now, sink);
             }
         }
@@ -164,6 +168,7 @@
             let message = MembershipMessage::Ping { digest };
             self.send(host, PeerMessage::Membership(message), sink);
         }
+        self.advance_homes(now, sink);
         self.publish(now, sink);
     }
 
@@ -226,7 +231,7 @@
                 self.adoption.note_digest(now, sender, digest, &mut effects);
                 self.apply(now, effects, sink);
             }
-            PeerMessage::Home(HomeMessage::Released { .. }) => self.publish(now, sink),
+            PeerMessage::Home(message) => self.take_home(now, envelope, message, sink),
             PeerMessage::Configuration(message) => {
                 self.take_configuration(now, envelope.sender, message, sink);
             }
@@ -343,9 +348,7 @@
         {
             self.phase = ServingPhase::Serving;
         }
-        let configuration = self.publisher.configuration();
-        self.homes
-            .choose(now, self.identity, configuration, hosts, &self.membership);
+        self.refresh_homes(now);
         let mut snapshot = self.publisher.make(
             now,
             self.identity,
