--- a/crates/cardamomwinch_coordination/src/control/effect.rs
+++ b/crates/cardamomwinch_coordination/src/control/effect.rs
@@ -8,6 +8,7 @@
 use cardamomwinch_protocol::prelude::PeerEnvelope;
 use cardamomwinch_state::prelude::{BackendId, HostId, ShardId, Timestamp};
 
+use crate::control::adoption::refusal::RefusedDocument;
 use crate::control::event::PlatformRequest;
 use crate::counter::Counter;
 use crate::decision::DecisionRecord;
@@ -58,6 +59,9 @@
     Drained,
     /// Log a decision.
     Decide(DecisionRecord),
+    /// Log that a published document is refused, and why. What was in force
+    /// under its key before stays in force.
+    Refused(RefusedDocument),
     /// Count something.
     Count(Counter),
 }
--- a/crates/cardamomwinch_daemon/src/control_effects.rs
+++ b/crates/cardamomwinch_daemon/src/control_effects.rs
@@ -135,6 +135,10 @@
             }
             ControlEffect::Drained => self.outlets.drained.set(),
             ControlEffect::Decide(record) => self.outlets.log(self.now, &record),
+            ControlEffect::Refused(document) => {
+                let (key, revision) = (document.key, document.revision);
+                log::warn!("refused {key} of revision {revision}: {}", document.reason);
+            }
             ControlEffect::Count(counter) => self.outlets.counters.count(counter),
         }
     }
