--- a/crates/cardamomwinch_coordination/src/control/event.rs
+++ b/crates/cardamomwinch_coordination/src/control/event.rs
@@ -8,6 +8,8 @@
 use cardamomwinch_protocol::prelude::{LoadReport, PeerEnvelope};
 use cardamomwinch_state::prelude::{BackendId, Timestamp};
 
+use crate::control::health::observation::BackendObservation;
+
 /// A key of the platform's configuration service.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum PlatformKey {
@@ -103,6 +105,8 @@
         /// What it answered.
         result: Result<LoadReport, LoadFailure>,
     },
+    /// Traffic threads saw this of backend servers.
+    Observed(Vec<BackendObservation>),
     /// A traffic thread gave out a part of what it knows of a shard.
     HandOver(HandOverChunk),
     /// A traffic thread took a chunk in.
