Let a host that is done stay until the fabric leaves it alone

Cause: the fabric lags behind the list of hosts. Ruled out: waiting for the platform's list alone, which tells nothing of when the fabric follows it; a fixed time, which is too long in calm and too short when the fabric lags more. Change: the process ends once its homes are handed over, nothing is pending and the fabric has handed it nothing for 1.5 s, or at its stop deadline.

--- a/crates/cardamomwinch_daemon/src/messages.rs
+++ b/crates/cardamomwinch_daemon/src/messages.rs
@@ -93,6 +93,8 @@
     pub flows: u64,
     /// Requests queued or running.
     pub pending_requests: u64,
+    /// When the fabric last handed over a datagram.
+    pub last_fabric: Timestamp,
     /// Slots in use by backend server.
     pub busy_slots: SortedVector<BackendId, u32>,
     /// Flows placed by backend server.
--- a/crates/cardamomwinch_daemon/src/stopping.rs
+++ b/crates/cardamomwinch_daemon/src/stopping.rs
@@ -15,6 +15,11 @@
 
 /// How often the traffic threads are asked whether they are done.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
+/// A host that is done stays until the fabric has handed it nothing for this
+/// long. Guards against the lag of the fabric, which sends datagrams to a host
+/// for a while after it began to stop: they would be lost with the host, among
+/// them notices that nobody asks for again. Until then the host hands them on.
+const QUIET_PERIOD: time::Duration = time::Duration::from_millis(1500);
 
 /// Tells that the host was told to stop and is home of nothing any more.
 #[derive(Debug, Default, Clone)]
@@ -60,6 +65,7 @@
         };
         total.flows += load.flows;
         total.pending_requests += load.pending_requests;
+        total.last_fabric = total.last_fabric.max(load.last_fabric);
         for (backend, busy) in load.busy_slots.iter() {
             *total.busy_slots.get_or_insert_with(*backend, || 0) += busy;
         }
@@ -92,7 +98,8 @@
     futures_lite::future::or(signalled, requested).await;
     log::info!("stopping gracefully");
     drop(control.send(ControlInput::Stop).await);
-    let latest = clock.now().after(deadline);
+    let begun = clock.now();
+    let latest = begun.after(deadline);
     let second = async {
         signals.next().await;
         let pending_requests = gather_load(threads).await.pending_requests;
@@ -101,11 +108,15 @@
     let drained = async {
         loop {
             Timer::after(POLL_INTERVAL).await;
-            let pending_requests = gather_load(threads).await.pending_requests;
-            if pending_requests == 0 && homes.is_set() {
+            let load = gather_load(threads).await;
+            let pending_requests = load.pending_requests;
+            let now = clock.now();
+            let done = pending_requests == 0 && homes.is_set();
+            let begun = load.last_fabric.max(begun);
+            if done && (now.since(begun) >= QUIET_PERIOD || now >= latest) {
                 return StopStatus::Graceful;
             }
-            if clock.now() >= latest {
+            if now >= latest {
                 return StopStatus::Cut { pending_requests };
             }
         }
--- a/crates/cardamomwinch_daemon/src/traffic_thread.rs
+++ b/crates/cardamomwinch_daemon/src/traffic_thread.rs
@@ -13,7 +13,7 @@
 use cardamomwinch_protocol::codec;
 use cardamomwinch_protocol::prelude::{FabricDatagram, RelayEnvelope};
 use cardamomwinch_protocol::relay::RELAY_CONTEXT;
-use cardamomwinch_state::prelude::{BackendId, FlowHasher, FlowKey};
+use cardamomwinch_state::prelude::{BackendId, FlowHasher, FlowKey, Timestamp};
 use cardamomwinch_transport::prelude::{Clock, DatagramSocket, HostClock, TickPlan, TimerService};
 
 use crate::messages::{HandOverInput, TrafficInput, TrafficLoad, TrafficQuery};
@@ -46,6 +46,7 @@
     outlets: TrafficOutlets,
     snapshots: SnapshotCell,
     clock: HostClock,
+    last_fabric: Timestamp,
 }
 
 impl TrafficDriver {
@@ -61,6 +62,7 @@
     }
 
     fn handle_fabric(&mut self, bytes: &[u8]) {
+        self.last_fabric = self.clock.now();
         match codec::decode::<FabricDatagram<'_>>(bytes) {
             Ok(datagram) => self.handle(TrafficEvent::Fabric(datagram)),
             Err(_) => metrics::counter!("cardamomwinch_malformed_datagrams_total").increment(1),
@@ -121,6 +123,7 @@
         let ledgers = self.engine.ledgers();
         TrafficLoad {
             flows: self.engine.pinned_flows().len() as u64,
+            last_fabric: self.last_fabric,
             pending_requests: pending.count() as u64,
             busy_slots: ledgers
                 .iter()
@@ -172,6 +175,7 @@
         outlets: thread.outlets,
         snapshots: thread.snapshots,
         clock: *thread.timers.clock(),
+        last_fabric: Timestamp::ZERO,
     }));
     let shared = rc::Rc::clone(&driver);
     let traffic = sockets.traffic;
