Show that a hand-over leaves each request with one home

Change: tests of a planned move while one request runs and one waits, and of one that is broken off.

--- a/crates/cardamomwinch_coordination/tests/admission_support/mod.rs
+++ b/crates/cardamomwinch_coordination/tests/admission_support/mod.rs
@@ -11,6 +11,7 @@
 use cardamomwinch_coordination::routing::lookup_table::LookupTables;
 use cardamomwinch_coordination::snapshot::{BackendView, ShardView};
 use cardamomwinch_protocol::backend::BackendRequest;
+use cardamomwinch_protocol::peer::hand_over::HandOverChunk;
 use cardamomwinch_protocol::prelude::*;
 use cardamomwinch_state::prelude::*;
 
@@ -45,6 +46,8 @@
     pub sent: Vec<Sent>,
     pub relayed: Vec<(HostId, Option<RequestId>)>,
     pub counts: Vec<Counter>,
+    /// What is handed over to another home.
+    pub chunks: Vec<HandOverChunk>,
 }
 
 impl Wanted {
@@ -115,6 +118,8 @@
     pub now: Timestamp,
     pub wanted: Wanted,
     pub servers: Vec<BackendEntry>,
+    /// The host.
+    pub host: HostId,
     /// Whether control goes on publishing while time passes.
     pub renews_lease: bool,
 }
@@ -126,8 +131,13 @@
     }
 
     pub fn with_bounds(servers: u16, slots: u32, bounds: TrafficBounds) -> Self {
+        Self::of_host("muc-nord-1", servers, slots, bounds)
+    }
+
+    /// The engine of the host `name`, which is home.
+    pub fn of_host(name: &str, servers: u16, slots: u32, bounds: TrafficBounds) -> Self {
         let identity = HostIdentity {
-            host: host("muc-nord-1"),
+            host: host(name),
             domain: domain(),
             incarnation: Incarnation::new(1),
         };
@@ -140,6 +150,7 @@
             wanted: Wanted::default(),
             servers,
             renews_lease: true,
+            host: identity.host,
         };
         bench.renew();
         bench
@@ -164,7 +175,7 @@
 
     pub fn hold_until(&mut self, held_until: Timestamp) {
         let view = ShardView {
-            home: Some(host("muc-nord-1")),
+            home: Some(self.host),
             lease: Some(HomeLease {
                 held_until,
                 records_since: Timestamp::ZERO,
@@ -206,6 +217,7 @@
                 wanted.relayed.push((host, of));
             }
             TrafficEffect::Count(counter) => wanted.counts.push(counter),
+            TrafficEffect::HandOver { chunk } => wanted.chunks.push(chunk),
             _ => {}
         };
         self.engine
--- /dev/null
+++ b/crates/cardamomwinch_coordination/tests/requests_handed_over.rs
@@ -0,0 +1,115 @@
+//! Requests that wait or run while their home moves in a planned change.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod admission_support;
+
+use std::time;
+
+use admission_support::{Bench, Sent, Told, host, request};
+use cardamomwinch_coordination::prelude::*;
+use cardamomwinch_protocol::peer::homes::HandOverId;
+
+const FROZEN_FOR: time::Duration = time::Duration::from_millis(200);
+
+/// A home with one request running and one waiting, and the next home.
+fn before_hand_over() -> (Bench, Bench, Sent) {
+    let mut first = Bench::new(1, 1);
+    let token = first.open(1);
+    for number in 1..=2 {
+        let header = first.header(number, false, 9000);
+        first.ask(1, token, header);
+    }
+    let running = first.take().runs()[0].clone();
+    let mut second = Bench::of_host("muc-nord-2", 1, 1, TrafficBounds::default());
+    second.lose_home(Some(host("muc-nord-1")));
+    (first, second, running)
+}
+
+/// The first home freezes the shard and gives out what it knows, which the
+/// second takes in.
+fn hand_over(first: &mut Bench, second: &mut Bench) {
+    let hand_over = HandOverId {
+        shard: first.home(),
+        begun: first.now,
+    };
+    let frozen_until = first.now.after(FROZEN_FOR);
+    first.handle(TrafficEvent::ReleaseShard {
+        hand_over,
+        frozen_until,
+    });
+    for chunk in first.take().chunks {
+        second.handle(TrafficEvent::TakeOver { chunk: &chunk });
+    }
+    second.take();
+}
+
+/// A host is replaced in a rolling restart while a finding waits for a slot and
+/// another runs. The next home has what was handed over before it has the
+/// lease: until then it must neither send the request nor say anything. Then it
+/// sends it once, as soon as the slot is free.
+#[test]
+fn a_waiting_request_runs_once_at_the_next_home() {
+    let (mut first, mut second, running) = before_hand_over();
+    hand_over(&mut first, &mut second);
+    second.pass_ms(150);
+    let wanted = second.take();
+    assert!(
+        wanted.told.is_empty() && wanted.sent.is_empty(),
+        "{wanted:?}"
+    );
+    assert!(wanted.relayed.is_empty(), "{wanted:?}");
+    first.pass_ms(150);
+    let shard = first.home();
+    first.handle(TrafficEvent::ForgetShard { shard });
+    first.lose_home(Some(host("muc-nord-2")));
+    first.pass_ms(3000);
+    let wanted = first.take();
+    assert!(
+        wanted.told.is_empty() && wanted.sent.is_empty(),
+        "{wanted:?}"
+    );
+    second.renews_lease = true;
+    second.renew();
+    second.pass_ms(100);
+    assert!(second.take().runs().is_empty(), "the slot is still taken");
+    second.answer(1, &running);
+    let wanted = second.take();
+    assert_eq!(wanted.count(Counter::RequestAnswered), 1);
+    let [sent] = wanted.runs()[..] else {
+        panic!("not sent: {wanted:?}");
+    };
+    assert_eq!(sent.request.unwrap().id, request(2));
+}
+
+/// The hand-over is broken off: the lease never reaches the host that was handed
+/// the requests. It must forget them in silence, and the first home must go on:
+/// else the caller would hear of one request from two homes.
+#[test]
+fn a_hand_over_that_is_broken_off_leaves_requests_with_the_first_home() {
+    let (mut first, mut second, running) = before_hand_over();
+    hand_over(&mut first, &mut second);
+    second.pass_ms(9500);
+    let wanted = second.take();
+    assert!(
+        wanted.told.is_empty() && wanted.sent.is_empty(),
+        "{wanted:?}"
+    );
+    assert!(wanted.relayed.is_empty(), "{wanted:?}");
+    first.pass_ms(100);
+    first.answer(1, &running);
+    let held_back = first.take();
+    assert!(held_back.runs().is_empty(), "frozen: {held_back:?}");
+    first.pass_ms(300);
+    let wanted = first.take();
+    let [sent] = wanted.runs()[..] else {
+        panic!("not sent: {wanted:?}");
+    };
+    assert_eq!(sent.request.unwrap().id, request(2));
+    assert!(
+        !wanted
+            .told
+            .iter()
+            .any(|(_, told)| matches!(told, Told::NotRun(..) | Told::OutcomeUnknown(..)))
+    );
+}
