--- a/crates/cardamomwinch_coordination/tests/homes_hand_over.rs
+++ b/crates/cardamomwinch_coordination/tests/homes_hand_over.rs
@@ -282,7 +282,7 @@
             .traffic()
             .ledgers()
             .iter()
-            .all(|(_, ledger)| ledger.busy == 0),
+            .all(|(_, ledger)| ledger.busy() == 0),
         "the slot is free again"
     );
     assert!(
