Tell the wait expected now to a copy too, and forget counts of gone servers

Two causes, both found by going through what is held and said after a refusal.

Ruled out for the second: dropping the ledger with the configuration; its flows are still open and their requests still counted.

Change: one function says when to come back, from the queue and the measured service time; ledgers of unknown servers go once nothing is counted there.

--- a/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
@@ -42,6 +42,10 @@
             self.refuse_waiting(context, backend);
             self.start_next(context, backend);
         }
+        // The ledger of a server that has gone stays while anything is counted.
+        let snapshot = context.snapshot;
+        self.ledgers
+            .retain(|backend, ledger| !ledger.is_unused() || snapshot.backend(backend).is_some());
     }
 
     /// Ends the requests whose deadline has passed while they ran.
@@ -274,11 +278,7 @@
         context: &mut EventContext<'_, S>,
         backend: BackendId,
     ) {
-        let Some(entry) = context.snapshot.backend(backend) else {
-            return;
-        };
         let now = context.now;
-        let view = context.snapshot.view(backend);
         let ledger = self.ledgers.of(backend);
         let mut passed = Vec::new();
         ledger.queue.retain(|held| {
@@ -289,8 +289,7 @@
             keep
         });
         for queued in passed {
-            let ledger = self.ledgers.of(backend);
-            let retry_after = ledger.retry_after(now, entry, view, queued.hash);
+            let retry_after = self.retry_after(context, backend, queued.hash);
             self.refuse_known(context, queued, RefusalReason::Full, retry_after);
         }
     }
--- a/crates/cardamomwinch_coordination/src/traffic/handover.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/handover.rs
@@ -223,7 +223,7 @@
         self.requests.retain(|_, record| record.shard != shard);
         let snapshot = context.snapshot;
         self.ledgers
-            .retain(|backend| !is_in(snapshot, backend, shard));
+            .retain(|backend, _| !is_in(snapshot, backend, shard));
         self.pins.retain(|flow, pin| {
             if resolve::shard_of(snapshot, &pin.claim) != shard {
                 return true;
--- a/crates/cardamomwinch_coordination/src/traffic/ledger.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/ledger.rs
@@ -102,6 +102,11 @@
         &self.running
     }
 
+    /// Whether nothing is counted.
+    pub fn is_unused(&self) -> bool {
+        self.connections == 0 && self.queue.is_empty() && self.running.is_empty()
+    }
+
     /// Requests running and waiting, per thousand slots: the load to compare.
     /// A cold server has fewer slots to offer, so that it looks fuller.
     pub fn load(&self, now: Timestamp, entry: &BackendEntry, view: BackendView) -> u64 {
@@ -294,8 +299,9 @@
     }
 
     /// Forgets the ledgers for which `keep` does not hold.
-    pub fn retain(&mut self, mut keep: impl FnMut(BackendId) -> bool) {
-        self.ledgers.retain(|backend, _| keep(*backend));
+    pub fn retain(&mut self, mut keep: impl FnMut(BackendId, &ServerLedger) -> bool) {
+        self.ledgers
+            .retain(|backend, ledger| keep(*backend, ledger));
     }
 
     /// All ledgers, to be changed.
--- a/crates/cardamomwinch_coordination/src/traffic/replies.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/replies.rs
@@ -1,8 +1,6 @@
 //! Replies of backend servers. The fabric hands them to any host: that host
 //! sends on at once what concerns the caller, and tells the home of the server.
 
-use std::time;
-
 use cardamomwinch_protocol::prelude::{
     AttemptNumber, BackendReply, BackendReplyKind, CallerKind, CallerReplyKind, PartNumber,
     RefusalReason, RelayFrame, ResetReason,
@@ -191,7 +189,7 @@
         if entry.is_some() && self.may_retry(context, &slot, attempt, pause) {
             self.queue_again(context, backend, &slot, pause);
         } else {
-            let wait = self.wait_after_shed(context, backend, hash, pause);
+            let wait = pause.max(self.retry_after(context, backend, hash));
             self.refuse_known(context, slot.entry, RefusalReason::Shed, wait);
             if opens && let Some(pin) = self.pins.remove(hash, &key.flow) {
                 self.uncount(&pin);
@@ -200,21 +198,6 @@
         self.start_next(context, backend);
     }
 
-    fn wait_after_shed<S: TrafficSink>(
-        &mut self,
-        context: &EventContext<'_, S>,
-        backend: BackendId,
-        hash: FlowHash,
-        pause: time::Duration,
-    ) -> time::Duration {
-        let Some(entry) = context.snapshot.backend(backend) else {
-            return RETRY_AFTER;
-        };
-        let view = context.snapshot.view(backend);
-        let ledger = self.ledgers.of(backend);
-        pause.max(ledger.retry_after(context.now, entry, view, hash))
-    }
-
     fn note_opening_shed<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
--- a/crates/cardamomwinch_coordination/src/traffic/serving.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/serving.rs
@@ -9,8 +9,8 @@
     RefusalReason, RequestHeader, TokenClaim,
 };
 use cardamomwinch_state::prelude::{
-    BackendEntry, BackendPhase, ConnectionCount, FlowHash, RequestId, ShardId, SlotCount,
-    Timestamp, Weight,
+    BackendEntry, BackendId, BackendPhase, ConnectionCount, FlowHash, RequestId, ShardId,
+    SlotCount, Timestamp, Weight,
 };
 
 use crate::counter::Counter;
@@ -271,7 +271,7 @@
             kind: routed.datagram.kind,
         };
         if self.requests.get(routed.hash, &arriving.key).is_some() {
-            return self.repeat_known(context, &arriving);
+            return self.repeat_known(context, &arriving, RETRY_AFTER);
         }
         self.refuse_arriving(context, &arriving, reason, RETRY_AFTER);
     }
@@ -333,14 +333,33 @@
             Some(attempt) if in_time && self.retry_budgets.take(routed.service.id, percent) => {
                 self.admit(context, routed, claim, arriving, AttemptNumber(attempt));
             }
-            _ => self.repeat_known(context, arriving),
+            _ => {
+                let retry_after = self.retry_after(context, claim.backend, arriving.hash);
+                self.repeat_known(context, arriving, retry_after);
+            }
         }
     }
 
+    /// When a caller whose request `backend` cannot take now should come back.
+    pub(crate) fn retry_after<S: TrafficSink>(
+        &mut self,
+        context: &EventContext<'_, S>,
+        backend: BackendId,
+        hash: FlowHash,
+    ) -> time::Duration {
+        let Some(entry) = context.snapshot.backend(backend) else {
+            return RETRY_AFTER;
+        };
+        let view = context.snapshot.view(backend);
+        let ledger = self.ledgers.of(backend);
+        ledger.retry_after(context.now, entry, view, hash)
+    }
+
     fn repeat_known<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
         arriving: &ArrivingRequest,
+        retry_after: time::Duration,
     ) {
         let key = arriving.key;
         context.count(Counter::RequestDuplicate);
@@ -369,10 +388,10 @@
                 }
             }
             RequestState::Refused { reason } => {
-                context.refuse(key.flow, Some(key.id), *reason, RETRY_AFTER);
+                context.refuse(key.flow, Some(key.id), *reason, retry_after);
             }
             RequestState::Answered { kept: None, .. } | RequestState::Unknown => {
-                context.outcome_unknown(key.flow, key.id, RETRY_AFTER);
+                context.outcome_unknown(key.flow, key.id, retry_after);
             }
         }
     }
--- a/crates/cardamomwinch_coordination/tests/admission_slots.rs
+++ b/crates/cardamomwinch_coordination/tests/admission_slots.rs
@@ -291,3 +291,56 @@
         "{retries} of {first_tries}"
     );
 }
+
+/// A caller resends a request that was refused a moment ago because everything
+/// was full. It must be told to come back after the wait that is expected now,
+/// not after a fixed time: else all refused callers come back at once.
+#[test]
+fn a_copy_of_a_refused_request_is_told_the_wait_expected_now() {
+    let mut bench = Bench::new(1, 1);
+    for number in 1..8 {
+        let token = bench.open(number);
+        let header = bench.header(1, false, 9000);
+        bench.ask(number, token, header);
+    }
+    bench.take();
+    let mut waits = Vec::new();
+    for number in 10..20 {
+        let token = bench.open(number);
+        let header = bench.header(1, false, 9000);
+        bench.ask(number, token, header);
+        bench.take();
+        bench.ask(number, token, header);
+        for told in bench.take().finals(request(1)) {
+            if let Told::NotRun(_, RefusalReason::Full, after) = told {
+                waits.push(*after);
+            }
+        }
+    }
+    assert_eq!(waits.len(), 10);
+    waits.sort_unstable();
+    waits.dedup();
+    assert!(waits.len() > 5, "{waits:?}");
+}
+
+/// Configurations change thousands of times a day, and servers come and go. What
+/// was counted for a server that has gone must go too, or the host grows.
+#[test]
+fn counts_of_servers_that_are_gone_are_forgotten() {
+    let mut bench = Bench::new(3, 2);
+    let token = bench.open(1);
+    let header = bench.header(1, false, 500);
+    bench.ask(1, token, header);
+    let gone = bench.take().runs()[0].backend;
+    let mut in_force = (*bench.snapshot.configuration).clone();
+    in_force.backends.remove(&gone);
+    bench.snapshot.configuration = std::sync::Arc::new(in_force);
+    bench.pass_ms(300);
+    assert!(bench.engine.ledgers().get(gone).is_some(), "a request runs");
+    bench.caller(CallerDatagram {
+        kind: CallerKind::Close,
+        ..CallerDatagram::carry(flow(1), Some(token), b"")
+    });
+    bench.pass_ms(1000);
+    assert!(bench.engine.ledgers().get(gone).is_none());
+}
