--- a/crates/cardamomwinch_coordination/examples/admission_cost.rs
+++ b/crates/cardamomwinch_coordination/examples/admission_cost.rs
@@ -80,6 +80,7 @@
     started: Option<u64>,
     waiting: bool,
     settled: bool,
+    runs: u32,
 }
 
 #[derive(Debug, Default, Clone, Copy)]
@@ -98,6 +99,7 @@
     sent: u64,
     shed: u64,
     runs: u64,
+    run_twice: u64,
     waits: Vec<u64>,
     busy_time: u128,
     wasted_time: u128,
@@ -268,6 +270,7 @@
             started: None,
             waiting: false,
             settled: false,
+            runs: 0,
         });
         self.figures.offered += 1;
         let server = self.server_of(flow_number);
@@ -290,7 +293,7 @@
         self.wait(number, server, true);
         let header = RequestHeader {
             id: RequestId::new(number),
-            idempotent: number.is_multiple_of(2),
+            idempotent: is_idempotent(number),
             deadline: Timestamp::new(self.now + PATIENCE),
         };
         let token = self.tokens[usize::from(flow_number)];
@@ -365,7 +368,11 @@
         }
         held.busy += 1;
         self.figures.runs += 1;
-        self.requests[request as usize].started = Some(self.now);
+        let open = &mut self.requests[request as usize];
+        open.started = Some(self.now);
+        open.runs += 1;
+        let twice = open.runs > 1 && !is_idempotent(request);
+        self.figures.run_twice += u64::from(twice);
         let duration = self.service_time();
         let event = SimulationEvent::Finished {
             server,
@@ -461,6 +468,11 @@
     }
 }
 
+/// Every second request.
+fn is_idempotent(number: u64) -> bool {
+    number.is_multiple_of(2)
+}
+
 fn domain() -> DomainId {
     DomainId::from_name("muc-nord")
 }
@@ -541,13 +553,14 @@
     let share = |count: u64| count as f64 * 100.0 / figures.offered as f64;
     let slot_time = u128::from(u32::from(SERVERS) * SLOTS) * u128::from(DURATION);
     println!(
-        "| {name} | {:.0} % | {:.1} | {:.1} | {:.2} | {:.1} | {:.3} | {:.1} | {:.1} | {:.1} | {:.1} |",
+        "| {name} | {:.0} % | {:.1} | {:.1} | {:.2} | {:.1} | {:.3} | {} | {:.1} | {:.1} | {:.1} | {:.1} |",
         load * 100.0,
         share(figures.answered),
         share(figures.refused),
         share(figures.unknown),
         figures.shed as f64 * 1000.0 / figures.sent.max(1) as f64,
         figures.runs as f64 / figures.answered.max(1) as f64,
+        figures.run_twice,
         percentile(&figures.waits, 50),
         percentile(&figures.waits, 99),
         figures.busy_time as f64 * 100.0 / slot_time as f64,
@@ -572,9 +585,9 @@
     ];
     println!(
         "| way | load | answered % | refused % | unknown % | shed of 1,000 sent | \
-         runs per answer | wait p50 ms | wait p99 ms | slots busy % | slots wasted % |"
+         runs per answer | non-idempotent run twice | wait p50 ms | wait p99 ms | slots busy % | slots wasted % |"
     );
-    println!("|---|---|---|---|---|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|");
     for load in [0.5, 0.8, 1.2] {
         for (name, policy) in ways {
             let figures = Simulation::new(policy, load).run();
