--- a/crates/cardamomwinch_coordination/tests/admission_support/mod.rs
+++ b/crates/cardamomwinch_coordination/tests/admission_support/mod.rs
@@ -120,6 +120,8 @@
     pub servers: Vec<BackendEntry>,
     /// The host.
     pub host: HostId,
+    /// Requests that may have been sent before may be known elsewhere only.
+    pub records_since: Timestamp,
     /// Whether control goes on publishing while time passes.
     pub renews_lease: bool,
 }
@@ -151,6 +153,7 @@
             servers,
             renews_lease: true,
             host: identity.host,
+            records_since: Timestamp::ZERO,
         };
         bench.renew();
         bench
@@ -178,7 +181,7 @@
             home: Some(self.host),
             lease: Some(HomeLease {
                 held_until,
-                records_since: Timestamp::ZERO,
+                records_since: self.records_since,
             }),
         };
         self.snapshot.shards.insert(self.home(), view);
