Count no answer from before a sleep as a comparison

Cause: an offer that a paused host had asked for waited in its socket; on waking the host read it first and took it for news, though it was half a minute old.

Change: a question carries the asker's own time, the answer repeats it, and answers to questions from before the comparison began are merged but do not count.

Parts of a difference that is too large for one message are now set aside until the last one, so that a host that runs has no mixture in force meanwhile.

--- a/crates/cardamomwinch_coordination/src/control/adoption/accepted.rs
+++ b/crates/cardamomwinch_coordination/src/control/adoption/accepted.rs
@@ -10,7 +10,9 @@
     ConfigurationDigest, ConfigurationOffer, DocumentStamp, FragmentOffer, KnownDocuments,
     KnownTeam,
 };
-use cardamomwinch_state::prelude::{ConfigurationVersion, HostListVersion, SortedVector};
+use cardamomwinch_state::prelude::{
+    ConfigurationVersion, HostListVersion, SortedVector, Timestamp,
+};
 
 use crate::control::adoption::document::{self, HeldFragment, HeldRoot};
 use crate::control::adoption::host_lists::HostLists;
@@ -172,8 +174,13 @@
         }
     }
 
-    /// What a host that holds `known` lacks.
-    pub fn difference(&self, known: &KnownDocuments, confirmed: bool) -> ConfigurationOffer {
+    /// What a host that holds `known`, and asked for it at `asked`, lacks.
+    pub fn difference(
+        &self,
+        known: &KnownDocuments,
+        asked: Timestamp,
+        confirmed: bool,
+    ) -> ConfigurationOffer {
         let root = self.root.as_ref();
         let newer_root = root.filter(|root| root.stamp > known.root);
         let teams = self.teams.iter();
@@ -184,6 +191,7 @@
         let complete = fitting == fragments.len();
         fragments.truncate(fitting);
         ConfigurationOffer {
+            asked,
             digest: self.digest(),
             complete,
             confirmed,
--- a/crates/cardamomwinch_coordination/src/control/adoption/calls.rs
+++ b/crates/cardamomwinch_coordination/src/control/adoption/calls.rs
@@ -34,6 +34,7 @@
 #[derive(Debug, Default, Clone, Copy)]
 struct CallRecord {
     failures: u32,
+    started: Timestamp,
     /// While it runs: when it is given up. While it rests: when that is over.
     until: Timestamp,
 }
@@ -61,10 +62,17 @@
         if now < record.until {
             return false;
         }
+        record.started = now;
         record.until = now.after(request.wait + LOST_AFTER);
         true
     }
 
+    /// When `request` was made last.
+    pub(crate) fn started(&self, request: &PlatformRequest) -> Option<Timestamp> {
+        let record = self.calls.get(&CallName::of(request));
+        record.map(|record| record.started)
+    }
+
     /// Notes that `request` was answered.
     pub(crate) fn succeed(&mut self, request: &PlatformRequest) {
         self.calls.remove(&CallName::of(request));
--- a/crates/cardamomwinch_coordination/src/control/adoption/confirmation.rs
+++ b/crates/cardamomwinch_coordination/src/control/adoption/confirmation.rs
@@ -119,6 +119,15 @@
         self.hosts_read = true;
     }
 
+    /// Whether something that was asked for at `asked` belongs to this
+    /// comparison.
+    ///
+    /// Guards against an answer that waited while the host slept: it is read
+    /// first on waking, but says what was true before.
+    pub(crate) fn covers(&self, asked: Timestamp) -> bool {
+        asked >= self.begun
+    }
+
     /// Notes the offer of `host`, and whether its state was compared.
     pub(crate) fn note_answer(&mut self, host: HostId, confirmed: bool) {
         let known = self.answers.iter_mut().find(|answer| answer.host == host);
--- a/crates/cardamomwinch_coordination/src/control/adoption/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/adoption/mod.rs
@@ -70,6 +70,9 @@
 pub struct ConfigurationAdoption {
     identity: HostIdentity,
     state: AcceptedState,
+    /// Parts of a difference that is too large for one message. They are taken
+    /// into `state` with the last part, so that no mixture comes into force.
+    staged: AcceptedState,
     /// Follows from `state`; kept because every heartbeat carries it.
     digest: ConfigurationDigest,
     chosen: ChosenStamps,
@@ -95,6 +98,7 @@
             identity,
             digest: state.digest(),
             state,
+            staged: AcceptedState::default(),
             chosen: ChosenStamps::default(),
             refused: Vec::new(),
             refused_root: None,
@@ -212,13 +216,20 @@
             .exchange
             .next_ask(now, self.digest, self.identity, hosts, confirmation);
         if let Some(host) = asked {
-            effects.push(self.want(host, None));
+            effects.push(self.want(now, host, None));
         }
     }
 
-    fn want(&self, host: HostId, address: Option<std::net::SocketAddr>) -> AdoptionEffect {
-        let known = self.state.known();
-        let message = ConfigurationMessage::Want { known };
+    fn want(
+        &self,
+        asked: Timestamp,
+        host: HostId,
+        address: Option<std::net::SocketAddr>,
+    ) -> AdoptionEffect {
+        let mut held = self.state.clone();
+        held.merge(&self.staged);
+        let known = held.known();
+        let message = ConfigurationMessage::Want { asked, known };
         AdoptionEffect::Tell {
             host,
             address,
@@ -280,10 +291,12 @@
                 } else if exchange::may_be_ahead(*digest, self.digest)
                     && self.exchange.try_ask(now, sender)
                 {
-                    effects.push(self.want(sender, Some(*reply_to)));
+                    effects.push(self.want(now, sender, Some(*reply_to)));
                 }
             }
-            ConfigurationMessage::Want { known } => self.take_want(now, sender, known, effects),
+            ConfigurationMessage::Want { asked, known } => {
+                self.take_want(now, sender, *asked, known, effects);
+            }
             ConfigurationMessage::Offer(offer) => self.take_offer(now, sender, offer, effects),
         }
     }
@@ -292,10 +305,12 @@
         &mut self,
         now: Timestamp,
         sender: HostId,
+        asked: Timestamp,
         known: &KnownDocuments,
         effects: &mut Vec<AdoptionEffect>,
     ) {
-        let offer = self.state.difference(known, self.confirmation.is_done());
+        let confirmed = self.confirmation.is_done();
+        let offer = self.state.difference(known, asked, confirmed);
         effects.push(AdoptionEffect::Tell {
             host: sender,
             address: None,
@@ -321,6 +336,7 @@
         effects: &mut Vec<AdoptionEffect>,
     ) {
         let mut raised = self.state.clone();
+        let mut offered_teams = std::mem::take(&mut self.staged);
         if let Some(root) = &offer.root {
             match HeldRoot::read(root.clone()) {
                 Ok(root) => raised.raise_root(root),
@@ -329,7 +345,7 @@
         }
         for offered in &offer.fragments {
             let fragment = HeldFragment::read(&offered.team, offered.document.clone());
-            let team = raised.team_mut(&offered.team);
+            let team = offered_teams.team_mut(&offered.team);
             if offered.accepted && fragment.is_well_formed() {
                 team.accept(&fragment);
             } else {
@@ -341,8 +357,13 @@
         {
             raised.hosts.raise(hosts);
         }
-        self.exchange.note_answer(sender);
         if offer.complete {
+            raised.merge(&offered_teams);
+        } else {
+            self.staged = offered_teams;
+        }
+        self.exchange.note_answer(sender);
+        if offer.complete && self.confirmation.covers(offer.asked) {
             self.confirmation.note_answer(sender, offer.confirmed);
         }
         self.drop_overtaken(&mut raised);
--- a/crates/cardamomwinch_coordination/src/control/adoption/platform.rs
+++ b/crates/cardamomwinch_coordination/src/control/adoption/platform.rs
@@ -150,11 +150,16 @@
         peers: &R,
         effects: &mut Vec<AdoptionEffect>,
     ) {
-        let held = match &request.key {
-            PlatformKey::Root => self.version().get(),
-            PlatformKey::Hosts => self.hosts().version.get(),
-            PlatformKey::Team(team) => self.state.newest_revision(team),
-        };
+        let held = self.held_revision(&request.key);
+        let started = self.calls.started(&request);
+        let current = started.is_some_and(|started| self.confirmation.covers(started));
+        if current && published.revision >= held {
+            match request.key {
+                PlatformKey::Root => self.confirmation.note_root(),
+                PlatformKey::Hosts => self.confirmation.note_hosts(),
+                PlatformKey::Team(_) => {}
+            }
+        }
         // Guards against a platform that goes back: its older answer carries a
         // lower revision than what is accepted.
         if published.revision < held {
@@ -177,6 +182,14 @@
         }
     }
 
+    fn held_revision(&self, key: &PlatformKey) -> u64 {
+        match key {
+            PlatformKey::Root => self.version().get(),
+            PlatformKey::Hosts => self.hosts().version.get(),
+            PlatformKey::Team(team) => self.state.newest_revision(team),
+        }
+    }
+
     /// The lowest revision that makes the answer to `request` useful.
     fn expected_revision(&self, request: &PlatformRequest) -> u64 {
         let PlatformKey::Team(team) = &request.key else {
@@ -198,9 +211,6 @@
         effects: &mut Vec<AdoptionEffect>,
     ) {
         let revision = published.revision;
-        if revision >= self.version().get() {
-            self.confirmation.note_root();
-        }
         let pending = self.pending.as_ref().map_or(0, PendingRoot::revision);
         let newest = seen(self.version().get(), &self.refused_root).max(pending);
         if revision <= newest {
@@ -277,9 +287,6 @@
         effects: &mut Vec<AdoptionEffect>,
     ) {
         let revision = published.revision;
-        if revision >= self.hosts().version.get() {
-            self.confirmation.note_hosts();
-        }
         if revision <= seen(self.hosts().version.get(), &self.refused_hosts) {
             return;
         }
--- a/crates/cardamomwinch_coordination/tests/adoption_lattice.rs
+++ b/crates/cardamomwinch_coordination/tests/adoption_lattice.rs
@@ -181,7 +181,7 @@
         .run(&states, |(first, second)| {
             let (mut own, peer) = (build(&first), build(&second));
             let expected = joined(&own, &peer);
-            let offer = peer.difference(&own.known(), true);
+            let offer = peer.difference(&own.known(), Timestamp::ZERO, true);
             if let Some(root) = offer.root {
                 own.raise_root(HeldRoot::read(root).unwrap());
             }
--- a/crates/cardamomwinch_coordination/tests/adoption_starting.rs
+++ b/crates/cardamomwinch_coordination/tests/adoption_starting.rs
@@ -34,7 +34,8 @@
 }
 
 /// The configuration is larger than one message may be. A host that starts
-/// from peers gets it in parts, and serves once it has them all.
+/// from peers gets it in parts, and serves once it has them all. A host that ran
+/// before never has some of the parts in force without the others.
 #[test]
 fn a_large_configuration_comes_in_parts() {
     let mut fleet = TestFleet::settled(NINE, 15);
@@ -46,7 +47,15 @@
         fleet.publish_team(team, &format!("// {padding}\n{text}"));
     }
     fleet.publish_root("peak");
-    assert!(fleet.run_until(seconds(3), |fleet| fleet.all_have("peak")));
+    let done = fleet.run_until(seconds(3), |fleet| {
+        for (_, host) in fleet.running() {
+            let mut services = host.snapshot.configuration.services.values();
+            let large = services.any(|service| service.name.ends_with("-service"));
+            assert_eq!(large, host.preset() == "peak", "a mixture is in force");
+        }
+        fleet.all_have("peak")
+    });
+    assert!(done);
     fleet.platform.set_silent(true);
     restart(&mut fleet, 4);
     serves_only(&mut fleet, 4, "peak", seconds(6));
@@ -199,3 +208,52 @@
     });
     assert!(done, "the domain does not serve again");
 }
+
+/// A host asks a peer, and is paused before the answer is read. It wakes half
+/// a minute later, reads that answer first, and took it for news: it served a
+/// preset that had been replaced meanwhile, with everybody cut off from it.
+#[parameterized(first = { 1 }, second = { 3 }, third = { 4 }, fourth = { 5 }, fifth = { 7 }, sixth = { 9 })]
+fn an_answer_from_before_the_sleep_does_not_count(after: u64) {
+    for seed in 20..26 {
+        let mut fleet = TestFleet::settled(NINE, seed);
+        let sleeper = (0..9).find(|host| !fleet.readers().contains(host)).unwrap();
+        fleet.publish_root("peak");
+        fleet.run_for(time::Duration::from_millis(after));
+        fleet.pause(sleeper, seconds(30));
+        fleet.run_for(seconds(10));
+        fleet.publish_root("maintenance");
+        fleet.run_for(seconds(10));
+        fleet.cut = Box::new(|_, _| true);
+        fleet.platform.set_silent(true);
+        let woken = fleet.hosts[sleeper].paused_until;
+        let served = fleet.run_until(seconds(30), |fleet| {
+            let snapshot = &fleet.hosts[sleeper].snapshot;
+            snapshot.made >= woken && snapshot.fresh_until > fleet.now
+        });
+        assert!(!served, "seed {seed}: serves old beliefs");
+    }
+}
+
+/// A host is paused while it starts, with the platform's answers on their way.
+/// They are old when it wakes, and must not count as a comparison.
+#[test]
+fn a_reading_from_before_the_sleep_does_not_count() {
+    for after in [1, 2, 3, 4, 6] {
+        let mut fleet = TestFleet::settled(NINE, 30 + after);
+        fleet.cut = Box::new(|_, _| true);
+        fleet.kill(4);
+        fleet.run_for(seconds(2));
+        fleet.start(4);
+        fleet.run_for(time::Duration::from_millis(after));
+        fleet.pause(4, seconds(30));
+        fleet.run_for(seconds(10));
+        fleet.publish_root("maintenance");
+        fleet.run_for(seconds(5));
+        fleet.platform.set_silent(true);
+        let served = fleet.run_until(seconds(40), |fleet| fleet.hosts[4].serves());
+        assert!(
+            !served,
+            "paused after {after} ms: serves what it read before"
+        );
+    }
+}
--- a/crates/cardamomwinch_protocol/src/peer/configuration.rs
+++ b/crates/cardamomwinch_protocol/src/peer/configuration.rs
@@ -4,7 +4,9 @@
 
 use std::net;
 
-use cardamomwinch_state::prelude::{ConfigurationVersion, HostEntry, HostId, HostListVersion};
+use cardamomwinch_state::prelude::{
+    ConfigurationVersion, HostEntry, HostId, HostListVersion, Timestamp,
+};
 use serde::{Deserialize, Serialize};
 
 /// What a host says of the configuration it has accepted. Equal digests mean
@@ -96,6 +98,9 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct ConfigurationOffer {
+    /// When the asker asked, by its own clock: an answer that it finds after
+    /// it slept is old.
+    pub asked: Timestamp,
     /// What the sender has accepted.
     pub digest: ConfigurationDigest,
     /// Whether this is all that the asker lacks. What is left is handed over
@@ -127,6 +132,8 @@
     /// Asks for whatever the sender lacks. Always answered by an offer, if
     /// only an empty one.
     Want {
+        /// When the sender asks, by its own clock.
+        asked: Timestamp,
         /// What the sender holds.
         known: KnownDocuments,
     },
