--- a/crates/cardamomwinch_coordination/src/control/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/mod.rs
@@ -4,6 +4,7 @@
 pub mod adoption;
 pub mod effect;
 pub mod event;
+pub mod health;
 pub(crate) mod home_dispatch;
 pub mod homes;
 pub mod membership;
@@ -24,6 +25,7 @@
 use crate::control::adoption::refusal::RefusedDocument;
 use crate::control::effect::{ControlEffect, ControlSink};
 use crate::control::event::{ControlEvent, PlatformOutcome};
+use crate::control::health::{HealthChange, HealthTable, HealthTurn};
 use crate::control::homes::HomeTable;
 use crate::control::membership::PeerMembership;
 use crate::control::publication::SnapshotPublisher;
@@ -40,6 +42,7 @@
     adoption: ConfigurationAdoption,
     membership: PeerMembership,
     homes: HomeTable,
+    health: HealthTable,
     publisher: SnapshotPublisher,
     last_event: Option<Timestamp>,
     /// Whether the last snapshot was published as confirmed.
@@ -66,6 +69,7 @@
             adoption: ConfigurationAdoption::new(identity),
             membership: PeerMembership::default(),
             homes: HomeTable::default(),
+            health: HealthTable::default(),
             publisher: SnapshotPublisher::default(),
             last_event: None,
             published_confirmed: false,
@@ -133,7 +137,13 @@
             ControlEvent::Tick => self.tick(now, sink),
             ControlEvent::Peer(envelope) => self.take_peer(now, &envelope, sink),
             ControlEvent::Platform(outcome) => self.take_platform(now, outcome, sink),
-            ControlEvent::Load { .. } => {}
+            ControlEvent::Load { backend, result } => {
+                self.health.take_load(now, backend, result);
+                self.review_health(now, sink);
+            }
+            ControlEvent::Observed(observations) => {
+                self.health.take_observations(now, &observations);
+            }
             ControlEvent::HandOver(chunk) => self.take_exported(now, chunk, sink),
             ControlEvent::TookOver(report) => self.take_imported(now, report, sink),
             ControlEvent::Stop => {
@@ -169,9 +179,51 @@
             self.send(host, PeerMessage::Membership(message), sink);
         }
         self.advance_homes(now, sink);
+        self.ask_loads(now, sink);
+        self.review_health(now, sink);
+        self.publish(now, sink);
+    }
+
+    fn ask_loads<S: ControlSink>(&mut self, now: Timestamp, sink: &mut S) {
+        let configuration = self.publisher.configuration();
+        self.health.follow(now, configuration, self.homes.shards());
+        for question in self.health.due_questions(now, configuration) {
+            sink.emit(ControlEffect::AskLoad {
+                backend: question.backend,
+                address: question.address,
+            });
+        }
+    }
+
+    /// Judges the servers anew; what changed is in force at once.
+    fn review_health<S: ControlSink>(&mut self, now: Timestamp, sink: &mut S) {
+        let changes = self.health.review(now, self.publisher.configuration());
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            sink.emit(ControlEffect::Count(match change.turn {
+                HealthTurn::Ejected => Counter::BackendEjected,
+                HealthTurn::Returned => Counter::BackendReturned,
+                HealthTurn::Draining => Counter::BackendDraining,
+                HealthTurn::DrainingEnded => Counter::BackendDrainingEnded,
+            }));
+            let record = self.health_record(now, change);
+            sink.emit(ControlEffect::Decide(record));
+        }
         self.publish(now, sink);
     }
 
+    fn health_record(&self, now: Timestamp, change: HealthChange) -> DecisionRecord {
+        DecisionRecord {
+            reason: DecisionReason::BackendHealth,
+            service: Some(change.service),
+            backend: Some(change.backend),
+            shard: Some(change.shard),
+            ..self.adopted_record(now)
+        }
+    }
+
     fn send<S: ControlSink>(&mut self, host: HostId, message: PeerMessage, sink: &mut S) {
         let entry = self.adoption.hosts().get(host);
         if let Some(address) = entry.map(|entry| entry.peer_address) {
@@ -310,6 +362,9 @@
                 AdoptionEffect::InForce(resolution) => {
                     let resolution = *resolution;
                     self.domain_names = resolution.domain_names.clone();
+                    let earlier = self.publisher.configuration();
+                    self.health
+                        .note_configuration(now, earlier, &resolution.configuration);
                     self.publisher
                         .adopt(resolution.configuration, resolution.domain_names);
                     let record = self.adopted_record(now);
@@ -357,6 +412,7 @@
             &self.homes,
             &self.membership,
         );
+        snapshot.backends = self.health.views(now);
         self.published_confirmed = self.adoption.is_confirmed();
         if !self.published_confirmed {
             // Guards against routing by beliefs that went stale while the host
--- a/crates/cardamomwinch_coordination/src/traffic/opening.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/opening.rs
@@ -58,7 +58,10 @@
         let token = self.tokens.issue(&routed.datagram.flow, claim);
         context.reply(routed.datagram.flow, CallerReplyKind::Opened { token });
         match routed.datagram.request {
-            Some(request) => self.serve_request(context, routed, claim, request),
+            Some(request) => {
+                self.serve_request(context, routed, claim, request);
+                self.open_without_request(context, routed, &claim, request.id);
+            }
             None => caller_datagrams::forward(context, routed.datagram, &claim, BackendKind::Open),
         }
     }
@@ -124,7 +127,7 @@
         let first = context.snapshot.backend(preferred.backend);
         let first = first.filter(|entry| self.has_room(context, entry));
         if let Some(entry) = first {
-            let idle = self.load_of(entry) == 0;
+            let idle = self.load_of(context, entry) == 0;
             if idle || !routed.datagram.echoes_token {
                 return Some((TokenClaim::from(entry), DecisionReason::PlacedByTable));
             }
@@ -151,7 +154,10 @@
             .filter_map(|id| snapshot.backend(*id))
             .filter(|entry| self.is_home_of(context, entry))
             .filter(|entry| self.has_room(context, entry))
-            .min_by_key(|entry| (self.load_of(entry), routed.hash.mixed_with(entry.id.get())))
+            .min_by_key(|entry| {
+                let load = self.load_of(context, entry);
+                (load, routed.hash.mixed_with(entry.id.get()))
+            })
     }
 
     pub(crate) fn is_home_of<S: TrafficSink>(
@@ -175,9 +181,10 @@
         free && !context.snapshot.is_ejected(entry.id)
     }
 
-    fn load_of(&self, entry: &BackendEntry) -> u64 {
+    fn load_of<S: TrafficSink>(&self, context: &EventContext<'_, S>, entry: &BackendEntry) -> u64 {
+        let view = context.snapshot.view(entry.id);
         let ledger = self.ledgers.get(entry.id);
-        ledger.map_or(0, |ledger| ledger.load(entry))
+        ledger.map_or(0, |ledger| ledger.load(context.now, entry, view))
     }
 
     /// Pins a flow to its server; `false` where no more flows can be held.
