--- a/crates/cardamomwinch_coordination/src/bounds.rs
+++ b/crates/cardamomwinch_coordination/src/bounds.rs
@@ -9,6 +9,8 @@
     pub flows: usize,
     /// Requests remembered, running or finished.
     pub request_records: usize,
+    /// Searches for the servers of flows that are under way.
+    pub searches: usize,
     /// Bytes of request payloads and answers held, in total.
     pub held_bytes: usize,
     /// Requests that may wait for a slot of one backend server, per slot.
@@ -22,6 +24,7 @@
         Self {
             flows: 500_000,
             request_records: 200_000,
+            searches: 4096,
             held_bytes: 16 * 1024 * 1024,
             queue_per_slot: 4,
             sleep_gap: time::Duration::from_millis(700),
--- a/crates/cardamomwinch_coordination/src/control/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/mod.rs
@@ -225,7 +225,7 @@
                 self.refused = resolution.refused;
                 self.domain_names = resolution.domain_names.clone();
                 self.publisher
-                    .adopt(resolution.configuration, resolution.domain_names);
+                    .adopt(now, resolution.configuration, resolution.domain_names);
                 let record = self.adopted_record(now);
                 sink.emit(ControlEffect::Decide(record));
                 self.publish(now, sink);
--- a/crates/cardamomwinch_coordination/src/control/publication.rs
+++ b/crates/cardamomwinch_coordination/src/control/publication.rs
@@ -12,19 +12,17 @@
 use crate::control::homes::HomeTable;
 use crate::control::membership::PeerMembership;
 use crate::identity::HostIdentity;
-use crate::routing::lookup_table::LookupTables;
+use crate::routing::generations::GenerationHistory;
 use crate::snapshot::{RoutingSnapshot, ServingPhase};
 
 /// Traffic may rely on a snapshot this long.
 pub(crate) const SNAPSHOT_FRESH_FOR: time::Duration = time::Duration::from_millis(1500);
-/// Lookup tables of this many versions are kept.
-const GENERATION_LIMIT: usize = 4;
 
 /// What is in force, in the form that traffic needs.
 #[derive(Debug, Default)]
 pub(crate) struct SnapshotPublisher {
     configuration: sync::Arc<InForceConfiguration>,
-    generations: Vec<sync::Arc<LookupTables>>,
+    history: GenerationHistory,
     retained: SortedVector<BackendId, BackendEntry>,
     server_addresses: sync::Arc<SortedVector<net::SocketAddr, ServiceId>>,
     domain_names: sync::Arc<SortedVector<DomainId, String>>,
@@ -36,24 +34,25 @@
     }
 
     /// Takes a configuration into force. Servers that it no longer has are
-    /// retained, so that their open flows go on.
+    /// retained, so that their open flows go on, for as long as a kept
+    /// generation names them; a token names its server by itself.
     pub(crate) fn adopt(
         &mut self,
+        now: Timestamp,
         configuration: InForceConfiguration,
         domain_names: SortedVector<DomainId, String>,
     ) {
         self.domain_names = sync::Arc::new(domain_names);
-        let earlier = self.generations.first().map(sync::Arc::as_ref);
-        let tables = LookupTables::derive(&configuration, earlier);
-        self.generations.insert(0, sync::Arc::new(tables));
-        self.generations.truncate(GENERATION_LIMIT);
+        self.history.adopt(now, &configuration);
         for entry in self.configuration.backends.values() {
             if !configuration.backends.contains_key(&entry.id) {
                 self.retained.insert(entry.id, entry.clone());
             }
         }
         let in_force = &configuration.backends;
-        self.retained.retain(|id, _| !in_force.contains_key(id));
+        let history = &self.history;
+        self.retained
+            .retain(|id, entry| !in_force.contains_key(id) && history.names(entry.service, *id));
         let addresses = in_force
             .values()
             .map(|entry| (entry.address, entry.service));
@@ -62,7 +61,7 @@
     }
 
     pub(crate) fn make(
-        &self,
+        &mut self,
         now: Timestamp,
         identity: HostIdentity,
         phase: ServingPhase,
@@ -70,13 +69,16 @@
         homes: &HomeTable,
         membership: &PeerMembership,
     ) -> RoutingSnapshot {
+        self.history.settle(now, any_domain_cut_off(homes));
         RoutingSnapshot {
             made: now,
             phase,
             fresh_until: now.after(SNAPSHOT_FRESH_FOR),
             configuration: sync::Arc::clone(&self.configuration),
             hosts: sync::Arc::new(hosts.clone()),
-            generations: self.generations.clone(),
+            generations: self.history.tables(),
+            opening_generations: self.history.opening_count(),
+            history_missing: self.history.history_missing(now),
             retained: self.retained.clone(),
             server_addresses: sync::Arc::clone(&self.server_addresses),
             domain_names: sync::Arc::clone(&self.domain_names),
@@ -87,6 +89,22 @@
     }
 }
 
+/// Whether some domain has no home that can be reached. Shards are sorted by
+/// domain, so that those of a domain lie side by side.
+fn any_domain_cut_off(homes: &HomeTable) -> bool {
+    let mut current: Option<(DomainId, bool)> = None;
+    for (shard, view) in homes.shards().iter() {
+        current = match current {
+            Some((domain, reached)) if domain == shard.domain => {
+                Some((domain, reached || view.home.is_some()))
+            }
+            Some((_, false)) => return true,
+            _ => Some((shard.domain, view.home.is_some())),
+        };
+    }
+    current.is_some_and(|(_, reached)| !reached)
+}
+
 fn helpers(
     now: Timestamp,
     identity: HostIdentity,
--- a/crates/cardamomwinch_coordination/src/counter.rs
+++ b/crates/cardamomwinch_coordination/src/counter.rs
@@ -37,6 +37,16 @@
     ForgedToken => "forged_tokens",
     /// Tokens or pins refused because their server's address now serves another service.
     ReassignedAddress => "reassigned_addresses",
+    /// Datagrams to a backend server withheld because this host may not act.
+    Withheld => "withheld_datagrams",
+    /// Searches for the server of a flow that began on this host.
+    SearchStarted => "flow_searches",
+    /// Searches passed on because a server said that it does not hold the flow.
+    SearchMoved => "flow_searches_moved",
+    /// Flows whose server this host learned from a home.
+    FlowLearned => "flows_learned",
+    /// Openings passed on to another home.
+    OpeningRedirected => "openings_redirected",
     /// Flows opened.
     FlowOpened => "flows_opened",
     /// Flows that no host could place.
--- a/crates/cardamomwinch_coordination/src/decision.rs
+++ b/crates/cardamomwinch_coordination/src/decision.rs
@@ -26,6 +26,12 @@
     RelayedToHome,
     /// Relayed to another traffic thread of this host.
     RelayedToThread,
+    /// Passed on to the home of the next server that the flow may belong to.
+    SearchMoved,
+    /// Passed on to another home, which has room or whose table is newer.
+    Redirected,
+    /// Placed on a server that can be reached, since that of the table cannot.
+    PlacedAroundCut,
     /// Relayed because this host may not act on what it believes.
     RelayedUnconfirmed,
     /// Sent to a backend server again, since the earlier attempt did not run or may run twice.
@@ -60,6 +66,9 @@
             Self::RelayedDecision => "relayed_decision",
             Self::RelayedToHome => "relayed_to_home",
             Self::RelayedToThread => "relayed_to_thread",
+            Self::SearchMoved => "search_moved",
+            Self::Redirected => "redirected",
+            Self::PlacedAroundCut => "placed_around_cut",
             Self::RelayedUnconfirmed => "relayed_unconfirmed",
             Self::Retried => "retried",
             Self::Refused => "refused",
--- a/crates/cardamomwinch_coordination/src/host_engine.rs
+++ b/crates/cardamomwinch_coordination/src/host_engine.rs
@@ -18,6 +18,10 @@
 
 /// Something that a host has to decide about.
 #[derive(Debug, Clone)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "an event is made on the stack and used at once, never stored"
+)]
 pub enum HostEvent<'a> {
     /// For control.
     Control(ControlEvent),
@@ -27,6 +31,10 @@
 
 /// Something that a host is to do.
 #[derive(Debug, Clone)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "an effect is made on the stack and used at once, never stored"
+)]
 pub enum HostEffect<'a> {
     /// From control. Snapshots are taken over by the engine itself.
     Control(ControlEffect),
--- a/crates/cardamomwinch_coordination/src/routing/lookup_table.rs
+++ b/crates/cardamomwinch_coordination/src/routing/lookup_table.rs
@@ -108,6 +108,27 @@
         }
     }
 
+    /// Puts tables together that were derived before.
+    pub fn assemble(
+        version: ConfigurationVersion,
+        tables: impl Iterator<Item = (ServiceId, sync::Arc<LookupTable>)>,
+    ) -> Self {
+        Self {
+            version,
+            tables: tables.collect(),
+        }
+    }
+
+    /// Whether `other` gives every flow of every service the same server.
+    pub fn places_like(&self, other: &Self) -> bool {
+        self.tables == other.tables
+    }
+
+    /// The tables by service.
+    pub fn iter(&self) -> impl Iterator<Item = (&ServiceId, &sync::Arc<LookupTable>)> {
+        self.tables.iter()
+    }
+
     /// The table of `service`.
     pub fn of_service(&self, service: ServiceId) -> Option<&LookupTable> {
         self.tables.get(&service).map(sync::Arc::as_ref)
--- a/crates/cardamomwinch_coordination/src/snapshot.rs
+++ b/crates/cardamomwinch_coordination/src/snapshot.rs
@@ -4,10 +4,11 @@
 use std::sync;
 
 use cardamomwinch_state::prelude::{
-    BackendEntry, BackendId, ConfigurationVersion, DomainId, HostId, HostTable,
+    BackendEntry, BackendId, ConfigurationVersion, DomainId, FlowHash, HostId, HostTable,
     InForceConfiguration, ServiceEntry, ServiceId, ShardId, SortedVector, Timestamp,
 };
 
+use crate::routing::candidates::CandidateList;
 use crate::routing::lookup_table::LookupTables;
 
 /// Whether the host serves.
@@ -68,6 +69,12 @@
     /// Lookup tables of the version in force, and of earlier versions that
     /// flows may still live under, newest first.
     pub generations: Vec<sync::Arc<LookupTables>>,
+    /// How many of the newest generations another host may still place new
+    /// flows by, because it has not adopted a newer one yet; at least one.
+    pub opening_generations: usize,
+    /// Whether this host started so lately that other hosts may still place new
+    /// flows by generations that it never knew.
+    pub history_missing: bool,
     /// Servers of earlier versions whose flows may still be open.
     pub retained: SortedVector<BackendId, BackendEntry>,
     /// Addresses of backend servers in force, with the service each belongs to.
@@ -92,6 +99,8 @@
             configuration: sync::Arc::default(),
             hosts: sync::Arc::default(),
             generations: Vec::new(),
+            opening_generations: 1,
+            history_missing: false,
             retained: SortedVector::new(),
             server_addresses: sync::Arc::default(),
             domain_names: sync::Arc::default(),
@@ -128,6 +137,23 @@
         in_force.or_else(|| self.retained.get(&id))
     }
 
+    /// The servers that a flow may have been placed on, oldest generation first.
+    pub fn candidates(&self, service: ServiceId, hash: FlowHash) -> CandidateList {
+        CandidateList::derive(&self.generations, service, hash)
+    }
+
+    /// The servers that some host may place a new flow on at present.
+    pub fn opening_candidates(&self, service: ServiceId, hash: FlowHash) -> CandidateList {
+        let kept = self.opening_generations.max(1).min(self.generations.len());
+        CandidateList::derive(&self.generations[..kept], service, hash)
+    }
+
+    /// Whether no shard of `domain` has a home that this host can reach.
+    pub fn is_cut_off(&self, domain: DomainId) -> bool {
+        let mut shards = self.shards.iter();
+        !shards.any(|(shard, view)| shard.domain == domain && view.home.is_some())
+    }
+
     /// The shard that `backend` belongs to.
     pub fn shard_of(&self, backend: &BackendEntry) -> ShardId {
         backend.shard(self.configuration.limits.shards_per_domain)
--- a/crates/cardamomwinch_coordination/src/traffic/caller_datagrams.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/caller_datagrams.rs
@@ -4,16 +4,16 @@
 use std::time;
 
 use cardamomwinch_protocol::prelude::{
-    BackendDatagram, BackendKind, CallerDatagram, CallerKind, CallerReplyKind, RefusalReason,
+    BackendKind, CallerDatagram, CallerKind, CallerReplyKind, FlowSearch, RefusalReason,
     RelayFrame, ResetReason, TokenClaim,
 };
-use cardamomwinch_state::prelude::{BackendId, FlowHash, ServiceEntry, ShardId};
+use cardamomwinch_state::prelude::{FlowHash, ServiceEntry, ShardId};
 
 use crate::counter::Counter;
 use crate::decision::DecisionReason;
 use crate::snapshot::ServingPhase;
-use crate::traffic::context::{DecisionSubject, EventContext};
-use crate::traffic::effect::{TrafficEffect, TrafficSink};
+use crate::traffic::context::{BackendMessage, DecisionSubject, EventContext};
+use crate::traffic::effect::TrafficSink;
 use crate::traffic::resolve::{self, FlowResolution};
 use crate::traffic::{HOP_LIMIT, TrafficEngine};
 
@@ -24,7 +24,9 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct CallerPassage {
     /// The server that the relaying host has decided on.
-    pub(crate) decided: Option<BackendId>,
+    pub(crate) decided: Option<TokenClaim>,
+    /// How far the search for the server has come.
+    pub(crate) search: Option<FlowSearch>,
     /// The shard that the relaying host takes this host to be the home of.
     pub(crate) shard: Option<ShardId>,
     /// How often the datagram was relayed.
@@ -35,12 +37,24 @@
     pub(crate) const fn from_fabric() -> Self {
         Self {
             decided: None,
+            search: None,
             shard: None,
             hops: 0,
         }
     }
 }
 
+/// Where the home of a shard is found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum HomePlace {
+    /// It is this thread.
+    Here,
+    /// It is another thread or host, which now has the datagram.
+    Passed,
+    /// No home can be reached.
+    Nowhere,
+}
+
 /// A datagram with what is known of its flow.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct RoutedDatagram<'d, 's> {
@@ -61,7 +75,7 @@
 
     /// Whether only the home of the server may handle the datagram: it changes
     /// what the home counts, or it carries a request.
-    fn needs_home(&self) -> bool {
+    pub(crate) fn needs_home(&self) -> bool {
         self.datagram.kind != CallerKind::Carry || self.datagram.request.is_some()
     }
 }
@@ -87,11 +101,11 @@
             hash: Self::hasher(snapshot).hash(&datagram.flow),
             passage,
         };
-        match self.resolve(context, routed.hash, datagram, service) {
+        match self.resolve(context, &routed) {
             FlowResolution::Known { claim, reason } => {
                 self.route_known(context, &routed, claim, reason);
             }
-            FlowResolution::Candidate { claim } => self.route_candidate(context, &routed, claim),
+            FlowResolution::Searched(search) => self.pursue(context, &routed, search),
             FlowResolution::Reassigned => {
                 context.decide(DecisionReason::ReassignedAddress, routed.subject());
                 let reason = ResetReason::BackendGone;
@@ -110,8 +124,9 @@
         claim: TokenClaim,
         reason: DecisionReason,
     ) {
+        self.tell_origin(context, routed, claim);
         if routed.needs_home() {
-            return self.bring_home(context, routed, claim, Some(claim.backend));
+            return self.bring_home(context, routed, claim);
         }
         let subject = DecisionSubject {
             backend: Some(claim.backend),
@@ -124,83 +139,84 @@
         }
     }
 
-    fn route_candidate<S: TrafficSink>(
-        &mut self,
-        context: &mut EventContext<'_, S>,
-        routed: &RoutedDatagram<'_, '_>,
-        candidate: TokenClaim,
-    ) {
-        let decided = routed.passage.decided;
-        let entry = decided.and_then(|id| context.snapshot.backend(id));
-        match entry {
-            Some(entry) => {
-                let claim = TokenClaim::from(entry);
-                self.bring_home(context, routed, claim, decided);
-            }
-            None => self.bring_home(context, routed, candidate, None),
-        }
-    }
-
-    /// Brings the datagram to the thread that is home of the server of `claim`.
+    /// Brings the datagram of a flow whose server is known to the thread that
+    /// is home of that server.
     fn bring_home<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
         routed: &RoutedDatagram<'_, '_>,
         claim: TokenClaim,
-        decided: Option<BackendId>,
     ) {
         let shard = resolve::shard_of(context.snapshot, &claim);
         let frame = RelayFrame::Caller {
             datagram: *routed.datagram,
-            backend: decided,
+            decided: Some(claim),
+            search: None,
             shard,
             hops: routed.passage.hops.saturating_add(1),
         };
-        let subject = DecisionSubject {
-            backend: decided,
+        match self.pass_to_home(context, routed, shard, frame) {
+            HomePlace::Here => self.serve_at_home(context, routed, claim),
+            HomePlace::Passed => {}
+            HomePlace::Nowhere => Self::without_home(context, routed, Some(claim)),
+        }
+    }
+
+    /// Passes `frame` to the thread, of this host or another, that is home of
+    /// `shard`, unless that is this very thread.
+    pub(crate) fn pass_to_home<S: TrafficSink>(
+        &self,
+        context: &mut EventContext<'_, S>,
+        routed: &RoutedDatagram<'_, '_>,
+        shard: ShardId,
+        frame: RelayFrame<'_>,
+    ) -> HomePlace {
+        let mut subject = DecisionSubject {
             shard: Some(shard),
             ..routed.subject()
         };
+        if let RelayFrame::Caller { decided, .. } = &frame {
+            subject.backend = decided.map(|claim| claim.backend);
+        }
         if context.snapshot.lease_at(shard, context.now).is_some() {
             if self.place.owns(shard) {
-                return self.serve_at_home(context, routed, claim, decided);
+                return HomePlace::Here;
             }
             context.decide(DecisionReason::RelayedToThread, subject);
-            return context.pass_to_thread(self.place.owner(shard), frame);
+            context.pass_to_thread(self.place.owner(shard), frame);
+            return HomePlace::Passed;
         }
         let home = context.snapshot.shard(shard).home;
         let other = home.filter(|host| *host != self.identity.host);
-        let may_relay = routed.passage.hops < HOP_LIMIT;
-        match other {
-            Some(host) if may_relay && context.relay(host, frame) => {
-                let peer = Some(host);
-                context.decide(
-                    DecisionReason::RelayedToHome,
-                    DecisionSubject { peer, ..subject },
-                );
-            }
-            _ => self.without_home(context, routed, claim, decided),
+        let Some(host) = other.filter(|_| routed.passage.hops < HOP_LIMIT) else {
+            return HomePlace::Nowhere;
+        };
+        if !context.relay(host, frame) {
+            return HomePlace::Nowhere;
         }
+        subject.peer = Some(host);
+        context.decide(DecisionReason::RelayedToHome, subject);
+        HomePlace::Passed
     }
 
     /// Nobody who may decide about the server can be reached. What needs no
     /// decision still goes through; a request is never answered as "not run",
     /// since a copy of it may have reached the home by another way.
-    fn without_home<S: TrafficSink>(
-        &mut self,
+    pub(crate) fn without_home<S: TrafficSink>(
         context: &mut EventContext<'_, S>,
         routed: &RoutedDatagram<'_, '_>,
-        claim: TokenClaim,
-        decided: Option<BackendId>,
+        known: Option<TokenClaim>,
     ) {
         let datagram = routed.datagram;
         let retry_after = context.snapshot.configuration.limits.home_lease;
-        match datagram.request {
-            Some(request) => context.outcome_unknown(datagram.flow, request.id, retry_after),
-            None if decided.is_some() && datagram.kind == CallerKind::Close => {
+        match (datagram.request, known) {
+            (Some(request), _) => {
+                context.outcome_unknown(datagram.flow, request.id, retry_after);
+            }
+            (None, Some(claim)) if datagram.kind == CallerKind::Close => {
                 forward(context, datagram, &claim, BackendKind::Close);
             }
-            None => {
+            (None, _) => {
                 let reason = RefusalReason::HomeUnreachable;
                 context.refuse(datagram.flow, None, reason, retry_after);
             }
@@ -223,7 +239,8 @@
         };
         let frame = RelayFrame::Caller {
             datagram: *datagram,
-            backend: passage.decided,
+            decided: passage.decided,
+            search: passage.search,
             shard,
             hops: passage.hops.saturating_add(1),
         };
@@ -266,15 +283,13 @@
     claim: &TokenClaim,
     kind: BackendKind,
 ) {
-    context.sink.emit(TrafficEffect::ToBackend {
-        address: claim.address,
-        datagram: BackendDatagram {
-            flow: datagram.flow,
-            backend: claim.backend,
-            via: context.identity.host,
-            kind,
-            request: None,
-            payload: datagram.payload,
-        },
-    });
+    let message = BackendMessage {
+        kind,
+        request: None,
+        payload: datagram.payload,
+    };
+    if !context.send_to_backend(claim, datagram.flow, message) {
+        let reason = ResetReason::BackendGone;
+        context.reply(datagram.flow, CallerReplyKind::Reset { reason });
+    }
 }
--- a/crates/cardamomwinch_coordination/src/traffic/context.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/context.rs
@@ -1,9 +1,12 @@
 //! What is at hand while one event is decided.
 
+use std::net;
 use std::time;
 
+use cardamomwinch_protocol::backend::BackendRequest;
 use cardamomwinch_protocol::prelude::{
-    CallerReply, CallerReplyKind, RefusalReason, RelayEnvelope, RelayFrame,
+    BackendDatagram, BackendKind, CallerReply, CallerReplyKind, RefusalReason, RelayEnvelope,
+    RelayFrame, TokenClaim,
 };
 use cardamomwinch_state::prelude::{
     BackendId, FlowKey, HostId, RequestId, ServiceId, ShardId, Timestamp,
@@ -20,9 +23,19 @@
     pub(crate) now: Timestamp,
     pub(crate) identity: HostIdentity,
     pub(crate) snapshot: &'c RoutingSnapshot,
+    /// Whether the thread may act on the snapshot.
+    pub(crate) may_act: bool,
     pub(crate) sink: &'c mut S,
 }
 
+/// What a backend server is sent about a flow.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct BackendMessage<'p> {
+    pub(crate) kind: BackendKind,
+    pub(crate) request: Option<BackendRequest>,
+    pub(crate) payload: &'p [u8],
+}
+
 /// What a decision concerns besides its reason.
 #[derive(Debug, Default, Clone, Copy)]
 pub(crate) struct DecisionSubject {
@@ -53,6 +66,53 @@
         self.sink.emit(TrafficEffect::Decide(record));
     }
 
+    /// Whether the address of `claim` may be sent datagrams of a flow to
+    /// `service`: the version in force gives it to no other service.
+    ///
+    /// Guards against a server's address having moved to another service: a
+    /// packet of the old service would reach the new one. The address table of
+    /// the version in force wins over every token, pin and waiting request.
+    pub(crate) fn may_send(&self, service: net::SocketAddr, claim: &TokenClaim) -> bool {
+        let Some(owner) = self.snapshot.server_addresses.get(&claim.address) else {
+            return true;
+        };
+        let entry = self.snapshot.service_of(service);
+        entry.is_some_and(|entry| entry.id == *owner)
+    }
+
+    /// Sends a datagram to the server of `claim`; `false` where it must not be
+    /// sent. Every datagram to a backend server goes through here, also those of
+    /// queues, retries, cancellations and closings, so that none can miss the
+    /// guard; a host that slept through a change of addresses sends none at all.
+    #[must_use]
+    pub(crate) fn send_to_backend(
+        &mut self,
+        claim: &TokenClaim,
+        flow: FlowKey,
+        message: BackendMessage<'_>,
+    ) -> bool {
+        if !self.may_act {
+            self.count(Counter::Withheld);
+            return false;
+        }
+        if !self.may_send(flow.service, claim) {
+            self.count(Counter::ReassignedAddress);
+            return false;
+        }
+        let datagram = BackendDatagram {
+            flow,
+            backend: claim.backend,
+            via: self.identity.host,
+            kind: message.kind,
+            request: message.request,
+            payload: message.payload,
+        };
+        let address = claim.address;
+        self.sink
+            .emit(TrafficEffect::ToBackend { address, datagram });
+        true
+    }
+
     pub(crate) fn reply(&mut self, flow: FlowKey, kind: CallerReplyKind<'_>) {
         let reply = CallerReply { flow, kind };
         self.sink.emit(TrafficEffect::ToCaller(reply));
--- a/crates/cardamomwinch_coordination/src/traffic/mod.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/mod.rs
@@ -11,11 +11,13 @@
 pub(crate) mod replies;
 pub mod requests;
 pub(crate) mod resolve;
+pub(crate) mod searching;
 pub(crate) mod serving;
 pub(crate) mod sweeping;
+pub(crate) mod unknown_flows;
 
 use cardamomwinch_protocol::prelude::{
-    AuthenticationKeys, FabricDatagram, RelayFrame, TokenIssuer,
+    AuthenticationKeys, BackendReplyKind, FabricDatagram, RelayFrame, SEARCH_LIMIT, TokenIssuer,
 };
 use cardamomwinch_state::prelude::{FlowHasher, FlowTable, Timestamp};
 
@@ -30,9 +32,13 @@
 use crate::traffic::ledger::ServerLedgers;
 use crate::traffic::pins::FlowPin;
 use crate::traffic::requests::RequestTable;
+use crate::traffic::searching::SearchTable;
 
 /// A datagram that was relayed this often is dropped instead of relayed again.
-pub const HOP_LIMIT: u8 = 4;
+///
+/// A search asks each of at most [`SEARCH_LIMIT`] homes and then as many
+/// servers once.
+pub const HOP_LIMIT: u8 = 2 * SEARCH_LIMIT as u8 + 2;
 
 /// The decisions of one traffic thread.
 #[derive(Debug)]
@@ -44,6 +50,7 @@
     pub(crate) pins: FlowTable<FlowPin>,
     pub(crate) requests: RequestTable,
     pub(crate) ledgers: ServerLedgers,
+    pub(crate) searches: SearchTable,
     pub(crate) held_bytes: usize,
     pub(crate) sweep_position: usize,
     last_event: Timestamp,
@@ -65,6 +72,7 @@
             pins: FlowTable::new(bounds.flows),
             requests: RequestTable::new(bounds.request_records),
             ledgers: ServerLedgers::default(),
+            searches: SearchTable::new(bounds.searches),
             held_bytes: 0,
             sweep_position: 0,
             last_event: Timestamp::ZERO,
@@ -101,9 +109,11 @@
             now,
             identity: self.identity,
             snapshot,
+            may_act: false,
             sink,
         };
         self.notice_sleep(&mut context);
+        context.may_act = self.may_act(now, snapshot);
         match event {
             TrafficEvent::Tick => self.sweep(&mut context),
             TrafficEvent::Fabric(datagram) => self.handle_fabric(&mut context, datagram),
@@ -136,20 +146,30 @@
         match frame {
             RelayFrame::Caller {
                 datagram,
-                backend,
+                decided,
+                search,
                 shard,
                 hops,
             } => {
                 let passage = CallerPassage {
-                    decided: backend,
+                    decided,
+                    search,
                     shard: Some(shard),
                     hops,
                 };
                 self.route(context, &datagram, passage);
             }
-            RelayFrame::Backend { reply, shard, hops } => {
-                self.account(context, &reply, shard, hops);
-            }
+            RelayFrame::Backend { reply, shard, hops } => match reply.kind {
+                BackendReplyKind::UnknownFlow { .. } => {
+                    self.take_relayed_unknown(context, &reply, shard, hops);
+                }
+                _ => self.account(context, &reply, shard, hops),
+            },
+            RelayFrame::Learned {
+                flow,
+                claim,
+                thread,
+            } => self.learn(context, frame, flow, claim, thread),
         }
     }
 
--- a/crates/cardamomwinch_coordination/src/traffic/opening.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/opening.rs
@@ -1,52 +1,216 @@
-//! What the home of a backend server does with openings, closings and datagrams
-//! of flows that nobody knows.
+//! What the home of a backend server does with openings, closings and other
+//! datagrams of flows that it serves.
 
 use cardamomwinch_protocol::prelude::{
-    BackendKind, CallerKind, CallerReplyKind, RefusalReason, ResetReason, TokenClaim,
+    BackendKind, CallerKind, CallerReplyKind, FlowSearch, RefusalReason, TokenClaim,
 };
-use cardamomwinch_state::prelude::{BackendEntry, BackendId};
+use cardamomwinch_state::prelude::{BackendEntry, FlowHash};
 
 use crate::counter::Counter;
 use crate::decision::DecisionReason;
 use crate::traffic::TrafficEngine;
-use crate::traffic::caller_datagrams::{self, RoutedDatagram};
+use crate::traffic::caller_datagrams::{self, RETRY_AFTER, RoutedDatagram};
 use crate::traffic::context::{DecisionSubject, EventContext};
 use crate::traffic::effect::TrafficSink;
-use crate::traffic::pins::FlowPin;
+use crate::traffic::pins::{FlowPin, PinRole};
 use crate::traffic::resolve;
 
+/// Positions of the lookup table that are tried where the flow's own is out.
+const PROBE_LIMIT: u64 = 16;
+
 impl TrafficEngine {
-    /// Handles a datagram at the home of the server of `claim`. `decided` is
-    /// set where the flow is known to belong to that server.
+    /// Handles a datagram at the home of the server of `claim`, which its flow
+    /// is known to belong to.
     pub(crate) fn serve_at_home<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
         routed: &RoutedDatagram<'_, '_>,
         claim: TokenClaim,
-        decided: Option<BackendId>,
     ) {
         match routed.datagram.kind {
-            CallerKind::Open => self.open_at_home(context, routed, claim, decided),
-            CallerKind::Carry => self.carry_at_home(context, routed, claim, decided),
+            CallerKind::Open => {
+                let disputed = self.is_disputed(routed);
+                self.open_at(
+                    context,
+                    routed,
+                    claim,
+                    DecisionReason::RelayedDecision,
+                    disputed,
+                );
+            }
+            CallerKind::Carry => self.carry_at_home(context, routed, claim),
             CallerKind::Close => self.close_at_home(context, routed, claim),
         }
     }
 
-    fn open_at_home<S: TrafficSink>(
+    /// Decides at one home after the other where an opening goes.
+    ///
+    /// Guards against a second run of a request inside an opening: copies of it
+    /// meet hosts that have different versions in force, whose tables name
+    /// different servers, hence different homes. All of them ask the home of
+    /// the oldest generation's candidate first, and each home that passes the
+    /// opening on leaves a redirect, so that every copy goes the same way and
+    /// the home at its end recognises them.
+    pub(crate) fn search_opening<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        routed: &RoutedDatagram<'_, '_>,
+        mut search: FlowSearch,
+    ) {
+        let snapshot = context.snapshot;
+        let list = snapshot.opening_candidates(routed.service.id, routed.hash);
+        if search.tried.is_empty() && routed.passage.hops <= 1 {
+            // A host that started lately knows no older generation.
+            let first = list
+                .iter()
+                .next()
+                .filter(|first| *first != search.candidate.backend);
+            if let Some(first) = first.and_then(|id| snapshot.backend(id)) {
+                search.candidate = TokenClaim::from(first);
+                return self.pursue(context, routed, search);
+            }
+        }
+        search.unsettled &= snapshot.history_missing;
+        let request = routed.datagram.request;
+        search.skipped |= request
+            .is_some_and(|header| self.may_be_known_elsewhere(context, &search.candidate, &header));
+        match resolve::next_candidate(snapshot, CallerKind::Open, routed, &search) {
+            Some(next) => self.redirect(context, routed, search, next),
+            None => self.place_opening(context, routed, search),
+        }
+    }
+
+    /// Passes an opening on to the home of another server, and remembers it.
+    fn redirect<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        routed: &RoutedDatagram<'_, '_>,
+        search: FlowSearch,
+        next: TokenClaim,
+    ) {
+        if !self.is_home_of(context, &next) {
+            let pin = FlowPin {
+                claim: next,
+                role: PinRole::Redirect,
+                disputed: search.skipped,
+                since: context.now,
+                last_seen: context.now,
+                counted: false,
+                echoes_token: routed.datagram.echoes_token,
+            };
+            if self
+                .pins
+                .insert(routed.hash, routed.datagram.flow, pin)
+                .is_err()
+            {
+                context.count(Counter::TableFull);
+                return self.refuse_request(context, routed, RefusalReason::TableFull);
+            }
+            context.count(Counter::OpeningRedirected);
+        }
+        self.move_on(context, routed, search, next);
+    }
+
+    fn place_opening<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        routed: &RoutedDatagram<'_, '_>,
+        search: FlowSearch,
+    ) {
+        if let Some((claim, reason)) = self.place(context, routed, search.candidate) {
+            let disputed = search.skipped || search.unsettled;
+            return self.open_at(context, routed, claim, reason, disputed);
+        }
+        match self.overflow_candidate(context, routed, &search) {
+            Some(next) => self.redirect(context, routed, search, next),
+            None => self.refuse_request(context, routed, RefusalReason::Full),
+        }
+    }
+
+    /// A server of another home, for a flow that none of this home's servers
+    /// has room for. Which it is follows from the flow alone, unless homes are
+    /// out of reach; the redirect keeps copies together in any case.
+    fn overflow_candidate<S: TrafficSink>(
+        &self,
+        context: &EventContext<'_, S>,
+        routed: &RoutedDatagram<'_, '_>,
+        search: &FlowSearch,
+    ) -> Option<TokenClaim> {
+        self.probe_table(context, routed, |claim| {
+            claim.backend != search.candidate.backend
+                && !search.tried.contains(claim.backend)
+                && !self.is_home_of(context, claim)
+        })
+    }
+
+    /// The home of the candidate of an opening cannot be reached. A home that
+    /// died is replaced within a lease, so the caller tries again; a domain
+    /// that is cut off may stay so for long, and its flows are placed elsewhere.
+    pub(crate) fn skip_home_of_opening<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        routed: &RoutedDatagram<'_, '_>,
+        search: FlowSearch,
+    ) {
+        let snapshot = context.snapshot;
+        if !snapshot.is_cut_off(search.candidate.domain) {
+            return Self::without_home(context, routed, None);
+        }
+        let newer = resolve::next_candidate(snapshot, CallerKind::Open, routed, &search);
+        let next = newer.or_else(|| {
+            self.probe_table(context, routed, |claim| {
+                !search.tried.contains(claim.backend) && !snapshot.is_cut_off(claim.domain)
+            })
+        });
+        match next {
+            Some(next) => {
+                context.decide(
+                    DecisionReason::PlacedAroundCut,
+                    DecisionSubject {
+                        backend: Some(next.backend),
+                        ..routed.subject()
+                    },
+                );
+                self.move_on(context, routed, search, next);
+            }
+            None => Self::without_home(context, routed, None),
+        }
+    }
+
+    /// The first server that `accept`s along a sequence that follows from the
+    /// flow alone.
+    fn probe_table<S: TrafficSink>(
+        &self,
+        context: &EventContext<'_, S>,
+        routed: &RoutedDatagram<'_, '_>,
+        accept: impl Fn(&TokenClaim) -> bool,
+    ) -> Option<TokenClaim> {
+        let snapshot = context.snapshot;
+        let table = snapshot
+            .generations
+            .first()?
+            .of_service(routed.service.id)?;
+        (1..=PROBE_LIMIT)
+            .map(|salt| FlowHash::new(routed.hash.mixed_with(salt)))
+            .filter_map(|hash| snapshot.backend(table.select(hash)?))
+            .map(TokenClaim::from)
+            .find(accept)
+    }
+
+    fn is_disputed(&self, routed: &RoutedDatagram<'_, '_>) -> bool {
+        let pin = self.pins.get(routed.hash, &routed.datagram.flow);
+        pin.is_some_and(|pin| pin.disputed)
+    }
+
+    fn open_at<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
         routed: &RoutedDatagram<'_, '_>,
         claim: TokenClaim,
-        decided: Option<BackendId>,
+        reason: DecisionReason,
+        disputed: bool,
     ) {
-        let placed = match decided {
-            Some(_) => Some((claim, DecisionReason::RelayedDecision)),
-            None => self.place(context, routed, claim),
-        };
-        let Some((claim, reason)) = placed else {
-            return self.refuse_request(context, routed, RefusalReason::Full);
-        };
-        if !self.pin(context, routed, claim) {
+        if !self.pin(context, routed, claim, disputed) {
             return self.refuse_request(context, routed, RefusalReason::TableFull);
         }
         let subject = DecisionSubject {
@@ -57,6 +221,13 @@
         let token = self.tokens.issue(&routed.datagram.flow, claim);
         context.reply(routed.datagram.flow, CallerReplyKind::Opened { token });
         match routed.datagram.request {
+            Some(request) if disputed && !request.idempotent => {
+                // Another home may have placed the flow too and run the request.
+                let mut opening = *routed.datagram;
+                opening.payload = &[];
+                caller_datagrams::forward(context, &opening, &claim, BackendKind::Open);
+                context.outcome_unknown(opening.flow, request.id, RETRY_AFTER);
+            }
             Some(request) => self.serve_request(context, routed, claim, request),
             None => caller_datagrams::forward(context, routed.datagram, &claim, BackendKind::Open),
         }
@@ -67,16 +238,18 @@
         context: &mut EventContext<'_, S>,
         routed: &RoutedDatagram<'_, '_>,
         claim: TokenClaim,
-        decided: Option<BackendId>,
     ) {
-        if decided.is_none() {
-            // Neither token nor pin: the table that every host derives alike is
-            // all there is. The server says whether it knows the flow.
-            context.decide(DecisionReason::PlacedByTable, routed.subject());
-        }
-        match routed.datagram.request {
+        let datagram = routed.datagram;
+        match datagram.request {
+            Some(request)
+                if datagram.token.is_none() && !request.idempotent && self.is_disputed(routed) =>
+            {
+                // A copy without token may reach another home that placed the
+                // flow as well.
+                context.outcome_unknown(datagram.flow, request.id, RETRY_AFTER);
+            }
             Some(request) => self.serve_request(context, routed, claim, request),
-            None => caller_datagrams::forward(context, routed.datagram, &claim, BackendKind::Carry),
+            None => caller_datagrams::forward(context, datagram, &claim, BackendKind::Carry),
         }
     }
 
@@ -86,9 +259,7 @@
         routed: &RoutedDatagram<'_, '_>,
         claim: TokenClaim,
     ) {
-        if let Some(pin) = self.pins.remove(routed.hash, &routed.datagram.flow) {
-            self.uncount(&pin);
-        }
+        self.remove_pin(routed.hash, &routed.datagram.flow);
         caller_datagrams::forward(context, routed.datagram, &claim, BackendKind::Close);
     }
 
@@ -110,7 +281,7 @@
         preferred: TokenClaim,
     ) -> Option<(TokenClaim, DecisionReason)> {
         let first = context.snapshot.backend(preferred.backend);
-        let first = first.filter(|entry| self.has_room(context, entry));
+        let first = first.filter(|entry| entry.takes_new_flows() && self.has_room(context, entry));
         if let Some(entry) = first {
             let idle = self.load_of(entry) == 0;
             if idle || !routed.datagram.echoes_token {
@@ -137,20 +308,11 @@
             .servers()
             .iter()
             .filter_map(|id| snapshot.backend(*id))
-            .filter(|entry| self.is_home_of(context, entry))
+            .filter(|entry| self.is_home_of(context, &TokenClaim::from(*entry)))
             .filter(|entry| self.has_room(context, entry))
             .min_by_key(|entry| (self.load_of(entry), routed.hash.mixed_with(entry.id.get())))
     }
 
-    fn is_home_of<S: TrafficSink>(
-        &self,
-        context: &EventContext<'_, S>,
-        entry: &BackendEntry,
-    ) -> bool {
-        let shard = context.snapshot.shard_of(entry);
-        self.place.owns(shard) && context.snapshot.lease_at(shard, context.now).is_some()
-    }
-
     fn has_room<S: TrafficSink>(
         &self,
         context: &EventContext<'_, S>,
@@ -172,14 +334,22 @@
         context: &mut EventContext<'_, S>,
         routed: &RoutedDatagram<'_, '_>,
         claim: TokenClaim,
+        disputed: bool,
     ) -> bool {
         let flow = routed.datagram.flow;
-        if let Some(pin) = self.pins.get_mut(routed.hash, &flow) {
+        if let Some(pin) = self.pins.get_mut(routed.hash, &flow)
+            && pin.role == PinRole::Placed
+            && pin.claim == claim
+        {
             pin.last_seen = context.now;
             return true;
         }
+        // What was learned of an earlier life of the flow is out of date.
+        self.remove_pin(routed.hash, &flow);
         let pin = FlowPin {
             claim,
+            role: PinRole::Placed,
+            disputed,
             since: context.now,
             last_seen: context.now,
             counted: true,
@@ -193,35 +363,4 @@
         self.ledgers.of(claim.backend).connections += 1;
         true
     }
-
-    /// Takes a server's word that it does not hold a flow.
-    pub(crate) fn forget_flow<S: TrafficSink>(
-        &mut self,
-        context: &mut EventContext<'_, S>,
-        flow: cardamomwinch_state::prelude::FlowKey,
-        reason: ResetReason,
-    ) {
-        let hash = Self::hasher(context.snapshot).hash(&flow);
-        if let Some(pin) = self.pins.remove(hash, &flow) {
-            self.uncount(&pin);
-        }
-        context.count(Counter::FlowUnknown);
-        context.decide(
-            DecisionReason::UnknownFlow,
-            DecisionSubject {
-                flow: Some(flow),
-                ..DecisionSubject::default()
-            },
-        );
-        context.reply(flow, CallerReplyKind::Reset { reason });
-    }
-
-    /// Whether the server of `claim` may be given something at all.
-    pub(crate) fn may_reach<S: TrafficSink>(
-        context: &EventContext<'_, S>,
-        routed: &RoutedDatagram<'_, '_>,
-        claim: &TokenClaim,
-    ) -> bool {
-        resolve::address_serves(context.snapshot, routed.service.id, claim)
-    }
 }
--- a/crates/cardamomwinch_coordination/src/traffic/pins.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/pins.rs
@@ -3,11 +3,30 @@
 use cardamomwinch_protocol::prelude::TokenClaim;
 use cardamomwinch_state::prelude::Timestamp;
 
+/// Why a thread remembers a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PinRole {
+    /// It placed the flow as home of the server, or took it over from a home.
+    Placed,
+    /// It was told by the home, so as to send data straight to the server. The
+    /// home may know better since.
+    Learned,
+    /// It passed the opening on to the home of the server. Copies of the
+    /// opening must go the same way, or two homes would place the flow.
+    Redirect,
+}
+
 /// Remembers the backend server of one flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FlowPin {
     /// The server.
     pub claim: TokenClaim,
+    /// Why it is remembered.
+    pub role: PinRole,
+    /// Whether another home may have placed the flow as well, because one that
+    /// should have been asked could not be. A request that must not run twice
+    /// is then told apart by its token alone.
+    pub disputed: bool,
     /// When the flow was placed.
     pub since: Timestamp,
     /// The last datagram of the flow that this thread saw.
--- a/crates/cardamomwinch_coordination/src/traffic/replies.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/replies.rs
@@ -3,7 +3,7 @@
 
 use cardamomwinch_protocol::prelude::{
     AttemptNumber, BackendReply, BackendReplyKind, CallerReplyKind, PartNumber, RefusalReason,
-    RelayFrame, ResetReason,
+    RelayFrame,
 };
 use cardamomwinch_state::prelude::{FlowHash, RequestId, ShardId};
 
@@ -29,6 +29,9 @@
         ) {
             return;
         }
+        if let BackendReplyKind::UnknownFlow { .. } = reply.kind {
+            return self.take_unknown(context, reply);
+        }
         // A server that is neither in force nor retained has no known shard;
         // the host that forwarded the request accounts for it.
         let entry = context.snapshot.backend(reply.backend);
@@ -78,7 +81,10 @@
                 attempt,
                 part,
                 payload,
-            } => self.note_part(context, hash, reply, request, attempt, part, payload),
+            } => {
+                self.confirm_search(context, hash, reply);
+                self.note_part(context, hash, reply, request, attempt, part, payload);
+            }
             BackendReplyKind::Shed { request, attempt } => {
                 context.count(Counter::BackendShed);
                 match request {
@@ -86,15 +92,12 @@
                     None => self.note_opening_shed(context, hash, reply),
                 }
             }
-            BackendReplyKind::UnknownFlow => {
-                self.forget_flow(context, reply.flow, ResetReason::UnknownFlow);
-            }
             BackendReplyKind::Closed => {
-                if let Some(pin) = self.pins.remove(hash, &reply.flow) {
-                    self.uncount(&pin);
-                }
+                self.remove_pin(hash, &reply.flow);
             }
-            BackendReplyKind::Opened | BackendReplyKind::Notice { .. } => {}
+            BackendReplyKind::Opened
+            | BackendReplyKind::Notice { .. }
+            | BackendReplyKind::UnknownFlow { .. } => {}
         }
     }
 
@@ -175,9 +178,7 @@
         hash: FlowHash,
         reply: &BackendReply<'_>,
     ) {
-        if let Some(pin) = self.pins.remove(hash, &reply.flow) {
-            self.uncount(&pin);
-        }
+        self.remove_pin(hash, &reply.flow);
         context.refuse(reply.flow, None, RefusalReason::Shed, RETRY_AFTER);
     }
 }
--- a/crates/cardamomwinch_coordination/src/traffic/requests.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/requests.rs
@@ -122,6 +122,12 @@
         /// Why.
         reason: RefusalReason,
     },
+    /// Its server did not hold the flow, so that it did not run there; it was
+    /// passed on to the home of the next server that the flow may belong to.
+    Moved {
+        /// The server.
+        backend: BackendId,
+    },
     /// It was sent and its outcome is not known.
     Unknown,
 }
@@ -184,6 +190,11 @@
         self.records.insert(hash, key, record).map(drop)
     }
 
+    /// Forgets the request under `key`, which must be known not to have run.
+    pub fn remove(&mut self, hash: FlowHash, key: &RequestKey) -> Option<RequestRecord> {
+        self.records.remove(hash, key)
+    }
+
     /// All records, in no particular order.
     pub fn iter(&self) -> impl Iterator<Item = (&RequestKey, &RequestRecord)> {
         self.records.iter()
--- a/crates/cardamomwinch_coordination/src/traffic/resolve.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/resolve.rs
@@ -1,14 +1,19 @@
 //! Finds the backend server that a datagram's flow belongs to.
 
-use cardamomwinch_protocol::prelude::{CallerDatagram, TokenClaim};
-use cardamomwinch_state::prelude::{FlowHash, ServiceEntry, ServiceId, ShardId};
+use cardamomwinch_protocol::prelude::{
+    CallerDatagram, CallerKind, FlowSearch, SearchStage, TokenClaim, TriedServers,
+};
+use cardamomwinch_state::prelude::{BackendId, ShardId};
 
 use crate::counter::Counter;
 use crate::decision::DecisionReason;
+use crate::routing::candidates::CandidateList;
 use crate::snapshot::RoutingSnapshot;
 use crate::traffic::TrafficEngine;
+use crate::traffic::caller_datagrams::RoutedDatagram;
 use crate::traffic::context::EventContext;
 use crate::traffic::effect::TrafficSink;
+use crate::traffic::pins::{FlowPin, PinRole};
 
 /// What is known about the server of a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -18,8 +23,8 @@
         claim: TokenClaim,
         reason: DecisionReason,
     },
-    /// The home of this server decides; the flow is not known here.
-    Candidate { claim: TokenClaim },
+    /// The flow is not known here; the homes of its candidates are to be asked.
+    Searched(FlowSearch),
     /// The flow's server has an address that now belongs to another service.
     Reassigned,
     /// No server of the service takes new flows.
@@ -30,27 +35,86 @@
     pub(crate) fn resolve<S: TrafficSink>(
         &self,
         context: &mut EventContext<'_, S>,
-        hash: FlowHash,
-        datagram: &CallerDatagram<'_>,
-        service: &ServiceEntry,
+        routed: &RoutedDatagram<'_, '_>,
     ) -> FlowResolution {
+        let datagram = routed.datagram;
         if let Some(claim) = self.claim_of_token(context, datagram) {
-            return guard(context, service.id, claim, DecisionReason::Token);
+            return guard(context, routed, claim, DecisionReason::Token);
+        }
+        let pin = self.pins.get(routed.hash, &datagram.flow);
+        if let Some(pin) = pin.filter(|pin| self.decides(context, datagram.kind, pin)) {
+            if routed.needs_home() && !self.is_authority(context, pin) {
+                // What was learned may be out of date; it says whom to ask first.
+                let search = routed.passage.search;
+                let search = search.unwrap_or_else(|| self.new_search(pin.claim));
+                return FlowResolution::Searched(search);
+            }
+            return guard(context, routed, pin.claim, DecisionReason::Pin);
         }
-        if let Some(pin) = self.pins.get(hash, &datagram.flow) {
-            return guard(context, service.id, pin.claim, DecisionReason::Pin);
+        if let Some(claim) = routed.passage.decided {
+            return guard(context, routed, claim, DecisionReason::RelayedDecision);
+        }
+        if let Some(search) = routed.passage.search {
+            return FlowResolution::Searched(search);
         }
         let snapshot = context.snapshot;
-        let newest = snapshot.generations.first();
-        let selected = newest.and_then(|tables| tables.select(service.id, hash));
-        match selected.and_then(|id| snapshot.backend(id)) {
-            Some(entry) => FlowResolution::Candidate {
-                claim: TokenClaim::from(entry),
-            },
+        let first = candidates(snapshot, datagram.kind, routed).iter().next();
+        match first.and_then(|id| snapshot.backend(id)) {
+            Some(entry) => {
+                context.count(Counter::SearchStarted);
+                FlowResolution::Searched(self.new_search(TokenClaim::from(entry)))
+            }
             None => FlowResolution::NoBackend,
         }
     }
 
+    pub(crate) fn new_search(&self, candidate: TokenClaim) -> FlowSearch {
+        FlowSearch {
+            origin: self.identity.host,
+            thread: self.place.index,
+            stage: SearchStage::Homes,
+            candidate,
+            tried: TriedServers::default(),
+            skipped: false,
+            unsettled: true,
+        }
+    }
+
+    /// Whether `pin` tells the server of a flow. Whoever only learned it, or
+    /// was the home once, may be out of date, which harms no datagram of an
+    /// open flow: the server then says that it does not hold the flow. An
+    /// opening, though, would lie on a server where no other host looks for it.
+    fn decides<S: TrafficSink>(
+        &self,
+        context: &EventContext<'_, S>,
+        kind: CallerKind,
+        pin: &FlowPin,
+    ) -> bool {
+        match kind {
+            CallerKind::Open => self.is_authority(context, pin),
+            CallerKind::Carry | CallerKind::Close => pin.role != PinRole::Redirect,
+        }
+    }
+
+    /// Whether this thread, as home of the server, knows best about a flow.
+    pub(crate) fn is_authority<S: TrafficSink>(
+        &self,
+        context: &EventContext<'_, S>,
+        pin: &FlowPin,
+    ) -> bool {
+        pin.role == PinRole::Placed && self.is_home_of(context, &pin.claim)
+    }
+
+    /// Whether this thread is home of the server of `claim`.
+    pub(crate) fn is_home_of<S: TrafficSink>(
+        &self,
+        context: &EventContext<'_, S>,
+        claim: &TokenClaim,
+    ) -> bool {
+        let shard = shard_of(context.snapshot, claim);
+        self.place.owns(shard) && context.snapshot.lease_at(shard, context.now).is_some()
+    }
+
     fn claim_of_token<S: TrafficSink>(
         &self,
         context: &mut EventContext<'_, S>,
@@ -65,31 +129,47 @@
     }
 }
 
-/// Guards against a server's address having moved to another service: a packet
-/// of the old service would reach the new one. The address table of the version
-/// in force tells, and wins over every token and pin.
+/// The servers to ask about a flow: for an opening those that some host may
+/// place it on at present, else all that it may have been placed on.
+pub(crate) fn candidates(
+    snapshot: &RoutingSnapshot,
+    kind: CallerKind,
+    routed: &RoutedDatagram<'_, '_>,
+) -> CandidateList {
+    match kind {
+        CallerKind::Open => snapshot.opening_candidates(routed.service.id, routed.hash),
+        CallerKind::Carry | CallerKind::Close => {
+            snapshot.candidates(routed.service.id, routed.hash)
+        }
+    }
+}
+
+/// The next server that a search has to ask, where there is one.
+pub(crate) fn next_candidate(
+    snapshot: &RoutingSnapshot,
+    kind: CallerKind,
+    routed: &RoutedDatagram<'_, '_>,
+    search: &FlowSearch,
+) -> Option<TokenClaim> {
+    let list = candidates(snapshot, kind, routed);
+    let known = |id: BackendId| snapshot.backend(id).map(TokenClaim::from);
+    list.next_after(search.candidate.backend, &search.tried)
+        .and_then(known)
+}
+
 fn guard<S: TrafficSink>(
     context: &mut EventContext<'_, S>,
-    service: ServiceId,
+    routed: &RoutedDatagram<'_, '_>,
     claim: TokenClaim,
     reason: DecisionReason,
 ) -> FlowResolution {
-    if address_serves(context.snapshot, service, &claim) {
+    if context.may_send(routed.datagram.flow.service, &claim) {
         return FlowResolution::Known { claim, reason };
     }
     context.count(Counter::ReassignedAddress);
     FlowResolution::Reassigned
 }
 
-pub(crate) fn address_serves(
-    snapshot: &RoutingSnapshot,
-    service: ServiceId,
-    claim: &TokenClaim,
-) -> bool {
-    let owner = snapshot.server_addresses.get(&claim.address);
-    owner.is_none_or(|owner| *owner == service)
-}
-
 /// The shard that the server of `claim` belongs to.
 pub(crate) fn shard_of(snapshot: &RoutingSnapshot, claim: &TokenClaim) -> ShardId {
     let count = snapshot.configuration.limits.shards_per_domain;
--- a/crates/cardamomwinch_coordination/src/traffic/serving.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/serving.rs
@@ -6,8 +6,8 @@
 
 use cardamomwinch_protocol::backend::BackendRequest;
 use cardamomwinch_protocol::prelude::{
-    AttemptNumber, BackendDatagram, BackendKind, CallerKind, CallerReplyKind, RefusalReason,
-    RequestHeader, TokenClaim,
+    AttemptNumber, BackendKind, CallerKind, CallerReplyKind, RefusalReason, RequestHeader,
+    TokenClaim,
 };
 use cardamomwinch_state::prelude::{BackendEntry, BackendId, FlowHash, Timestamp};
 
@@ -15,8 +15,8 @@
 use crate::decision::DecisionReason;
 use crate::traffic::TrafficEngine;
 use crate::traffic::caller_datagrams::{RETRY_AFTER, RoutedDatagram};
-use crate::traffic::context::{DecisionSubject, EventContext};
-use crate::traffic::effect::{TrafficEffect, TrafficSink};
+use crate::traffic::context::{BackendMessage, DecisionSubject, EventContext};
+use crate::traffic::effect::TrafficSink;
 use crate::traffic::ledger::QueueEntry;
 use crate::traffic::requests::{
     HeldRequest, PartTracker, RequestKey, RequestRecord, RequestState, RunningRequest,
@@ -62,7 +62,7 @@
     /// request can have been sent at most its longest lifetime before its
     /// deadline, so one whose deadline is late enough is certainly newer than
     /// this home's own records.
-    fn may_be_known_elsewhere<S: TrafficSink>(
+    pub(crate) fn may_be_known_elsewhere<S: TrafficSink>(
         &self,
         context: &EventContext<'_, S>,
         claim: &TokenClaim,
@@ -115,7 +115,7 @@
         claim: TokenClaim,
         header: RequestHeader,
     ) {
-        if !Self::may_reach(context, routed, &claim) {
+        if !context.may_send(routed.datagram.flow.service, &claim) {
             return self.refuse_request(context, routed, RefusalReason::NoBackend);
         }
         let state = RequestState::Queued {
@@ -187,7 +187,8 @@
         context: &mut EventContext<'_, S>,
         entry: &BackendEntry,
     ) {
-        loop {
+        // A thread that may not act keeps its queues; a tick starts them again.
+        while context.may_act {
             let ledger = self.ledgers.of(entry.id);
             if !ledger.has_free_slot(entry) {
                 return;
@@ -227,17 +228,20 @@
             CallerKind::Open => BackendKind::Open,
             CallerKind::Carry | CallerKind::Close => BackendKind::Carry,
         };
-        context.sink.emit(TrafficEffect::ToBackend {
-            address: claim.address,
-            datagram: BackendDatagram {
-                flow: queued.key.flow,
-                backend: claim.backend,
-                via: context.identity.host,
-                kind,
-                request: Some(request),
-                payload: &held.payload,
-            },
-        });
+        let message = BackendMessage {
+            kind,
+            request: Some(request),
+            payload: &held.payload,
+        };
+        if !context.send_to_backend(claim, queued.key.flow, message) {
+            // The address was given to another service while the request
+            // waited. It was never sent, and its record keeps copies from
+            // being run.
+            let reason = RefusalReason::NoBackend;
+            record.state = RequestState::Refused { reason };
+            context.refuse(queued.key.flow, Some(queued.key.id), reason, RETRY_AFTER);
+            return false;
+        }
         context.count(match attempt {
             AttemptNumber(0) => Counter::RequestDispatched,
             AttemptNumber(_) => Counter::RequestRetried,
@@ -271,7 +275,7 @@
             return;
         };
         match &record.state {
-            RequestState::Queued { .. } => {}
+            RequestState::Queued { .. } | RequestState::Moved { .. } => {}
             RequestState::Running(running) => {
                 for kept in &running.kept {
                     let (attempt, part) = (running.attempt, kept.part);
--- a/crates/cardamomwinch_coordination/src/traffic/sweeping.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/sweeping.rs
@@ -2,13 +2,13 @@
 //! waiting ones whose deadline has passed.
 
 use cardamomwinch_protocol::backend::BackendRequest;
-use cardamomwinch_protocol::prelude::{BackendDatagram, BackendKind};
+use cardamomwinch_protocol::prelude::{BackendKind, TokenClaim};
 use cardamomwinch_state::prelude::{BackendId, PartedTable};
 
 use crate::counter::Counter;
 use crate::traffic::TrafficEngine;
-use crate::traffic::context::EventContext;
-use crate::traffic::effect::{TrafficEffect, TrafficSink};
+use crate::traffic::context::{BackendMessage, EventContext};
+use crate::traffic::effect::TrafficSink;
 use crate::traffic::requests::{KeptPart, RequestKey, RequestState, RunningRequest};
 
 /// Parts of the request table that one tick sweeps.
@@ -35,6 +35,21 @@
             context.count(Counter::RequestExpired);
             self.release_slot(context, backend);
         }
+        self.start_waiting(context);
+        self.sweep_searches(context.now);
+    }
+
+    /// Starts what a thread that could not act has left waiting.
+    fn start_waiting<S: TrafficSink>(&mut self, context: &mut EventContext<'_, S>) {
+        let waiting = self.ledgers.iter();
+        let waiting = waiting.filter(|(_, ledger)| !ledger.queue.is_empty());
+        let waiting: Vec<BackendId> = waiting.map(|(backend, _)| *backend).collect();
+        for entry in waiting
+            .iter()
+            .filter_map(|backend| context.snapshot.backend(*backend))
+        {
+            self.start_queued(context, entry);
+        }
     }
 }
 
@@ -59,20 +74,16 @@
         return;
     };
     let deadline = running.held.header.deadline;
-    context.sink.emit(TrafficEffect::ToBackend {
-        address: entry.address,
-        datagram: BackendDatagram {
-            flow: key.flow,
-            backend: running.backend,
-            via: context.identity.host,
-            kind: BackendKind::Cancel,
-            request: Some(BackendRequest {
-                id: key.id,
-                attempt: running.attempt,
-                start_before: deadline,
-                deadline,
-            }),
-            payload: &[],
-        },
-    });
+    let message = BackendMessage {
+        kind: BackendKind::Cancel,
+        request: Some(BackendRequest {
+            id: key.id,
+            attempt: running.attempt,
+            start_before: deadline,
+            deadline,
+        }),
+        payload: &[],
+    };
+    // Nobody waits for the outcome, so one that may not be sent is dropped.
+    let _sent = context.send_to_backend(&TokenClaim::from(entry), key.flow, message);
 }
--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/traffic/unknown_flows.rs
@@ -0,0 +1,335 @@
+//! What is done where a backend server says that it does not hold a flow: a
+//! search goes on to the next server, a host that was out of date forgets what
+//! it learned, and only where the server was the right one is the flow gone.
+
+use std::time;
+
+use cardamomwinch_protocol::prelude::{
+    AttemptNumber, BackendReply, BackendReplyKind, CallerReplyKind, FlowSearch, RelayFrame,
+    RequestHeader, ResetReason, TokenClaim, TriedServers,
+};
+use cardamomwinch_state::prelude::{FlowHash, FlowKey, RequestId, ShardId, Timestamp};
+
+use crate::counter::Counter;
+use crate::decision::DecisionReason;
+use crate::traffic::TrafficEngine;
+use crate::traffic::caller_datagrams::{CallerPassage, RETRY_AFTER, RoutedDatagram};
+use crate::traffic::context::{DecisionSubject, EventContext};
+use crate::traffic::effect::TrafficSink;
+use crate::traffic::pins::{FlowPin, PinRole};
+use crate::traffic::requests::{RequestKey, RequestState};
+use crate::traffic::searching::{self, PendingSearch};
+
+/// A search whose server has not spoken for this long is forgotten: it holds
+/// the flow, or its word was lost, and the next datagram asks anew.
+const SEARCH_KEPT_FOR: time::Duration = time::Duration::from_secs(5);
+
+impl TrafficEngine {
+    /// Brings the word of a server to the host that had sent it the datagram,
+    /// which knows why it did, and to the home, which counts.
+    pub(crate) fn take_unknown<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        reply: &BackendReply<'_>,
+    ) {
+        let snapshot = context.snapshot;
+        let entry = snapshot.backend(reply.backend);
+        let known = entry.map(|entry| snapshot.shard_of(entry));
+        let Some(shard) = known.or_else(|| snapshot.any_shard()) else {
+            return;
+        };
+        let frame = RelayFrame::Backend {
+            reply: *reply,
+            shard,
+            hops: 0,
+        };
+        let me = self.identity.host;
+        let home = known.and_then(|shard| snapshot.shard(shard).home);
+        if let Some(home) = home.filter(|home| *home != reply.via) {
+            match home == me {
+                true => self.forget_at_home(context, reply, shard),
+                false => _ = context.relay(home, frame),
+            }
+        }
+        match reply.via == me {
+            true => self.judge_here(context, reply, shard, 0),
+            false => _ = context.relay(reply.via, frame),
+        }
+    }
+
+    /// Takes the word of a server that another host or thread passed on.
+    pub(crate) fn take_relayed_unknown<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        reply: &BackendReply<'_>,
+        shard: ShardId,
+        hops: u8,
+    ) {
+        match reply.via == self.identity.host {
+            true => self.judge_here(context, reply, shard, hops),
+            false => self.forget_at_home(context, reply, shard),
+        }
+    }
+
+    /// The home of a server hears that it does not hold a flow that another
+    /// host sent it straight.
+    fn forget_at_home<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        reply: &BackendReply<'_>,
+        shard: ShardId,
+    ) {
+        if !self.place.owns(shard) {
+            let reply = *reply;
+            let frame = RelayFrame::Backend {
+                reply,
+                shard,
+                hops: 0,
+            };
+            return context.pass_to_thread(self.place.owner(shard), frame);
+        }
+        let hash = Self::hasher(context.snapshot).hash(&reply.flow);
+        let pin = self.pins.get(hash, &reply.flow);
+        if pin.is_some_and(|pin| pin.claim.backend == reply.backend) {
+            self.remove_pin(hash, &reply.flow);
+        }
+    }
+
+    /// Judges in each thread in turn, since any may have sent the datagram.
+    fn judge_here<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        reply: &BackendReply<'_>,
+        shard: ShardId,
+        hops: u8,
+    ) {
+        let frame = |hops| RelayFrame::Backend {
+            reply: *reply,
+            shard,
+            hops,
+        };
+        if hops == 0 && !self.place.owns(shard) {
+            return context.pass_to_thread(self.place.owner(shard), frame(0));
+        }
+        if self.judge(context, reply) {
+            return;
+        }
+        let next = hops.saturating_add(1);
+        if u16::from(next) < self.place.count {
+            let thread = (self.place.index + 1) % self.place.count;
+            return context.pass_to_thread(thread, frame(next));
+        }
+        reset(context, reply.flow);
+    }
+
+    /// Whether this thread knows why the server was sent the datagram.
+    fn judge<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        reply: &BackendReply<'_>,
+    ) -> bool {
+        let hash = Self::hasher(context.snapshot).hash(&reply.flow);
+        if let BackendReplyKind::UnknownFlow {
+            request: Some(request),
+            attempt,
+        } = reply.kind
+            && self.judge_request(context, hash, reply, request, attempt)
+        {
+            return true;
+        }
+        self.judge_search(context, hash, reply) || self.judge_pin(context, hash, reply)
+    }
+
+    /// A request did not run, since its server does not hold the flow.
+    fn judge_request<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        hash: FlowHash,
+        reply: &BackendReply<'_>,
+        request: RequestId,
+        attempt: AttemptNumber,
+    ) -> bool {
+        let flow = reply.flow;
+        let key = RequestKey { flow, id: request };
+        let pending = self.searches.get(hash, &flow).map(|held| held.search);
+        let search = pending.filter(|search| search.candidate.backend == reply.backend);
+        let Some(record) = self.requests.get_mut(hash, &key) else {
+            return false;
+        };
+        let RequestState::Running(running) = &record.state else {
+            // A copy of what the server said before.
+            return true;
+        };
+        if running.backend != reply.backend || running.attempt != attempt {
+            return true;
+        }
+        let state = match search {
+            Some(_) => RequestState::Moved {
+                backend: reply.backend,
+            },
+            None => RequestState::Unknown,
+        };
+        let RequestState::Running(running) = std::mem::replace(&mut record.state, state) else {
+            return true;
+        };
+        self.release_slot(context, reply.backend);
+        let held = running.held;
+        match search {
+            Some(search) => self.resume(context, flow, &held.payload, Some(held.header), search),
+            None => {
+                context.outcome_unknown(flow, request, RETRY_AFTER);
+                self.remove_pin(hash, &flow);
+                reset(context, flow);
+            }
+        }
+        true
+    }
+
+    fn judge_search<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        hash: FlowHash,
+        reply: &BackendReply<'_>,
+    ) -> bool {
+        let Some(pending) = self.searches.get_mut(hash, &reply.flow) else {
+            return false;
+        };
+        if pending.refused.contains(reply.backend) {
+            return true;
+        }
+        let search = pending.search;
+        if search.candidate.backend != reply.backend {
+            return false;
+        }
+        pending.refused.note(reply.backend);
+        if let Some(payload) = pending.held.take() {
+            self.resume(context, reply.flow, &payload, None, search);
+        }
+        true
+    }
+
+    /// A pin is out of date. Only the home's word means that the flow is gone.
+    fn judge_pin<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        hash: FlowHash,
+        reply: &BackendReply<'_>,
+    ) -> bool {
+        let Some(pin) = self.pins.get(hash, &reply.flow).copied() else {
+            return false;
+        };
+        if pin.role == PinRole::Redirect {
+            return false;
+        }
+        if pin.claim.backend != reply.backend {
+            return true;
+        }
+        let authority = self.is_authority(context, &pin);
+        self.remove_pin(hash, &reply.flow);
+        match authority {
+            true => reset(context, reply.flow),
+            false => self.note_refused(context.now, hash, reply.flow, pin.claim),
+        }
+        true
+    }
+
+    /// Remembers that a server's word was taken, so that a copy of it that the
+    /// fabric made does not end a flow that lives elsewhere.
+    fn note_refused(&mut self, now: Timestamp, hash: FlowHash, flow: FlowKey, claim: TokenClaim) {
+        let mut refused = TriedServers::default();
+        refused.note(claim.backend);
+        let pending = PendingSearch {
+            search: self.new_search(claim),
+            since: now,
+            held: None,
+            refused,
+        };
+        // Where the table is full the copy is taken for news, and the caller
+        // opens its flow anew.
+        drop(self.searches.insert(hash, flow, pending));
+    }
+
+    fn resume<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        flow: FlowKey,
+        payload: &[u8],
+        request: Option<RequestHeader>,
+        search: FlowSearch,
+    ) {
+        let Some(service) = context.snapshot.service_of(flow.service) else {
+            return reset(context, flow);
+        };
+        let mut datagram = searching::carried(flow, payload);
+        datagram.request = request;
+        let routed = RoutedDatagram {
+            datagram: &datagram,
+            service,
+            hash: Self::hasher(context.snapshot).hash(&flow),
+            passage: CallerPassage {
+                search: Some(search),
+                ..CallerPassage::from_fabric()
+            },
+        };
+        self.ask_next_server(context, &routed, search);
+    }
+
+    /// A server that a search has asked answers: the flow belongs to it.
+    pub(crate) fn confirm_search<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        hash: FlowHash,
+        reply: &BackendReply<'_>,
+    ) {
+        let Some(pending) = self.searches.get(hash, &reply.flow) else {
+            return;
+        };
+        let search = pending.search;
+        if search.candidate.backend != reply.backend || pending.refused.contains(reply.backend) {
+            return;
+        }
+        self.searches.remove(hash, &reply.flow);
+        let pin = FlowPin {
+            claim: search.candidate,
+            role: PinRole::Placed,
+            disputed: search.skipped,
+            since: context.now,
+            last_seen: context.now,
+            counted: true,
+            echoes_token: false,
+        };
+        self.remove_pin(hash, &reply.flow);
+        match self.pins.insert(hash, reply.flow, pin) {
+            Ok(_) => self.ledgers.of(reply.backend).connections += 1,
+            Err(_) => context.count(Counter::TableFull),
+        }
+        self.send_learned(context, reply.flow, &search, search.candidate);
+    }
+
+    pub(crate) fn remove_pin(&mut self, hash: FlowHash, flow: &FlowKey) {
+        if let Some(pin) = self.pins.remove(hash, flow) {
+            self.uncount(&pin);
+        }
+    }
+
+    pub(crate) fn sweep_searches(&mut self, now: Timestamp) {
+        if self.searches.is_empty() {
+            return;
+        }
+        self.searches
+            .retain(|_, pending| now < pending.since.after(SEARCH_KEPT_FOR));
+    }
+}
+
+fn reset<S: TrafficSink>(context: &mut EventContext<'_, S>, flow: FlowKey) {
+    context.count(Counter::FlowUnknown);
+    context.decide(
+        DecisionReason::UnknownFlow,
+        DecisionSubject {
+            flow: Some(flow),
+            ..DecisionSubject::default()
+        },
+    );
+    let reason = ResetReason::UnknownFlow;
+    context.reply(flow, CallerReplyKind::Reset { reason });
+}
--- /dev/null
+++ b/crates/cardamomwinch_coordination/tests/routing_support/mod.rs
@@ -0,0 +1,467 @@
+//! Several traffic engines side by side, with hand-made snapshots, an exchange
+//! of relayed datagrams between them, and backend servers that hold flows and
+//! run requests.
+
+#![allow(clippy::unwrap_used, dead_code, missing_docs, unreachable_pub)]
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::time;
+
+use cardamomwinch_coordination::prelude::*;
+use cardamomwinch_coordination::routing::lookup_table::LookupTables;
+use cardamomwinch_coordination::snapshot::ShardView;
+use cardamomwinch_protocol::backend::{BackendKind, BackendReply, BackendReplyKind};
+use cardamomwinch_protocol::prelude::*;
+use cardamomwinch_state::prelude::*;
+
+pub const START: Timestamp = Timestamp::new(1_000_000_000_000);
+const STEP_LIMIT: usize = 10_000;
+
+pub fn service_id() -> ServiceId {
+    ServiceId::from_name("renewal")
+}
+
+pub fn service_address() -> net::SocketAddr {
+    "10.9.0.1:443".parse().unwrap()
+}
+
+pub fn domain(name: &str) -> DomainId {
+    DomainId::from_name(name)
+}
+
+pub fn flow(number: u16) -> FlowKey {
+    FlowKey {
+        caller: net::SocketAddr::from(([10, 1, 0, 1], 1024 + number)),
+        service: service_address(),
+    }
+}
+
+/// A backend server of the service, number `number` of the fleet.
+pub fn server(number: u8, domain_name: &str) -> BackendEntry {
+    server_of(service_id(), number, domain_name)
+}
+
+pub fn server_of(service: ServiceId, number: u8, domain_name: &str) -> BackendEntry {
+    let address = net::SocketAddr::from(([10, 2, 0, number], 7000));
+    let name = format!("server-{number}");
+    BackendEntry {
+        id: BackendId::from_role(service, &name, address),
+        name,
+        service,
+        domain: domain(domain_name),
+        address,
+        slots: SlotCount::new(2),
+        connections: ConnectionCount::new(2000),
+        weight: Weight::new(100),
+        phase: BackendPhase::Active,
+    }
+}
+
+pub fn configuration(version: u64, servers: &[BackendEntry]) -> InForceConfiguration {
+    let mut configuration = InForceConfiguration {
+        version: ConfigurationVersion::new(version),
+        ..InForceConfiguration::default()
+    };
+    let entry = ServiceEntry {
+        id: service_id(),
+        name: "renewal".to_owned(),
+        team: TeamId::from_name("team"),
+        address: service_address(),
+    };
+    configuration.addresses.insert(entry.address, entry.id);
+    configuration.services.insert(entry.id, entry);
+    for server in servers {
+        configuration.backends.insert(server.id, server.clone());
+    }
+    configuration
+}
+
+/// What a backend server has done.
+#[derive(Default)]
+pub struct FakeServer {
+    pub held: collections::BTreeSet<FlowKey>,
+    pub runs: Vec<(FlowKey, RequestId)>,
+    pub plain: Vec<(FlowKey, Vec<u8>)>,
+    pub refused: usize,
+    pub silent: bool,
+}
+
+pub struct Member {
+    pub identity: HostIdentity,
+    pub engine: TrafficEngine,
+    pub snapshot: RoutingSnapshot,
+    pub counts: collections::BTreeMap<Counter, usize>,
+    pub reachable: bool,
+}
+
+/// What callers were told, in a form that owns its parts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Told {
+    Opened(RoutingToken),
+    Answer(RequestId),
+    NotRun(Option<RequestId>, RefusalReason),
+    Unknown(RequestId),
+    Reset(ResetReason),
+    Other,
+}
+
+enum Parcel {
+    Relay(HostId, Vec<u8>),
+    Server(net::SocketAddr, Vec<u8>),
+    Reply(Vec<u8>),
+}
+
+pub struct Fleet {
+    pub members: Vec<Member>,
+    pub servers: collections::BTreeMap<net::SocketAddr, FakeServer>,
+    pub told: Vec<(FlowKey, Told)>,
+    pub now: Timestamp,
+    pub relays: usize,
+    pub relay_bytes: usize,
+    parcels: collections::VecDeque<Parcel>,
+    next_reply_host: usize,
+}
+
+impl Fleet {
+    /// A fleet of hosts `(name, domain)`, all with `configuration` in force.
+    pub fn new(hosts: &[(&str, &str)], configuration: &InForceConfiguration) -> Self {
+        let keys = || AuthenticationKeys::new(SecretKey::new([7; 32]), None);
+        let members = hosts.iter().map(|(name, domain_name)| {
+            let identity = HostIdentity {
+                host: HostId::from_name(name),
+                domain: domain(domain_name),
+                incarnation: Incarnation::new(1),
+            };
+            Member {
+                identity,
+                engine: HostBuilder::new(identity, keys()).build_traffic(ThreadPlace::ONLY),
+                snapshot: RoutingSnapshot::starting(),
+                counts: collections::BTreeMap::new(),
+                reachable: true,
+            }
+        });
+        let mut fleet = Self {
+            members: members.collect(),
+            servers: collections::BTreeMap::new(),
+            told: Vec::new(),
+            now: START,
+            relays: 0,
+            relay_bytes: 0,
+            parcels: collections::VecDeque::new(),
+            next_reply_host: 0,
+        };
+        for member in 0..hosts.len() {
+            fleet.adopt(member, configuration);
+        }
+        fleet
+    }
+
+    fn host_table(&self) -> HostTable {
+        let mut table = HostTable::default();
+        for (number, member) in self.members.iter().enumerate() {
+            let address = net::SocketAddr::from(([10, 3, 0, number as u8], 9000));
+            let entry = HostEntry {
+                id: member.identity.host,
+                name: format!("host-{number}"),
+                domain: member.identity.domain,
+                traffic_address: address,
+                peer_address: address,
+                relay_address: address,
+                phase: HostPhase::Live,
+            };
+            table.hosts.insert(entry.id, entry);
+        }
+        table
+    }
+
+    /// Puts `configuration` in force on one host only.
+    pub fn adopt(&mut self, member: usize, configuration: &InForceConfiguration) {
+        let hosts = self.host_table();
+        let shards = self.shards(&hosts, configuration, member);
+        let held = &mut self.members[member];
+        let old = std::mem::replace(&mut held.snapshot, RoutingSnapshot::starting());
+        let earlier = old.generations.first().map(sync::Arc::as_ref);
+        let tables = sync::Arc::new(LookupTables::derive(configuration, earlier));
+        let mut generations = old.generations.clone();
+        generations.insert(0, tables);
+        let mut retained = old.retained.clone();
+        for entry in old.configuration.backends.values() {
+            retained.insert(entry.id, entry.clone());
+        }
+        retained.retain(|id, _| !configuration.backends.contains_key(id));
+        let addresses = configuration.backends.values();
+        let addresses = addresses.map(|entry| (entry.address, entry.service));
+        held.snapshot = RoutingSnapshot {
+            made: self.now,
+            phase: ServingPhase::Serving,
+            fresh_until: self.now.after(time::Duration::from_secs(3600)),
+            configuration: sync::Arc::new(configuration.clone()),
+            hosts: sync::Arc::new(hosts),
+            opening_generations: generations.len(),
+            generations,
+            retained,
+            server_addresses: sync::Arc::new(addresses.collect()),
+            shards,
+            ..RoutingSnapshot::starting()
+        };
+        for entry in configuration.backends.values() {
+            self.servers.entry(entry.address).or_default();
+        }
+    }
+
+    pub fn adopt_everywhere(&mut self, configuration: &InForceConfiguration) {
+        for member in 0..self.members.len() {
+            self.adopt(member, configuration);
+        }
+    }
+
+    /// Homes: the hosts of a domain in turn, those that are reachable only.
+    fn shards(
+        &self,
+        hosts: &HostTable,
+        configuration: &InForceConfiguration,
+        member: usize,
+    ) -> SortedVector<ShardId, ShardView> {
+        let mut shards = SortedVector::new();
+        let me = self.members[member].identity.host;
+        let mut domains: Vec<DomainId> = hosts.hosts.values().map(|host| host.domain).collect();
+        domains.sort_unstable();
+        domains.dedup();
+        for domain in domains {
+            let homes: Vec<HostId> = self
+                .members
+                .iter()
+                .filter(|member| member.reachable && member.identity.domain == domain)
+                .map(|member| member.identity.host)
+                .collect();
+            for index in 0..configuration.limits.shards_per_domain {
+                let home = (!homes.is_empty()).then(|| homes[usize::from(index) % homes.len()]);
+                let lease = (home == Some(me)).then(|| HomeLease {
+                    held_until: self.now.after(time::Duration::from_secs(3600)),
+                    records_since: Timestamp::new(1),
+                });
+                shards.insert(ShardId { domain, index }, ShardView { home, lease });
+            }
+        }
+        shards
+    }
+
+    /// Works out the homes anew on all hosts, after reachability changed.
+    pub fn choose_homes(&mut self) {
+        for member in 0..self.members.len() {
+            let configuration = sync::Arc::clone(&self.members[member].snapshot.configuration);
+            let hosts = self.host_table();
+            self.members[member].snapshot.shards = self.shards(&hosts, &configuration, member);
+        }
+    }
+
+    /// The fabric hands `datagram` to the host at position `member`; what
+    /// follows is carried out until nothing is under way.
+    pub fn hand(&mut self, member: usize, datagram: &CallerDatagram<'_>) {
+        self.hand_quietly(member, datagram);
+        self.settle();
+    }
+
+    /// The same without carrying out what follows.
+    pub fn hand_quietly(&mut self, member: usize, datagram: &CallerDatagram<'_>) {
+        let event = TrafficEvent::Fabric(FabricDatagram::Caller(*datagram));
+        self.drive(member, event);
+    }
+
+    pub fn tick(&mut self, member: usize) {
+        self.drive(member, TrafficEvent::Tick);
+    }
+
+    /// Lets time pass on all hosts in steps of a tick.
+    pub fn pass(&mut self, span: time::Duration) {
+        let end = self.now.after(span);
+        while self.now < end {
+            self.now = self.now.after(time::Duration::from_millis(250));
+            for member in 0..self.members.len() {
+                self.tick(member);
+            }
+        }
+        self.settle();
+    }
+
+    pub fn settle(&mut self) {
+        for _ in 0..STEP_LIMIT {
+            if !self.step() {
+                return;
+            }
+        }
+        panic!("datagrams circle");
+    }
+
+    /// Carries out one thing that is under way.
+    pub fn step(&mut self) -> bool {
+        let Some(parcel) = self.parcels.pop_front() else {
+            return false;
+        };
+        match parcel {
+            Parcel::Relay(host, bytes) => {
+                let position = self.position(host);
+                if self.members[position].reachable {
+                    let envelope: RelayEnvelope<'_> = codec::decode(&bytes).unwrap();
+                    self.drive(position, TrafficEvent::Relay(envelope));
+                }
+            }
+            Parcel::Server(address, bytes) => {
+                let datagram: BackendDatagram<'_> = codec::decode(&bytes).unwrap();
+                self.serve(address, &datagram);
+            }
+            Parcel::Reply(bytes) => {
+                let reply: BackendReply<'_> = codec::decode(&bytes).unwrap();
+                self.next_reply_host += 1;
+                let live: Vec<usize> = (0..self.members.len())
+                    .filter(|member| self.members[*member].reachable)
+                    .collect();
+                let member = live[self.next_reply_host % live.len()];
+                let event = TrafficEvent::Fabric(FabricDatagram::Backend(reply));
+                self.drive(member, event);
+            }
+        }
+        true
+    }
+
+    pub fn position(&self, host: HostId) -> usize {
+        let mut members = self.members.iter();
+        members
+            .position(|member| member.identity.host == host)
+            .unwrap()
+    }
+
+    fn drive(&mut self, position: usize, event: TrafficEvent<'_>) {
+        let member = &mut self.members[position];
+        let (parcels, told, counts) = (&mut self.parcels, &mut self.told, &mut member.counts);
+        let (relays, relay_bytes) = (&mut self.relays, &mut self.relay_bytes);
+        let mut sink = |effect: TrafficEffect<'_>| match effect {
+            TrafficEffect::ToCaller(reply) => told.push((reply.flow, owned(&reply.kind))),
+            TrafficEffect::ToBackend { address, datagram } => {
+                parcels.push_back(Parcel::Server(address, bytes(&datagram)));
+            }
+            TrafficEffect::Relay { host, envelope, .. } => {
+                let bytes = bytes(&envelope);
+                *relays += 1;
+                *relay_bytes += bytes.len();
+                parcels.push_back(Parcel::Relay(host, bytes));
+            }
+            TrafficEffect::ToThread { .. } | TrafficEffect::Decide(_) => {}
+            TrafficEffect::Count(counter) => *counts.entry(counter).or_default() += 1,
+        };
+        member
+            .engine
+            .handle(self.now, &member.snapshot, event, &mut sink);
+    }
+
+    fn serve(&mut self, address: net::SocketAddr, datagram: &BackendDatagram<'_>) {
+        let server = self.servers.entry(address).or_default();
+        if server.silent {
+            return;
+        }
+        let flow = datagram.flow;
+        let mut say = |kind| {
+            let reply = BackendReply {
+                flow,
+                backend: datagram.backend,
+                via: datagram.via,
+                kind,
+            };
+            self.parcels.push_back(Parcel::Reply(bytes(&reply)));
+        };
+        match datagram.kind {
+            BackendKind::Open => {
+                server.held.insert(flow);
+                say(BackendReplyKind::Opened);
+            }
+            BackendKind::Close => {
+                server.held.remove(&flow);
+                return say(BackendReplyKind::Closed);
+            }
+            BackendKind::Cancel => return,
+            BackendKind::Carry => {}
+        }
+        if !server.held.contains(&flow) {
+            server.refused += 1;
+            let request = datagram.request.map(|request| request.id);
+            let attempt = datagram.request.map(|request| request.attempt);
+            let attempt = attempt.unwrap_or_default();
+            return say(BackendReplyKind::UnknownFlow { request, attempt });
+        }
+        match datagram.request {
+            Some(request) => {
+                server.runs.push((flow, request.id));
+                say(BackendReplyKind::Answer {
+                    request: request.id,
+                    attempt: request.attempt,
+                    part: PartNumber::WHOLE,
+                    payload: b"answer",
+                });
+            }
+            None => server.plain.push((flow, datagram.payload.to_vec())),
+        }
+    }
+
+    /// The servers that hold `flow` open.
+    pub fn holders(&self, flow: FlowKey) -> Vec<net::SocketAddr> {
+        let holding = self.servers.iter();
+        let holding = holding.filter(|(_, server)| server.held.contains(&flow));
+        holding.map(|(address, _)| *address).collect()
+    }
+
+    /// How often `request` of `flow` ran, on whichever server.
+    pub fn runs(&self, flow: FlowKey, request: RequestId) -> usize {
+        let runs = self.servers.values().flat_map(|server| &server.runs);
+        runs.filter(|run| **run == (flow, request)).count()
+    }
+
+    pub fn told(&self, flow: FlowKey) -> Vec<Told> {
+        let told = self.told.iter().filter(|(told, _)| *told == flow);
+        told.map(|(_, told)| told.clone()).collect()
+    }
+
+    pub fn count(&self, counter: Counter) -> usize {
+        let counts = self
+            .members
+            .iter()
+            .map(|member| member.counts.get(&counter));
+        counts.flatten().sum()
+    }
+
+    /// A request on its way until well before the longest lifetime.
+    pub fn request(&self, number: u64) -> RequestHeader {
+        RequestHeader {
+            id: RequestId::new(number),
+            idempotent: false,
+            deadline: self.now.after(time::Duration::from_secs(5)),
+        }
+    }
+}
+
+/// An opening by a caller that does not echo tokens.
+pub fn plain_open(flow: FlowKey) -> CallerDatagram<'static> {
+    CallerDatagram {
+        echoes_token: false,
+        ..CallerDatagram::open(flow, b"open")
+    }
+}
+
+fn bytes<T: serde::Serialize>(value: &T) -> Vec<u8> {
+    let mut buffer = [0; codec::DATAGRAM_LIMIT];
+    codec::encode(value, &mut buffer).unwrap().to_vec()
+}
+
+fn owned(kind: &CallerReplyKind<'_>) -> Told {
+    match kind {
+        CallerReplyKind::Opened { token } => Told::Opened(*token),
+        CallerReplyKind::Answer { request, .. } => Told::Answer(*request),
+        CallerReplyKind::NotRun {
+            request, reason, ..
+        } => Told::NotRun(*request, *reason),
+        CallerReplyKind::OutcomeUnknown { request, .. } => Told::Unknown(*request),
+        CallerReplyKind::Reset { reason } => Told::Reset(*reason),
+        CallerReplyKind::Notice { .. } => Told::Other,
+    }
+}
--- a/crates/cardamomwinch_protocol/src/backend.rs
+++ b/crates/cardamomwinch_protocol/src/backend.rs
@@ -83,8 +83,14 @@
         /// Opaque bytes for the caller.
         payload: &'a [u8],
     },
-    /// The server holds no such flow.
-    UnknownFlow,
+    /// The server holds no such flow, so that the request that came with the
+    /// datagram, if any, did not run and will not.
+    UnknownFlow {
+        /// The request that it is about.
+        request: Option<RequestId>,
+        /// The attempt that the server was given.
+        attempt: AttemptNumber,
+    },
     /// The flow is closed.
     Closed,
 }
--- a/crates/cardamomwinch_protocol/src/lib.rs
+++ b/crates/cardamomwinch_protocol/src/lib.rs
@@ -40,6 +40,8 @@
     pub use crate::codec;
     pub use crate::fabric::FabricDatagram;
     pub use crate::peer::{PeerEnvelope, PeerMessage};
-    pub use crate::relay::{RelayEnvelope, RelayFrame};
+    pub use crate::relay::{
+        FlowSearch, RelayEnvelope, RelayFrame, SEARCH_LIMIT, SearchStage, TriedServers,
+    };
     pub use crate::token::{RoutingToken, TokenClaim, TokenIssuer};
 }
--- a/crates/cardamomwinch_standin/src/backend.rs
+++ b/crates/cardamomwinch_standin/src/backend.rs
@@ -239,7 +239,12 @@
             self.take(route, datagram).await;
         } else {
             runtime::locked(&self.state).counters.unknown_flow += 1;
-            self.reply(route, BackendReplyKind::UnknownFlow).await;
+            let attempt = datagram.request.map(|request| request.attempt);
+            let kind = BackendReplyKind::UnknownFlow {
+                request: datagram.request.map(|request| request.id),
+                attempt: attempt.unwrap_or_default(),
+            };
+            self.reply(route, kind).await;
         }
     }
 
--- a/crates/cardamomwinch_standin/tests/caller_path.rs
+++ b/crates/cardamomwinch_standin/tests/caller_path.rs
@@ -209,7 +209,10 @@
             attempt: AttemptNumber(3),
         };
         let expected = [
-            BackendReplyKind::UnknownFlow,
+            BackendReplyKind::UnknownFlow {
+                request: Some(RequestId::new(1)),
+                attempt: AttemptNumber(3),
+            },
             BackendReplyKind::Opened,
             shed(2),
             shed(3),
--- a/crates/cardamomwinch_standin/tests/support/mod.rs
+++ b/crates/cardamomwinch_standin/tests/support/mod.rs
@@ -133,7 +133,7 @@
         BackendReplyKind::Notice { sequence, payload } => {
             CallerReplyKind::Notice { sequence, payload }
         }
-        BackendReplyKind::UnknownFlow => CallerReplyKind::Reset {
+        BackendReplyKind::UnknownFlow { .. } => CallerReplyKind::Reset {
             reason: ResetReason::UnknownFlow,
         },
         BackendReplyKind::Closed => return,
--- a/examples/whole_path.rs
+++ b/examples/whole_path.rs
@@ -73,7 +73,10 @@
     echo: bool,
 ) -> Result<Value, StandinError> {
     let options = [
-        ("--fabric", deployment.fabric_address("callers")?.to_string()),
+        (
+            "--fabric",
+            deployment.fabric_address("callers")?.to_string(),
+        ),
         ("--service", service.address.to_string()),
         ("--sessions", SESSIONS.to_string()),
         ("--requests", REQUESTS.to_string()),
@@ -90,12 +93,21 @@
 }
 
 fn print_runs(reports: &[Value]) {
-    let sum = |key: &str| -> u64 { reports.iter().filter_map(|report| report[key].as_u64()).sum() };
+    let sum = |key: &str| -> u64 {
+        reports
+            .iter()
+            .filter_map(|report| report[key].as_u64())
+            .sum()
+    };
     let repeated: usize = reports
         .iter()
         .filter_map(|report| report["repeated"].as_array().map(Vec::len))
         .sum();
-    println!("runs on {} backend servers: {}", reports.len(), sum("total"));
+    println!(
+        "runs on {} backend servers: {}",
+        reports.len(),
+        sum("total")
+    );
     println!("requests run more than once: {repeated}");
     println!("datagrams at a wrong service: {}", sum("wrong_service"));
 }
