Give a reply of an unknown server to the host that had sent it; try another home before refusing

Cause: a host that is behind in its configuration does not know a new server; it dropped the accounting of that server's replies, so that the slots stayed taken until the deadline and later requests waited for nothing. And an opening was refused as full although the servers of other homes had room.

Change: such a reply goes to the host that had forwarded what it replies to. A full home passes an opening on to a home that was not asked yet, leaves a redirect, and refuses only where all that can be reached are full.

--- a/crates/cardamomwinch_coordination/src/traffic/mod.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/mod.rs
@@ -163,7 +163,7 @@
                 BackendReplyKind::UnknownFlow { .. } => {
                     self.take_relayed_unknown(context, &reply, shard, hops);
                 }
-                _ => self.account(context, &reply, shard, hops),
+                _ => self.take_relayed_reply(context, &reply, shard, hops),
             },
             RelayFrame::Learned {
                 flow,
--- a/crates/cardamomwinch_coordination/src/traffic/opening.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/opening.rs
@@ -4,7 +4,7 @@
 use cardamomwinch_protocol::prelude::{
     BackendKind, CallerKind, CallerReplyKind, FlowSearch, RefusalReason, TokenClaim,
 };
-use cardamomwinch_state::prelude::{BackendEntry, FlowHash};
+use cardamomwinch_state::prelude::{BackendEntry, FlowHash, HostId};
 
 use crate::counter::Counter;
 use crate::decision::DecisionReason;
@@ -17,6 +17,8 @@
 
 /// Positions of the lookup table that are tried where the flow's own is out.
 const PROBE_LIMIT: u64 = 16;
+/// Up to this many servers of a service are all looked at where probing failed.
+const SCAN_LIMIT: usize = 256;
 
 impl TrafficEngine {
     /// Handles a datagram at the home of the server of `claim`, which its flow
@@ -136,10 +138,15 @@
         routed: &RoutedDatagram<'_, '_>,
         search: &FlowSearch,
     ) -> Option<TokenClaim> {
+        let snapshot = context.snapshot;
+        let home = |claim: &TokenClaim| snapshot.shard(resolve::shard_of(snapshot, claim)).home;
+        let asked = |host: HostId| {
+            let mut servers = search.tried.iter().filter_map(|id| snapshot.backend(id));
+            Some(host) == home(&search.candidate)
+                || servers.any(|entry| home(&TokenClaim::from(entry)) == Some(host))
+        };
         self.probe_table(context, routed, |claim| {
-            claim.backend != search.candidate.backend
-                && !search.tried.contains(claim.backend)
-                && !self.is_home_of(context, claim)
+            home(claim).is_some_and(|host| host != self.identity.host && !asked(host))
         })
     }
 
@@ -190,11 +197,19 @@
             .generations
             .first()?
             .of_service(routed.service.id)?;
-        (1..=PROBE_LIMIT)
+        let probed = (1..=PROBE_LIMIT)
             .map(|salt| FlowHash::new(routed.hash.mixed_with(salt)))
             .filter_map(|hash| snapshot.backend(table.select(hash)?))
             .map(TokenClaim::from)
-            .find(accept)
+            .find(&accept);
+        if probed.is_some() || table.servers().len() > SCAN_LIMIT {
+            return probed;
+        }
+        let servers = table.servers().iter();
+        let claims = servers.filter_map(|id| snapshot.backend(*id).map(TokenClaim::from));
+        claims
+            .filter(accept)
+            .min_by_key(|claim| routed.hash.mixed_with(claim.backend.get()))
     }
 
     fn is_disputed(&self, routed: &RoutedDatagram<'_, '_>) -> bool {
--- a/crates/cardamomwinch_coordination/src/traffic/replies.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/replies.rs
@@ -32,14 +32,50 @@
         if let BackendReplyKind::UnknownFlow { .. } = reply.kind {
             return self.take_unknown(context, reply);
         }
-        // A server that is neither in force nor retained has no known shard;
-        // the host that forwarded the request accounts for it.
         let entry = context.snapshot.backend(reply.backend);
-        let shard = entry.map(|entry| context.snapshot.shard_of(entry));
-        match shard {
+        match entry.map(|entry| context.snapshot.shard_of(entry)) {
             Some(shard) => self.account(context, reply, shard, 0),
+            None => self.account_by_sender(context, reply),
+        }
+    }
+
+    /// Brings a reply of a server that this host does not know to the host that
+    /// had sent it what it replies to, which knew it. This host may be behind in
+    /// its configuration; without the reply the slot would stay taken until the
+    /// deadline.
+    fn account_by_sender<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        reply: &BackendReply<'_>,
+    ) {
+        if reply.via == self.identity.host {
+            return self.apply(context, reply);
+        }
+        if let Some(shard) = context.snapshot.any_shard() {
+            let reply = shortened(reply);
+            let frame = RelayFrame::Backend {
+                reply,
+                shard,
+                hops: 1,
+            };
+            context.relay(reply.via, frame);
+        }
+    }
+
+    /// Takes a reply that another host or thread passed on. What this host
+    /// knows of the server goes before what the sender took for its shard.
+    pub(crate) fn take_relayed_reply<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        reply: &BackendReply<'_>,
+        shard: ShardId,
+        hops: u8,
+    ) {
+        let entry = context.snapshot.backend(reply.backend);
+        match entry.map(|entry| context.snapshot.shard_of(entry)) {
+            Some(known) => self.account(context, reply, known, hops),
             None if reply.via == self.identity.host => self.apply(context, reply),
-            None => {}
+            None => self.account(context, reply, shard, hops),
         }
     }
 
--- /dev/null
+++ b/crates/cardamomwinch_coordination/tests/routing_addresses.rs
@@ -0,0 +1,222 @@
+//! Addresses of backend servers that move to another service, and servers that
+//! leave the configuration.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod routing_support;
+
+use std::time;
+
+use cardamomwinch_coordination::prelude::*;
+use cardamomwinch_protocol::prelude::*;
+use cardamomwinch_state::prelude::*;
+use routing_support::{Fleet, Told, flow, server, server_of};
+use yare::parameterized;
+
+const HOSTS: &[(&str, &str)] = &[("a1", "a"), ("a2", "a"), ("b1", "b")];
+
+/// The servers of the service, of which the first stands where the test looks.
+fn before() -> InForceConfiguration {
+    routing_support::configuration(1, &[server(1, "a")])
+}
+
+/// The first server's address belongs to another service now.
+fn after() -> InForceConfiguration {
+    let archive = ServiceId::from_name("archive");
+    let mut configuration =
+        routing_support::configuration(2, &[server_of(archive, 1, "a"), server(2, "a")]);
+    let entry = ServiceEntry {
+        id: archive,
+        name: "archive".to_owned(),
+        team: TeamId::from_name("other"),
+        address: "10.9.0.2:443".parse().unwrap(),
+    };
+    configuration.addresses.insert(entry.address, entry.id);
+    configuration.services.insert(entry.id, entry);
+    configuration
+}
+
+fn token(fleet: &Fleet, key: FlowKey) -> Option<RoutingToken> {
+    fleet.told(key).iter().find_map(|told| match told {
+        Told::Opened(token) => Some(*token),
+        _ => None,
+    })
+}
+
+fn received(fleet: &Fleet) -> usize {
+    fleet.servers[&server(1, "a").address].received.len()
+}
+
+fn plain(fleet: &mut Fleet, key: FlowKey, token: Option<RoutingToken>) {
+    fleet.hand(0, &CallerDatagram::carry(key, token, b"data"));
+    fleet.hand(2, &CallerDatagram::carry(key, token, b"data"));
+}
+
+fn request(fleet: &mut Fleet, key: FlowKey, token: Option<RoutingToken>) {
+    let request = fleet.request(77);
+    let datagram = CallerDatagram::carry(key, token, b"ask").with_request(request);
+    fleet.hand(0, &datagram);
+    fleet.hand(2, &datagram);
+}
+
+fn close(fleet: &mut Fleet, key: FlowKey, token: Option<RoutingToken>) {
+    for member in [0, 2] {
+        let mut datagram = CallerDatagram::carry(key, token, b"");
+        datagram.kind = CallerKind::Close;
+        fleet.hand(member, &datagram);
+    }
+}
+
+fn open(fleet: &mut Fleet, key: FlowKey, token: Option<RoutingToken>) {
+    let mut datagram = CallerDatagram::open(key, b"open");
+    datagram.token = token;
+    fleet.hand(0, &datagram);
+    fleet.hand(2, &datagram);
+}
+
+// The address of a renewal server is given to the archive. An inspector's
+// tablet, which still holds its token or is still pinned, goes on sending. Its
+// packets would reach the archive. None may, whatever the packet does.
+#[parameterized(
+    plain_by_token = { plain, true },
+    plain_by_pin = { plain, false },
+    request_by_token = { request, true },
+    request_by_pin = { request, false },
+    close_by_token = { close, true },
+    close_by_pin = { close, false },
+    open_by_token = { open, true },
+    open_by_pin = { open, false },
+)]
+fn reassigned_address_gets_nothing(
+    send: fn(&mut Fleet, FlowKey, Option<RoutingToken>),
+    echoes: bool,
+) {
+    let mut fleet = Fleet::new(HOSTS, &before());
+    fleet.hand(0, &CallerDatagram::open(flow(1), b"open"));
+    let token = token(&fleet, flow(1)).filter(|_| echoes);
+    plain(&mut fleet, flow(1), None);
+    fleet.adopt_everywhere(&after());
+    let count = received(&fleet);
+    assert!(count > 0);
+    send(&mut fleet, flow(1), token);
+    assert_eq!(
+        received(&fleet),
+        count,
+        "the archive got a packet of the renewal service"
+    );
+}
+
+// Requests wait for a slot of a renewal server whose address is then given to
+// the archive. The running ones expire, which frees slots and cancels: neither
+// what waited nor the cancellations may reach the archive, and the callers that
+// waited are told that their requests did not run.
+#[test]
+fn queue_and_cancellations_spare_a_reassigned_address() {
+    let mut fleet = Fleet::new(HOSTS, &before());
+    fleet.hand(0, &CallerDatagram::open(flow(1), b"open"));
+    fleet
+        .servers
+        .get_mut(&server(1, "a").address)
+        .unwrap()
+        .silent = true;
+    for number in 1..=6 {
+        let mut request = fleet.request(number);
+        if number > 2 {
+            request.deadline = request.deadline.after(time::Duration::from_secs(3));
+        }
+        let token = token(&fleet, flow(1));
+        fleet.hand(
+            0,
+            &CallerDatagram::carry(flow(1), token, b"ask").with_request(request),
+        );
+    }
+    let count = received(&fleet);
+    fleet.adopt_everywhere(&after());
+    fleet.pass(time::Duration::from_secs(12));
+    assert_eq!(
+        received(&fleet),
+        count,
+        "the archive got a packet of the renewal service"
+    );
+    let refused = |told: &Told| matches!(told, Told::NotRun(Some(_), RefusalReason::NoBackend));
+    assert_eq!(
+        fleet
+            .told(flow(1))
+            .iter()
+            .filter(|told| refused(told))
+            .count(),
+        4
+    );
+}
+
+// A host sleeps while the address of a server moves to another service. On
+// waking, an old answer frees a slot. It must not send what waited, because it
+// still believes that the address is the renewal server's; once its beliefs
+// are renewed it goes on.
+#[test]
+fn host_that_slept_sends_nothing_from_its_queue() {
+    let mut fleet = Fleet::new(&HOSTS[..1], &before());
+    fleet.hand(0, &CallerDatagram::open(flow(1), b"open"));
+    fleet
+        .servers
+        .get_mut(&server(1, "a").address)
+        .unwrap()
+        .silent = true;
+    let token = token(&fleet, flow(1));
+    for number in 1..=3 {
+        let mut request = fleet.request(number);
+        request.deadline = fleet.now.after(time::Duration::from_secs(9));
+        fleet.hand(
+            0,
+            &CallerDatagram::carry(flow(1), token, b"ask").with_request(request),
+        );
+    }
+    let count = received(&fleet);
+    fleet.now = fleet.now.after(time::Duration::from_secs(4));
+    let reply = BackendReply {
+        flow: flow(1),
+        backend: server(1, "a").id,
+        via: fleet.members[0].identity.host,
+        kind: BackendReplyKind::Answer {
+            request: RequestId::new(1),
+            attempt: AttemptNumber(0),
+            part: PartNumber::WHOLE,
+            payload: b"late",
+        },
+    };
+    fleet.answer(0, reply);
+    assert_eq!(
+        received(&fleet),
+        count,
+        "sent on beliefs of before the sleep"
+    );
+    fleet.now = fleet.now.after(time::Duration::from_millis(10));
+    fleet.members[0].snapshot.made = fleet.now;
+    fleet.tick(0);
+    fleet.settle();
+    assert_eq!(
+        received(&fleet),
+        count + 1,
+        "what waited must be sent after all"
+    );
+}
+
+// A server leaves the configuration while an inspector's tablet is connected
+// to it. A host that starts only afterwards never knew the server; the token
+// names it in full, and the tablet stays connected.
+#[test]
+fn token_serves_where_the_server_was_never_known() {
+    let mut fleet = Fleet::new(HOSTS, &before());
+    fleet.hand(0, &CallerDatagram::open(flow(1), b"open"));
+    let token = token(&fleet, flow(1));
+    let changed = routing_support::configuration(2, &[server(2, "a")]);
+    for member in &mut fleet.members {
+        member.snapshot = RoutingSnapshot::starting();
+    }
+    fleet.adopt_everywhere(&changed);
+    plain(&mut fleet, flow(1), token);
+    request(&mut fleet, flow(1), token);
+    let served = &fleet.servers[&server(1, "a").address];
+    assert_eq!(served.plain.len(), 2);
+    assert_eq!(fleet.runs(flow(1), RequestId::new(77)), 1);
+}
--- a/crates/cardamomwinch_coordination/tests/routing_support/mod.rs
+++ b/crates/cardamomwinch_coordination/tests/routing_support/mod.rs
@@ -86,6 +86,9 @@
     pub plain: Vec<(FlowKey, Vec<u8>)>,
     pub refused: usize,
     pub silent: bool,
+    pub domain: Option<DomainId>,
+    /// Every datagram that came, with the server it was meant for.
+    pub received: Vec<(BackendId, BackendKind)>,
 }
 
 pub struct Member {
@@ -110,7 +113,7 @@
 enum Parcel {
     Relay(HostId, Vec<u8>),
     Server(net::SocketAddr, Vec<u8>),
-    Reply(Vec<u8>),
+    Reply(Option<DomainId>, Vec<u8>),
 }
 
 pub struct Fleet {
@@ -118,6 +121,8 @@
     pub servers: collections::BTreeMap<net::SocketAddr, FakeServer>,
     pub told: Vec<(FlowKey, Told)>,
     pub now: Timestamp,
+    /// Whether the failure domains are cut off from each other.
+    pub cut: bool,
     pub relays: usize,
     pub relay_bytes: usize,
     parcels: collections::VecDeque<Parcel>,
@@ -147,6 +152,7 @@
             servers: collections::BTreeMap::new(),
             told: Vec::new(),
             now: START,
+            cut: false,
             relays: 0,
             relay_bytes: 0,
             parcels: collections::VecDeque::new(),
@@ -207,7 +213,8 @@
             ..RoutingSnapshot::starting()
         };
         for entry in configuration.backends.values() {
-            self.servers.entry(entry.address).or_default();
+            let server = self.servers.entry(entry.address).or_default();
+            server.domain = Some(entry.domain);
         }
     }
 
@@ -226,6 +233,7 @@
     ) -> SortedVector<ShardId, ShardView> {
         let mut shards = SortedVector::new();
         let me = self.members[member].identity.host;
+        let own_domain = self.members[member].identity.domain;
         let mut domains: Vec<DomainId> = hosts.hosts.values().map(|host| host.domain).collect();
         domains.sort_unstable();
         domains.dedup();
@@ -234,6 +242,7 @@
                 .members
                 .iter()
                 .filter(|member| member.reachable && member.identity.domain == domain)
+                .filter(|_| !self.cut || domain == own_domain)
                 .map(|member| member.identity.host)
                 .collect();
             for index in 0..configuration.limits.shards_per_domain {
@@ -270,6 +279,13 @@
         self.drive(member, event);
     }
 
+    /// A backend server's reply comes to the host at position `member`.
+    pub fn answer(&mut self, member: usize, reply: BackendReply<'_>) {
+        let event = TrafficEvent::Fabric(FabricDatagram::Backend(reply));
+        self.drive(member, event);
+        self.settle();
+    }
+
     pub fn tick(&mut self, member: usize) {
         self.drive(member, TrafficEvent::Tick);
     }
@@ -303,20 +319,35 @@
         match parcel {
             Parcel::Relay(host, bytes) => {
                 let position = self.position(host);
-                if self.members[position].reachable {
-                    let envelope: RelayEnvelope<'_> = codec::decode(&bytes).unwrap();
+                let envelope: RelayEnvelope<'_> = codec::decode(&bytes).unwrap();
+                let sender = &self.members[self.position(envelope.sender)];
+                let domain = self.members[position].identity.domain;
+                let joined = !self.cut || sender.identity.domain == domain;
+                if self.members[position].reachable && joined {
                     self.drive(position, TrafficEvent::Relay(envelope));
                 }
             }
             Parcel::Server(address, bytes) => {
                 let datagram: BackendDatagram<'_> = codec::decode(&bytes).unwrap();
-                self.serve(address, &datagram);
+                let sender = &self.members[self.position(datagram.via)];
+                let domain = Some(sender.identity.domain);
+                if !self.cut
+                    || self
+                        .servers
+                        .get(&address)
+                        .is_some_and(|server| server.domain == domain)
+                {
+                    self.serve(address, &datagram);
+                }
             }
-            Parcel::Reply(bytes) => {
+            Parcel::Reply(domain, bytes) => {
                 let reply: BackendReply<'_> = codec::decode(&bytes).unwrap();
                 self.next_reply_host += 1;
                 let live: Vec<usize> = (0..self.members.len())
                     .filter(|member| self.members[*member].reachable)
+                    .filter(|member| {
+                        !self.cut || Some(self.members[*member].identity.domain) == domain
+                    })
                     .collect();
                 let member = live[self.next_reply_host % live.len()];
                 let event = TrafficEvent::Fabric(FabricDatagram::Backend(reply));
@@ -358,6 +389,8 @@
 
     fn serve(&mut self, address: net::SocketAddr, datagram: &BackendDatagram<'_>) {
         let server = self.servers.entry(address).or_default();
+        server.received.push((datagram.backend, datagram.kind));
+        let domain = server.domain;
         if server.silent {
             return;
         }
@@ -369,7 +402,7 @@
                 via: datagram.via,
                 kind,
             };
-            self.parcels.push_back(Parcel::Reply(bytes(&reply)));
+            self.parcels.push_back(Parcel::Reply(domain, bytes(&reply)));
         };
         match datagram.kind {
             BackendKind::Open => {
@@ -400,6 +433,7 @@
                     payload: b"answer",
                 });
             }
+            None if datagram.kind == BackendKind::Open => {}
             None => server.plain.push((flow, datagram.payload.to_vec())),
         }
     }
--- a/crates/cardamomwinch_protocol/src/relay.rs
+++ b/crates/cardamomwinch_protocol/src/relay.rs
@@ -43,6 +43,11 @@
         self.0.contains(&backend)
     }
 
+    /// The servers that were asked.
+    pub fn iter(&self) -> impl Iterator<Item = BackendId> {
+        self.0.iter().copied().filter(|tried| *tried != NO_SERVER)
+    }
+
     /// Whether no server was asked yet.
     pub fn is_empty(&self) -> bool {
         self.0.iter().all(|tried| *tried == NO_SERVER)
