Fill lookup tables by permutations, with positions that follow the number of servers

Cause: a table had 1021 positions whatever the service's size, so that of 26,000 servers at most 1021 would ever get a flow, and the cost of rendezvous is the product of servers and positions.

Ruled out: rendezvous with more positions: 1072 ms for 1,000 servers. A size that follows the number of servers closely: a change of it moves nearly everything.

Change: six sizes, each about four times the one before, at least 32 positions a server; servers take turns along permutations of their own, as often as their weights say. Both fills stand behind the trait TableFill.

--- a/crates/cardamomwinch_coordination/src/routing/lookup_table.rs
+++ b/crates/cardamomwinch_coordination/src/routing/lookup_table.rs
@@ -1,6 +1,5 @@
 //! One lookup table per service, derived alike on every host from the version
-//! in force. Each position of a table is won by weighted rendezvous, so that a
-//! change of one server moves only the positions that it wins or loses.
+//! in force.
 
 use std::sync;
 
@@ -9,28 +8,28 @@
     SortedVector, Weight,
 };
 
-use crate::routing::rendezvous;
-
-/// Positions of a table. A prime well above the number of servers of a service.
-const POSITION_COUNT: usize = 1021;
+use crate::routing::table_fill::{PermutationFill, TableFill};
 
 /// The lookup table of one service.
 #[derive(Debug, PartialEq, Eq)]
 pub struct LookupTable {
     servers: Vec<BackendId>,
     weights: Vec<Weight>,
-    positions: Vec<u16>,
+    positions: Vec<u32>,
 }
 
 impl LookupTable {
     /// Fills a table for those of `servers` that take new flows.
     pub fn fill<'e>(servers: impl Iterator<Item = &'e BackendEntry>) -> Self {
+        Self::fill_by::<PermutationFill>(servers)
+    }
+
+    /// The same in a way of the caller's choice, to compare.
+    pub fn fill_by<'e, F: TableFill>(servers: impl Iterator<Item = &'e BackendEntry>) -> Self {
         let takers: Vec<&BackendEntry> = servers.filter(|entry| entry.takes_new_flows()).collect();
         let positions = match takers.is_empty() {
             true => Vec::new(),
-            false => (0..POSITION_COUNT)
-                .map(|position| winner(&takers, position))
-                .collect(),
+            false => F::fill(&takers),
         };
         Self {
             servers: takers.iter().map(|entry| entry.id).collect(),
@@ -46,7 +45,7 @@
         }
         let position = hash.get() % self.positions.len() as u64;
         let server = self.positions[position as usize];
-        Some(self.servers[usize::from(server)])
+        self.servers.get(server as usize).copied()
     }
 
     /// Servers that take new flows, in the order of their identifiers.
@@ -54,6 +53,25 @@
         &self.servers
     }
 
+    /// The share of positions, in parts of one, that `other` gives to another
+    /// server. Both must have the same number of positions.
+    pub fn moved_share(&self, other: &Self) -> f64 {
+        let pairs = self.positions.iter().zip(&other.positions);
+        let moved = pairs.filter(|(mine, theirs)| {
+            self.servers.get(**mine as usize) != other.servers.get(**theirs as usize)
+        });
+        moved.count() as f64 / self.positions.len().max(1) as f64
+    }
+
+    /// Positions of each server, in the order of their identifiers.
+    pub fn shares(&self) -> Vec<usize> {
+        let mut shares = vec![0; self.servers.len()];
+        for server in &self.positions {
+            shares[*server as usize] += 1;
+        }
+        shares
+    }
+
     fn is_for(&self, takers: &[&BackendEntry]) -> bool {
         let held = self.servers.iter().zip(&self.weights);
         let wanted = takers.iter().map(|entry| (&entry.id, &entry.weight));
@@ -61,15 +79,6 @@
     }
 }
 
-fn winner(takers: &[&BackendEntry], position: usize) -> u16 {
-    let costs = takers.iter().enumerate().map(|(index, entry)| {
-        let cost = rendezvous::weighted_cost(entry.id.get(), position as u64, entry.weight);
-        (cost, index)
-    });
-    let best = costs.min_by(|left, right| left.0.total_cmp(&right.0));
-    best.map_or(0, |(_, index)| index as u16)
-}
-
 /// The lookup tables of all services at one version.
 #[derive(Debug, Default)]
 pub struct LookupTables {
--- a/crates/cardamomwinch_coordination/src/routing/mod.rs
+++ b/crates/cardamomwinch_coordination/src/routing/mod.rs
@@ -5,3 +5,4 @@
 pub mod generations;
 pub mod lookup_table;
 pub mod rendezvous;
+pub mod table_fill;
