Let openings start in order anew where a home does not know their candidate

Cause: a home that started lately, or that is behind, got an opening for a server that is not among its candidates, and redirected it to a home that had redirected it back: copies circled until the hop limit, for as long as both redirects stood.

--- a/crates/cardamomwinch_coordination/src/traffic/opening.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/opening.rs
@@ -61,16 +61,17 @@
     ) {
         let snapshot = context.snapshot;
         let list = snapshot.opening_candidates(routed.service.id, routed.hash);
-        if search.tried.is_empty() && routed.passage.hops <= 1 {
-            // A host that started lately knows no older generation.
-            let first = list
-                .iter()
-                .next()
-                .filter(|first| *first != search.candidate.backend);
-            if let Some(first) = first.and_then(|id| snapshot.backend(id)) {
-                search.candidate = TokenClaim::from(first);
-                return self.pursue(context, routed, search);
-            }
+        // The sender started lately and knows no older generation, or this home
+        // is behind and does not know the newer candidate: the order starts
+        // anew. A home that itself started lately does not know the older
+        // candidate that it is asked for, and leaves the order alone.
+        let known = list.contains(search.candidate.backend);
+        let out_of_order = search.tried.is_empty() && (known || !snapshot.history_missing);
+        let first = list.iter().next().filter(|_| out_of_order);
+        let first = first.filter(|first| *first != search.candidate.backend);
+        if let Some(first) = first.and_then(|id| snapshot.backend(id)) {
+            search.candidate = TokenClaim::from(first);
+            return self.pursue(context, routed, search);
         }
         search.unsettled &= snapshot.history_missing;
         let request = routed.datagram.request;
--- a/crates/cardamomwinch_coordination/tests/routing_openings.rs
+++ b/crates/cardamomwinch_coordination/tests/routing_openings.rs
@@ -121,6 +121,11 @@
             let runs = fleet.runs(flow(number), RequestId::new(1));
             assert!(runs <= 1, "{} ran {runs} times", flow(number));
         }
+        assert_eq!(
+            fleet.count(Counter::HopLimit),
+            0,
+            "copies circle between homes"
+        );
     }
 }
 
