Make room among pins, those first whose loss costs least

Cause: pins of callers that vanished without closing stayed for ever; once the table was full every new flow was refused, and the connections that they counted kept servers full.

Ruled out: a second-chance bit, since each pin carries when its flow was last seen; evicting in use pins, since a refusal as not run harms less.

What was learned goes after a minute, redirects of echoing callers after the longest life of a request; above seven eighths also pins of flows whose callers echo tokens; where a new flow finds no room, those a search can find again after ten minutes. What a request may still need stays.

--- a/crates/cardamomwinch_coordination/src/traffic/mod.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/mod.rs
@@ -7,6 +7,7 @@
 pub mod event;
 pub mod ledger;
 pub(crate) mod opening;
+pub(crate) mod pin_sweeping;
 pub mod pins;
 pub(crate) mod replies;
 pub mod requests;
@@ -53,6 +54,7 @@
     pub(crate) searches: SearchTable,
     pub(crate) held_bytes: usize,
     pub(crate) sweep_position: usize,
+    pub(crate) pin_position: usize,
     last_event: Timestamp,
     slept_until: Option<Timestamp>,
 }
@@ -75,6 +77,7 @@
             searches: SearchTable::new(bounds.searches),
             held_bytes: 0,
             sweep_position: 0,
+            pin_position: 0,
             last_event: Timestamp::ZERO,
             slept_until: None,
             bounds,
--- a/crates/cardamomwinch_coordination/src/traffic/opening.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/opening.rs
@@ -4,7 +4,7 @@
 use cardamomwinch_protocol::prelude::{
     BackendKind, CallerKind, CallerReplyKind, FlowSearch, RefusalReason, TokenClaim,
 };
-use cardamomwinch_state::prelude::{BackendEntry, FlowHash, HostId};
+use cardamomwinch_state::prelude::{BackendEntry, FlowHash, FlowKey, HostId};
 
 use crate::counter::Counter;
 use crate::decision::DecisionReason;
@@ -106,7 +106,6 @@
                 .insert(routed.hash, routed.datagram.flow, pin)
                 .is_err()
             {
-                context.count(Counter::TableFull);
                 return self.refuse_request(context, routed, RefusalReason::TableFull);
             }
             context.count(Counter::OpeningRedirected);
@@ -256,6 +255,9 @@
         claim: TokenClaim,
     ) {
         let datagram = routed.datagram;
+        if let Some(pin) = self.pins.get_mut(routed.hash, &datagram.flow) {
+            pin.last_seen = context.now;
+        }
         match datagram.request {
             Some(request)
                 if datagram.token.is_none() && !request.idempotent && self.is_disputed(routed) =>
@@ -344,6 +346,25 @@
         ledger.map_or(0, |ledger| ledger.load(entry))
     }
 
+    /// Holds `pin`, in place of an older or dead one where room is short.
+    pub(crate) fn hold_pin<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        hash: FlowHash,
+        flow: FlowKey,
+        pin: FlowPin,
+    ) -> bool {
+        self.remove_pin(hash, &flow);
+        if self.pins.len() >= self.bounds.flows {
+            self.make_pin_room(context);
+        }
+        let held = self.pins.insert(hash, flow, pin).is_ok();
+        if !held {
+            context.count(Counter::TableFull);
+        }
+        held
+    }
+
     /// Pins a flow to its server; `false` where no more flows can be held.
     fn pin<S: TrafficSink>(
         &mut self,
@@ -360,8 +381,6 @@
             pin.last_seen = context.now;
             return true;
         }
-        // What was learned of an earlier life of the flow is out of date.
-        self.remove_pin(routed.hash, &flow);
         let pin = FlowPin {
             claim,
             role: PinRole::Placed,
@@ -371,8 +390,7 @@
             counted: true,
             echoes_token: routed.datagram.echoes_token,
         };
-        if self.pins.insert(routed.hash, flow, pin).is_err() {
-            context.count(Counter::TableFull);
+        if !self.hold_pin(context, routed.hash, flow, pin) {
             return false;
         }
         context.count(Counter::FlowOpened);
--- a/crates/cardamomwinch_coordination/src/traffic/searching.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/searching.rs
@@ -324,10 +324,10 @@
             counted: false,
             echoes_token: false,
         };
-        match self.pins.insert(hash, flow, pin) {
-            Ok(_) => context.count(Counter::FlowLearned),
-            // The home can always be asked again.
-            Err(_) => context.count(Counter::TableFull),
+        // Where room is short it is left to flows that need a pin more; the home
+        // is asked again each time.
+        if !self.pins_are_short() && self.hold_pin(context, hash, flow, pin) {
+            context.count(Counter::FlowLearned);
         }
     }
 }
--- a/crates/cardamomwinch_coordination/src/traffic/sweeping.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/sweeping.rs
@@ -37,6 +37,7 @@
         }
         self.start_waiting(context);
         self.sweep_searches(context.now);
+        self.sweep_pins(context);
     }
 
     /// Starts what a thread that could not act has left waiting.
--- a/crates/cardamomwinch_coordination/src/traffic/unknown_flows.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/unknown_flows.rs
@@ -298,10 +298,8 @@
             counted: true,
             echoes_token: false,
         };
-        self.remove_pin(hash, &reply.flow);
-        match self.pins.insert(hash, reply.flow, pin) {
-            Ok(_) => self.ledgers.of(reply.backend).connections += 1,
-            Err(_) => context.count(Counter::TableFull),
+        if self.hold_pin(context, hash, reply.flow, pin) {
+            self.ledgers.of(reply.backend).connections += 1;
         }
         self.send_learned(context, reply.flow, &search, search.candidate);
     }
--- a/crates/cardamomwinch_coordination/tests/routing_support/mod.rs
+++ b/crates/cardamomwinch_coordination/tests/routing_support/mod.rs
@@ -107,7 +107,7 @@
     NotRun(Option<RequestId>, RefusalReason),
     Unknown(RequestId),
     Reset(ResetReason),
-    Other,
+    Notice(u64),
 }
 
 enum Parcel {
@@ -132,6 +132,15 @@
 impl Fleet {
     /// A fleet of hosts `(name, domain)`, all with `configuration` in force.
     pub fn new(hosts: &[(&str, &str)], configuration: &InForceConfiguration) -> Self {
+        Self::bounded(hosts, configuration, &TrafficBounds::default())
+    }
+
+    /// The same, with bounds on the tables of each host.
+    pub fn bounded(
+        hosts: &[(&str, &str)],
+        configuration: &InForceConfiguration,
+        bounds: &TrafficBounds,
+    ) -> Self {
         let keys = || AuthenticationKeys::new(SecretKey::new([7; 32]), None);
         let members = hosts.iter().map(|(name, domain_name)| {
             let identity = HostIdentity {
@@ -141,7 +150,9 @@
             };
             Member {
                 identity,
-                engine: HostBuilder::new(identity, keys()).build_traffic(ThreadPlace::ONLY),
+                engine: HostBuilder::new(identity, keys())
+                    .with_bounds(bounds.clone())
+                    .build_traffic(ThreadPlace::ONLY),
                 snapshot: RoutingSnapshot::starting(),
                 counts: collections::BTreeMap::new(),
                 reachable: true,
@@ -496,6 +507,6 @@
         } => Told::NotRun(*request, *reason),
         CallerReplyKind::OutcomeUnknown { request, .. } => Told::Unknown(*request),
         CallerReplyKind::Reset { reason } => Told::Reset(*reason),
-        CallerReplyKind::Notice { .. } => Told::Other,
+        CallerReplyKind::Notice { sequence, .. } => Told::Notice(*sequence),
     }
 }
