Tell a caller that its flow is open once the server has it

Cause: a home told the caller so before the server had the opening. Where that one datagram was lost, or the request that came with it was refused or waited for a slot, the server had never heard of the flow, and its next datagram ended it.

Ruled out: sending the opening again on the server's word, since its payload is not held and the flow may truly be gone.

Change: the server's word, at whichever host it arrives, tells the caller and gives the token; until then the caller sends its opening again. An opening whose request is not sent at once goes to the server without the request.

An opening takes one way from the server longer to be told.

--- a/crates/cardamomwinch_coordination/examples/pin_memory_figures.rs
+++ b/crates/cardamomwinch_coordination/examples/pin_memory_figures.rs
@@ -51,7 +51,7 @@
                 caller: net::SocketAddr::from((caller, 1024 + (number % 50_000) as u16)),
                 service: address,
             };
-            drop(table.insert(hasher.hash(&key), key, pin));
+            let _held = table.insert(hasher.hash(&key), key, pin);
         }
         let grown = resident_bytes().saturating_sub(before);
         println!("| {} | {:.0} |", table.len(), grown as f64 / size as f64);
--- a/crates/cardamomwinch_coordination/src/traffic/opening.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/opening.rs
@@ -2,9 +2,9 @@
 //! datagrams of flows that it serves.
 
 use cardamomwinch_protocol::prelude::{
-    BackendKind, CallerKind, CallerReplyKind, FlowSearch, RefusalReason, TokenClaim,
+    BackendKind, CallerKind, FlowSearch, RefusalReason, TokenClaim,
 };
-use cardamomwinch_state::prelude::{BackendEntry, FlowHash, FlowKey, HostId};
+use cardamomwinch_state::prelude::{BackendEntry, FlowHash, FlowKey, HostId, RequestId};
 
 use crate::counter::Counter;
 use crate::decision::DecisionReason;
@@ -13,6 +13,7 @@
 use crate::traffic::context::{DecisionSubject, EventContext};
 use crate::traffic::effect::TrafficSink;
 use crate::traffic::pins::{FlowPin, PinRole};
+use crate::traffic::requests::{RequestKey, RequestState};
 use crate::traffic::resolve;
 
 /// Positions of the lookup table that are tried where the flow's own is out.
@@ -233,21 +234,37 @@
             ..routed.subject()
         };
         context.decide(reason, subject);
-        let token = self.tokens.issue(&routed.datagram.flow, claim);
-        context.reply(routed.datagram.flow, CallerReplyKind::Opened { token });
-        match routed.datagram.request {
-            Some(request) if disputed && !request.idempotent => {
-                // Another home may have placed the flow too and run the request.
-                let mut opening = *routed.datagram;
-                opening.payload = &[];
-                caller_datagrams::forward(context, &opening, &claim, BackendKind::Open);
-                context.outcome_unknown(opening.flow, request.id, RETRY_AFTER);
-            }
-            Some(request) => self.serve_request(context, routed, claim, request),
-            None => caller_datagrams::forward(context, routed.datagram, &claim, BackendKind::Open),
+        let datagram = routed.datagram;
+        let Some(request) = datagram.request else {
+            return caller_datagrams::forward(context, datagram, &claim, BackendKind::Open);
+        };
+        if disputed && !request.idempotent {
+            // Another home may have placed the flow too and run the request.
+            context.outcome_unknown(datagram.flow, request.id, RETRY_AFTER);
+        } else {
+            self.serve_request(context, routed, claim, request);
+        }
+        if !self.was_sent(routed, request.id) {
+            // The flow is open although its request waits or was refused: what
+            // follows must not meet a server that never heard of it.
+            let mut bare = *datagram;
+            bare.payload = &[];
+            caller_datagrams::forward(context, &bare, &claim, BackendKind::Open);
         }
     }
 
+    /// Whether the request of an opening was sent to its server.
+    fn was_sent(&self, routed: &RoutedDatagram<'_, '_>, id: RequestId) -> bool {
+        let flow = routed.datagram.flow;
+        let record = self.requests.get(routed.hash, &RequestKey { flow, id });
+        record.is_some_and(|record| {
+            matches!(
+                record.state,
+                RequestState::Running(_) | RequestState::Answered { .. }
+            )
+        })
+    }
+
     fn carry_at_home<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
--- a/crates/cardamomwinch_coordination/src/traffic/replies.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/replies.rs
@@ -3,7 +3,7 @@
 
 use cardamomwinch_protocol::prelude::{
     AttemptNumber, BackendReply, BackendReplyKind, CallerReplyKind, PartNumber, RefusalReason,
-    RelayFrame,
+    RelayFrame, TokenClaim,
 };
 use cardamomwinch_state::prelude::{FlowHash, RequestId, ShardId};
 
@@ -23,11 +23,10 @@
         reply: &BackendReply<'_>,
     ) {
         tell_caller(context, reply);
-        if matches!(
-            reply.kind,
-            BackendReplyKind::Notice { .. } | BackendReplyKind::Opened
-        ) {
-            return;
+        match reply.kind {
+            BackendReplyKind::Notice { .. } => return,
+            BackendReplyKind::Opened => return self.tell_opened(context, reply),
+            _ => {}
         }
         if let BackendReplyKind::UnknownFlow { .. } = reply.kind {
             return self.take_unknown(context, reply);
@@ -39,6 +38,24 @@
         }
     }
 
+    /// Tells the caller that its flow is open, and gives it its token. Only the
+    /// server's word says so: if its datagram is lost on the way, the caller
+    /// must send its opening again instead of data for a flow that is not open.
+    pub(crate) fn tell_opened<S: TrafficSink>(
+        &self,
+        context: &mut EventContext<'_, S>,
+        reply: &BackendReply<'_>,
+    ) {
+        match context.snapshot.backend(reply.backend) {
+            Some(entry) => {
+                let token = self.tokens.issue(&reply.flow, TokenClaim::from(entry));
+                context.reply(reply.flow, CallerReplyKind::Opened { token });
+            }
+            None if reply.via != self.identity.host => self.relay_to_sender(context, reply),
+            None => {}
+        }
+    }
+
     /// Brings a reply of a server that this host does not know to the host that
     /// had sent it what it replies to, which knew it. This host may be behind in
     /// its configuration; without the reply the slot would stay taken until the
@@ -51,6 +68,14 @@
         if reply.via == self.identity.host {
             return self.apply(context, reply);
         }
+        self.relay_to_sender(context, reply);
+    }
+
+    fn relay_to_sender<S: TrafficSink>(
+        &self,
+        context: &mut EventContext<'_, S>,
+        reply: &BackendReply<'_>,
+    ) {
         if let Some(shard) = context.snapshot.any_shard() {
             let reply = shortened(reply);
             let frame = RelayFrame::Backend {
@@ -71,6 +96,9 @@
         shard: ShardId,
         hops: u8,
     ) {
+        if let BackendReplyKind::Opened = reply.kind {
+            return self.tell_opened(context, reply);
+        }
         let entry = context.snapshot.backend(reply.backend);
         match entry.map(|entry| context.snapshot.shard_of(entry)) {
             Some(known) => self.account(context, reply, known, hops),
