Hold back only what another home may truly have decided

And on the other side of a cut an idempotent request ran although the full home of its own side had said not run.

Change: a home without records holds back the request of that opening alone. The time after a start is four seconds, one more than adoption takes. Of a disputed flow no request without token runs, idempotent or not, so that a refusal by the home of the table's server holds.

--- a/crates/cardamomwinch_coordination/src/routing/generations.rs
+++ b/crates/cardamomwinch_coordination/src/routing/generations.rs
@@ -14,6 +14,9 @@
 /// Hosts that can reach each other have adopted the same version after this
 /// time. It is three times what is promised for adoption, and more.
 pub const ADOPTION_OVERLAP: time::Duration = time::Duration::from_secs(10);
+/// What a host adopts when it starts is in force on all hosts that it can reach
+/// after this time: the promised three seconds, and one more.
+pub const START_OVERLAP: time::Duration = time::Duration::from_secs(4);
 /// No flow is expected to stay open for longer.
 pub const FLOW_LIFE: time::Duration = time::Duration::from_secs(24 * 3600);
 /// Generations kept at most, since a search asks no more candidates.
@@ -97,7 +100,7 @@
     /// host, which started lately, never knew.
     pub fn history_missing(&self, now: Timestamp) -> bool {
         self.first_adopted
-            .is_none_or(|first| now < first.after(ADOPTION_OVERLAP))
+            .is_none_or(|first| now < first.after(START_OVERLAP))
     }
 
     /// Whether a kept generation may have placed a flow on `server`.
--- a/crates/cardamomwinch_coordination/src/traffic/opening.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/opening.rs
@@ -2,7 +2,7 @@
 //! datagrams of flows that it serves.
 
 use cardamomwinch_protocol::prelude::{
-    BackendKind, CallerKind, FlowSearch, RefusalReason, TokenClaim,
+    BackendKind, CallerDatagram, CallerKind, FlowSearch, RefusalReason, TokenClaim,
 };
 use cardamomwinch_state::prelude::{BackendEntry, FlowHash, FlowKey, HostId, RequestId};
 
@@ -75,13 +75,25 @@
             return self.pursue(context, routed, search);
         }
         search.unsettled &= snapshot.history_missing;
-        let request = routed.datagram.request;
-        search.skipped |= request
-            .is_some_and(|header| self.may_be_known_elsewhere(context, &search.candidate, &header));
-        match resolve::next_candidate(snapshot, CallerKind::Open, routed, &search) {
-            Some(next) => self.redirect(context, routed, search, next),
-            None => self.place_opening(context, routed, search),
-        }
+        let Some(next) = resolve::next_candidate(snapshot, CallerKind::Open, routed, &search)
+        else {
+            return self.place_opening(context, routed, search);
+        };
+        let request = routed.datagram.request.filter(|header| {
+            !header.idempotent && self.may_be_known_elsewhere(context, &search.candidate, header)
+        });
+        let Some(request) = request else {
+            return self.redirect(context, routed, search, next);
+        };
+        // An earlier home may have placed the flow and run the request. The
+        // flow is opened all the same, without the request.
+        context.outcome_unknown(routed.datagram.flow, request.id, RETRY_AFTER);
+        let bare = bare_opening(routed.datagram);
+        let routed = RoutedDatagram {
+            datagram: &bare,
+            ..*routed
+        };
+        self.redirect(context, &routed, search, next);
     }
 
     /// Passes an opening on to the home of another server, and remembers it.
@@ -124,9 +136,15 @@
             let disputed = search.skipped || search.unsettled;
             return self.open_at(context, routed, claim, reason, disputed);
         }
-        match self.overflow_candidate(context, routed, &search) {
-            Some(next) => self.redirect(context, routed, search, next),
-            None => self.refuse_request(context, routed, RefusalReason::Full),
+        if let Some(next) = self.overflow_candidate(context, routed, &search) {
+            return self.redirect(context, routed, search, next);
+        }
+        match routed.datagram.request {
+            // Another home may have placed the flow and run the request.
+            Some(request) if search.skipped || search.unsettled => {
+                context.outcome_unknown(routed.datagram.flow, request.id, RETRY_AFTER);
+            }
+            _ => self.refuse_request(context, routed, RefusalReason::Full),
         }
     }
 
@@ -238,8 +256,9 @@
         let Some(request) = datagram.request else {
             return caller_datagrams::forward(context, datagram, &claim, BackendKind::Open);
         };
-        if disputed && !request.idempotent {
-            // Another home may have placed the flow too and run the request.
+        if disputed {
+            // Another home may have placed the flow too, and have run the
+            // request or have promised that it never runs.
             context.outcome_unknown(datagram.flow, request.id, RETRY_AFTER);
         } else {
             self.serve_request(context, routed, claim, request);
@@ -247,8 +266,7 @@
         if !self.was_sent(routed, request.id) {
             // The flow is open although its request waits or was refused: what
             // follows must not meet a server that never heard of it.
-            let mut bare = *datagram;
-            bare.payload = &[];
+            let bare = bare_opening(datagram);
             caller_datagrams::forward(context, &bare, &claim, BackendKind::Open);
         }
     }
@@ -276,11 +294,9 @@
             pin.last_seen = context.now;
         }
         match datagram.request {
-            Some(request)
-                if datagram.token.is_none() && !request.idempotent && self.is_disputed(routed) =>
-            {
+            Some(request) if datagram.token.is_none() && self.is_disputed(routed) => {
                 // A copy without token may reach another home that placed the
-                // flow as well.
+                // flow as well, and run there or be refused for good.
                 context.outcome_unknown(datagram.flow, request.id, RETRY_AFTER);
             }
             Some(request) => self.serve_request(context, routed, claim, request),
@@ -415,3 +431,15 @@
         true
     }
 }
+
+/// The opening of a flow without the request that came with it.
+const fn bare_opening(datagram: &CallerDatagram<'_>) -> CallerDatagram<'static> {
+    CallerDatagram {
+        flow: datagram.flow,
+        kind: CallerKind::Open,
+        echoes_token: datagram.echoes_token,
+        token: datagram.token,
+        request: None,
+        payload: &[],
+    }
+}
--- a/crates/cardamomwinch_coordination/src/traffic/pins.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/pins.rs
@@ -24,8 +24,8 @@
     /// Why it is remembered.
     pub role: PinRole,
     /// Whether another home may have placed the flow as well, because one that
-    /// should have been asked could not be. A request that must not run twice
-    /// is then told apart by its token alone.
+    /// should have been asked could not be. Only requests that name the flow by
+    /// its token are run then.
     pub disputed: bool,
     /// When the flow was placed.
     pub since: Timestamp,
--- a/crates/cardamomwinch_coordination/tests/routing_openings.rs
+++ b/crates/cardamomwinch_coordination/tests/routing_openings.rs
@@ -222,3 +222,35 @@
     }
     assert_eq!(fleet.count(Counter::HopLimit), 0);
 }
+
+// During a cut the servers of one side are full while those of the other have
+// room. Copies of an opening reach both sides. The full side must not say "not
+// run" of a request that the other side runs.
+#[parameterized(idempotent = { true }, once = { false })]
+fn refusal_on_one_side_of_a_cut_promises_nothing(idempotent: bool) {
+    let mut servers = servers(1..=6);
+    for entry in servers
+        .iter_mut()
+        .filter(|entry| entry.domain == routing_support::domain("a"))
+    {
+        entry.connections = ConnectionCount::new(1);
+    }
+    let mut fleet = Fleet::new(HOSTS, &routing_support::configuration(1, &servers));
+    fleet.cut = true;
+    fleet.choose_homes();
+    for number in 0..FLOWS {
+        let mut request = fleet.request(1);
+        request.idempotent = idempotent;
+        let datagram = plain_open(flow(number)).with_request(request);
+        fleet.hand(0, &datagram);
+        fleet.hand(3, &datagram);
+        let told = fleet.told(flow(number));
+        let refused = |told: &Told| matches!(told, Told::NotRun(Some(_), _));
+        let runs = fleet.runs(flow(number), request.id);
+        assert!(
+            runs == 0 || !told.iter().any(refused),
+            "{}: {told:?}",
+            flow(number)
+        );
+    }
+}
