--- a/crates/cardamomwinch_coordination/src/host_engine.rs
+++ b/crates/cardamomwinch_coordination/src/host_engine.rs
@@ -11,6 +11,7 @@
 use crate::control::effect::ControlEffect;
 use crate::control::event::ControlEvent;
 use crate::identity::{HostIdentity, ThreadPlace};
+use crate::routing::placement::PlacementChoice;
 use crate::snapshot::RoutingSnapshot;
 use crate::traffic::TrafficEngine;
 use crate::traffic::effect::TrafficEffect;
@@ -60,6 +61,7 @@
     identity: HostIdentity,
     keys: AuthenticationKeys,
     bounds: TrafficBounds,
+    placement: PlacementChoice,
 }
 
 impl HostBuilder {
@@ -69,6 +71,7 @@
             identity,
             keys,
             bounds: TrafficBounds::default(),
+            placement: PlacementChoice::default(),
         }
     }
 
@@ -79,6 +82,13 @@
         self
     }
 
+    /// Places new flows by another policy than the product's, to compare.
+    #[must_use]
+    pub fn with_placement(mut self, placement: PlacementChoice) -> Self {
+        self.placement = placement;
+        self
+    }
+
     /// The control engine alone.
     pub fn build_control(&self) -> ControlEngine {
         ControlEngine::new(self.identity)
@@ -86,7 +96,9 @@
 
     /// The traffic engine of one thread alone.
     pub fn build_traffic(&self, place: ThreadPlace) -> TrafficEngine {
-        TrafficEngine::new(self.identity, place, self.keys.clone(), self.bounds.clone())
+        let bounds = self.bounds.clone();
+        TrafficEngine::new(self.identity, place, self.keys.clone(), bounds)
+            .with_placement(self.placement)
     }
 
     /// The whole host with one traffic engine.
--- a/crates/cardamomwinch_coordination/src/routing/mod.rs
+++ b/crates/cardamomwinch_coordination/src/routing/mod.rs
@@ -4,5 +4,6 @@
 pub mod candidates;
 pub mod generations;
 pub mod lookup_table;
+pub mod placement;
 pub mod rendezvous;
 pub mod table_fill;
--- a/crates/cardamomwinch_coordination/src/traffic/mod.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/mod.rs
@@ -25,6 +25,7 @@
 use crate::bounds::TrafficBounds;
 use crate::counter::Counter;
 use crate::identity::{HostIdentity, ThreadPlace};
+use crate::routing::placement::PlacementChoice;
 use crate::snapshot::RoutingSnapshot;
 use crate::traffic::caller_datagrams::CallerPassage;
 use crate::traffic::context::EventContext;
@@ -47,6 +48,7 @@
     pub(crate) identity: HostIdentity,
     pub(crate) place: ThreadPlace,
     pub(crate) bounds: TrafficBounds,
+    pub(crate) placement: PlacementChoice,
     pub(crate) tokens: TokenIssuer,
     pub(crate) pins: FlowTable<FlowPin>,
     pub(crate) requests: RequestTable,
@@ -70,6 +72,7 @@
         Self {
             identity,
             place,
+            placement: PlacementChoice::default(),
             tokens: TokenIssuer::new(keys),
             pins: FlowTable::new(bounds.flows),
             requests: RequestTable::new(bounds.request_records),
@@ -84,6 +87,13 @@
         }
     }
 
+    /// Places new flows by `placement`.
+    #[must_use]
+    pub fn with_placement(mut self, placement: PlacementChoice) -> Self {
+        self.placement = placement;
+        self
+    }
+
     /// Flows that this thread has pinned.
     pub fn pinned_flows(&self) -> &FlowTable<FlowPin> {
         &self.pins
--- a/crates/cardamomwinch_coordination/src/traffic/opening.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/opening.rs
@@ -4,10 +4,11 @@
 use cardamomwinch_protocol::prelude::{
     BackendKind, CallerDatagram, CallerKind, FlowSearch, RefusalReason, TokenClaim,
 };
-use cardamomwinch_state::prelude::{BackendEntry, FlowHash, FlowKey, HostId, RequestId};
+use cardamomwinch_state::prelude::{BackendEntry, BackendId, FlowHash, FlowKey, HostId, RequestId};
 
 use crate::counter::Counter;
 use crate::decision::DecisionReason;
+use crate::routing::placement::PlacementOption;
 use crate::traffic::TrafficEngine;
 use crate::traffic::caller_datagrams::{self, RETRY_AFTER, RoutedDatagram};
 use crate::traffic::context::{DecisionSubject, EventContext};
@@ -333,13 +334,15 @@
     ) -> Option<(TokenClaim, DecisionReason)> {
         let first = context.snapshot.backend(preferred.backend);
         let first = first.filter(|entry| entry.takes_new_flows() && self.has_room(context, entry));
-        if let Some(entry) = first {
-            let idle = self.load_of(entry) == 0;
-            if idle || !routed.datagram.echoes_token {
-                return Some((TokenClaim::from(entry), DecisionReason::PlacedByTable));
-            }
+        if let Some(entry) = first.filter(|_| !routed.datagram.echoes_token) {
+            return Some((TokenClaim::from(entry), DecisionReason::PlacedByTable));
         }
-        let best = self.least_loaded(context, routed)?;
+        let entries = self.servers_with_room(context, routed)?;
+        let options: Vec<PlacementOption> = entries
+            .iter()
+            .map(|entry| self.placement_option(entry, preferred.backend))
+            .collect();
+        let best = entries[self.placement.choose(routed.hash, &options)?];
         let reason = match best.id == preferred.backend {
             true => DecisionReason::PlacedByTable,
             false => DecisionReason::PlacedByLoad,
@@ -347,21 +350,31 @@
         Some((TokenClaim::from(best), reason))
     }
 
-    fn least_loaded<'c, S: TrafficSink>(
+    fn servers_with_room<'c, S: TrafficSink>(
         &self,
         context: &EventContext<'c, S>,
         routed: &RoutedDatagram<'_, '_>,
-    ) -> Option<&'c BackendEntry> {
+    ) -> Option<Vec<&'c BackendEntry>> {
         let snapshot = context.snapshot;
         let tables = snapshot.generations.first()?;
         let table = tables.of_service(routed.service.id)?;
-        table
-            .servers()
-            .iter()
+        let entries = table.servers().iter();
+        let entries = entries
             .filter_map(|id| snapshot.backend(*id))
             .filter(|entry| self.is_home_of(context, &TokenClaim::from(*entry)))
-            .filter(|entry| self.has_room(context, entry))
-            .min_by_key(|entry| (self.load_of(entry), routed.hash.mixed_with(entry.id.get())))
+            .filter(|entry| self.has_room(context, entry));
+        Some(entries.collect())
+    }
+
+    fn placement_option(&self, entry: &BackendEntry, preferred: BackendId) -> PlacementOption {
+        let ledger = self.ledgers.get(entry.id);
+        let held = ledger.map_or(0, |ledger| u64::from(ledger.connections));
+        PlacementOption {
+            server: entry.id.get(),
+            by_table: entry.id == preferred,
+            load: ledger.map_or(0, |ledger| ledger.load(entry)),
+            flows: held * 1000 / u64::from(entry.weight.get().max(1)),
+        }
     }
 
     fn has_room<S: TrafficSink>(
@@ -374,11 +387,6 @@
         free && !context.snapshot.is_ejected(entry.id)
     }
 
-    fn load_of(&self, entry: &BackendEntry) -> u64 {
-        let ledger = self.ledgers.get(entry.id);
-        ledger.map_or(0, |ledger| ledger.load(entry))
-    }
-
     /// Holds `pin`, in place of an older or dead one where room is short.
     pub(crate) fn hold_pin<S: TrafficSink>(
         &mut self,
