--- a/crates/cardamomwinch_coordination/examples/pin_memory_figures.rs
+++ b/crates/cardamomwinch_coordination/examples/pin_memory_figures.rs
@@ -32,6 +32,10 @@
             domain: DomainId::from_name("a"),
             address,
         },
+        shard: ShardId {
+            domain: DomainId::from_name("a"),
+            index: 1,
+        },
         role: PinRole::Placed,
         disputed: false,
         since: Timestamp::new(1),
--- a/crates/cardamomwinch_coordination/src/traffic/caller_datagrams.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/caller_datagrams.rs
@@ -49,7 +49,8 @@
 pub(crate) enum HomePlace {
     /// It is this thread.
     Here,
-    /// It is another thread or host, which now has the datagram.
+    /// It is another thread or host, which now has the datagram, or the
+    /// datagram was dropped because the home changes this very moment.
     Passed,
     /// No home can be reached.
     Nowhere,
@@ -179,6 +180,10 @@
             subject.backend = decided.map(|claim| claim.backend);
         }
         if context.snapshot.lease_at(shard, context.now).is_some() {
+            if self.frozen.is_frozen(shard, context.now) {
+                context.count(Counter::FrozenDropped);
+                return HomePlace::Passed;
+            }
             if self.place.owns(shard) {
                 return HomePlace::Here;
             }
@@ -188,12 +193,18 @@
         }
         let home = context.snapshot.shard(shard).home;
         let other = home.filter(|host| *host != self.identity.host);
-        let Some(host) = other.filter(|_| routed.passage.hops < HOP_LIMIT) else {
+        let relayed = other
+            .filter(|_| routed.passage.hops < HOP_LIMIT)
+            .filter(|host| context.relay(*host, frame));
+        let Some(host) = relayed else {
+            // The lease comes within milliseconds, and the caller sends again: to
+            // say "outcome unknown" would end a request that can still run.
+            if self.frozen.is_awaited(shard, context.now) {
+                context.count(Counter::FrozenDropped);
+                return HomePlace::Passed;
+            }
             return HomePlace::Nowhere;
         };
-        if !context.relay(host, frame) {
-            return HomePlace::Nowhere;
-        }
         subject.peer = Some(host);
         context.decide(DecisionReason::RelayedToHome, subject);
         HomePlace::Passed
--- a/crates/cardamomwinch_coordination/src/traffic/opening.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/opening.rs
@@ -108,6 +108,7 @@
         if !self.is_home_of(context, &next) {
             let pin = FlowPin {
                 claim: next,
+                shard: resolve::shard_of(context.snapshot, &search.candidate),
                 role: PinRole::Redirect,
                 disputed: search.skipped,
                 since: context.now,
@@ -120,7 +121,8 @@
                 .insert(routed.hash, routed.datagram.flow, pin)
                 .is_err()
             {
-                return self.refuse_request(context, routed, RefusalReason::TableFull);
+                let shard = resolve::shard_of(context.snapshot, &search.candidate);
+                return self.refuse_request(context, routed, shard, RefusalReason::TableFull);
             }
             context.count(Counter::OpeningRedirected);
         }
@@ -145,7 +147,10 @@
             Some(request) if search.skipped || search.unsettled => {
                 context.outcome_unknown(routed.datagram.flow, request.id, RETRY_AFTER);
             }
-            _ => self.refuse_request(context, routed, RefusalReason::Full),
+            _ => {
+                let shard = resolve::shard_of(context.snapshot, &search.candidate);
+                self.refuse_request(context, routed, shard, RefusalReason::Full);
+            }
         }
     }
 
@@ -246,7 +251,8 @@
         disputed: bool,
     ) {
         if !self.pin(context, routed, claim, disputed) {
-            return self.refuse_request(context, routed, RefusalReason::TableFull);
+            let shard = resolve::shard_of(context.snapshot, &claim);
+            return self.refuse_request(context, routed, shard, RefusalReason::TableFull);
         }
         let subject = DecisionSubject {
             backend: Some(claim.backend),
@@ -311,7 +317,11 @@
         routed: &RoutedDatagram<'_, '_>,
         claim: TokenClaim,
     ) {
-        self.remove_pin(routed.hash, &routed.datagram.flow);
+        if let Some(pin) = self.pins.remove(routed.hash, &routed.datagram.flow) {
+            self.uncount(&pin);
+        } else {
+            self.uncount_unpinned(&claim);
+        }
         caller_datagrams::forward(context, routed.datagram, &claim, BackendKind::Close);
     }
 
@@ -322,6 +332,15 @@
         }
     }
 
+    /// Counts the closing of a flow whose pin was not handed over.
+    fn uncount_unpinned(&mut self, claim: &TokenClaim) {
+        let ledger = self.ledgers.of(claim.backend);
+        if ledger.unpinned > 0 {
+            ledger.unpinned -= 1;
+            ledger.connections = ledger.connections.saturating_sub(1);
+        }
+    }
+
     /// Chooses the server of a new flow among those that this thread is home
     /// of. A caller that echoes its token may be placed by load; any other gets
     /// the server of the lookup table wherever that one has room, because the
@@ -424,6 +443,7 @@
         }
         let pin = FlowPin {
             claim,
+            shard: resolve::shard_of(context.snapshot, &claim),
             role: PinRole::Placed,
             disputed,
             since: context.now,
--- a/crates/cardamomwinch_coordination/src/traffic/pins.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/pins.rs
@@ -1,7 +1,7 @@
 //! Pins: the flows whose backend server this thread remembers.
 
 use cardamomwinch_protocol::prelude::TokenClaim;
-use cardamomwinch_state::prelude::Timestamp;
+use cardamomwinch_state::prelude::{ShardId, Timestamp};
 
 /// Why a thread remembers a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -21,6 +21,9 @@
 pub struct FlowPin {
     /// The server.
     pub claim: TokenClaim,
+    /// The shard as whose home it is remembered: that of the server, or of the
+    /// server that a redirect leads away from.
+    pub shard: ShardId,
     /// Why it is remembered.
     pub role: PinRole,
     /// Whether another home may have placed the flow as well, because one that
--- a/crates/cardamomwinch_coordination/src/traffic/resolve.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/resolve.rs
@@ -92,17 +92,20 @@
     ) -> bool {
         match kind {
             CallerKind::Open => self.is_authority(context, pin),
-            CallerKind::Carry | CallerKind::Close => pin.role != PinRole::Redirect,
+            CallerKind::Carry | CallerKind::Close => {
+                pin.role != PinRole::Redirect || self.is_authority(context, pin)
+            }
         }
     }
 
-    /// Whether this thread, as home of the server, knows best about a flow.
+    /// Whether this thread, as home of the server, knows best about a flow. It
+    /// may also have become home of a server that it had redirected the flow to.
     pub(crate) fn is_authority<S: TrafficSink>(
         &self,
         context: &EventContext<'_, S>,
         pin: &FlowPin,
     ) -> bool {
-        pin.role == PinRole::Placed && self.is_home_of(context, &pin.claim)
+        pin.role != PinRole::Learned && self.is_home_of(context, &pin.claim)
     }
 
     /// Whether this thread is home of the server of `claim`.
@@ -112,7 +115,9 @@
         claim: &TokenClaim,
     ) -> bool {
         let shard = shard_of(context.snapshot, claim);
-        self.place.owns(shard) && context.snapshot.lease_at(shard, context.now).is_some()
+        self.place.owns(shard)
+            && context.snapshot.lease_at(shard, context.now).is_some()
+            && !self.frozen.is_frozen(shard, context.now)
     }
 
     fn claim_of_token<S: TrafficSink>(
--- a/crates/cardamomwinch_coordination/src/traffic/searching.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/searching.rs
@@ -317,6 +317,7 @@
         }
         let pin = FlowPin {
             claim,
+            shard: resolve::shard_of(context.snapshot, &claim),
             role: PinRole::Learned,
             disputed: false,
             since: context.now,
--- a/crates/cardamomwinch_coordination/src/traffic/sweeping.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/sweeping.rs
@@ -35,26 +35,12 @@
             context.count(Counter::RequestExpired);
             self.release_slot(context, backend);
         }
-        self.start_waiting(context);
         self.sweep_searches(context.now);
         self.sweep_pins(context);
     }
-
-    /// Starts what a thread that could not act has left waiting.
-    fn start_waiting<S: TrafficSink>(&mut self, context: &mut EventContext<'_, S>) {
-        let waiting = self.ledgers.iter();
-        let waiting = waiting.filter(|(_, ledger)| !ledger.queue.is_empty());
-        let waiting: Vec<BackendId> = waiting.map(|(backend, _)| *backend).collect();
-        for entry in waiting
-            .iter()
-            .filter_map(|backend| context.snapshot.backend(*backend))
-        {
-            self.start_queued(context, entry);
-        }
-    }
 }
 
-fn kept_bytes(state: &RequestState) -> usize {
+pub(crate) fn kept_bytes(state: &RequestState) -> usize {
     let sum = |kept: &[KeptPart]| kept.iter().map(|part| part.payload.len()).sum();
     match state {
         RequestState::Running(running) => sum(&running.kept),
--- a/crates/cardamomwinch_coordination/src/traffic/unknown_flows.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/unknown_flows.rs
@@ -18,6 +18,7 @@
 use crate::traffic::effect::TrafficSink;
 use crate::traffic::pins::{FlowPin, PinRole};
 use crate::traffic::requests::{RequestKey, RequestState};
+use crate::traffic::resolve;
 use crate::traffic::searching::{self, PendingSearch};
 
 /// A search whose server has not spoken for this long is forgotten: it holds
@@ -291,6 +292,7 @@
         self.searches.remove(hash, &reply.flow);
         let pin = FlowPin {
             claim: search.candidate,
+            shard: resolve::shard_of(context.snapshot, &search.candidate),
             role: PinRole::Placed,
             disputed: search.skipped,
             since: context.now,
