Hold openings that neither their home nor a host before it can judge

Cause: right after a start such an opening made its flow disputed, and its requests were answered as unknown; in a fleet that starts as a whole this met the first seconds of every caller (request 25 of the whole-path test).

Change: the home decides nothing. The caller sends again and meets a host that knows the earlier generations, or four seconds pass.

--- a/crates/cardamomwinch_coordination/src/counter.rs
+++ b/crates/cardamomwinch_coordination/src/counter.rs
@@ -45,6 +45,8 @@
     SearchMoved => "flow_searches_moved",
     /// Flows whose server this host learned from a home.
     FlowLearned => "flows_learned",
+    /// Openings not decided by a home that started too lately; callers send again.
+    OpeningHeld => "openings_held",
     /// Openings passed on to another home.
     OpeningRedirected => "openings_redirected",
     /// Flows opened.
--- a/crates/cardamomwinch_coordination/src/traffic/opening.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/opening.rs
@@ -135,16 +135,24 @@
         routed: &RoutedDatagram<'_, '_>,
         search: FlowSearch,
     ) {
+        if search.unsettled && (routed.datagram.request.is_some() || !routed.datagram.echoes_token)
+        {
+            // Neither this home nor a host before it knows which homes hosts
+            // that are behind in their configuration would choose, so that one
+            // of those may place the flow as well and run the request. The
+            // caller sends again, and meets a host that does know, or time
+            // passes until all have caught up.
+            return context.count(Counter::OpeningHeld);
+        }
         if let Some((claim, reason)) = self.place(context, routed, search.candidate) {
-            let disputed = search.skipped || search.unsettled;
-            return self.open_at(context, routed, claim, reason, disputed);
+            return self.open_at(context, routed, claim, reason, search.skipped);
         }
         if let Some(next) = self.overflow_candidate(context, routed, &search) {
             return self.redirect(context, routed, search, next);
         }
         match routed.datagram.request {
             // Another home may have placed the flow and run the request.
-            Some(request) if search.skipped || search.unsettled => {
+            Some(request) if search.skipped => {
                 context.outcome_unknown(routed.datagram.flow, request.id, RETRY_AFTER);
             }
             _ => {
--- a/crates/cardamomwinch_coordination/tests/routing_openings.rs
+++ b/crates/cardamomwinch_coordination/tests/routing_openings.rs
@@ -102,8 +102,9 @@
 
 // A host that has just started knows only the newest version, while another is
 // still behind. Copies of an opening meet both. The new host, asked as home,
-// can't tell where the older version would place the flow: it must leave the
-// request alone rather than run it beside the other.
+// can't tell where the older version would place the flow: it must decide
+// nothing rather than run the request beside the other. A copy that comes by way
+// of a host that can tell is served.
 #[test]
 fn host_without_history_runs_nothing_twice() {
     for cold in 0..HOSTS.len() {
@@ -117,10 +118,9 @@
         snapshot.opening_generations = 1;
         snapshot.history_missing = true;
         open_doubled(&mut fleet, false, true);
-        for number in 0..FLOWS {
-            let runs = fleet.runs(flow(number), RequestId::new(1));
-            assert!(runs <= 1, "{} ran {runs} times", flow(number));
-        }
+        check_once(&fleet);
+        let unknown = Told::Unknown(RequestId::new(1));
+        assert!(fleet.told.iter().all(|(_, told)| *told != unknown));
         assert_eq!(
             fleet.count(Counter::HopLimit),
             0,
