Let a host that knows the earlier generations vouch for its openings from the start

Cause: a search was taken for one that nobody vouches for until a home had handled it, so that a home that started lately held openings of hosts that do know.

--- a/crates/cardamomwinch_coordination/src/traffic/resolve.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/resolve.rs
@@ -46,7 +46,7 @@
             if routed.needs_home() && !self.is_authority(context, pin) {
                 // What was learned may be out of date; it says whom to ask first.
                 let search = routed.passage.search;
-                let search = search.unwrap_or_else(|| self.new_search(pin.claim));
+                let search = search.unwrap_or_else(|| self.new_search(context.snapshot, pin.claim));
                 return FlowResolution::Searched(search);
             }
             return guard(context, routed, pin.claim, DecisionReason::Pin);
@@ -62,13 +62,17 @@
         match first.and_then(|id| snapshot.backend(id)) {
             Some(entry) => {
                 context.count(Counter::SearchStarted);
-                FlowResolution::Searched(self.new_search(TokenClaim::from(entry)))
+                FlowResolution::Searched(self.new_search(snapshot, TokenClaim::from(entry)))
             }
             None => FlowResolution::NoBackend,
         }
     }
 
-    pub(crate) fn new_search(&self, candidate: TokenClaim) -> FlowSearch {
+    pub(crate) fn new_search(
+        &self,
+        snapshot: &RoutingSnapshot,
+        candidate: TokenClaim,
+    ) -> FlowSearch {
         FlowSearch {
             origin: self.identity.host,
             thread: self.place.index,
@@ -76,7 +80,7 @@
             candidate,
             tried: TriedServers::default(),
             skipped: false,
-            unsettled: true,
+            unsettled: snapshot.history_missing,
         }
     }
 
--- a/crates/cardamomwinch_coordination/src/traffic/unknown_flows.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/unknown_flows.rs
@@ -229,19 +229,25 @@
         self.remove_pin(hash, &reply.flow);
         match authority {
             true => reset(context, reply.flow),
-            false => self.note_refused(context.now, hash, reply.flow, pin.claim),
+            false => self.note_refused(context, hash, reply.flow, pin.claim),
         }
         true
     }
 
     /// Remembers that a server's word was taken, so that a copy of it that the
     /// fabric made does not end a flow that lives elsewhere.
-    fn note_refused(&mut self, now: Timestamp, hash: FlowHash, flow: FlowKey, claim: TokenClaim) {
+    fn note_refused<S: TrafficSink>(
+        &mut self,
+        context: &EventContext<'_, S>,
+        hash: FlowHash,
+        flow: FlowKey,
+        claim: TokenClaim,
+    ) {
         let mut refused = TriedServers::default();
         refused.note(claim.backend);
         let pending = PendingSearch {
-            search: self.new_search(claim),
-            since: now,
+            search: self.new_search(context.snapshot, claim),
+            since: context.now,
             held: None,
             refused,
         };
