--- a/crates/cardamomwinch_coordination/src/traffic/handover.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/handover.rs
@@ -25,8 +25,8 @@
 use crate::traffic::ledger::QueueEntry;
 use crate::traffic::packing::{ChunkPacker, HandOverFullError};
 use crate::traffic::pins::{FlowPin, PinRole};
-use crate::traffic::requests::RequestState;
-use crate::traffic::{resolve, sweeping};
+use crate::traffic::requests::{RequestKey, RequestState};
+use crate::traffic::resolve;
 
 /// Replies that are held back for one shard; more are dropped.
 const HELD_BACK_LIMIT: usize = 256;
@@ -225,15 +225,7 @@
         if let Some(frozen) = self.frozen.shards.get_mut(&shard) {
             frozen.handed_over = true;
         }
-        let mut released = 0;
-        self.requests.retain(|_, record| {
-            let keep = record.shard != shard;
-            if !keep {
-                released += sweeping::kept_bytes(&record.state);
-            }
-            keep
-        });
-        self.held_bytes = self.held_bytes.saturating_sub(released);
+        self.requests.retain(|_, record| record.shard != shard);
         let snapshot = context.snapshot;
         self.ledgers
             .retain(|backend| !is_in(snapshot, backend, shard));
@@ -272,22 +264,6 @@
         }
     }
 
-    /// Sends waiting requests of servers whose home this is (again).
-    pub(crate) fn start_waiting<S: TrafficSink>(&mut self, context: &mut EventContext<'_, S>) {
-        let snapshot = context.snapshot;
-        let ledgers = self.ledgers.iter();
-        let waiting: Vec<&BackendEntry> = ledgers
-            .filter(|(_, ledger)| !ledger.queue.is_empty())
-            .filter_map(|(backend, _)| snapshot.backend(*backend))
-            .collect();
-        if !self.may_act(context.now, snapshot) {
-            return;
-        }
-        for entry in waiting {
-            self.start_queued(context, entry);
-        }
-    }
-
     pub(crate) fn take_over<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
@@ -385,31 +361,28 @@
             if progress(&known.state) >= progress(&record.state) {
                 return true;
             }
-            self.uncount_record(&known.state.clone());
+            self.uncount_record(&key);
         }
         let queued = QueueEntry { hash, key };
-        match &record.state {
-            RequestState::Queued { backend, .. } => {
-                self.ledgers.of(*backend).queue.push_back(queued);
+        let waits = record.state.clone();
+        if self.requests.insert(hash, key, record).is_err() {
+            context.count(Counter::TableFull);
+            return false;
+        }
+        match waits {
+            RequestState::Queued { backend, held, .. } => {
+                self.take_waiting(context, backend, queued, held.header.deadline);
             }
-            RequestState::Running(running) => self.ledgers.of(running.backend).busy += 1,
+            RequestState::Running(running) => self.take_running(context, queued, &running),
             _ => {}
         }
-        self.held_bytes += sweeping::kept_bytes(&record.state);
-        let counted = record.state.clone();
-        if self.requests.insert(hash, key, record).is_ok() {
-            return true;
-        }
-        self.uncount_record(&counted);
-        context.count(Counter::TableFull);
-        false
+        true
     }
 
-    fn uncount_record(&mut self, state: &RequestState) {
-        self.held_bytes = self.held_bytes.saturating_sub(sweeping::kept_bytes(state));
-        if let RequestState::Running(running) = state {
-            let ledger = self.ledgers.of(running.backend);
-            ledger.busy = ledger.busy.saturating_sub(1);
+    fn uncount_record(&mut self, key: &RequestKey) {
+        for (_, ledger) in self.ledgers.iter_mut() {
+            ledger.finish(key);
+            ledger.leave_queue(key);
         }
     }
 }
--- a/crates/cardamomwinch_coordination/src/traffic/mod.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/mod.rs
@@ -3,11 +3,14 @@
 
 pub(crate) mod caller_datagrams;
 pub(crate) mod context;
+pub(crate) mod dispatching;
 pub mod effect;
 pub mod event;
+pub(crate) mod giving_up;
 pub(crate) mod handover;
 pub mod handover_items;
 pub mod ledger;
+pub(crate) mod observing;
 pub(crate) mod opening;
 pub(crate) mod packing;
 pub(crate) mod pin_sweeping;
@@ -15,9 +18,13 @@
 pub(crate) mod replies;
 pub mod requests;
 pub(crate) mod resolve;
+pub mod retry_budget;
 pub(crate) mod searching;
+pub mod service_time;
 pub(crate) mod serving;
+pub mod slots;
 pub(crate) mod sweeping;
+pub(crate) mod taking_over;
 pub(crate) mod unknown_flows;
 
 use cardamomwinch_protocol::prelude::{
@@ -38,6 +45,7 @@
 use crate::traffic::ledger::ServerLedgers;
 use crate::traffic::pins::FlowPin;
 use crate::traffic::requests::RequestTable;
+use crate::traffic::retry_budget::RetryBudgets;
 use crate::traffic::searching::SearchTable;
 
 /// A datagram that was relayed this often is dropped instead of relayed again.
@@ -57,10 +65,11 @@
     pub(crate) pins: FlowTable<FlowPin>,
     pub(crate) requests: RequestTable,
     pub(crate) ledgers: ServerLedgers,
+    pub(crate) retry_budgets: RetryBudgets,
     pub(crate) searches: SearchTable,
-    pub(crate) held_bytes: usize,
-    pub(crate) sweep_position: usize,
     pub(crate) pin_position: usize,
+    pub(crate) sweep_position: usize,
+    pub(crate) next_observation: Timestamp,
     pub(crate) frozen: FrozenShards,
     last_event: Timestamp,
     slept_until: Option<Timestamp>,
@@ -82,10 +91,11 @@
             pins: FlowTable::new(bounds.flows),
             requests: RequestTable::new(bounds.request_records),
             ledgers: ServerLedgers::default(),
+            retry_budgets: RetryBudgets::default(),
             searches: SearchTable::new(bounds.searches),
-            held_bytes: 0,
-            sweep_position: 0,
             pin_position: 0,
+            sweep_position: 0,
+            next_observation: Timestamp::ZERO,
             frozen: FrozenShards::default(),
             last_event: Timestamp::ZERO,
             slept_until: None,
@@ -147,9 +157,12 @@
     }
 
     fn tick<S: TrafficSink>(&mut self, context: &mut EventContext<'_, S>) {
-        self.sweep(context);
+        self.review_requests(context);
+        self.sweep(context.now);
+        self.sweep_searches(context.now);
+        self.sweep_pins(context);
         self.thaw(context);
-        self.start_waiting(context);
+        self.observe(context);
     }
 
     fn handle_fabric<S: TrafficSink>(
--- a/crates/cardamomwinch_coordination/src/traffic/opening.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/opening.rs
@@ -4,7 +4,7 @@
 use cardamomwinch_protocol::prelude::{
     BackendKind, CallerDatagram, CallerKind, FlowSearch, RefusalReason, TokenClaim,
 };
-use cardamomwinch_state::prelude::{BackendEntry, BackendId, FlowHash, FlowKey, HostId, RequestId};
+use cardamomwinch_state::prelude::{BackendEntry, BackendId, FlowHash, FlowKey, HostId};
 
 use crate::counter::Counter;
 use crate::decision::DecisionReason;
@@ -14,7 +14,6 @@
 use crate::traffic::context::{DecisionSubject, EventContext};
 use crate::traffic::effect::TrafficSink;
 use crate::traffic::pins::{FlowPin, PinRole};
-use crate::traffic::requests::{RequestKey, RequestState};
 use crate::traffic::resolve;
 
 /// Positions of the lookup table that are tried where the flow's own is out.
@@ -278,24 +277,7 @@
         } else {
             self.serve_request(context, routed, claim, request);
         }
-        if !self.was_sent(routed, request.id) {
-            // The flow is open although its request waits or was refused: what
-            // follows must not meet a server that never heard of it.
-            let bare = bare_opening(datagram);
-            caller_datagrams::forward(context, &bare, &claim, BackendKind::Open);
-        }
-    }
-
-    /// Whether the request of an opening was sent to its server.
-    fn was_sent(&self, routed: &RoutedDatagram<'_, '_>, id: RequestId) -> bool {
-        let flow = routed.datagram.flow;
-        let record = self.requests.get(routed.hash, &RequestKey { flow, id });
-        record.is_some_and(|record| {
-            matches!(
-                record.state,
-                RequestState::Running(_) | RequestState::Answered { .. }
-            )
-        })
+        self.open_without_request(context, routed, &claim, request.id);
     }
 
     fn carry_at_home<S: TrafficSink>(
@@ -367,7 +349,7 @@
         let entries = self.servers_with_room(context, routed)?;
         let options: Vec<PlacementOption> = entries
             .iter()
-            .map(|entry| self.placement_option(entry, preferred.backend))
+            .map(|entry| self.placement_option(context, entry, preferred.backend))
             .collect();
         let best = entries[self.placement.choose(routed.hash, &options)?];
         let reason = match best.id == preferred.backend {
@@ -393,13 +375,19 @@
         Some(entries.collect())
     }
 
-    fn placement_option(&self, entry: &BackendEntry, preferred: BackendId) -> PlacementOption {
+    fn placement_option<S: TrafficSink>(
+        &self,
+        context: &EventContext<'_, S>,
+        entry: &BackendEntry,
+        preferred: BackendId,
+    ) -> PlacementOption {
+        let view = context.snapshot.view(entry.id);
         let ledger = self.ledgers.get(entry.id);
         let held = ledger.map_or(0, |ledger| u64::from(ledger.connections));
         PlacementOption {
             server: entry.id.get(),
             by_table: entry.id == preferred,
-            load: ledger.map_or(0, |ledger| ledger.load(entry)),
+            load: ledger.map_or(0, |ledger| ledger.load(context.now, entry, view)),
             flows: held * 1000 / u64::from(entry.weight.get().max(1)),
         }
     }
--- a/crates/cardamomwinch_coordination/src/traffic/unknown_flows.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/unknown_flows.rs
@@ -13,7 +13,7 @@
 use crate::counter::Counter;
 use crate::decision::DecisionReason;
 use crate::traffic::TrafficEngine;
-use crate::traffic::caller_datagrams::{CallerPassage, RETRY_AFTER, RoutedDatagram};
+use crate::traffic::caller_datagrams::{CallerPassage, RoutedDatagram};
 use crate::traffic::context::{DecisionSubject, EventContext};
 use crate::traffic::effect::TrafficSink;
 use crate::traffic::pins::{FlowPin, PinRole};
@@ -92,6 +92,7 @@
         let hash = Self::hasher(context.snapshot).hash(&reply.flow);
         let pin = self.pins.get(hash, &reply.flow);
         if pin.is_some_and(|pin| pin.claim.backend == reply.backend) {
+            self.end_flow_requests(context, reply.backend, &reply.flow);
             self.remove_pin(hash, &reply.flow);
         }
     }
@@ -154,7 +155,7 @@
         let key = RequestKey { flow, id: request };
         let pending = self.searches.get(hash, &flow).map(|held| held.search);
         let search = pending.filter(|search| search.candidate.backend == reply.backend);
-        let Some(record) = self.requests.get_mut(hash, &key) else {
+        let Some(record) = self.requests.get(hash, &key) else {
             return false;
         };
         let RequestState::Running(running) = &record.state else {
@@ -164,28 +165,35 @@
         if running.backend != reply.backend || running.attempt != attempt {
             return true;
         }
-        let state = match search {
-            Some(_) => RequestState::Moved {
-                backend: reply.backend,
-            },
-            None => RequestState::Unknown,
-        };
-        let RequestState::Running(running) = std::mem::replace(&mut record.state, state) else {
+        let Some(search) = search else {
+            self.end_flow(context, hash, reply);
             return true;
         };
-        self.release_slot(context, reply.backend);
-        let held = running.held;
-        match search {
-            Some(search) => self.resume(context, flow, &held.payload, Some(held.header), search),
-            None => {
-                context.outcome_unknown(flow, request, RETRY_AFTER);
-                self.remove_pin(hash, &flow);
-                reset(context, flow);
-            }
+        let backend = reply.backend;
+        let state = self
+            .requests
+            .put(hash, &key, RequestState::Moved { backend });
+        self.ledgers.of(backend).finish(&key);
+        self.start_next(context, backend);
+        if let Some(RequestState::Running(running)) = state {
+            let held = running.held;
+            self.resume(context, flow, &held.payload, Some(held.header), search);
         }
         true
     }
 
+    /// The right server of a flow does not hold it (any more).
+    fn end_flow<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        hash: FlowHash,
+        reply: &BackendReply<'_>,
+    ) {
+        self.end_flow_requests(context, reply.backend, &reply.flow);
+        self.remove_pin(hash, &reply.flow);
+        reset(context, reply.flow);
+    }
+
     fn judge_search<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
@@ -226,10 +234,11 @@
             return true;
         }
         let authority = self.is_authority(context, &pin);
-        self.remove_pin(hash, &reply.flow);
-        match authority {
-            true => reset(context, reply.flow),
-            false => self.note_refused(context, hash, reply.flow, pin.claim),
+        if authority {
+            self.end_flow(context, hash, reply);
+        } else {
+            self.remove_pin(hash, &reply.flow);
+            self.note_refused(context, hash, reply.flow, pin.claim);
         }
         true
     }
