--- a/crates/cardamomwinch_coordination/src/traffic/dispatching.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/dispatching.rs
@@ -3,14 +3,15 @@
 
 use cardamomwinch_protocol::backend::BackendRequest;
 use cardamomwinch_protocol::prelude::{
-    AttemptNumber, BackendDatagram, BackendKind, CallerKind, TokenClaim,
+    AttemptNumber, BackendKind, CallerKind, RefusalReason, TokenClaim,
 };
 use cardamomwinch_state::prelude::{BackendEntry, BackendId, ShardId, Timestamp};
 
 use crate::counter::Counter;
 use crate::traffic::TrafficEngine;
-use crate::traffic::context::EventContext;
-use crate::traffic::effect::{TrafficEffect, TrafficSink};
+use crate::traffic::caller_datagrams::RETRY_AFTER;
+use crate::traffic::context::{BackendMessage, EventContext};
+use crate::traffic::effect::TrafficSink;
 use crate::traffic::ledger::{QueueEntry, RunningSlot};
 use crate::traffic::requests::{
     HeldRequest, PartTracker, RequestKey, RequestState, RunningRequest,
@@ -68,6 +69,11 @@
         claim: &TokenClaim,
         queued: QueueEntry,
     ) {
+        if !context.may_send(queued.key.flow.service, claim) {
+            // The address was given to another service while the request waited.
+            context.count(Counter::ReassignedAddress);
+            return self.refuse_known(context, queued, RefusalReason::NoBackend, RETRY_AFTER);
+        }
         let now = context.now;
         let taken = self.requests.change(queued.hash, &queued.key, |record| {
             let RequestState::Queued { attempt, held, .. } = &mut record.state else {
@@ -138,22 +144,18 @@
         CallerKind::Open => BackendKind::Open,
         CallerKind::Carry | CallerKind::Close => BackendKind::Carry,
     };
-    context.sink.emit(TrafficEffect::ToBackend {
-        address: claim.address,
-        datagram: BackendDatagram {
-            flow: key.flow,
-            backend: claim.backend,
-            via: context.identity.host,
-            kind,
-            request: Some(BackendRequest {
-                id: key.id,
-                attempt,
-                start_before,
-                deadline: held.header.deadline,
-            }),
-            payload: &held.payload,
-        },
-    });
+    let message = BackendMessage {
+        kind,
+        request: Some(BackendRequest {
+            id: key.id,
+            attempt,
+            start_before,
+            deadline: held.header.deadline,
+        }),
+        payload: &held.payload,
+    };
+    // Whether it may be sent was asked before the request was taken as running.
+    let _sent = context.send_to_backend(claim, key.flow, message);
 }
 
 /// The point from which the server must not begin the request any more. For a
@@ -184,20 +186,16 @@
     let Some(entry) = context.snapshot.backend(backend) else {
         return;
     };
-    context.sink.emit(TrafficEffect::ToBackend {
-        address: entry.address,
-        datagram: BackendDatagram {
-            flow: key.flow,
-            backend,
-            via: context.identity.host,
-            kind: BackendKind::Cancel,
-            request: Some(BackendRequest {
-                id: key.id,
-                attempt,
-                start_before: deadline,
-                deadline,
-            }),
-            payload: &[],
-        },
-    });
+    let message = BackendMessage {
+        kind: BackendKind::Cancel,
+        request: Some(BackendRequest {
+            id: key.id,
+            attempt,
+            start_before: deadline,
+            deadline,
+        }),
+        payload: &[],
+    };
+    // Nobody waits for the outcome, so one that may not be sent is dropped.
+    let _sent = context.send_to_backend(&TokenClaim::from(entry), key.flow, message);
 }
--- a/crates/cardamomwinch_coordination/src/traffic/mod.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/mod.rs
@@ -13,25 +13,29 @@
 pub(crate) mod observing;
 pub(crate) mod opening;
 pub(crate) mod packing;
+pub(crate) mod pin_sweeping;
 pub mod pins;
 pub(crate) mod replies;
 pub mod requests;
 pub(crate) mod resolve;
 pub mod retry_budget;
+pub(crate) mod searching;
 pub mod service_time;
 pub(crate) mod serving;
 pub mod slots;
 pub(crate) mod sweeping;
 pub(crate) mod taking_over;
+pub(crate) mod unknown_flows;
 
 use cardamomwinch_protocol::prelude::{
-    AuthenticationKeys, FabricDatagram, RelayFrame, TokenIssuer,
+    AuthenticationKeys, BackendReplyKind, FabricDatagram, RelayFrame, SEARCH_LIMIT, TokenIssuer,
 };
 use cardamomwinch_state::prelude::{FlowHasher, FlowTable, Timestamp};
 
 use crate::bounds::TrafficBounds;
 use crate::counter::Counter;
 use crate::identity::{HostIdentity, ThreadPlace};
+use crate::routing::placement::PlacementChoice;
 use crate::snapshot::RoutingSnapshot;
 use crate::traffic::caller_datagrams::CallerPassage;
 use crate::traffic::context::EventContext;
@@ -42,9 +46,13 @@
 use crate::traffic::pins::FlowPin;
 use crate::traffic::requests::RequestTable;
 use crate::traffic::retry_budget::RetryBudgets;
+use crate::traffic::searching::SearchTable;
 
 /// A datagram that was relayed this often is dropped instead of relayed again.
-pub const HOP_LIMIT: u8 = 4;
+///
+/// A search asks each of at most [`SEARCH_LIMIT`] homes and then as many
+/// servers once.
+pub const HOP_LIMIT: u8 = 2 * SEARCH_LIMIT as u8 + 2;
 
 /// The decisions of one traffic thread.
 #[derive(Debug)]
@@ -52,11 +60,14 @@
     pub(crate) identity: HostIdentity,
     pub(crate) place: ThreadPlace,
     pub(crate) bounds: TrafficBounds,
+    pub(crate) placement: PlacementChoice,
     pub(crate) tokens: TokenIssuer,
     pub(crate) pins: FlowTable<FlowPin>,
     pub(crate) requests: RequestTable,
     pub(crate) ledgers: ServerLedgers,
     pub(crate) retry_budgets: RetryBudgets,
+    pub(crate) searches: SearchTable,
+    pub(crate) pin_position: usize,
     pub(crate) sweep_position: usize,
     pub(crate) next_observation: Timestamp,
     pub(crate) frozen: FrozenShards,
@@ -75,11 +86,14 @@
         Self {
             identity,
             place,
+            placement: PlacementChoice::default(),
             tokens: TokenIssuer::new(keys),
             pins: FlowTable::new(bounds.flows),
             requests: RequestTable::new(bounds.request_records),
             ledgers: ServerLedgers::default(),
             retry_budgets: RetryBudgets::default(),
+            searches: SearchTable::new(bounds.searches),
+            pin_position: 0,
             sweep_position: 0,
             next_observation: Timestamp::ZERO,
             frozen: FrozenShards::default(),
@@ -89,6 +103,13 @@
         }
     }
 
+    /// Places new flows by `placement`.
+    #[must_use]
+    pub fn with_placement(mut self, placement: PlacementChoice) -> Self {
+        self.placement = placement;
+        self
+    }
+
     /// Flows that this thread has pinned.
     pub fn pinned_flows(&self) -> &FlowTable<FlowPin> {
         &self.pins
@@ -117,9 +138,11 @@
             now,
             identity: self.identity,
             snapshot,
+            may_act: false,
             sink,
         };
         self.notice_sleep(&mut context);
+        context.may_act = self.may_act(now, snapshot);
         match event {
             TrafficEvent::Tick => self.tick(&mut context),
             TrafficEvent::Fabric(datagram) => self.handle_fabric(&mut context, datagram),
@@ -137,6 +160,8 @@
     fn tick<S: TrafficSink>(&mut self, context: &mut EventContext<'_, S>) {
         self.review_requests(context);
         self.sweep(context.now);
+        self.sweep_searches(context.now);
+        self.sweep_pins(context);
         self.thaw(context);
         self.observe(context);
     }
@@ -166,20 +191,30 @@
         match frame {
             RelayFrame::Caller {
                 datagram,
-                backend,
+                decided,
+                search,
                 shard,
                 hops,
             } => {
                 let passage = CallerPassage {
-                    decided: backend,
+                    decided,
+                    search,
                     shard: Some(shard),
                     hops,
                 };
                 self.route(context, &datagram, passage);
             }
-            RelayFrame::Backend { reply, shard, hops } => {
-                self.account(context, &reply, shard, hops);
-            }
+            RelayFrame::Backend { reply, shard, hops } => match reply.kind {
+                BackendReplyKind::UnknownFlow { .. } => {
+                    self.take_relayed_unknown(context, &reply, shard, hops);
+                }
+                _ => self.take_relayed_reply(context, &reply, shard, hops),
+            },
+            RelayFrame::Learned {
+                flow,
+                claim,
+                thread,
+            } => self.learn(context, frame, flow, claim, thread),
         }
     }
 
