Tell callers of a new home when it will know

Cause: a home without earlier records answers "outcome unknown" to a finding that may have been sent before, with a constant time to come back. A caller that came back then met the same answer, up to a request's lifetime long.

Change: the time is what is missing until a request with such a deadline is certainly newer than the home's records.

--- a/crates/cardamomwinch_coordination/src/traffic/serving.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/serving.rs
@@ -75,7 +75,8 @@
             return self.refuse_request(context, routed, arriving.shard, RefusalReason::Deadline);
         }
         if !header.idempotent && self.may_be_known_elsewhere(context, &claim, &header) {
-            return context.outcome_unknown(arriving.key.flow, header.id, RETRY_AFTER);
+            let retry_after = knows_after(context, arriving.shard, &header);
+            return context.outcome_unknown(arriving.key.flow, header.id, retry_after);
         }
         self.retry_budgets.note_first_try(
             routed.service.id,
@@ -415,6 +416,21 @@
     }
 }
 
+/// How long it takes until a request like this one is certainly newer than the
+/// records of this home.
+fn knows_after<S: TrafficSink>(
+    context: &EventContext<'_, S>,
+    shard: ShardId,
+    header: &RequestHeader,
+) -> time::Duration {
+    let lifetime = context.snapshot.configuration.limits.request_lifetime;
+    let lease = context.snapshot.lease_at(shard, context.now);
+    let since = lease.map_or(Timestamp::ZERO, |lease| lease.records_since);
+    since
+        .since(header.deadline.before(lifetime))
+        .max(RETRY_AFTER)
+}
+
 /// Whether a request may wait: the queue has room, its flow does not fill the
 /// queue alone, and there will be time left to serve it.
 fn may_wait(
--- a/crates/cardamomwinch_coordination/tests/requests_given_up.rs
+++ b/crates/cardamomwinch_coordination/tests/requests_given_up.rs
@@ -215,3 +215,30 @@
         }
     }
 }
+
+/// A home died without a hand-over, and the next one cannot know whether a
+/// finding has run. The caller is told that, with a time to come back. If it
+/// came back earlier, its next finding would end in the same way.
+#[test]
+fn a_caller_of_a_new_home_is_told_when_the_home_will_know() {
+    let mut bench = Bench::new(1, 2);
+    bench.pass_ms(1000);
+    bench.records_since = bench.now;
+    bench.renew();
+    let token = bench.open(1);
+    let header = bench.header(1, false, 4000);
+    bench.ask(1, token, header);
+    let wanted = bench.take();
+    let [Told::OutcomeUnknown(_, after)] = wanted.finals(request(1))[..] else {
+        panic!("{wanted:?}");
+    };
+    let after = *after;
+    bench.pass(after);
+    let header = bench.header(2, false, 4000);
+    bench.ask(1, token, header);
+    assert_eq!(
+        bench.take().runs().len(),
+        1,
+        "told to come back after {after:?}"
+    );
+}
