--- a/crates/cardamomwinch_coordination/tests/requests_random.rs
+++ b/crates/cardamomwinch_coordination/tests/requests_random.rs
@@ -181,7 +181,10 @@
                 request: Some(held.id),
                 attempt: held.attempt,
             },
-            ReplyKind::UnknownFlow => BackendReplyKind::UnknownFlow,
+            ReplyKind::UnknownFlow => BackendReplyKind::UnknownFlow {
+                request: Some(held.id),
+                attempt: held.attempt,
+            },
         };
         self.bench.reply(flow, reply.sent.backend, kind);
     }
