Probe a few neighbours instead of sending heartbeats to all hosts

Change: each host watches two neighbours on a ring of its own failure domain (direct ping, ping through another host, suspicion, then the claim that it is dead) and probes one other domain's host at a time. Claims are ordered by life, refutation count and death, ride on probes, are pushed once to a few hosts, and are repeated a bounded number of times within a byte rate; a slow exchange of block hashes repairs the rest. A whole silent domain is marked cut off and none of its hosts claimed dead. A host that slept drops everything on its way. Replays are told from reordering by a window of 128 numbers.

Ruled out: spreading suspicions (only neighbours may claim a death, so nobody else needs them), and naming hosts by identifier in rumours (ten bytes instead of one or two).

--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/control/membership/named_lists.rs
@@ -0,0 +1,51 @@
+//! Names hosts by their position in a version of the list. The last few
+//! versions are kept, so that hosts with unequal lists still understand each
+//! other.
+
+use cardamomwinch_protocol::peer::membership::HostPosition;
+use cardamomwinch_state::prelude::{HostId, HostListVersion, HostTable, SortedVector};
+
+/// Versions of the list that are kept.
+const LIST_LIMIT: usize = 4;
+
+/// The hosts of the last few versions of the list, in the order of identifiers.
+#[derive(Debug, Default)]
+pub(super) struct NamedLists {
+    lists: SortedVector<HostListVersion, Vec<HostId>>,
+}
+
+impl NamedLists {
+    pub(super) fn adopt(&mut self, hosts: &HostTable) {
+        let ids = hosts.hosts.keys().copied().collect();
+        self.lists.insert(hosts.version, ids);
+        while self.lists.len() > LIST_LIMIT {
+            let Some(oldest) = self.lists.keys().next().copied() else {
+                return;
+            };
+            self.lists.remove(&oldest);
+        }
+    }
+
+    /// The version to use towards a peer that has accepted `theirs`: the
+    /// highest that both have, or else the newest here.
+    pub(super) fn common(&self, theirs: HostListVersion) -> Option<HostListVersion> {
+        let newest = self.lists.keys().next_back().copied();
+        let shared = self.lists.contains_key(&theirs).then_some(theirs);
+        shared.or(newest)
+    }
+
+    pub(super) fn position(&self, list: HostListVersion, host: HostId) -> Option<HostPosition> {
+        let position = self.lists.get(&list)?.binary_search(&host).ok()?;
+        u16::try_from(position).ok().map(HostPosition::new)
+    }
+
+    pub(super) fn host(&self, list: HostListVersion, position: HostPosition) -> Option<HostId> {
+        let hosts = self.lists.get(&list)?;
+        hosts.get(usize::from(position.get())).copied()
+    }
+
+    /// The hosts of `list`, in order.
+    pub(super) fn hosts(&self, list: HostListVersion) -> &[HostId] {
+        self.lists.get(&list).map_or(&[], Vec::as_slice)
+    }
+}
--- a/crates/cardamomwinch_coordination/src/control/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/mod.rs
@@ -21,7 +21,9 @@
 use crate::control::effect::{ControlEffect, ControlSink};
 use crate::control::event::{ControlEvent, PlatformOutcome, PlatformRequest};
 use crate::control::homes::HomeTable;
-use crate::control::membership::PeerMembership;
+use crate::control::membership::{
+    MembershipContext, MembershipEvent, MembershipOutput, PeerMembership,
+};
 use crate::control::publication::SnapshotPublisher;
 use crate::counter::Counter;
 use crate::decision::{DecisionReason, DecisionRecord};
@@ -105,12 +107,10 @@
         self.request(due, sink);
         let completed = self.adoption.adopt_if_complete();
         self.apply(now, completed, sink);
-        let hosts = self.adoption.hosts();
-        for host in self.membership.due_heartbeats(now, self.identity, hosts) {
-            let digest = self.adoption.digest();
-            let message = MembershipMessage::Ping { digest };
-            self.send(host, PeerMessage::Membership(message), sink);
-        }
+        let mut output = MembershipOutput::default();
+        let context = membership_context(now, self.identity, &self.adoption);
+        self.membership.tick(&context, &mut output);
+        self.apply_membership(now, output, sink);
         self.publish(now, sink);
     }
 
@@ -140,7 +140,9 @@
             return sink.emit(ControlEffect::Count(Counter::PeerReplayed));
         }
         match &envelope.message {
-            PeerMessage::Membership(message) => self.take_membership(envelope, message, sink),
+            PeerMessage::Membership(message) => {
+                self.take_membership(now, envelope, message, sink);
+            }
             PeerMessage::Home(HomeMessage::Released { .. }) => self.publish(now, sink),
             PeerMessage::Configuration(ConfigurationMessage::Want { .. }) => {}
         }
@@ -148,15 +150,30 @@
 
     fn take_membership<S: ControlSink>(
         &mut self,
+        now: Timestamp,
         envelope: &PeerEnvelope,
         message: &MembershipMessage,
         sink: &mut S,
     ) {
-        if let MembershipMessage::Ping { .. } = message {
-            let sequence = envelope.sequence;
-            let digest = self.adoption.digest();
-            let answer = MembershipMessage::Pong { sequence, digest };
-            self.send(envelope.sender, PeerMessage::Membership(answer), sink);
+        let mut output = MembershipOutput::default();
+        let context = membership_context(now, self.identity, &self.adoption);
+        self.membership
+            .take(&context, envelope, message, &mut output);
+        self.apply_membership(now, output, sink);
+    }
+
+    fn apply_membership<S: ControlSink>(
+        &mut self,
+        now: Timestamp,
+        output: MembershipOutput,
+        sink: &mut S,
+    ) {
+        for event in output.events {
+            let record = self.membership_record(now, event);
+            sink.emit(ControlEffect::Decide(record));
+        }
+        for send in output.sends {
+            self.send(send.host, PeerMessage::Membership(send.message), sink);
         }
     }
 
@@ -192,11 +209,28 @@
     }
 
     fn adopted_record(&self, now: Timestamp) -> DecisionRecord {
+        self.record(now, DecisionReason::ConfigurationAdopted)
+    }
+
+    fn membership_record(&self, now: Timestamp, event: MembershipEvent) -> DecisionRecord {
+        match event {
+            MembershipEvent::Host { host, reachability } => DecisionRecord {
+                peer: Some(host),
+                ..self.record(now, DecisionReason::HostReachability(reachability))
+            },
+            MembershipEvent::Domain { domain, reachable } => {
+                let reason = DecisionReason::DomainReachability { domain, reachable };
+                self.record(now, reason)
+            }
+        }
+    }
+
+    fn record(&self, now: Timestamp, reason: DecisionReason) -> DecisionRecord {
         DecisionRecord {
             time: now,
             host: self.identity.host,
             version: self.adoption.version(),
-            reason: DecisionReason::ConfigurationAdopted,
+            reason,
             flow: None,
             service: None,
             backend: None,
@@ -228,3 +262,16 @@
         sink.emit(ControlEffect::Publish(sync::Arc::new(snapshot)));
     }
 }
+
+fn membership_context(
+    now: Timestamp,
+    identity: HostIdentity,
+    adoption: &ConfigurationAdoption,
+) -> MembershipContext<'_> {
+    MembershipContext {
+        now,
+        identity,
+        hosts: adoption.hosts(),
+        digest: adoption.digest(),
+    }
+}
--- a/crates/cardamomwinch_coordination/src/decision.rs
+++ b/crates/cardamomwinch_coordination/src/decision.rs
@@ -1,10 +1,12 @@
 //! Records of routing and placement decisions, for the decision log.
 
 use cardamomwinch_state::prelude::{
-    BackendId, ConfigurationVersion, FlowKey, HostId, ServiceId, ShardId, Timestamp,
+    BackendId, ConfigurationVersion, DomainId, FlowKey, HostId, ServiceId, ShardId, Timestamp,
 };
 use serde::Serialize;
 
+use crate::control::membership::Reachability;
+
 /// Why a decision was taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize)]
@@ -44,8 +46,15 @@
     ConfigurationAdopted,
     /// A backend server's health changed.
     BackendHealth,
-    /// A host's reachability changed.
-    HostReachability,
+    /// A host's reachability changed to this.
+    HostReachability(Reachability),
+    /// A whole failure domain was cut off from here, or is reachable again.
+    DomainReachability {
+        /// The failure domain.
+        domain: DomainId,
+        /// Whether it is reachable now.
+        reachable: bool,
+    },
 }
 
 /// One decision.
--- /dev/null
+++ b/crates/cardamomwinch_coordination/tests/membership_network/policy.rs
@@ -0,0 +1,56 @@
+//! What the network needs of a way to keep membership, so that several can be
+//! compared.
+
+use std::fmt;
+
+use cardamomwinch_coordination::control::membership::{
+    MembershipContext, MembershipOutput, PeerMembership,
+};
+use cardamomwinch_protocol::prelude::{PeerEnvelope, PeerMessage};
+use cardamomwinch_state::prelude::{HostId, Timestamp};
+
+/// A way to keep membership.
+pub trait MembershipPolicy: Default + fmt::Debug {
+    fn next_sequence(&mut self) -> u64;
+
+    fn tick(&mut self, context: &MembershipContext<'_>, output: &mut MembershipOutput);
+
+    /// Takes a message; tells whether it was accepted.
+    fn receive(
+        &mut self,
+        context: &MembershipContext<'_>,
+        envelope: &PeerEnvelope,
+        output: &mut MembershipOutput,
+    ) -> bool;
+
+    fn is_reachable(&self, now: Timestamp, host: HostId) -> bool;
+}
+
+impl MembershipPolicy for PeerMembership {
+    fn next_sequence(&mut self) -> u64 {
+        self.next_sequence()
+    }
+
+    fn tick(&mut self, context: &MembershipContext<'_>, output: &mut MembershipOutput) {
+        self.tick(context, output);
+    }
+
+    fn receive(
+        &mut self,
+        context: &MembershipContext<'_>,
+        envelope: &PeerEnvelope,
+        output: &mut MembershipOutput,
+    ) -> bool {
+        if self.note(context.now, envelope).is_err() {
+            return false;
+        }
+        if let PeerMessage::Membership(message) = &envelope.message {
+            self.take(context, envelope, message, output);
+        }
+        true
+    }
+
+    fn is_reachable(&self, now: Timestamp, host: HostId) -> bool {
+        self.is_reachable(now, host)
+    }
+}
--- a/crates/cardamomwinch_state/src/lib.rs
+++ b/crates/cardamomwinch_state/src/lib.rs
@@ -33,7 +33,7 @@
     pub use crate::parted_table::{FlowTable, PartedTable, TableFullError};
     pub use crate::quantities::{
         ByteCount, ConfigurationVersion, ConnectionCount, FragmentRevision, HostListVersion,
-        Incarnation, SlotCount, Timestamp, Weight,
+        Incarnation, RefutationCount, SlotCount, Timestamp, Weight,
     };
     pub use crate::service::ServiceEntry;
     pub use crate::sorted_vector::SortedVector;
--- a/crates/cardamomwinch_state/src/quantities.rs
+++ b/crates/cardamomwinch_state/src/quantities.rs
@@ -92,6 +92,10 @@
     /// epoch at the start of the process. A later life has a higher number.
     Incarnation(u64)
 }
+quantity! {
+    /// How often a host has refuted, within one life, the claim that it is dead.
+    RefutationCount(u32)
+}
 quantity! {
     /// A point in time: microseconds since the Unix epoch, as the host sees it.
     /// It never falls within one process.
