Test membership under loss, cuts, sleep and restarts, and cap its cost

Cause: at 400 hosts the worst host sent 793 B/s, above the 700 wanted; a host that woke late took what its socket had held for present signs of life (test a_late_waker_convinces_nobody failed on that); and after waking it held hosts for alive that had died in its sleep until the next slow exchange.

Change: a neighbour is pinged twice before others are asked, the time to the next ping varies so that neighbours fall out of step, digests ride only on pings and on answers that differ, other domains are probed once a second, the exchange runs every 15 s. After a sleep nobody is reachable until a ping sent after it is answered, and three quick exchanges follow. The queue of rumours holds 64.

Ruled out by measurement: counting a rumour that comes again as sent.

--- a/crates/cardamomwinch_coordination/src/control/membership/exchange.rs
+++ b/crates/cardamomwinch_coordination/src/control/membership/exchange.rs
@@ -11,13 +11,14 @@
 use crate::control::membership::jitter::JitterSource;
 
 /// How often a host that knows the fleet compares with another.
-const EXCHANGE_INTERVAL: time::Duration = time::Duration::from_secs(10);
-/// How often a host does that has started lately and misses hosts.
+const EXCHANGE_INTERVAL: time::Duration = time::Duration::from_secs(15);
+/// How often a host does that has started lately and misses hosts, that slept,
+/// or for which a cut ended.
 const CATCH_UP_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// How long after its start a host catches up.
 const CATCH_UP_FOR: time::Duration = time::Duration::from_secs(60);
-/// A cut that ended leads to an exchange within about this time.
-const HASTE: time::Duration = time::Duration::from_secs(1);
+/// Exchanges in quick succession after a cut or a sleep.
+const HURRIED_EXCHANGES: u32 = 3;
 /// The most hashes in an exchange.
 const BLOCK_LIMIT: usize = 32;
 /// Hosts to a block at least.
@@ -30,6 +31,7 @@
 pub(super) struct ExchangeSchedule {
     started: Option<Timestamp>,
     next: Timestamp,
+    hurried: u32,
     preferred: Option<HostId>,
 }
 
@@ -42,7 +44,9 @@
             return false;
         }
         let catching_up = missing && now.since(started) < CATCH_UP_FOR;
-        let interval = if catching_up {
+        let hurrying = self.hurried > 0;
+        self.hurried = self.hurried.saturating_sub(1);
+        let interval = if catching_up || hurrying {
             CATCH_UP_INTERVAL
         } else {
             EXCHANGE_INTERVAL
@@ -51,10 +55,15 @@
         true
     }
 
-    /// Brings the next exchange forward, with `host`, of a domain that was cut
-    /// off. The jitter keeps all hosts from doing so at once.
-    pub(super) fn hasten(&mut self, now: Timestamp, host: HostId, jitter: &mut JitterSource) {
-        self.next = self.next.min(now.after(jitter.around(HASTE)));
+    /// Brings the next few exchanges forward, since this host may have missed
+    /// much. The jitter keeps all hosts from doing so at once.
+    pub(super) fn hasten(&mut self, now: Timestamp, jitter: &mut JitterSource) {
+        self.next = self.next.min(now.after(jitter.around(CATCH_UP_INTERVAL)));
+        self.hurried = HURRIED_EXCHANGES;
+    }
+
+    /// Makes the next exchange one with `host`.
+    pub(super) fn prefer(&mut self, host: HostId) {
         self.preferred = Some(host);
     }
 
--- a/crates/cardamomwinch_coordination/src/control/membership/links.rs
+++ b/crates/cardamomwinch_coordination/src/control/membership/links.rs
@@ -8,7 +8,7 @@
 use crate::control::membership::jitter::JitterSource;
 
 /// A link is probed this often, whichever has been silent for longest.
-const LINK_INTERVAL: time::Duration = time::Duration::from_millis(750);
+const LINK_INTERVAL: time::Duration = time::Duration::from_millis(1000);
 /// A domain that was heard of within this time needs no probe.
 const LINK_SILENCE: time::Duration = time::Duration::from_millis(1000);
 /// How long an answer may take before other hosts of the domain are probed.
--- a/crates/cardamomwinch_coordination/src/control/membership/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/membership/mod.rs
@@ -49,9 +49,13 @@
 /// A host that hears of nobody for this long takes itself to be cut off from
 /// all others, and nobody to be reachable.
 pub const ISOLATED_AFTER: time::Duration = time::Duration::from_millis(1200);
-/// A gap between two calls from which on a host takes itself to have slept.
+/// A time without a tick from which on a host takes itself to have slept.
 pub const SLEEP_GAP: time::Duration = time::Duration::from_millis(1000);
 
+/// An answer that gives no digest means the one of the ping. It is taken to be
+/// the present one if that has been so for this long.
+const DIGEST_SETTLED: time::Duration = time::Duration::from_millis(1000);
+
 /// What decisions about membership are taken against.
 #[derive(Debug, Clone, Copy)]
 pub struct MembershipContext<'a> {
@@ -117,9 +121,14 @@
     exchange: ExchangeSchedule,
     duties: IndirectDuties,
     jitter: JitterSource,
-    last_call: Option<Timestamp>,
+    last_tick: Option<Timestamp>,
+    /// The sequence number of this host when it last woke from a sleep, until
+    /// a ping sent after that is answered.
+    unconfirmed: Option<u64>,
     last_heard: Timestamp,
     next_revival: Timestamp,
+    digest: ConfigurationDigest,
+    digest_since: Timestamp,
     events: Vec<MembershipEvent>,
 }
 
@@ -161,7 +170,8 @@
                 domain,
                 reachable: true,
             });
-            self.exchange.hasten(now, host, &mut self.jitter);
+            self.exchange.hasten(now, &mut self.jitter);
+            self.exchange.prefer(host);
         }
         Ok(())
     }
@@ -200,7 +210,7 @@
 
     /// Whether nobody was heard of lately, or not since this host slept.
     pub fn is_isolated(&self, now: Timestamp) -> bool {
-        now.since(self.last_heard) >= ISOLATED_AFTER
+        self.unconfirmed.is_some() || now.since(self.last_heard) >= ISOLATED_AFTER
     }
 
     /// Merges a claim about another host, and spreads it where it is news.
@@ -226,23 +236,46 @@
         }
     }
 
+    fn observe_digest(&mut self, context: &MembershipContext<'_>) {
+        if self.digest != context.digest {
+            self.digest = context.digest;
+            self.digest_since = context.now;
+        }
+    }
+
+    /// Takes the digest of a peer that answered a ping without giving one.
+    fn note_same_digest(&mut self, now: Timestamp, host: HostId) {
+        if now.since(self.digest_since) >= DIGEST_SETTLED {
+            self.peers.set_digest(host, self.digest);
+        }
+    }
+
     /// Guards against a process that was paused: its probes would all have run
     /// out in its sleep, so that it would claim its neighbours dead, and it
-    /// would spread rumours that are long refuted. It shows as a gap between
-    /// two calls. Everything on its way is dropped, and nobody is reachable
-    /// until someone is heard of.
+    /// would spread rumours that are long refuted. It shows as a time without a
+    /// tick. Everything on its way is dropped, and nobody is reachable until a
+    /// ping sent after the sleep is answered: what the socket held meanwhile
+    /// says nothing about the present.
     fn observe_time(&mut self, now: Timestamp) {
-        let earlier = self.last_call.replace(now);
-        if earlier.is_none_or(|earlier| now.since(earlier) < SLEEP_GAP) {
+        let slept = |tick: Timestamp| now.since(tick) >= SLEEP_GAP;
+        if !self.last_tick.is_some_and(slept) {
             return;
         }
+        self.unconfirmed = Some(self.sequence);
         self.ring.clear();
         self.rumours.clear();
         self.duties.clear();
         self.links.restart(now);
-        self.last_heard = Timestamp::ZERO;
+        self.exchange.hasten(now, &mut self.jitter);
         for host in self.members.suspects() {
             self.set_suspect(host, false);
         }
     }
+
+    /// Takes the answer to the ping numbered `sequence`.
+    fn confirm(&mut self, sequence: u64) {
+        if self.unconfirmed.is_some_and(|woken| sequence > woken) {
+            self.unconfirmed = None;
+        }
+    }
 }
--- a/crates/cardamomwinch_coordination/src/control/membership/peers.rs
+++ b/crates/cardamomwinch_coordination/src/control/membership/peers.rs
@@ -90,6 +90,12 @@
         Ok(())
     }
 
+    pub(super) fn set_digest(&mut self, host: HostId, digest: ConfigurationDigest) {
+        if let Some(state) = self.peers.get_mut(&host) {
+            state.digest = digest;
+        }
+    }
+
     /// Forgets hosts that are not in `hosts`, but for those heard of lately:
     /// one that is listed again must not be taken in by messages from before.
     pub(super) fn retain_listed(&mut self, now: Timestamp, hosts: &HostTable) {
--- a/crates/cardamomwinch_coordination/src/control/membership/receiving.rs
+++ b/crates/cardamomwinch_coordination/src/control/membership/receiving.rs
@@ -83,7 +83,7 @@
         } else if let Some(batch) = &message.header.rumours {
             self.take_own_obituary(context, batch);
         }
-        self.answer(context, sender, message, believed, output);
+        self.answer(context, envelope, message, believed, output);
         if believed {
             self.fulfil_duties(context, envelope, message.header.refutation, output);
         }
@@ -94,22 +94,30 @@
     fn answer(
         &mut self,
         context: &MembershipContext<'_>,
-        sender: HostId,
+        envelope: &PeerEnvelope,
         message: &MembershipMessage,
         believed: bool,
         output: &mut MembershipOutput,
     ) {
+        let sender = envelope.sender;
         match &message.content {
             MembershipContent::Ping => {
                 let mut header = self.header(context, sender, PIGGYBACK_LIMIT);
-                if message.digest() == Some(context.digest) {
-                    header.digest = None;
+                if message.digest() != Some(context.digest) {
+                    header.digest = Some(context.digest);
                 }
-                let content = MembershipContent::Pong;
+                let sequence = envelope.sequence;
+                let content = MembershipContent::Pong { sequence };
                 let message = MembershipMessage { header, content };
                 let host = sender;
                 output.sends.push(MembershipSend { host, message });
             }
+            MembershipContent::Pong { sequence } => {
+                self.confirm(*sequence);
+                if message.digest().is_none() {
+                    self.note_same_digest(context.now, sender);
+                }
+            }
             MembershipContent::IndirectPing { target } if believed => {
                 self.duties.add(context.now, sender, *target);
                 self.send(context, *target, MembershipContent::Ping, output);
@@ -269,7 +277,7 @@
             (!rumours.is_empty()).then_some(RumourBatch { list, rumours })
         });
         MembershipHeader {
-            digest: Some(context.digest),
+            digest: None,
             refutation: self.refutation,
             rumours,
         }
@@ -282,7 +290,10 @@
         content: MembershipContent,
         output: &mut MembershipOutput,
     ) {
-        let header = self.header(context, host, PIGGYBACK_LIMIT);
+        let mut header = self.header(context, host, PIGGYBACK_LIMIT);
+        if content == MembershipContent::Ping {
+            header.digest = Some(context.digest);
+        }
         let message = MembershipMessage { header, content };
         output.sends.push(MembershipSend { host, message });
     }
--- a/crates/cardamomwinch_coordination/src/control/membership/ring.rs
+++ b/crates/cardamomwinch_coordination/src/control/membership/ring.rs
@@ -1,17 +1,21 @@
 //! Probes of the neighbours on the ring of the own failure domain: directly,
-//! then through others as well, then with the neighbour suspected, and only
-//! then is it claimed dead.
+//! once more, then through others as well, then with the neighbour suspected,
+//! and only then is it claimed dead.
 
 use std::time;
 
+use cardamomwinch_state::flow;
 use cardamomwinch_state::prelude::{HostId, SortedVector, Timestamp};
 
-/// A neighbour that was not heard of for this long is probed.
+/// A neighbour that was not heard of for this long is probed, give or take
+/// half of the spread.
 pub(super) const RING_INTERVAL: time::Duration = time::Duration::from_millis(400);
+/// How far apart the times may lie at which a neighbour is probed.
+const RING_SPREAD: time::Duration = time::Duration::from_millis(100);
 /// How long an answer may take before the next step.
 const STEP_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 /// How long a suspect has before it is claimed dead.
-const SUSPICION: time::Duration = time::Duration::from_millis(300);
+const SUSPICION: time::Duration = time::Duration::from_millis(200);
 /// A host that was never heard of and does not answer is left alone this long.
 pub(super) const REST_INTERVAL: time::Duration = time::Duration::from_secs(5);
 /// A neighbour is claimed dead only by a host that heard of another one within
@@ -20,8 +24,13 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ProbeStage {
-    Direct,
+    /// Pinged once.
+    First,
+    /// Pinged twice.
+    Second,
+    /// Pinged through others as well.
     Indirect,
+    /// Suspected.
     Suspect { since: Timestamp },
 }
 
@@ -49,12 +58,12 @@
 pub(super) enum ProbeAction {
     /// Nothing yet.
     Wait,
-    /// Ping it, and have one other host ping it.
-    AskOne,
-    /// Suspect it, ping it, and have several others ping it.
+    /// Ping it.
+    Ping,
+    /// Suspect it, ping it, and have others ping it.
     Suspect,
-    /// Ping it, and have several others ping it.
-    AskSeveral,
+    /// Ping it, and have others ping it.
+    AskOthers,
     /// It answered.
     Finish,
     /// Claim that it is dead.
@@ -101,14 +110,14 @@
     pub(super) fn begin(&mut self, now: Timestamp, host: HostId, heard: Timestamp) -> bool {
         if self.probes.contains_key(&host)
             || self.is_resting(now, host)
-            || now.since(heard) < RING_INTERVAL
+            || now.since(heard) < patience(host, heard)
         {
             return false;
         }
         let probe = RingProbe {
             started: now,
             next_step: now.after(STEP_TIMEOUT),
-            stage: ProbeStage::Direct,
+            stage: ProbeStage::First,
             confirmed: false,
         };
         self.probes.insert(host, probe);
@@ -152,13 +161,28 @@
     }
 }
 
+/// How long `host`, which was heard of last at `heard`, may be silent.
+///
+/// Guards against neighbours in step: both would ping at the same moment, every
+/// time, and both answer, so that the two of them cost twice what they need
+/// to. The patience changes with every message, so that they fall out of step.
+fn patience(host: HostId, heard: Timestamp) -> time::Duration {
+    let spread = RING_SPREAD.as_micros() as u64;
+    let offset = flow::mix(host.get() ^ heard.get()) % spread;
+    RING_INTERVAL - RING_SPREAD / 2 + time::Duration::from_micros(offset)
+}
+
 impl RingProbe {
     fn advance(&mut self, now: Timestamp, evidence: ProbeEvidence) -> ProbeAction {
         self.next_step = now.after(STEP_TIMEOUT);
         match self.stage {
-            ProbeStage::Direct => {
+            ProbeStage::First => {
+                self.stage = ProbeStage::Second;
+                ProbeAction::Ping
+            }
+            ProbeStage::Second => {
                 self.stage = ProbeStage::Indirect;
-                ProbeAction::AskOne
+                ProbeAction::AskOthers
             }
             ProbeStage::Indirect => {
                 self.stage = ProbeStage::Suspect { since: now };
@@ -170,10 +194,10 @@
             ProbeStage::Suspect { .. } if now.since(evidence.others_heard) >= EVIDENCE_WINDOW => {
                 self.stage = ProbeStage::Suspect { since: now };
                 self.next_step = now.after(RING_INTERVAL);
-                ProbeAction::AskSeveral
+                ProbeAction::AskOthers
             }
             ProbeStage::Suspect { since } if now.since(since) >= SUSPICION => ProbeAction::Claim,
-            ProbeStage::Suspect { .. } => ProbeAction::AskSeveral,
+            ProbeStage::Suspect { .. } => ProbeAction::AskOthers,
         }
     }
 }
--- a/crates/cardamomwinch_coordination/src/control/membership/rumours.rs
+++ b/crates/cardamomwinch_coordination/src/control/membership/rumours.rs
@@ -7,6 +7,8 @@
 
 /// Repeats of a rumour beyond the logarithm of the fleet's size.
 const EXTRA_REPEATS: u32 = 2;
+/// Rumours that wait at most. The exchange repairs what is dropped.
+const QUEUE_LIMIT: usize = 64;
 /// Rumours that ride on one probe at most.
 pub(super) const PIGGYBACK_LIMIT: usize = 8;
 /// Rumours in a message sent only for their sake.
@@ -95,6 +97,17 @@
         self.queued.retain(|rumour| rumour.host != host);
         self.queued.push(QueuedRumour { host, sent: 0 });
         self.unpushed = true;
+        if self.queued.len() > QUEUE_LIMIT {
+            self.drop_most_sent();
+        }
+    }
+
+    fn drop_most_sent(&mut self) {
+        let positions = (0..self.queued.len()).rev();
+        let most = positions.max_by_key(|position| self.queued[*position].sent);
+        if let Some(position) = most {
+            self.queued.remove(position);
+        }
     }
 
     pub(super) fn clear(&mut self) {
@@ -127,6 +140,8 @@
     /// Up to `limit` hosts to tell about, counted as told.
     pub(super) fn take(&mut self, now: Timestamp, limit: usize) -> Vec<HostId> {
         self.budget.refill(now);
+        let repeats = self.repeats;
+        self.queued.retain(|rumour| rumour.sent < repeats);
         self.queued.sort_by_key(|rumour| rumour.sent);
         let mut taken = Vec::new();
         for rumour in self.queued.iter_mut().take(limit) {
@@ -136,8 +151,6 @@
             rumour.sent += 1;
             taken.push(rumour.host);
         }
-        let repeats = self.repeats;
-        self.queued.retain(|rumour| rumour.sent < repeats);
         taken
     }
 }
--- a/crates/cardamomwinch_coordination/src/control/membership/ticking.rs
+++ b/crates/cardamomwinch_coordination/src/control/membership/ticking.rs
@@ -12,19 +12,20 @@
     PeerMembership,
 };
 
-/// Others that are asked to ping a suspect.
+/// Others that are asked to ping a host that does not answer.
 const HELPER_COUNT: usize = 2;
 /// Hosts of the own domain that news is pushed to.
 const NEAR_PUSHES: usize = 2;
 /// Hosts of other domains that news is pushed to.
 const FAR_PUSHES: usize = 1;
 /// One in so many exchanges is with a host of another domain.
-const FAR_EXCHANGE: usize = 4;
+const FAR_EXCHANGE: usize = 2;
 
 impl PeerMembership {
     /// Decides what is due. To be called about every 100 ms.
     pub fn tick(&mut self, context: &MembershipContext<'_>, output: &mut MembershipOutput) {
         self.observe_time(context.now);
+        self.last_tick = Some(context.now);
         self.refresh(context);
         self.probe_ring(context, output);
         self.probe_links(context, output);
@@ -36,6 +37,7 @@
 
     /// Takes over a list that was adopted since the last call.
     pub(super) fn refresh(&mut self, context: &MembershipContext<'_>) {
+        self.observe_digest(context);
         if !self.view.refresh(context.identity, context.hosts) {
             return;
         }
@@ -87,13 +89,11 @@
         let rest = self.jitter.around(REST_INTERVAL);
         match self.ring.step(context.now, host, evidence, rest) {
             ProbeAction::Wait => {}
-            ProbeAction::AskOne => self.ping_indirectly(context, host, 1, output),
-            ProbeAction::AskSeveral => {
-                self.ping_indirectly(context, host, HELPER_COUNT, output);
-            }
+            ProbeAction::Ping => self.send(context, host, MembershipContent::Ping, output),
+            ProbeAction::AskOthers => self.ping_indirectly(context, host, output),
             ProbeAction::Suspect => {
                 self.set_suspect(host, true);
-                self.ping_indirectly(context, host, HELPER_COUNT, output);
+                self.ping_indirectly(context, host, output);
             }
             ProbeAction::Finish => self.set_suspect(host, false),
             ProbeAction::Claim => self.claim_dead(host),
@@ -111,7 +111,6 @@
         &mut self,
         context: &MembershipContext<'_>,
         target: HostId,
-        helper_count: usize,
         output: &mut MembershipOutput,
     ) {
         self.send(context, target, MembershipContent::Ping, output);
@@ -120,7 +119,7 @@
         let far = self.reachable_strangers();
         // One of the own domain, and the others of other domains where they can.
         let mut helpers = self.jitter.sample(&near, 1);
-        let missing = helper_count - helpers.len();
+        let missing = HELPER_COUNT - helpers.len();
         helpers.extend(self.jitter.sample(&far, missing));
         for helper in helpers {
             let content = MembershipContent::IndirectPing { target };
--- a/crates/cardamomwinch_coordination/tests/membership_network/heartbeats.rs
+++ b/crates/cardamomwinch_coordination/tests/membership_network/heartbeats.rs
@@ -83,7 +83,8 @@
             && received.content == MembershipContent::Ping
         {
             let host = envelope.sender;
-            let message = message(context, MembershipContent::Pong);
+            let sequence = envelope.sequence;
+            let message = message(context, MembershipContent::Pong { sequence });
             output.sends.push(MembershipSend { host, message });
         }
         true
--- a/crates/cardamomwinch_coordination/tests/membership_network/mod.rs
+++ b/crates/cardamomwinch_coordination/tests/membership_network/mod.rs
@@ -131,6 +131,8 @@
     pub refused: u64,
     /// Domains that are cut off from all others.
     pub cut: Vec<DomainId>,
+    /// Hosts that run without a network.
+    pub isolated: Vec<usize>,
     options: NetworkOptions,
     queue: collections::BinaryHeap<QueuedEvent>,
     order: u64,
@@ -177,6 +179,7 @@
             seen: Vec::new(),
             refused: 0,
             cut: Vec::new(),
+            isolated: Vec::new(),
             queue: collections::BinaryHeap::new(),
             order: 0,
             random: SmallRng::seed_from_u64(options.seed),
@@ -387,6 +390,9 @@
     }
 
     fn carry(&mut self, from: usize, to: usize, envelope: PeerEnvelope) {
+        if self.isolated.contains(&from) || self.isolated.contains(&to) {
+            return;
+        }
         let domain_of = |host: usize| self.hosts.get(host).map(|host| host.identity.domain);
         let (from, destination) = (domain_of(from), domain_of(to));
         let is_cut = |domain: Option<DomainId>| domain.is_some_and(|of| self.cut.contains(&of));
--- a/crates/cardamomwinch_protocol/src/peer/membership.rs
+++ b/crates/cardamomwinch_protocol/src/peer/membership.rs
@@ -62,8 +62,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct MembershipHeader {
-    /// What the sender has accepted; nothing in an answer where it is the same
-    /// as in the ping.
+    /// What the sender has accepted: in each ping, and in its answer where it
+    /// is not the same.
     pub digest: Option<ConfigurationDigest>,
     /// How often the sender has refuted its death in this life.
     pub refutation: RefutationCount,
@@ -78,7 +78,10 @@
     /// Asks for an answer.
     Ping,
     /// Answers a ping.
-    Pong,
+    Pong {
+        /// The sequence number of the ping.
+        sequence: u64,
+    },
     /// Asks the receiver to ping a host that does not answer the sender.
     IndirectPing {
         /// The host to ping.
