--- a/crates/cardamomwinch_coordination/src/control/membership/rumours.rs
+++ b/crates/cardamomwinch_coordination/src/control/membership/rumours.rs
@@ -120,16 +120,15 @@
         self.queued.retain(|rumour| rumour.host != host);
     }
 
-    /// Whether there is news that is worth messages of its own.
-    pub(super) fn is_push_wanted(&self, now: Timestamp) -> bool {
-        self.unpushed && now >= self.next_push
-    }
-
-    /// Pays for so many messages with news, if that is within the budget.
+    /// Whether news is to be pushed now, and so many messages for it are within
+    /// the budget, which then pays for them.
     pub(super) fn begin_push(&mut self, now: Timestamp, messages: usize) -> bool {
+        if !self.unpushed || now < self.next_push || self.queued.is_empty() {
+            return false;
+        }
         self.budget.refill(now);
         let cost = ByteCount::new(PUSH_COST.get() * messages as u64);
-        if self.queued.is_empty() || !self.budget.spend(cost) {
+        if !self.budget.spend(cost) {
             return false;
         }
         self.unpushed = false;
--- a/crates/cardamomwinch_coordination/src/control/membership/ticking.rs
+++ b/crates/cardamomwinch_coordination/src/control/membership/ticking.rs
@@ -230,16 +230,14 @@
         context: &MembershipContext<'_>,
         output: &mut MembershipOutput,
     ) {
-        if !self.rumours.is_push_wanted(context.now) {
+        let messages = NEAR_PUSHES + FAR_PUSHES;
+        if !self.rumours.begin_push(context.now, messages) {
             return;
         }
         let near = self.reachable_mates();
         let far = self.reachable_strangers();
         let mut targets = self.jitter.sample(&near, NEAR_PUSHES);
         targets.extend(self.jitter.sample(&far, FAR_PUSHES));
-        if !self.rumours.begin_push(context.now, targets.len()) {
-            return;
-        }
         for host in targets {
             let header = self.header(context, host, PUSH_LIMIT);
             let content = MembershipContent::Rumours;
