--- a/crates/cardamomwinch_coordination/src/decision.rs
+++ b/crates/cardamomwinch_coordination/src/decision.rs
@@ -1,5 +1,7 @@
 //! Records of routing and placement decisions, for the decision log.
 
+use std::fmt;
+
 use cardamomwinch_state::prelude::{
     BackendId, ConfigurationVersion, DomainId, FlowKey, HostId, ServiceId, ShardId, Timestamp,
 };
@@ -57,6 +59,40 @@
     },
 }
 
+impl fmt::Display for DecisionReason {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::PlacedByTable => "placed_by_table",
+            Self::PlacedByLoad => "placed_by_load",
+            Self::Token => "token",
+            Self::Pin => "pin",
+            Self::RelayedDecision => "relayed_decision",
+            Self::RelayedToHome => "relayed_to_home",
+            Self::RelayedToThread => "relayed_to_thread",
+            Self::RelayedUnconfirmed => "relayed_unconfirmed",
+            Self::Retried => "retried",
+            Self::Refused => "refused",
+            Self::OutcomeUnknown => "outcome_unknown",
+            Self::Duplicate => "duplicate",
+            Self::UnknownFlow => "unknown_flow",
+            Self::ReassignedAddress => "reassigned_address",
+            Self::HomeChanged => "home_changed",
+            Self::ConfigurationAdopted => "configuration_adopted",
+            Self::BackendHealth => "backend_health",
+            Self::HostReachability(Reachability::Unknown) => "host_unknown",
+            Self::HostReachability(Reachability::Alive) => "host_alive",
+            Self::HostReachability(Reachability::Suspect) => "host_suspect",
+            Self::HostReachability(Reachability::Dead) => "host_dead",
+            Self::DomainReachability {
+                reachable: true, ..
+            } => "domain_reachable",
+            Self::DomainReachability {
+                reachable: false, ..
+            } => "domain_cut_off",
+        })
+    }
+}
+
 /// One decision.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DecisionRecord {
--- a/crates/cardamomwinch_coordination/src/traffic/caller_datagrams.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/caller_datagrams.rs
@@ -162,6 +162,9 @@
             ..routed.subject()
         };
         if context.snapshot.lease_at(shard, context.now).is_some() {
+            if self.frozen.is_frozen(shard, context.now) {
+                return context.count(Counter::FrozenDropped);
+            }
             if self.place.owns(shard) {
                 return self.serve_at_home(context, routed, claim, decided);
             }
@@ -179,6 +182,11 @@
                     DecisionSubject { peer, ..subject },
                 );
             }
+            // The lease comes within milliseconds, and the caller sends again: to
+            // say "outcome unknown" would end a request that can still run.
+            _ if self.frozen.is_awaited(shard, context.now) => {
+                context.count(Counter::FrozenDropped);
+            }
             _ => self.without_home(context, routed, claim, decided),
         }
     }
