Let releases of leases overtake each other

Cause: a host that stops releases its shards one after another. The network could always do this; it shows since reordered messages of a peer are no longer dropped, and hand-overs therefore follow each other faster.

Ruled out: dropping reordered messages again.

Change: a grant keeps the round it was given for, and a release ends it if its own round is later. Requests are taken in order as before.

--- a/crates/cardamomwinch_coordination/src/control/homes/voters.rs
+++ b/crates/cardamomwinch_coordination/src/control/homes/voters.rs
@@ -13,8 +13,9 @@
 //!   everybody else out anyway.
 //! - A candidate that has just started never heard of earlier voters, who may
 //!   still be counted on by a holder that lags behind; it is told of them.
-//! - Requests and releases of one host are taken in their order only, so that
-//!   a release that was held up cannot end a later grant.
+//! - Requests of one host are taken in their order only, and a release ends only
+//!   grants of earlier rounds, so that one that was held up cannot end a later
+//!   grant.
 
 use std::time;
 
@@ -47,6 +48,8 @@
     pub holder: CandidateLife,
     /// When it runs out, by this host's clock.
     pub until: Timestamp,
+    /// The round of the request that it was given or renewed for.
+    pub round: LeaseRound,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -174,14 +177,24 @@
             if !allowed {
                 continue;
             }
-            let holder = candidate;
-            self.grants.insert(shard, VoterGrant { holder, until });
+            let given = VoterGrant {
+                holder: candidate,
+                until,
+                round: request.round,
+            };
+            self.grants.insert(shard, given);
             grant.granted.insert(index);
         }
         Some(grant)
     }
 
     /// Ends grants that their holder gives up.
+    ///
+    /// Guards against releases that overtake each other: a host that stops
+    /// releases its shards one by one, and a release that came after a later
+    /// one would be taken for held up, so that its shard had no home until the
+    /// grant ran out. A release is held up only where the grant itself was
+    /// renewed for a later round.
     pub fn release(
         &mut self,
         world: &HomeWorld<'_>,
@@ -191,14 +204,15 @@
         let Some(entry) = world.hosts.get(candidate.host) else {
             return;
         };
-        if !self.in_order(candidate, release.round) {
-            return;
-        }
+        // Later requests of the same host are still told from held up ones.
+        self.in_order(candidate, release.round);
         for index in release.shards.iter(world.limits.shards_per_domain) {
             let domain = entry.domain;
             let shard = ShardId { domain, index };
             let held = self.grants.get(&shard);
-            if held.is_some_and(|grant| grant.holder == candidate) {
+            let ends =
+                |grant: &VoterGrant| grant.holder == candidate && grant.round < release.round;
+            if held.is_some_and(ends) {
                 self.grants.remove(&shard);
             }
         }
