--- a/crates/cardamomwinch_coordination/examples/membership_cost.rs
+++ b/crates/cardamomwinch_coordination/examples/membership_cost.rs
@@ -7,7 +7,8 @@
 //!
 //! Sizes are those of encoded messages with their authentication code and
 //! 28 bytes of UDP and IP headers. Sizes may be given; the baseline of
-//! all-to-all heartbeats runs up to 100 hosts.
+//! all-to-all heartbeats runs up to 100 hosts. With `cuts` before the sizes, a
+//! failure domain is cut off for a minute instead.
 
 #[path = "../tests/membership_network/mod.rs"]
 mod membership_network;
@@ -29,6 +30,8 @@
 const START_LIMIT: time::Duration = time::Duration::from_secs(240);
 /// The longest time that a dead host may take to be found.
 const DETECTION_LIMIT: time::Duration = time::Duration::from_secs(60);
+/// The longest time that both sides of a cut may take to notice it or its end.
+const CUT_LIMIT: time::Duration = time::Duration::from_secs(30);
 const SEED: u64 = 1;
 
 /// How much is measured, by the size of the fleet.
@@ -62,6 +65,12 @@
     } else {
         given.as_slice()
     };
+    if env::args()
+        .nth(1)
+        .is_some_and(|argument| argument == "cuts")
+    {
+        return measure_cuts(sizes);
+    }
     println!(
         "| way | hosts | loss | all known after s | B/s a host, mean | worst | messages/s | false deaths | false cuts | own domain finds death ms, median | worst | all find it ms, median | worst |"
     );
@@ -108,6 +117,58 @@
     );
 }
 
+fn measure_cuts(sizes: &[usize]) {
+    println!(
+        "| hosts | loss | all notice the cut ms | all see all after it ms | worst B/s a host | deaths |"
+    );
+    println!("|---|---|---|---|---|---|");
+    for hosts in sizes {
+        for loss in [0.0, 0.05] {
+            measure_cut(*hosts, loss);
+        }
+    }
+}
+
+/// Cuts one failure domain off for a minute.
+fn measure_cut(hosts: usize, loss: f64) {
+    let mut network = Network::<PeerMembership>::new(NetworkOptions::new(hosts, loss, SEED));
+    network.run_until(START_LIMIT, Network::all_see_all);
+    network.run(time::Duration::from_secs(20));
+    network.forget_traffic();
+    let begun = network.now;
+    let cut = membership_network::domain(1);
+    network.cut = vec![cut];
+    let inside = network.in_domain(cut);
+    let outside = network.running();
+    let outside = outside.into_iter().filter(|host| !inside.contains(host));
+    let outside: Vec<usize> = outside.collect();
+    let noticed = network.run_until(CUT_LIMIT, |network| {
+        let mut near = inside.iter();
+        near.all(|host| network.none_reaches(&outside, *host))
+            && outside
+                .iter()
+                .all(|host| network.none_reaches(&inside, *host))
+    });
+    network.run(time::Duration::from_secs(60));
+    network.cut.clear();
+    let healed = network.run_until(CUT_LIMIT, Network::all_see_all);
+    network.run(time::Duration::from_secs(20));
+    let seconds = network.now.since(begun).as_secs_f64();
+    let bytes = network.hosts.iter().map(|host| host.sent_bytes).max();
+    let worst = bytes.unwrap_or(0) as f64 / seconds;
+    let deaths = network.changes_to(Reachability::Dead, begun).len();
+    let text = |duration: Option<time::Duration>| {
+        duration.map_or("never".to_owned(), |duration| {
+            duration.as_millis().to_string()
+        })
+    };
+    println!(
+        "| {hosts} | {loss} | {} | {} | {worst:.0} | {deaths} |",
+        text(noticed),
+        text(healed)
+    );
+}
+
 /// Crashes `victim`, notes when its own domain and all others have found out,
 /// and starts it again.
 fn crash<P: MembershipPolicy>(
--- a/crates/cardamomwinch_coordination/src/control/event.rs
+++ b/crates/cardamomwinch_coordination/src/control/event.rs
@@ -90,7 +90,7 @@
 pub enum ControlEvent {
     /// The process has started.
     Start,
-    /// Time has passed. To be sent several times a second.
+    /// Time has passed. To be sent about every 100 ms.
     Tick,
     /// Another host sent a control message. The transport has authenticated it.
     Peer(PeerEnvelope),
