--- a/crates/cardamomwinch_coordination/src/traffic/handover_items.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/handover_items.rs
@@ -210,6 +210,7 @@
         shard,
         expires: item.expires,
         idempotent: item.idempotent,
+        may_have_run: state.may_have_run_before(),
         state,
     };
     Ok(KeyedRecord { key, record })
