Stay unsure for a lease longer after a cold start

Cause: a cold host began to hold 3 s after its start, which is when a running host has adopted the list at the latest; but that host's lease may run for another 1.5 s. Now the bound is 3 s plus one lease. A cold start finds its homes 1.5 s later.

--- a/crates/cardamomwinch_coordination/src/control/homes/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/homes/mod.rs
@@ -35,8 +35,10 @@
 const RENEWALS_PER_LEASE: u32 = 3;
 /// A host that stops is drained after this time at the latest.
 pub const STOP_LIMIT: time::Duration = time::Duration::from_secs(10);
-/// A cold host is unsure of earlier voters for this many leases.
-const UNSURE_LEASES: u32 = 2;
+/// A list is in force everywhere within this time. A cold host is unsure of
+/// earlier voters until then and for one lease more, which a holder that has
+/// lagged behind may still have left.
+const ADOPTION_BOUND: time::Duration = time::Duration::from_secs(3);
 
 /// What the rest of control knows and homes are decided by.
 #[derive(Debug, Clone, Copy)]
@@ -198,7 +200,7 @@
             let lease = world.limits.home_lease;
             self.voters.stay_silent(started.after(lease));
             self.leases
-                .be_unsure_until(started.after(lease * UNSURE_LEASES));
+                .be_unsure_until(started.after(ADOPTION_BOUND + lease));
         }
     }
 
