--- a/crates/cardamomwinch_coordination/src/traffic/event.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/event.rs
@@ -7,6 +7,10 @@
 
 /// Something that a traffic thread has to decide about.
 #[derive(Debug, Clone, Copy)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "an event is made on the stack and used at once, never stored"
+)]
 pub enum TrafficEvent<'a> {
     /// Time has passed. To be sent several times a second.
     Tick,
--- a/crates/cardamomwinch_coordination/src/traffic/serving.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/serving.rs
@@ -75,7 +75,8 @@
             return self.refuse_request(context, routed, arriving.shard, RefusalReason::Deadline);
         }
         if !header.idempotent && self.may_be_known_elsewhere(context, &claim, &header) {
-            return context.outcome_unknown(arriving.key.flow, header.id, RETRY_AFTER);
+            let retry_after = knows_after(context, arriving.shard, &header);
+            return context.outcome_unknown(arriving.key.flow, header.id, retry_after);
         }
         self.retry_budgets.note_first_try(
             routed.service.id,
@@ -89,7 +90,7 @@
     /// request can have been sent at most its longest lifetime before its
     /// deadline, so one whose deadline is late enough is certainly newer than
     /// this home's own records.
-    fn may_be_known_elsewhere<S: TrafficSink>(
+    pub(crate) fn may_be_known_elsewhere<S: TrafficSink>(
         &self,
         context: &EventContext<'_, S>,
         claim: &TokenClaim,
@@ -113,7 +114,7 @@
         arriving: &ArrivingRequest,
         attempt: AttemptNumber,
     ) {
-        if !Self::may_reach(context, routed, &claim) {
+        if !context.may_send(routed.datagram.flow.service, &claim) {
             let reason = RefusalReason::NoBackend;
             return self.refuse_attempt(context, arriving, attempt, reason, RETRY_AFTER);
         }
@@ -372,7 +373,7 @@
             return;
         };
         match &record.state {
-            RequestState::Queued { .. } => {}
+            RequestState::Queued { .. } | RequestState::Moved { .. } => {}
             RequestState::Running(running) => {
                 for kept in &running.kept {
                     let (attempt, part) = (running.attempt, kept.part);
@@ -415,6 +416,21 @@
     }
 }
 
+/// How long it takes until a request like this one is certainly newer than the
+/// records of this home.
+fn knows_after<S: TrafficSink>(
+    context: &EventContext<'_, S>,
+    shard: ShardId,
+    header: &RequestHeader,
+) -> time::Duration {
+    let lifetime = context.snapshot.configuration.limits.request_lifetime;
+    let lease = context.snapshot.lease_at(shard, context.now);
+    let since = lease.map_or(Timestamp::ZERO, |lease| lease.records_since);
+    since
+        .since(header.deadline.before(lifetime))
+        .max(RETRY_AFTER)
+}
+
 /// Whether a request may wait: the queue has room, its flow does not fill the
 /// queue alone, and there will be time left to serve it.
 fn may_wait(
