Specify homes and search all their states

Found on the way, and now rules of the specification: a grant and a word of a hand-over must be for one life of a host; a host that handed over must not ask again while its old grants run; records handed over must stay usable until the voters' grants end, not only until the holder's belief does; a deadline too far away must not be answered "not run".

--- /dev/null
+++ b/crates/cardamomwinch_model/src/homes/leases.rs
@@ -0,0 +1,333 @@
+//! Time, lives, grants and hand-overs.
+
+use crate::homes::state::{
+    CandidateState, HomeState, Inheritance, RequestPhase, RequestRecord, VoterState,
+};
+use crate::homes::{
+    HomeAction, HomeMistake, HomeProperty, HomeSpecification, ProcessIndex, StepSink, VOTER_COUNT,
+};
+
+impl HomeSpecification {
+    pub(crate) fn push_time(&self, state: &HomeState, sink: &mut StepSink<'_>) {
+        let mut next = state.clone();
+        for voter in &mut next.voters {
+            self.age_voter(voter);
+        }
+        for host in &mut next.hosts {
+            self.age_host(host);
+        }
+        for place in &mut next.dispatches {
+            let aged = place.map(|mut dispatch| {
+                dispatch.remaining -= 1;
+                dispatch
+            });
+            *place = aged.filter(|dispatch| dispatch.remaining > 0);
+        }
+        if let RequestPhase::Open(remaining) = next.phase {
+            next.phase = match remaining {
+                0 | 1 => RequestPhase::Over,
+                _ => RequestPhase::Open(remaining - 1),
+            };
+        }
+        if next.phase == RequestPhase::Over {
+            forget_request(&mut next);
+        }
+        if next != *state {
+            sink.push(HomeAction::Tick, next);
+        }
+    }
+
+    fn age_voter(&self, voter: &mut VoterState) {
+        voter.mute = voter.mute.saturating_sub(1);
+        if !self.makes(HomeMistake::GrantNeverExpires) {
+            voter.remaining = voter.remaining.saturating_sub(1);
+        }
+        if voter.remaining == 0 {
+            voter.holder = None;
+            voter.of_earlier_life = false;
+            if !self.makes(HomeMistake::LateTransferApplied) {
+                voter.transfer = None;
+            }
+        }
+    }
+
+    fn age_host(&self, host: &mut CandidateState) {
+        host.lease = host.lease.saturating_sub(1);
+        host.round = host.round.saturating_sub(1);
+        host.rest = host.rest.saturating_sub(1);
+        if host.lease == 0 {
+            host.frozen_for = None;
+            host.copied = false;
+        }
+        if host.round == 0 && !self.makes(HomeMistake::EarlierRoundCounted) {
+            host.granted = 0;
+        }
+        if !self.makes(HomeMistake::LateInheritance) {
+            host.inheritance.remaining = host.inheritance.remaining.saturating_sub(1);
+        }
+        if host.inheritance.remaining == 0 {
+            host.inheritance = Inheritance::default();
+        }
+    }
+
+    pub(crate) fn push_lives(&self, state: &HomeState, sink: &mut StepSink<'_>) {
+        for process in Self::voters() {
+            let mut next = state.clone();
+            if state.is_up(process) {
+                if state.crashes == 0 {
+                    continue;
+                }
+                next.crashes -= 1;
+                next.up[usize::from(process)] = false;
+                // Nothing is on disk, so that a new life knows nothing.
+                *next.host_mut(process) = CandidateState::default();
+                if !self.makes(HomeMistake::GrantOutlivesLife) {
+                    end_life(&mut next, process);
+                }
+                let transfer = state.voter(process).transfer;
+                *next.voter_mut(process) = VoterState {
+                    transfer,
+                    ..VoterState::default()
+                };
+                sink.push(HomeAction::Crash(process), next);
+            } else {
+                next.up[usize::from(process)] = true;
+                if !self.makes(HomeMistake::MuteOmitted) {
+                    next.voter_mut(process).mute = self.bounds.lease;
+                }
+                sink.push(HomeAction::Restart(process), next);
+            }
+        }
+    }
+
+    pub(crate) fn push_leases(&self, state: &HomeState, sink: &mut StepSink<'_>) {
+        for host in self.candidates().filter(|host| state.is_up(*host)) {
+            self.push_ask(state, host, sink);
+            for voter in Self::voters() {
+                self.push_grant(state, voter, host, sink);
+            }
+            self.push_acquire(state, host, sink);
+        }
+    }
+
+    fn push_ask(&self, state: &HomeState, host: ProcessIndex, sink: &mut StepSink<'_>) {
+        let asking = state.host(host);
+        let fresh = asking.round == self.belief() && asking.granted == 0;
+        if asking.frozen_for.is_some() || asking.rest > 0 || fresh {
+            return;
+        }
+        let mut next = state.clone();
+        let asking = next.host_mut(host);
+        asking.round = self.belief();
+        if !self.makes(HomeMistake::EarlierRoundCounted) {
+            asking.granted = 0;
+        }
+        sink.push(HomeAction::Ask(host), next);
+    }
+
+    fn may_grant(&self, voter: &VoterState, host: ProcessIndex) -> bool {
+        let renewed = voter.holder == Some(host) && !voter.of_earlier_life;
+        let free = voter.holder.is_none() || renewed;
+        voter.mute == 0 && (free || self.makes(HomeMistake::GrantWhileHeld))
+    }
+
+    fn push_grant(
+        &self,
+        state: &HomeState,
+        voter: ProcessIndex,
+        host: ProcessIndex,
+        sink: &mut StepSink<'_>,
+    ) {
+        if !state.is_up(voter) || !self.may_grant(state.voter(voter), host) {
+            return;
+        }
+        let mut granted = state.clone();
+        let vote = granted.voter_mut(voter);
+        vote.holder = Some(host);
+        vote.of_earlier_life = false;
+        vote.remaining = self.bounds.lease;
+        // Word of a hand-over names the grant that it gives up, so that it has
+        // no effect on a grant made since.
+        if !self.makes(HomeMistake::LateTransferApplied) {
+            vote.transfer = None;
+        }
+        let asking = state.host(host);
+        let bit = 1 << voter;
+        if asking.round > 0 && asking.granted & bit == 0 {
+            let mut next = granted.clone();
+            next.host_mut(host).granted |= bit;
+            sink.push(HomeAction::Grant(voter, host), next);
+        }
+        if granted != *state {
+            sink.push(HomeAction::LateGrant(voter, host), granted);
+        }
+    }
+
+    fn push_acquire(&self, state: &HomeState, host: ProcessIndex, sink: &mut StepSink<'_>) {
+        let asking = state.host(host);
+        let majority = asking.granted.count_ones() as usize * 2 > VOTER_COUNT;
+        if asking.round == 0 || !majority || asking.frozen_for.is_some() {
+            return;
+        }
+        let mut next = state.clone();
+        if asking.lease == 0 {
+            self.take_over(&mut next, host);
+        }
+        let late = self.makes(HomeMistake::LeaseFromArrival);
+        let holder = next.host_mut(host);
+        holder.lease = if late {
+            self.bounds.lease
+        } else {
+            holder.round
+        };
+        holder.round = 0;
+        if !self.makes(HomeMistake::EarlierRoundCounted) {
+            holder.granted = 0;
+        }
+        holder.believes = self.makes(HomeMistake::ClockNotRead);
+        let others = self.candidates().filter(|other| *other != host);
+        if others.into_iter().any(|other| state.host(other).lease > 0) {
+            next.fail(HomeProperty::OneHolder);
+        }
+        sink.push(HomeAction::Acquire(host), next);
+    }
+
+    fn take_over(&self, next: &mut HomeState, host: ProcessIndex) {
+        let phase = next.phase;
+        let holder = next.host_mut(host);
+        if holder.inheritance.remaining > 0 {
+            holder.record = holder.inheritance.record;
+            holder.may_be_known_elsewhere = holder.inheritance.may_be_known_elsewhere;
+            holder.inheritance = Inheritance::default();
+            return;
+        }
+        holder.may_be_known_elsewhere = match phase {
+            RequestPhase::Open(deadline) => self.is_earlier_than_records(deadline),
+            RequestPhase::Unsent | RequestPhase::Over => false,
+        };
+    }
+
+    /// Whether the deadline less the longest lifetime lies before the records of
+    /// a host that takes over now, so that an earlier home may have been sent
+    /// the request. Steps within one tick follow each other, so that a request
+    /// that was sent within this tick is earlier.
+    fn is_earlier_than_records(&self, deadline: u8) -> bool {
+        deadline <= self.bounds.lifetime && !self.makes(HomeMistake::RecordsSinceOmitted)
+    }
+
+    pub(crate) fn push_hand_overs(&self, state: &HomeState, sink: &mut StepSink<'_>) {
+        for host in self.candidates().filter(|host| state.is_up(*host)) {
+            self.push_freeze(state, host, sink);
+            self.push_copy(state, host, sink);
+            self.push_give_up(state, host, sink);
+        }
+        for voter in Self::voters().filter(|voter| state.is_up(*voter)) {
+            push_transfer(state, voter, sink);
+        }
+    }
+
+    fn push_freeze(&self, state: &HomeState, host: ProcessIndex, sink: &mut StepSink<'_>) {
+        if !state.host(host).serves() || state.hand_overs == 0 {
+            return;
+        }
+        for successor in self.candidates().filter(|other| *other != host) {
+            let mut next = state.clone();
+            next.hand_overs -= 1;
+            let holder = next.host_mut(host);
+            holder.frozen_for = Some(successor);
+            holder.round = 0;
+            holder.granted = 0;
+            sink.push(HomeAction::Freeze(host, successor), next);
+        }
+    }
+
+    fn push_copy(&self, state: &HomeState, host: ProcessIndex, sink: &mut StepSink<'_>) {
+        let holder = state.host(host);
+        let Some(successor) = holder.frozen_for else {
+            return;
+        };
+        if holder.copied || !state.is_up(successor) {
+            return;
+        }
+        // Nobody but the successor can be granted anything before the grants of
+        // this lease run out, which is by the skew later than its holder believes.
+        let left_behind = self.makes(HomeMistake::RecordsLeftBehind);
+        let mut next = state.clone();
+        next.host_mut(successor).inheritance = Inheritance {
+            remaining: holder.lease + self.bounds.skew,
+            record: match left_behind {
+                true => RequestRecord::Absent,
+                false => holder.record,
+            },
+            may_be_known_elsewhere: holder.may_be_known_elsewhere,
+        };
+        next.host_mut(host).copied = true;
+        sink.push(HomeAction::CopyRecords(host), next);
+    }
+
+    fn push_give_up(&self, state: &HomeState, host: ProcessIndex, sink: &mut StepSink<'_>) {
+        let holder = *state.host(host);
+        if !holder.copied {
+            return;
+        }
+        let mut next = state.clone();
+        let kept = match self.makes(HomeMistake::QueueKept) {
+            true => holder.record,
+            false => RequestRecord::Absent,
+        };
+        // The grants still run, and would give the lease back to a host that
+        // has handed its records over and forgotten them.
+        let rest = match self.makes(HomeMistake::AsksAfterGivingUp) {
+            true => 0,
+            false => holder.lease + self.bounds.skew,
+        };
+        *next.host_mut(host) = CandidateState {
+            record: kept,
+            rest,
+            ..CandidateState::default()
+        };
+        for voter in &mut next.voters {
+            if voter.holder == Some(host) {
+                voter.transfer = holder.frozen_for;
+            }
+        }
+        sink.push(HomeAction::GiveUp(host), next);
+    }
+}
+
+/// Grants, hand-overs and words of them are meant for one life of a host. A new
+/// life waits until they run out: what the earlier one has sent may still be
+/// under way to the server, and nobody remembers it.
+fn end_life(next: &mut HomeState, host: ProcessIndex) {
+    for voter in &mut next.voters {
+        voter.of_earlier_life |= voter.holder == Some(host);
+        voter.transfer = voter.transfer.filter(|successor| *successor != host);
+    }
+    for holder in &mut next.hosts {
+        holder.copied &= holder.frozen_for != Some(host);
+    }
+}
+
+fn push_transfer(state: &HomeState, voter: ProcessIndex, sink: &mut StepSink<'_>) {
+    let vote = state.voter(voter);
+    let (Some(successor), Some(_)) = (vote.transfer, vote.holder) else {
+        return;
+    };
+    let mut next = state.clone();
+    let vote = next.voter_mut(voter);
+    vote.holder = Some(successor);
+    vote.of_earlier_life = false;
+    vote.transfer = None;
+    sink.push(HomeAction::Transfer(voter), next);
+}
+
+/// Once the deadline has passed nothing about the request is decided any more.
+fn forget_request(next: &mut HomeState) {
+    for host in &mut next.hosts {
+        host.record = RequestRecord::Absent;
+        host.inheritance.record = RequestRecord::Absent;
+        host.may_be_known_elsewhere = false;
+        host.inheritance.may_be_known_elsewhere = false;
+    }
+    next.shed = 0;
+}
--- /dev/null
+++ b/crates/cardamomwinch_model/src/homes/mistake.rs
@@ -0,0 +1,97 @@
+//! Rules of the specification of homes that can be left out, one at a time.
+
+use std::fmt;
+
+use crate::homes::{HomeBounds, HomeProperty};
+
+macro_rules! mistakes {
+    ($($(#[$doc:meta])* $variant:ident => $property:ident,)*) => {
+        /// A rule that is left out, so that the search has something to find.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum HomeMistake {
+            $($(#[$doc])* $variant,)*
+        }
+
+        impl HomeMistake {
+            /// Every mistake.
+            pub const ALL: &'static [Self] = &[$(Self::$variant,)*];
+
+            /// The property that fails.
+            pub const fn property(self) -> HomeProperty {
+                match self {
+                    $(Self::$variant => HomeProperty::$property,)*
+                }
+            }
+
+            /// The smallest part of the world in which the property is seen to fail.
+            pub const fn bounds(self) -> HomeBounds {
+                match self.property() {
+                    HomeProperty::OneHolder | HomeProperty::HomeEmerges => {
+                        HomeBounds::leases_only()
+                    }
+                    HomeProperty::RunsOnce | HomeProperty::OneDispatcher => {
+                        HomeBounds::without_refusals()
+                    }
+                    HomeProperty::NotRunIsTrue | HomeProperty::CopyAnswered => {
+                        HomeBounds::with_request()
+                    }
+                }
+            }
+        }
+    };
+}
+
+mistakes! {
+    /// A voter grants while another host's grant runs.
+    GrantWhileHeld => OneHolder,
+    /// A voter grants at once after its start, having forgotten earlier grants.
+    MuteOmitted => OneHolder,
+    /// A candidate counts grants of earlier rounds.
+    EarlierRoundCounted => OneHolder,
+    /// A holder counts its lease from the arrival of the grants.
+    LeaseFromArrival => OneHolder,
+    /// A voter takes a late word of a hand-over for its present grant.
+    LateTransferApplied => OneHolder,
+    /// A home sends the request again for each copy.
+    DuplicateRuns => RunsOnce,
+    /// A home that took over without a hand-over trusts its empty records.
+    RecordsSinceOmitted => RunsOnce,
+    /// A host that has restarted may use the grants of its earlier life.
+    GrantOutlivesLife => RunsOnce,
+    /// A host that has handed over asks again while its old grants run.
+    AsksAfterGivingUp => RunsOnce,
+    /// A hand-over leaves the records behind.
+    RecordsLeftBehind => RunsOnce,
+    /// A host uses records that a predecessor gave it however old they are.
+    LateInheritance => RunsOnce,
+    /// A host keeps waiting requests after it has handed them over.
+    QueueKept => RunsOnce,
+    /// A host that slept goes on serving without a look at the clock.
+    ClockNotRead => RunsOnce,
+    /// A deadline too far away is answered "not run".
+    FarDeadlineRefused => NotRunIsTrue,
+    /// A refusal is not remembered.
+    RefusalForgotten => NotRunIsTrue,
+    /// A host that is not home refuses.
+    RefusedElsewhere => NotRunIsTrue,
+    /// A home refuses before it has asked whether an earlier one ran the request.
+    RefusedBeforeRecordsSince => NotRunIsTrue,
+    /// Word that an earlier attempt was shed is taken for the present one.
+    EarlierAttemptCounted => NotRunIsTrue,
+    /// A host acts on word of a shed attempt after it has copied its records.
+    FrozenHostCounts => NotRunIsTrue,
+    /// The server may begin the request until its deadline.
+    StartBeforeDeadlineOnly => OneDispatcher,
+    /// A waiting request is sent although the lease has run out.
+    QueueIgnoresLease => OneDispatcher,
+    /// A copy of a refused request is dropped.
+    RefusedCopyIgnored => CopyAnswered,
+    /// A voter never forgets a grant.
+    GrantNeverExpires => HomeEmerges,
+}
+
+impl fmt::Display for HomeMistake {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(self, formatter)
+    }
+}
--- /dev/null
+++ b/crates/cardamomwinch_model/src/lib.rs
@@ -0,0 +1,32 @@
+//! A small specification of the core protocol, and an exhaustive search of the
+//! states that it can reach.
+//!
+//! - [`homes`] specifies who is home of a shard and what a home does with a
+//!   request that must not run twice.
+//! - [`search`] visits every reachable state of a specification and says which
+//!   property fails, with a shortest trace.
+//!
+//! Every rule of a specification can be left out by a mistake, a switch that
+//! shows that the search would notice.
+//!
+//! ```
+//! use cardamomwinch_model::prelude::*;
+//!
+//! let sound = HomeSpecification::new(HomeBounds::leases_only());
+//! let report = search::explore(&sound, StateLimit::new(1_000_000)).unwrap();
+//! assert!(report.violation.is_none());
+//!
+//! let unsound = sound.with_mistake(HomeMistake::MuteOmitted);
+//! let report = search::explore(&unsound, StateLimit::new(1_000_000)).unwrap();
+//! let violation = report.violation.unwrap();
+//! assert_eq!(violation.property, HomeProperty::OneHolder);
+//! ```
+
+pub mod homes;
+pub mod search;
+
+/// What users of the specifications need most often.
+pub mod prelude {
+    pub use crate::homes::{HomeBounds, HomeMistake, HomeProperty, HomeSpecification};
+    pub use crate::search::{self, SearchReport, Specification, StateLimit};
+}
