Specify adoption and routing, and print what the search finds

Cause: what a host sends where depends on versions that hosts adopt unevenly, on pauses, cuts and a platform that goes back. Change: a second specification (three hosts, two failure domains, three versions that drain and then remove or reassign a server), 12 mistakes, and the program model-check.

--- /dev/null
+++ b/crates/cardamomwinch_model/src/adoption/state.rs
@@ -0,0 +1,150 @@
+//! The state of the specification of adoption and routing.
+
+use crate::adoption::{AdoptionBounds, AdoptionProperty, FAR_HOST, HOST_COUNT, HostIndex};
+
+/// A version of the configuration; zero where a host has none.
+pub type VersionNumber = u8;
+
+/// One of the two backend servers of the flow's service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum ServerChoice {
+    /// The one that is drained and then removed or reassigned.
+    First,
+    /// The one that stays.
+    Second,
+}
+
+/// Whether a host runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum HostPhase {
+    /// It does not run.
+    Down,
+    /// It is paused.
+    Paused,
+    /// It runs, but has not heard yet whether what it believes still holds.
+    Unconfirmed,
+    /// It decides about packets.
+    Serving,
+}
+
+/// One host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct HostState {
+    /// Whether it runs.
+    pub phase: HostPhase,
+    /// The version in force.
+    pub version: VersionNumber,
+    /// Whether it remembers the server of the flow.
+    pub pinned: bool,
+    /// Only with a mistake: it reads no more.
+    pub stopped_reading: bool,
+}
+
+impl HostState {
+    /// Whether it hears others.
+    pub fn is_awake(&self) -> bool {
+        matches!(self.phase, HostPhase::Unconfirmed | HostPhase::Serving)
+    }
+
+    /// Whether it decides about packets.
+    pub fn acts(&self) -> bool {
+        self.phase == HostPhase::Serving && self.version > 0
+    }
+}
+
+/// Where the flow stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum FlowState {
+    /// Not open yet.
+    Unopened,
+    /// Established on a server.
+    Open(ServerChoice),
+    /// Ended.
+    Over,
+}
+
+/// Everything.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AdoptionState {
+    /// The hosts.
+    pub hosts: [HostState; HOST_COUNT],
+    /// The last version that the platform has published.
+    pub published: VersionNumber,
+    /// The version that the platform answers with.
+    pub answered: VersionNumber,
+    /// Whether the failure domains are cut off from each other.
+    pub cut: bool,
+    /// Whether the process of the first server serves another service.
+    pub moved: bool,
+    /// The flow.
+    pub flow: FlowState,
+    /// A relayed packet under way, with the server that its sender has found.
+    pub relayed: Option<ServerChoice>,
+    /// Whether a host that remembered the flow has crashed.
+    pub pin_lost: bool,
+    /// Crashes, planned stops, pauses, relapses and cuts that may still happen.
+    pub budgets: FaultBudgets,
+    /// The property that failed, if any.
+    pub breach: Option<AdoptionProperty>,
+}
+
+/// What may still happen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct FaultBudgets {
+    /// Crashes.
+    pub crashes: u8,
+    /// Planned stops.
+    pub stops: u8,
+    /// Pauses.
+    pub pauses: u8,
+    /// Relapses of the platform.
+    pub relapses: u8,
+    /// Cuts between the failure domains.
+    pub cuts: u8,
+}
+
+impl AdoptionState {
+    /// All hosts serve version 1.
+    pub(crate) fn initial(bounds: &AdoptionBounds) -> Self {
+        let host = HostState {
+            phase: HostPhase::Serving,
+            version: 1,
+            pinned: false,
+            stopped_reading: false,
+        };
+        Self {
+            hosts: [host; HOST_COUNT],
+            published: 1,
+            answered: 1,
+            cut: false,
+            moved: false,
+            flow: FlowState::Unopened,
+            relayed: None,
+            pin_lost: false,
+            budgets: FaultBudgets {
+                crashes: bounds.crashes,
+                stops: bounds.stops,
+                pauses: bounds.pauses,
+                relapses: bounds.relapses,
+                cuts: bounds.cuts,
+            },
+            breach: None,
+        }
+    }
+
+    /// Whether two hosts can reach each other.
+    pub(crate) fn reaches(&self, one: HostIndex, other: HostIndex) -> bool {
+        !self.cut || (one == FAR_HOST) == (other == FAR_HOST)
+    }
+
+    /// Notes that `property` fails, unless another failed before.
+    pub(crate) fn fail(&mut self, property: AdoptionProperty) {
+        self.breach = self.breach.or(Some(property));
+    }
+
+    /// The hosts of the first failure domain are alike, so that states which
+    /// differ only in their numbering are searched once.
+    pub(crate) fn make_canonical(&mut self) {
+        self.hosts[..FAR_HOST].sort_unstable();
+    }
+}
--- a/crates/cardamomwinch_model/src/bin/model-check.rs
+++ b/crates/cardamomwinch_model/src/bin/model-check.rs
@@ -1,35 +1,118 @@
 //! Searches all states of the specifications and prints what was found.
 
+use std::fmt;
+use std::process;
+
 use cardamomwinch_model::prelude::*;
+use cardamomwinch_model::search::SearchError;
+use getopts::Options;
+
+/// Searches give up above this many states unless told otherwise.
+const DEFAULT_LIMIT: usize = 30_000_000;
+
+/// Prints what one search found; whether that is as `expected`.
+fn report<S: Specification>(
+    name: &dyn fmt::Display,
+    specification: &S,
+    expected: Option<S::Property>,
+    limit: StateLimit,
+) -> Result<bool, SearchError> {
+    let report = search::explore(specification, limit)?;
+    println!("{name}: {report}");
+    let found = report
+        .violation
+        .as_ref()
+        .map(|violation| violation.property);
+    match &report.violation {
+        Some(violation) => println!("  {violation}"),
+        None => println!("  nothing fails"),
+    }
+    Ok(found == expected)
+}
 
-fn main() {
-    for bounds in [
-        HomeBounds::leases_only(),
-        HomeBounds::with_request(),
-        HomeBounds::without_refusals(),
-    ] {
+fn check_sound(large: bool, limit: StateLimit) -> Result<bool, SearchError> {
+    let mut as_expected = true;
+    let mut homes = vec![
+        ("homes, leases only", HomeBounds::leases_only()),
+        (
+            "homes, one request, never refused",
+            HomeBounds::without_refusals(),
+        ),
+        ("homes, one request", HomeBounds::with_request()),
+    ];
+    if large {
+        homes.extend(HomeBounds::LARGE);
+    }
+    for (name, bounds) in homes {
         let sound = HomeSpecification::new(bounds);
-        match search::explore(&sound, StateLimit::new(60_000_000)) {
-            Ok(report) => {
-                println!("{bounds:?}: {report}");
-                if let Some(violation) = report.violation {
-                    println!("{violation}");
-                }
-            }
-            Err(error) => println!("{bounds:?}: {error}"),
-        }
+        as_expected &= report(&name, &sound, None, limit)?;
+    }
+    let mut adoption = AdoptionBounds::ALL.to_vec();
+    if large {
+        adoption.extend(AdoptionBounds::LARGE);
+    }
+    for (name, bounds) in adoption {
+        let sound = AdoptionSpecification::new(bounds);
+        as_expected &= report(&name, &sound, None, limit)?;
     }
+    Ok(as_expected)
+}
+
+fn check_mistakes(limit: StateLimit) -> Result<bool, SearchError> {
+    let mut as_expected = true;
     for mistake in HomeMistake::ALL {
-        let spec = HomeSpecification::new(mistake.bounds()).with_mistake(*mistake);
-        match search::explore(&spec, StateLimit::new(60_000_000)) {
-            Ok(report) => {
-                println!("{mistake}: {report}");
-                match report.violation {
-                    Some(violation) => println!("{violation}"),
-                    None => println!("NOT FOUND {mistake}"),
-                }
-            }
-            Err(error) => println!("{mistake}: {error}"),
+        let unsound = HomeSpecification::new(mistake.bounds()).with_mistake(*mistake);
+        as_expected &= report(mistake, &unsound, Some(mistake.property()), limit)?;
+    }
+    for mistake in AdoptionMistake::ALL {
+        let unsound = AdoptionSpecification::new(mistake.bounds()).with_mistake(*mistake);
+        as_expected &= report(mistake, &unsound, Some(mistake.property()), limit)?;
+    }
+    Ok(as_expected)
+}
+
+fn main() -> process::ExitCode {
+    let mut options = Options::new();
+    options.optflag("h", "help", "show this help");
+    options.optflag(
+        "l",
+        "large",
+        "search larger worlds too (gigabytes, minutes)",
+    );
+    options.optflag(
+        "m",
+        "mistakes",
+        "search with each mistake, and print its trace",
+    );
+    options.optopt("s", "states", "give up above this many states", "COUNT");
+    let matches = match options.parse(std::env::args().skip(1)) {
+        Ok(matches) => matches,
+        Err(error) => {
+            eprintln!("{error}\n{}", options.usage("Usage: model-check [OPTIONS]"));
+            return process::ExitCode::FAILURE;
+        }
+    };
+    if matches.opt_present("help") {
+        println!("{}", options.usage("Usage: model-check [OPTIONS]"));
+        return process::ExitCode::SUCCESS;
+    }
+    let limit = match matches.opt_get_default("states", DEFAULT_LIMIT) {
+        Ok(count) => StateLimit::new(count),
+        Err(error) => {
+            eprintln!("--states: {error}");
+            return process::ExitCode::FAILURE;
+        }
+    };
+    let outcome = match matches.opt_present("mistakes") {
+        true => check_mistakes(limit),
+        false => check_sound(matches.opt_present("large"), limit),
+    };
+    match outcome {
+        Ok(true) => process::ExitCode::SUCCESS,
+        Ok(false) => process::ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("{error}");
+            process::ExitCode::FAILURE
         }
     }
 }
--- a/crates/cardamomwinch_model/src/homes/mod.rs
+++ b/crates/cardamomwinch_model/src/homes/mod.rs
@@ -80,6 +80,32 @@
 }
 
 impl HomeBounds {
+    /// Worlds that take minutes to search.
+    pub const LARGE: [(&'static str, Self); 3] = [
+        (
+            "homes, leases only, three hosts",
+            Self {
+                candidates: 3,
+                crashes: 1,
+                ..Self::leases_only()
+            },
+        ),
+        (
+            "homes, leases only, two hand-overs",
+            Self {
+                hand_overs: 2,
+                ..Self::leases_only()
+            },
+        ),
+        (
+            "homes, one request, two crashes",
+            Self {
+                crashes: 2,
+                ..Self::with_request()
+            },
+        ),
+    ];
+
     /// Two hosts and a witness without a request.
     pub const fn leases_only() -> Self {
         Self {
--- a/crates/cardamomwinch_model/src/lib.rs
+++ b/crates/cardamomwinch_model/src/lib.rs
@@ -3,6 +3,8 @@
 //!
 //! - [`homes`] specifies who is home of a shard and what a home does with a
 //!   request that must not run twice.
+//! - [`adoption`] specifies which version a host has in force and where it
+//!   sends the packets of a flow.
 //! - [`search`] visits every reachable state of a specification and says which
 //!   property fails, with a shortest trace.
 //!
@@ -22,11 +24,15 @@
 //! assert_eq!(violation.property, HomeProperty::OneHolder);
 //! ```
 
+pub mod adoption;
 pub mod homes;
 pub mod search;
 
 /// What users of the specifications need most often.
 pub mod prelude {
+    pub use crate::adoption::{
+        AdoptionBounds, AdoptionMistake, AdoptionProperty, AdoptionSpecification, LastChange,
+    };
     pub use crate::homes::{HomeBounds, HomeMistake, HomeProperty, HomeSpecification};
     pub use crate::search::{self, SearchReport, Specification, StateLimit};
 }
