--- a/crates/cardamomwinch_model/src/adoption/flows.rs
+++ b/crates/cardamomwinch_model/src/adoption/flows.rs
@@ -15,6 +15,7 @@
     Token,
     Pin,
     Relayed,
+    Waiting,
     Table,
 }
 
@@ -26,6 +27,7 @@
                 for host in (0..HOST_COUNT).filter(|host| state.hosts[*host].acts()) {
                     self.push_carry(state, host, server, sink);
                     self.push_relayed(state, host, server, sink);
+                    self.push_waiting(state, host, server, sink);
                 }
             }
             FlowState::Over => {}
@@ -112,6 +114,27 @@
         }
     }
 
+    /// A request may wait at a home while that home adopts another version.
+    fn push_waiting(
+        &self,
+        state: &AdoptionState,
+        host: HostIndex,
+        server: ServerChoice,
+        sink: &mut StepSink<'_>,
+    ) {
+        let home = state.hosts[host];
+        if home.waiting {
+            let mut sent = *state;
+            sent.hosts[host].waiting = false;
+            let action = AdoptionAction::SendWaiting(host);
+            self.push_sent(&sent, host, server, ServerSource::Waiting, action, sink);
+        } else if home.pinned && !self.is_reassigned(state, host, server) {
+            let mut next = *state;
+            next.hosts[host].waiting = true;
+            sink.push(AdoptionAction::Hold(host), next);
+        }
+    }
+
     /// Whether the address of `server` belongs to another service in what
     /// `host` has in force.
     fn is_reassigned(&self, state: &AdoptionState, host: HostIndex, server: ServerChoice) -> bool {
@@ -125,6 +148,7 @@
             ServerSource::Token => AdoptionMistake::TokenUnguarded,
             ServerSource::Pin => AdoptionMistake::PinUnguarded,
             ServerSource::Relayed => AdoptionMistake::RelayedServerUnguarded,
+            ServerSource::Waiting => AdoptionMistake::WaitingUnguarded,
             ServerSource::Table => return true,
         };
         !self.makes(unguarded)
@@ -154,9 +178,7 @@
         } else {
             self.judge_packet(&mut next, host, server);
         }
-        if next != *state {
-            sink.push(action, next);
-        }
+        sink.push(action, next);
     }
 
     fn is_forgotten(&self, state: &AdoptionState, host: HostIndex, server: ServerChoice) -> bool {
@@ -189,5 +211,6 @@
     next.relayed = None;
     for host in &mut next.hosts {
         host.pinned = false;
+        host.waiting = false;
     }
 }
--- a/crates/cardamomwinch_model/src/adoption/mistake.rs
+++ b/crates/cardamomwinch_model/src/adoption/mistake.rs
@@ -54,6 +54,9 @@
     /// The server that a relaying host has found is trusted although its
     /// address now belongs to another service.
     RelayedServerUnguarded => OwnServiceOnly in REASSIGNED_WITHOUT_TOKEN,
+    /// A waiting request is sent although the address of its server belongs to
+    /// another service by now.
+    WaitingUnguarded => OwnServiceOnly in REASSIGNED_WITH_TOKEN,
     /// A host that slept acts before it has heard from others.
     ActsUnconfirmed => OwnServiceOnly in AdoptionBounds::trusting_servers(true),
     /// A host that stops leaves the servers of its flows untold.
--- a/crates/cardamomwinch_model/src/adoption/mod.rs
+++ b/crates/cardamomwinch_model/src/adoption/mod.rs
@@ -179,21 +179,33 @@
 pub struct AdoptionSpecification {
     pub(crate) bounds: AdoptionBounds,
     pub(crate) mistake: Option<AdoptionMistake>,
+    symmetric: bool,
 }
 
 impl AdoptionSpecification {
     /// The specification without a mistake.
     pub const fn new(bounds: AdoptionBounds) -> Self {
-        let mistake = None;
-        Self { bounds, mistake }
+        Self {
+            bounds,
+            mistake: None,
+            symmetric: true,
+        }
+    }
+
+    /// The same specification, in which hosts keep their numbers, so that a
+    /// trace can be read. More states are searched.
+    #[must_use]
+    pub const fn numbered(mut self) -> Self {
+        self.symmetric = false;
+        self
     }
 
     /// The same specification with one rule left out. Only the property that
-    /// the rule is for is judged, and hosts keep their numbers.
+    /// the rule is for is judged, since others may fail on a shorter way.
     #[must_use]
     pub const fn with_mistake(mut self, mistake: AdoptionMistake) -> Self {
         self.mistake = Some(mistake);
-        self
+        self.numbered()
     }
 
     pub(crate) fn makes(&self, mistake: AdoptionMistake) -> bool {
@@ -239,6 +251,10 @@
     Relay(HostIndex),
     /// A relayed packet arrives at a host.
     TakeRelayed(HostIndex),
+    /// A home lets a request of the flow wait for a slot.
+    Hold(HostIndex),
+    /// A home sends the waiting request.
+    SendWaiting(HostIndex),
 }
 
 impl fmt::Display for AdoptionAction {
@@ -280,11 +296,11 @@
         self.push_adoption(state, &mut sink);
         self.push_flow(state, &mut sink);
         for (_, next) in &mut steps[begun..] {
-            match self.mistake {
-                Some(mistake) => {
-                    next.breach = next.breach.filter(|found| *found == mistake.property());
-                }
-                None => next.make_canonical(),
+            if let Some(mistake) = self.mistake {
+                next.breach = next.breach.filter(|found| *found == mistake.property());
+            }
+            if self.symmetric {
+                next.make_canonical();
             }
         }
     }
--- a/crates/cardamomwinch_model/src/adoption/state.rs
+++ b/crates/cardamomwinch_model/src/adoption/state.rs
@@ -36,6 +36,8 @@
     pub version: VersionNumber,
     /// Whether it remembers the server of the flow.
     pub pinned: bool,
+    /// Whether a request of the flow waits here for a slot of its server.
+    pub waiting: bool,
     /// Only with a mistake: it reads no more.
     pub stopped_reading: bool,
 }
@@ -110,6 +112,7 @@
             phase: HostPhase::Serving,
             version: 1,
             pinned: false,
+            waiting: false,
             stopped_reading: false,
         };
         Self {
--- a/crates/cardamomwinch_model/src/adoption/versions.rs
+++ b/crates/cardamomwinch_model/src/adoption/versions.rs
@@ -168,6 +168,7 @@
         phase: HostPhase::Down,
         version: 0,
         pinned: false,
+        waiting: false,
         ..host
     }
 }
--- a/crates/cardamomwinch_model/src/homes/mod.rs
+++ b/crates/cardamomwinch_model/src/homes/mod.rs
@@ -162,14 +162,20 @@
         }
     }
 
+    /// The same specification, in which hosts keep their numbers, so that a
+    /// trace can be read. More states are searched.
+    #[must_use]
+    pub const fn numbered(mut self) -> Self {
+        self.symmetric = false;
+        self
+    }
+
     /// The same specification with one rule left out. Only the property that
-    /// the rule is for is judged, since others may fail on a shorter way. Hosts
-    /// keep their numbers, so that a trace can be read.
+    /// the rule is for is judged, since others may fail on a shorter way.
     #[must_use]
     pub const fn with_mistake(mut self, mistake: HomeMistake) -> Self {
         self.mistake = Some(mistake);
-        self.symmetric = false;
-        self
+        self.numbered()
     }
 
     pub(crate) fn makes(&self, mistake: HomeMistake) -> bool {
--- /dev/null
+++ b/crates/cardamomwinch_model/tests/conformance_faults.rs
@@ -0,0 +1,265 @@
+//! Where the traffic engine departed from the specification when they were
+//! first compared. Each test is the shortest trace to the departure.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod support;
+
+use std::net;
+use std::sync;
+use std::time;
+
+use cardamomwinch_coordination::prelude::*;
+use cardamomwinch_coordination::routing::lookup_table::LookupTables;
+use cardamomwinch_model::homes::CopyOutcome;
+use cardamomwinch_protocol::prelude::*;
+use cardamomwinch_state::prelude::*;
+
+use crate::support::{SmallWorld, WorldLayout};
+
+const FIRST: usize = 0;
+const SECOND: usize = 1;
+const ROOMY: WorldLayout = WorldLayout {
+    slots: 100,
+    connections: 100,
+};
+/// Ticks after which every record has been looked at.
+const SWEEPS: usize = 8;
+const MOMENT: time::Duration = time::Duration::from_millis(10);
+
+fn submission(world: &SmallWorld, id: u64, lifetime: time::Duration) -> RequestHeader {
+    RequestHeader {
+        id: RequestId::new(id),
+        idempotent: false,
+        deadline: world.now.after(lifetime),
+    }
+}
+
+fn opening(number: u16, header: RequestHeader) -> CallerDatagram<'static> {
+    CallerDatagram::open(support::flow(number), b"submission").with_request(header)
+}
+
+/// A caller whose deadline is too far away is told that its submission was not
+/// run. The home dies, and the fabric hands a late copy to the next home, which
+/// knows of no refusal and finds the deadline near enough by now: it runs.
+/// Cause: the refusal is remembered by one host, but said for good.
+/// Mistake `FarDeadlineRefused` of the specification.
+#[test]
+fn far_deadline_is_not_answered_with_not_run() {
+    let mut world = SmallWorld::new(ROOMY);
+    assert!(world.grant(FIRST));
+    let lifetime = world.limits.request_lifetime;
+    let header = submission(&world, 1, lifetime * 2);
+    let first = world.copy(FIRST, opening(1, header));
+    world.crash(FIRST);
+    world.advance(world.limits.home_lease);
+    assert!(world.grant(SECOND));
+    for _ in 0..lifetime.as_secs() {
+        world.advance(time::Duration::from_secs(1));
+        assert!(world.grant(SECOND), "renewed in time");
+    }
+    world.copy(SECOND, opening(1, header));
+    let under_way = world.under_way.len();
+    if under_way > 0 {
+        world.begin(0).unwrap();
+    }
+    let fate = world.fates[&header.id];
+    assert!(!fate.told_not_run || fate.runs == 0, "{fate:?}");
+    assert!(first.shows(CopyOutcome::OutcomeUnknown), "{first:?}");
+}
+
+/// A submission that opens its flow runs, and its home dies. The next home has
+/// no room for the flow and tells the caller that the submission was not run.
+/// Cause: an opening is refused for want of room before it is asked whether an
+/// earlier home may have run what it carries.
+/// Mistake `RefusedBeforeRecordsSince` of the specification.
+#[test]
+fn full_server_does_not_deny_what_an_earlier_home_ran() {
+    let mut world = SmallWorld::new(WorldLayout {
+        slots: 100,
+        connections: 1,
+    });
+    assert!(world.grant(FIRST));
+    let header = submission(&world, 1, world.limits.request_lifetime);
+    world.copy(FIRST, opening(1, header));
+    world.begin(0).unwrap();
+    world.crash(FIRST);
+    world.advance(world.limits.home_lease);
+    assert!(world.grant(SECOND));
+    world.copy(SECOND, CallerDatagram::open(support::flow(2), b"hello"));
+    let seen = world.copy(SECOND, opening(1, header));
+    let fate = world.fates[&header.id];
+    assert!(!fate.told_not_run || fate.runs == 0, "{fate:?}");
+    assert!(seen.shows(CopyOutcome::OutcomeUnknown), "{seen:?}");
+}
+
+/// A home with one submission running and one waiting loses touch with its
+/// voters, and its lease runs out. The running one is answered, and the host
+/// sends the waiting one to a server that another host may decide about by now.
+/// Cause: the queue is served without a look at the lease, and without a lease
+/// the server may begin the request until its deadline.
+/// Mistake `QueueIgnoresLease` of the specification.
+#[test]
+fn waiting_request_is_not_sent_without_a_lease() {
+    let mut world = SmallWorld::new(WorldLayout {
+        slots: 1,
+        connections: 100,
+    });
+    assert!(world.grant(FIRST));
+    let running = submission(&world, 1, world.limits.request_lifetime);
+    let waiting = submission(&world, 2, world.limits.request_lifetime);
+    assert!(
+        world
+            .copy(FIRST, opening(1, running))
+            .shows(CopyOutcome::Dispatch)
+    );
+    assert!(
+        world
+            .copy(FIRST, opening(2, waiting))
+            .shows(CopyOutcome::Queue)
+    );
+    let begun = world.begin(0).unwrap();
+    world.advance(world.limits.home_lease);
+    assert_eq!(world.home(), None);
+    let seen = world.reply(FIRST, &begun, false);
+    assert_eq!(
+        seen.dispatched, 0,
+        "sent after the lease: {:?}",
+        world.under_way
+    );
+}
+
+/// The view of a home that has adopted a version in which the address of the
+/// server `gone` belongs to another service, and another server takes its place.
+fn after_reassignment(world: &SmallWorld, gone: &BackendEntry) -> RoutingSnapshot {
+    let other = ServiceId::from_name("benchmark-desk");
+    let spare_address: net::SocketAddr = "127.0.0.1:9101".parse().unwrap();
+    let spare = BackendEntry {
+        id: BackendId::from_role(support::service(), "two", spare_address),
+        address: spare_address,
+        ..gone.clone()
+    };
+    let configuration = support::configuration(vec![spare]);
+    let addresses = [(gone.address, other), (spare_address, support::service())];
+    RoutingSnapshot {
+        generations: vec![sync::Arc::new(LookupTables::derive(&configuration, None))],
+        configuration: sync::Arc::new(configuration),
+        retained: [(gone.id, gone.clone())].into_iter().collect(),
+        server_addresses: sync::Arc::new(addresses.into_iter().collect()),
+        ..world.snapshot(FIRST)
+    }
+}
+
+/// Where `engine` sends datagrams when it handles `event`.
+fn addresses_reached(
+    engine: &mut TrafficEngine,
+    now: Timestamp,
+    snapshot: &RoutingSnapshot,
+    event: TrafficEvent<'_>,
+) -> Vec<net::SocketAddr> {
+    let mut reached = Vec::new();
+    let mut sink = |effect: TrafficEffect<'_>| {
+        if let TrafficEffect::ToBackend { address, .. } = effect {
+            reached.push(address);
+        }
+    };
+    engine.handle(now, snapshot, event, &mut sink);
+    reached
+}
+
+/// A server's address is given to another service while a flow without a token
+/// is open on it. A host that has not adopted the change yet relays a request
+/// of the flow, with the server that it has pinned, to the home, which has. The
+/// home sends it to the address, where the other service takes it.
+/// Cause: the server that a relaying host names is looked up among the servers
+/// of earlier versions, and its address is not compared with those in force.
+/// Mistake `RelayedServerUnguarded` of the specification.
+#[test]
+fn relayed_decision_does_not_reach_a_reassigned_address() {
+    let mut world = SmallWorld::new(ROOMY);
+    assert!(world.grant(FIRST));
+    let gone = support::server(ROOMY);
+    let snapshot = after_reassignment(&world, &gone);
+    let header = submission(&world, 1, world.limits.request_lifetime);
+    let frame = RelayFrame::Caller {
+        datagram: CallerDatagram::carry(support::flow(1), None, b"submission").with_request(header),
+        backend: Some(gone.id),
+        shard: gone.shard(1),
+        hops: 1,
+    };
+    let event = TrafficEvent::Relay(RelayEnvelope {
+        sender: world.host(SECOND),
+        version: ConfigurationVersion::new(1),
+        frame,
+    });
+    let mut engine = support::engine(world.host(FIRST), 1);
+    let reached = addresses_reached(&mut engine, world.now.after(MOMENT), &snapshot, event);
+    assert!(
+        !reached.contains(&gone.address),
+        "sent to the other service"
+    );
+}
+
+/// A submission waits for a slot while the address of its server is given to
+/// another service. The one before it is answered, and the waiting one is sent
+/// to the address, where the other service takes it.
+/// Cause: a waiting request is sent without a look at the addresses in force.
+#[test]
+fn waiting_request_does_not_reach_a_reassigned_address() {
+    let layout = WorldLayout {
+        slots: 1,
+        connections: 100,
+    };
+    let (world, mut engine, gone) = with_one_running_and_one_waiting(layout);
+    let snapshot = after_reassignment(&world, &gone);
+    let reply = BackendReply {
+        flow: support::flow(1),
+        backend: gone.id,
+        via: world.host(FIRST),
+        kind: BackendReplyKind::Answer {
+            request: RequestId::new(1),
+            attempt: AttemptNumber(0),
+            part: PartNumber::WHOLE,
+            payload: b"done",
+        },
+    };
+    let event = TrafficEvent::Fabric(FabricDatagram::Backend(reply));
+    let reached = addresses_reached(&mut engine, world.now.after(MOMENT), &snapshot, event);
+    assert!(
+        !reached.contains(&gone.address),
+        "sent to the other service"
+    );
+}
+
+/// A submission runs while the address of its server is given to another
+/// service. Its deadline passes, and the cancellation is sent to the address,
+/// where the other service takes it.
+/// Cause: a cancellation is sent without a look at the addresses in force.
+#[test]
+fn cancellation_does_not_reach_a_reassigned_address() {
+    let (world, mut engine, gone) = with_one_running_and_one_waiting(ROOMY);
+    let snapshot = after_reassignment(&world, &gone);
+    let after = world.now.after(world.limits.request_lifetime * 2);
+    for _ in 0..SWEEPS {
+        let reached = addresses_reached(&mut engine, after, &snapshot, TrafficEvent::Tick);
+        assert!(
+            !reached.contains(&gone.address),
+            "sent to the other service"
+        );
+    }
+}
+
+/// An engine that is home, and has taken two submissions.
+fn with_one_running_and_one_waiting(
+    layout: WorldLayout,
+) -> (SmallWorld, TrafficEngine, BackendEntry) {
+    let mut world = SmallWorld::new(layout);
+    assert!(world.grant(FIRST));
+    let mut engine = support::engine(world.host(FIRST), 1);
+    for number in [1, 2] {
+        let header = submission(&world, u64::from(number), world.limits.request_lifetime);
+        let event = TrafficEvent::Fabric(FabricDatagram::Caller(opening(number, header)));
+        addresses_reached(&mut engine, world.now, &world.snapshot(FIRST), event);
+    }
+    assert_eq!(engine.remembered_requests().len(), 2);
+    (world, engine, support::server(layout))
+}
--- a/crates/cardamomwinch_model/tests/homes.rs
+++ b/crates/cardamomwinch_model/tests/homes.rs
@@ -8,6 +8,7 @@
 #[yare::parameterized(
     leases = { HomeBounds::leases_only() },
     request_never_refused = { HomeBounds::without_refusals() },
+    request = { HomeBounds::with_request() },
 )]
 fn nothing_fails(bounds: HomeBounds) {
     let report = search::explore(&HomeSpecification::new(bounds), LIMIT).unwrap();
