--- a/crates/cardamomwinch_daemon/src/launch.rs
+++ b/crates/cardamomwinch_daemon/src/launch.rs
@@ -33,7 +33,7 @@
 use crate::peer_delivery::{self, PeerSender};
 use crate::platform_calls::PlatformCalls;
 use crate::snapshot_cell::SnapshotCell;
-use crate::stopping::{self, StopStatus};
+use crate::stopping::{self, DrainedFlag, StopStatus};
 use crate::traffic_effects::{TrafficOutlets, TrafficSockets};
 use crate::traffic_thread::{self, TrafficThread};
 
@@ -134,6 +134,9 @@
     }
 }
 
+/// The queue of the control thread.
+type ControlChannel = (Sender<ControlInput>, Receiver<ControlInput>);
+
 /// What all threads of the process share.
 struct HostParts {
     settings: HostSettings,
@@ -147,9 +150,9 @@
 
 fn serve(settings: HostSettings) -> Result<StopStatus, LaunchError> {
     let clock = HostClock::start();
-    let log = LogSink::start(io::stdout(), LOG_QUEUE, clock.clone()).context(LogSnafu)?;
+    let log = LogSink::start(io::stdout(), LOG_QUEUE, clock).context(LogSnafu)?;
     let level = level_filter(settings.log.level);
-    log.install(level, clock.clone()).context(LogSnafu)?;
+    log.install(level, clock).context(LogSnafu)?;
     let metrics = MetricsSink::install(PrometheusBuilder::new()).context(MetricsSnafu)?;
     let incarnation = Incarnation::new(clock.now().get());
     let identity = HostIdentity {
@@ -191,20 +194,21 @@
             traffic: traffic[0].local_address().context(SocketSnafu)?,
             relay: relay[0].local_address().context(SocketSnafu)?,
         };
+        let control = async_channel::bounded(queue);
         let mut threads = Vec::new();
         let sockets = traffic.into_iter().zip(relay);
         for (index, ((_, inputs), (traffic, relay))) in
             channels.into_iter().zip(sockets).enumerate()
         {
             let sockets = TrafficSockets { traffic, relay };
-            let thread = self.traffic_thread(index, count, inputs, &senders, sockets);
+            let thread = self.traffic_thread(index, count, inputs, &senders, &control.0, sockets);
             let name = format!("traffic-{index}");
             let main = async move |executor: &LocalExecutor<'static>| {
                 traffic_thread::run(thread, executor).await;
             };
             threads.push(ExecutorThread::start(&name, main).context(ThreadSnafu)?);
         }
-        let status = self.control(senders, bound)?;
+        let status = self.control(senders, bound, control)?;
         for thread in threads {
             thread.join().context(ThreadSnafu)?;
         }
@@ -217,6 +221,7 @@
         count: usize,
         inputs: Receiver<TrafficInput>,
         senders: &[Sender<TrafficInput>],
+        control: &Sender<ControlInput>,
         sockets: TrafficSockets,
     ) -> TrafficThread {
         let place = ThreadPlace {
@@ -227,6 +232,7 @@
         let outlets = TrafficOutlets::new(
             sockets,
             senders.to_vec(),
+            control.clone(),
             self.settings.keys.clone(),
             DecisionLogger::new(&self.log, limit),
             self.settings.host.clone(),
@@ -245,10 +251,11 @@
         self,
         threads: Vec<Sender<TrafficInput>>,
         bound: BoundAddresses,
+        channel: ControlChannel,
     ) -> Result<StopStatus, LaunchError> {
         let executor = rc::Rc::new(LocalExecutor::new());
         let shared = rc::Rc::clone(&executor);
-        async_io::block_on(executor.run(self.control_main(shared, threads, bound)))
+        async_io::block_on(executor.run(self.control_main(shared, threads, bound, channel)))
     }
 
     async fn control_main(
@@ -256,9 +263,10 @@
         executor: rc::Rc<LocalExecutor<'static>>,
         threads: Vec<Sender<TrafficInput>>,
         bound: BoundAddresses,
+        (inputs, received): ControlChannel,
     ) -> Result<StopStatus, LaunchError> {
         let settings = rc::Rc::new(self.settings.clone());
-        let (inputs, received) = async_channel::bounded(settings.bounds.datagram_queue);
+        let drained = DrainedFlag::default();
         let (stop, stop_requests) = async_channel::bounded(1);
         let module = peer_delivery::peer_module(inputs.clone()).context(MethodSnafu)?;
         let limits = PeerLimits::default();
@@ -296,13 +304,15 @@
             peers: peers.clone(),
             platform: PlatformCalls::from(&settings.platform),
             snapshots: self.snapshots.clone(),
+            threads: threads.clone(),
+            drained: drained.clone(),
             counters: CounterHandles::default(),
             logger: DecisionLogger::new(&self.log, settings.log.decisions_per_second),
             host: settings.host.clone(),
         };
-        let clock = self.timers.clock().clone();
+        let clock = *self.timers.clock();
         let engine = self.builder.build_control();
-        let driver = ControlDriver::new(engine, outlets, rc::Rc::clone(&settings), clock.clone());
+        let driver = ControlDriver::new(engine, outlets, rc::Rc::clone(&settings), clock);
         let seed = self.incarnation.get();
         let metrics = self.metrics.clone();
         let timers = self.timers.clone();
@@ -326,6 +336,7 @@
             &stop_requests,
             &inputs,
             &threads,
+            &drained,
             deadline,
             &clock,
         )
