Specify hand-overs as they were built, and search longer leases

Change: records taken in on commit, break-off, renewal while frozen, asking again; the word of a hand-over names the successor, and an earlier hand-over is worth nothing once a newer one has begun.

--- a/crates/cardamomwinch_model/src/homes/mistake.rs
+++ b/crates/cardamomwinch_model/src/homes/mistake.rs
@@ -25,18 +25,29 @@
 
             /// The smallest part of the world in which the property is seen to fail.
             pub const fn bounds(self) -> HomeBounds {
+                match self {
+                    Self::EarlierHandOverUsed => return HomeBounds::handed_over_twice().on_time(),
+                    Self::ReleasedToAnybody => return HomeBounds::three_hosts(),
+                    Self::FarDeadlineRefused => return HomeBounds::request_and_crash(),
+                    _ => {}
+                }
                 match self.property() {
                     HomeProperty::OneHolder | HomeProperty::HomeEmerges => {
                         HomeBounds::leases_only()
                     }
                     HomeProperty::RunsOnce | HomeProperty::OneDispatcher => {
-                        HomeBounds::without_refusals()
+                        HomeBounds::without_refusals().on_time()
                     }
                     HomeProperty::NotRunIsTrue | HomeProperty::CopyAnswered => {
-                        HomeBounds::with_request()
+                        HomeBounds::with_request().on_time()
                     }
                 }
             }
+
+            /// Whether the search takes a minute and gigabytes.
+            pub const fn is_large(self) -> bool {
+                matches!(self, Self::ReleasedToAnybody)
+            }
         }
     };
 }
@@ -56,12 +67,16 @@
     DuplicateRuns => RunsOnce,
     /// A home that took over without a hand-over trusts its empty records.
     RecordsSinceOmitted => RunsOnce,
-    /// A host that has restarted may use the grants of its earlier life.
-    GrantOutlivesLife => RunsOnce,
-    /// A host that has handed over asks again while its old grants run.
-    AsksAfterGivingUp => RunsOnce,
+    /// A home that took over trusts records from the moment of its lease on,
+    /// although the clock of a caller may be ahead of its own.
+    RecordsSinceWithoutSkew => RunsOnce,
+    /// A successor uses what an earlier hand-over left, after its predecessor
+    /// has been home again.
+    EarlierHandOverUsed => RunsOnce,
     /// A hand-over leaves the records behind.
     RecordsLeftBehind => RunsOnce,
+    /// A holder that hands over frees its grants for anybody.
+    ReleasedToAnybody => RunsOnce,
     /// A host uses records that a predecessor gave it however old they are.
     LateInheritance => RunsOnce,
     /// A host keeps waiting requests after it has handed them over.
@@ -80,6 +95,8 @@
     EarlierAttemptCounted => NotRunIsTrue,
     /// A host acts on word of a shed attempt after it has copied its records.
     FrozenHostCounts => NotRunIsTrue,
+    /// A host that has restarted may use the grants of its earlier life.
+    GrantOutlivesLife => OneDispatcher,
     /// The server may begin the request until its deadline.
     StartBeforeDeadlineOnly => OneDispatcher,
     /// A waiting request is sent although the lease has run out.
--- a/crates/cardamomwinch_model/src/homes/requests.rs
+++ b/crates/cardamomwinch_model/src/homes/requests.rs
@@ -134,6 +134,7 @@
                     sink.push(HomeAction::Dispatch(host), next);
                 }
             }
+            CopyOutcome::Queue if !self.bounds.queues => {}
             CopyOutcome::Queue => {
                 let mut next = state.clone();
                 next.host_mut(host).record = RequestRecord::Queued;
@@ -198,7 +199,7 @@
         let mut next = state.clone();
         let place = next.dispatches.iter_mut().find(|place| place.is_none())?;
         *place = Some(DispatchState {
-            sender: host,
+            sender: Some(host),
             attempt,
             remaining: start_before + self.bounds.skew,
         });
@@ -249,13 +250,17 @@
         }
     }
 
-    fn decided_by_another(&self, state: &HomeState, sender: ProcessIndex) -> bool {
-        let mut others = self.candidates().filter(|host| *host != sender);
+    /// Whether a home decides about the server without knowing of the run. A
+    /// home that a hand-over was not meant for may, until what the former home
+    /// has sent can begin no more.
+    fn decided_by_another(&self, state: &HomeState, sender: Option<ProcessIndex>) -> bool {
+        let mut others = self.candidates().filter(|host| Some(*host) != sender);
         let open = matches!(state.phase, RequestPhase::Open(_));
-        open && others.any(|host| {
-            let other = state.host(host);
-            other.lease > 0 && !matches!(other.record, RequestRecord::Running(_))
-        })
+        open && !state.successor_failed
+            && others.any(|host| {
+                let other = state.host(host);
+                other.lease > 0 && !matches!(other.record, RequestRecord::Running(_))
+            })
     }
 
     fn push_shed_news(
--- a/crates/cardamomwinch_model/src/homes/state.rs
+++ b/crates/cardamomwinch_model/src/homes/state.rs
@@ -36,13 +36,31 @@
     Refused,
 }
 
-/// What a successor has received from the host that hands over.
+impl RequestRecord {
+    /// The record that has got further, of two of the same request.
+    pub(crate) fn merged_with(self, other: Self) -> Self {
+        let progress = |record: Self| match record {
+            Self::Absent => 0,
+            Self::Queued => 1,
+            Self::Running(attempt) => 2 + attempt,
+            Self::Refused => u8::MAX,
+        };
+        match progress(other) > progress(self) {
+            true => other,
+            false => self,
+        }
+    }
+}
+
+/// What a successor has received from the host that has handed over.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Inheritance {
-    /// How long the lease of the predecessor would have run; zero where
-    /// nothing was received or it is too old to be used.
+    /// How long it may still be used; zero where there is nothing.
     pub remaining: u8,
-    /// What the predecessor remembers.
+    /// Whether the word that the predecessor gave up has come, or is still
+    /// under way.
+    pub committed: bool,
+    /// What the predecessor remembers, until the word has come.
     pub record: RequestRecord,
     /// Whether the predecessor may not know all that happened.
     pub may_be_known_elsewhere: bool,
@@ -59,10 +77,8 @@
     pub granted: u8,
     /// The successor, while a hand-over is under way.
     pub frozen_for: Option<ProcessIndex>,
-    /// Whether the successor has received the records.
-    pub copied: bool,
-    /// How long the host still does not ask again, having handed over.
-    pub rest: u8,
+    /// What the successor has put by, once it has.
+    pub copied: Option<RequestRecord>,
     /// What was received from a predecessor.
     pub inheritance: Inheritance,
     /// What the host remembers of the request.
@@ -84,8 +100,9 @@
 /// A request on its way to the server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct DispatchState {
-    /// The home that sent it.
-    pub sender: ProcessIndex,
+    /// The home that sent it; none where that life has ended, or where it has
+    /// handed over since.
+    pub sender: Option<ProcessIndex>,
     /// The attempt that it makes.
     pub attempt: u8,
     /// How long the server may still begin it, its clock being late.
@@ -121,6 +138,10 @@
     pub shed: u8,
     /// How often the request ran.
     pub runs: u8,
+    /// How long a former holder's last grants may still run after a hand-over.
+    pub handed_over: u8,
+    /// Whether a hand-over was followed by a home that it was not meant for.
+    pub successor_failed: bool,
     /// Whether the caller was told "not run".
     pub told_not_run: bool,
     /// Crashes that may still happen.
@@ -142,6 +163,8 @@
             dispatches: [None; DISPATCH_COUNT],
             shed: 0,
             runs: 0,
+            handed_over: 0,
+            successor_failed: false,
             told_not_run: false,
             crashes: bounds.crashes,
             hand_overs: bounds.hand_overs,
--- a/crates/cardamomwinch_model/src/homes/symmetry.rs
+++ b/crates/cardamomwinch_model/src/homes/symmetry.rs
@@ -36,7 +36,7 @@
         next.hosts[to] = host;
     }
     for dispatch in next.dispatches.iter_mut().flatten() {
-        dispatch.sender = renamed(dispatch.sender);
+        dispatch.sender = dispatch.sender.map(renamed);
     }
     next.dispatches.sort_unstable();
     next
--- a/crates/cardamomwinch_model/src/lib.rs
+++ b/crates/cardamomwinch_model/src/lib.rs
@@ -14,7 +14,8 @@
 //! ```
 //! use cardamomwinch_model::prelude::*;
 //!
-//! let sound = HomeSpecification::new(HomeBounds::leases_only());
+//! let bounds = HomeBounds { lease: 2, hand_overs: 0, ..HomeBounds::leases_only() };
+//! let sound = HomeSpecification::new(bounds);
 //! let report = search::explore(&sound, StateLimit::new(1_000_000)).unwrap();
 //! assert!(report.violation.is_none());
 //!
