--- a/crates/cardamomwinch_model/tests/conformance_homes.rs
+++ b/crates/cardamomwinch_model/tests/conformance_homes.rs
@@ -301,14 +301,14 @@
         records_since: None,
     };
     table.take_imported(now, &world, report, &mut out);
-    let rounds = out.iter().filter_map(|action| match action {
+    let mut rounds = out.iter().filter_map(|action| match action {
         HomeAction::Send {
             message: HomeMessage::Request(request),
             ..
         } => Some(request.round),
         _ => None,
     });
-    let round = rounds.last().expect("the successor asks at once");
+    let round = rounds.next_back().expect("the successor asks at once");
 
     now = now.after(MOMENT * 5);
     table.note_event(now, &world);
