--- a/crates/cardamomwinch_coordination/src/host_engine.rs
+++ b/crates/cardamomwinch_coordination/src/host_engine.rs
@@ -13,6 +13,7 @@
 use crate::control::ControlEngine;
 use crate::control::effect::ControlEffect;
 use crate::control::event::{ControlEvent, TakeOverReport};
+use crate::control::health::observation::BackendObservation;
 use crate::identity::{HostIdentity, ThreadPlace};
 use crate::snapshot::RoutingSnapshot;
 use crate::traffic::TrafficEngine;
@@ -102,10 +103,12 @@
         hand_over: HandOverId,
         frozen_until: Timestamp,
     },
+    Thaw(ShardId),
     Forget(ShardId),
     TakeOver(HandOverChunk),
     Exported(HandOverChunk),
     Imported(TakeOverReport),
+    Observed(Vec<BackendObservation>),
 }
 
 /// One host: its control engine, one traffic engine, and the snapshot between.
@@ -146,6 +149,10 @@
                 let event = ControlEvent::TookOver(*report);
                 return self.handle_control(now, event, passed, sink);
             }
+            PassedEvent::Observed(observations) => {
+                let event = ControlEvent::Observed(observations.clone());
+                return self.handle_control(now, event, passed, sink);
+            }
             PassedEvent::Release {
                 hand_over,
                 frozen_until,
@@ -153,6 +160,7 @@
                 hand_over: *hand_over,
                 frozen_until: *frozen_until,
             },
+            PassedEvent::Thaw(shard) => TrafficEvent::ThawShard { shard: *shard },
             PassedEvent::Forget(shard) => TrafficEvent::ForgetShard { shard: *shard },
             PassedEvent::TakeOver(chunk) => TrafficEvent::TakeOver { chunk },
         };
@@ -169,6 +177,9 @@
         let mut emit = |effect: TrafficEffect<'_>| match effect {
             TrafficEffect::HandOver { chunk } => passed.push_back(PassedEvent::Exported(chunk)),
             TrafficEffect::TookOver(report) => passed.push_back(PassedEvent::Imported(report)),
+            TrafficEffect::Observe(observations) => {
+                passed.push_back(PassedEvent::Observed(observations));
+            }
             effect => sink.emit(HostEffect::Traffic(effect)),
         };
         self.traffic.handle(now, &self.snapshot, event, &mut emit);
@@ -191,6 +202,7 @@
                 hand_over,
                 frozen_until,
             }),
+            ControlEffect::ThawShard { shard } => passed.push_back(PassedEvent::Thaw(shard)),
             ControlEffect::ForgetShard { shard } => passed.push_back(PassedEvent::Forget(shard)),
             ControlEffect::TakeOver { chunk } => passed.push_back(PassedEvent::TakeOver(chunk)),
             effect => sink.emit(HostEffect::Control(effect)),
--- a/crates/cardamomwinch_coordination/src/traffic/handover.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/handover.rs
@@ -25,8 +25,8 @@
 use crate::traffic::ledger::QueueEntry;
 use crate::traffic::packing::{ChunkPacker, HandOverFullError};
 use crate::traffic::pins::FlowPin;
-use crate::traffic::requests::RequestState;
-use crate::traffic::{resolve, sweeping};
+use crate::traffic::requests::{RequestKey, RequestState};
+use crate::traffic::resolve;
 
 /// Replies that are held back for one shard; more are dropped.
 const HELD_BACK_LIMIT: usize = 256;
@@ -42,6 +42,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct FrozenShards {
     shards: SortedVector<ShardId, FrozenShard>,
+    /// Shards taken over whose lease is still to come, and how long that may take.
+    awaited: SortedVector<ShardId, Timestamp>,
 }
 
 impl FrozenShards {
@@ -52,6 +54,12 @@
             .is_some_and(|frozen| now < frozen.until)
     }
 
+    /// Whether `shard` was handed over to this host just now, so that its lease
+    /// is to be expected.
+    pub(crate) fn is_awaited(&self, shard: ShardId, now: Timestamp) -> bool {
+        self.awaited.get(&shard).is_some_and(|until| now < *until)
+    }
+
     /// Keeps a reply until it is known who is home.
     pub(crate) fn hold_back(&mut self, shard: ShardId, reply: &BackendReply<'_>) {
         let Some(frozen) = self.shards.get_mut(&shard) else {
@@ -212,18 +220,10 @@
         if let Some(frozen) = self.frozen.shards.get_mut(&shard) {
             frozen.handed_over = true;
         }
-        let mut released = 0;
-        self.requests.retain(|_, record| {
-            let keep = record.shard != shard;
-            if !keep {
-                released += sweeping::kept_bytes(&record.state);
-            }
-            keep
-        });
-        self.held_bytes = self.held_bytes.saturating_sub(released);
+        self.requests.retain(|_, record| record.shard != shard);
         let snapshot = context.snapshot;
         self.ledgers
-            .retain(|backend| !is_in(snapshot, backend, shard));
+            .retain(|backend, _| !is_in(snapshot, backend, shard));
         self.pins.retain(|flow, pin| {
             if resolve::shard_of(snapshot, &pin.claim) != shard {
                 return true;
@@ -234,9 +234,21 @@
         });
     }
 
+    pub(crate) fn thaw_shard<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        shard: ShardId,
+    ) {
+        if let Some(frozen) = self.frozen.shards.get_mut(&shard) {
+            frozen.until = context.now;
+        }
+        self.thaw(context);
+    }
+
     /// Sends on, or applies, what was held back for shards that are frozen no more.
     pub(crate) fn thaw<S: TrafficSink>(&mut self, context: &mut EventContext<'_, S>) {
         let now = context.now;
+        self.frozen.awaited.retain(|_, until| now < *until);
         let mut thawed = Vec::new();
         self.frozen.shards.retain(|shard, frozen| {
             let keep = !frozen.handed_over && now < frozen.until;
@@ -254,22 +266,6 @@
         }
     }
 
-    /// Sends waiting requests of servers whose home this is (again).
-    pub(crate) fn start_waiting<S: TrafficSink>(&mut self, context: &mut EventContext<'_, S>) {
-        let snapshot = context.snapshot;
-        let ledgers = self.ledgers.iter();
-        let waiting: Vec<&BackendEntry> = ledgers
-            .filter(|(_, ledger)| !ledger.queue.is_empty())
-            .filter_map(|(backend, _)| snapshot.backend(*backend))
-            .collect();
-        if !self.may_act(context.now, snapshot) {
-            return;
-        }
-        for entry in waiting {
-            self.start_queued(context, entry);
-        }
-    }
-
     pub(crate) fn take_over<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
@@ -279,6 +275,8 @@
         if !self.place.owns(shard) {
             return;
         }
+        let lease = context.snapshot.configuration.limits.home_lease;
+        self.frozen.awaited.insert(shard, context.now.after(lease));
         let mut whole = true;
         for item in &chunk.items {
             whole &= match item {
@@ -351,31 +349,28 @@
             if progress(&known.state) >= progress(&record.state) {
                 return true;
             }
-            self.uncount_record(&known.state.clone());
+            self.uncount_record(&key);
         }
         let queued = QueueEntry { hash, key };
-        match &record.state {
-            RequestState::Queued { backend, .. } => {
-                self.ledgers.of(*backend).queue.push_back(queued);
+        let waits = record.state.clone();
+        if self.requests.insert(hash, key, record).is_err() {
+            context.count(Counter::TableFull);
+            return false;
+        }
+        match waits {
+            RequestState::Queued { backend, held, .. } => {
+                self.take_waiting(context, backend, queued, held.header.deadline);
             }
-            RequestState::Running(running) => self.ledgers.of(running.backend).busy += 1,
+            RequestState::Running(running) => self.take_running(context, queued, &running),
             _ => {}
         }
-        self.held_bytes += sweeping::kept_bytes(&record.state);
-        let counted = record.state.clone();
-        if self.requests.insert(hash, key, record).is_ok() {
-            return true;
-        }
-        self.uncount_record(&counted);
-        context.count(Counter::TableFull);
-        false
+        true
     }
 
-    fn uncount_record(&mut self, state: &RequestState) {
-        self.held_bytes = self.held_bytes.saturating_sub(sweeping::kept_bytes(state));
-        if let RequestState::Running(running) = state {
-            let ledger = self.ledgers.of(running.backend);
-            ledger.busy = ledger.busy.saturating_sub(1);
+    fn uncount_record(&mut self, key: &RequestKey) {
+        for (_, ledger) in self.ledgers.iter_mut() {
+            ledger.finish(key);
+            ledger.leave_queue(key);
         }
     }
 }
--- a/crates/cardamomwinch_coordination/tests/homes_leases.rs
+++ b/crates/cardamomwinch_coordination/tests/homes_leases.rs
@@ -23,6 +23,8 @@
 const OWN: std::ops::Range<usize> = 0..5;
 const SHARDS: u16 = 2;
 const STEP: u64 = 25_000;
+/// A cold host is unsure for 3 s.
+const COLD_MARGIN: u64 = 2_500_000;
 
 /// What a run came to.
 #[derive(Debug, Default, Clone, Copy)]
@@ -51,7 +53,11 @@
         exchange.faults = Faults {
             loss: 0.05,
             doubled: 0.1,
-            delay: 60_000,
+            delay: if seed.is_multiple_of(3) {
+                400_000
+            } else {
+                60_000
+            },
         };
         Self {
             exchange,
@@ -140,8 +146,16 @@
         }
     }
 
-    /// A cold host takes the highest list that anybody gives it.
+    /// A cold host takes the highest list that anybody gives it. None starts
+    /// while a running host of the domain is to lag behind for longer than a
+    /// cold host stays unsure: were the voters cold as well, nobody could tell
+    /// it of the earlier list (docs/design/home-leases.md, what cannot hold).
     fn start(&mut self, host: usize) {
+        let limit = self.exchange.now + COLD_MARGIN;
+        let mut pending = self.due.iter();
+        if pending.any(|(at, host, _)| *at > limit && self.exchange.is_up(*host)) {
+            return;
+        }
         self.known[host] = self.version();
         self.exchange.start(host, self.version());
     }
@@ -306,3 +320,38 @@
     assert!(exchange.all_held(DomainId::from_name("a"), 8));
     assert!(exchange.all_held(DomainId::from_name("b"), 8));
 }
+
+/// A host is paused for longer than a lease and wakes with its old beliefs. It
+/// holds nothing until others grant it anew, and for one lease it promises
+/// nothing itself, since it cannot know what it missed.
+#[test]
+fn a_host_that_slept_holds_and_promises_nothing_at_first() {
+    let mut exchange = Exchange::new(9, HOSTS, 8);
+    exchange.publish(&[0, 1, 2, 5, 6], &[]);
+    for host in [0, 1, 2, 5, 6] {
+        exchange.start(host, 1);
+    }
+    exchange.pass(6_000_000);
+    exchange.pause(0, 5_000_000);
+    exchange.pass(5_050_000);
+    let engine = exchange.hosts[0].engine.as_ref().unwrap();
+    let held = engine.control().homes().leases().held(exchange.local(0));
+    assert_eq!(held.count(), 0);
+    for _ in 0..14 {
+        exchange.pass(100_000);
+        let now = exchange.local(0);
+        let engine = exchange.hosts[0].engine.as_ref().unwrap();
+        let homes = engine.control().homes();
+        assert!(
+            homes
+                .voters()
+                .grants()
+                .values()
+                .all(|grant| grant.until <= now)
+        );
+    }
+    exchange.pass(8_000_000);
+    let domain = DomainId::from_name("a");
+    assert!(exchange.all_held(domain, 8));
+    assert!((0..8).any(|index| exchange.holders(ShardId { domain, index }) == [0]));
+}
--- a/crates/cardamomwinch_protocol/src/administration.rs
+++ b/crates/cardamomwinch_protocol/src/administration.rs
@@ -46,11 +46,12 @@
     }
 }
 
-/// A fragment that is not in force.
+/// A published document that is not in force.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct RefusedFragmentReport {
-    /// The team that published it.
+    /// The team that published it; `root` or `hosts` for a document that
+    /// concerns all teams.
     pub team: String,
     /// Its revision.
     pub revision: FragmentRevision,
@@ -204,7 +205,8 @@
     /// The host that decides about the shard; absent where none is known.
     pub home_host: Option<String>,
     /// Whether the host that answers holds the lease on the shard and answers
-    /// for every request that is sent from now on.
+    /// for every request that is sent from now on. Older hosts do not say.
+    #[serde(default)]
     pub holds_home: bool,
 }
 
