--- a/crates/cardamomwinch_coordination/src/control/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/mod.rs
@@ -366,7 +366,7 @@
                     self.health
                         .note_configuration(now, earlier, &resolution.configuration);
                     self.publisher
-                        .adopt(resolution.configuration, resolution.domain_names);
+                        .adopt(now, resolution.configuration, resolution.domain_names);
                     let record = self.adopted_record(now);
                     sink.emit(ControlEffect::Decide(record));
                     changed = true;
--- a/crates/cardamomwinch_coordination/src/traffic/replies.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/replies.rs
@@ -3,7 +3,7 @@
 
 use cardamomwinch_protocol::prelude::{
     AttemptNumber, BackendReply, BackendReplyKind, CallerKind, CallerReplyKind, PartNumber,
-    RefusalReason, RelayFrame, ResetReason,
+    RefusalReason, RelayFrame, TokenClaim,
 };
 use cardamomwinch_state::prelude::{BackendId, FlowHash, RequestId, ShardId, Timestamp};
 
@@ -23,23 +23,90 @@
         reply: &BackendReply<'_>,
     ) {
         tell_caller(context, reply);
-        if matches!(
-            reply.kind,
-            BackendReplyKind::Notice { .. } | BackendReplyKind::Opened
-        ) {
-            return;
+        match reply.kind {
+            BackendReplyKind::Notice { .. } => return,
+            BackendReplyKind::Opened => return self.tell_opened(context, reply),
+            _ => {}
+        }
+        if let BackendReplyKind::UnknownFlow { .. } = reply.kind {
+            return self.take_unknown(context, reply);
         }
-        // A server that is neither in force nor retained has no known shard;
-        // the host that forwarded the request accounts for it.
         let entry = context.snapshot.backend(reply.backend);
-        let shard = entry.map(|entry| context.snapshot.shard_of(entry));
-        match shard {
+        match entry.map(|entry| context.snapshot.shard_of(entry)) {
             Some(shard) => self.account(context, reply, shard, 0),
-            None if reply.via == self.identity.host => self.apply(context, reply),
+            None => self.account_by_sender(context, reply),
+        }
+    }
+
+    /// Tells the caller that its flow is open, and gives it its token. Only the
+    /// server's word says so: if its datagram is lost on the way, the caller
+    /// must send its opening again instead of data for a flow that is not open.
+    pub(crate) fn tell_opened<S: TrafficSink>(
+        &self,
+        context: &mut EventContext<'_, S>,
+        reply: &BackendReply<'_>,
+    ) {
+        match context.snapshot.backend(reply.backend) {
+            Some(entry) => {
+                let token = self.tokens.issue(&reply.flow, TokenClaim::from(entry));
+                context.reply(reply.flow, CallerReplyKind::Opened { token });
+            }
+            None if reply.via != self.identity.host => self.relay_to_sender(context, reply),
             None => {}
         }
     }
 
+    /// Brings a reply of a server that this host does not know to the host that
+    /// had sent it what it replies to, which knew it. This host may be behind in
+    /// its configuration; without the reply the slot would stay taken until the
+    /// deadline.
+    fn account_by_sender<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        reply: &BackendReply<'_>,
+    ) {
+        if reply.via == self.identity.host {
+            return self.apply(context, reply);
+        }
+        self.relay_to_sender(context, reply);
+    }
+
+    fn relay_to_sender<S: TrafficSink>(
+        &self,
+        context: &mut EventContext<'_, S>,
+        reply: &BackendReply<'_>,
+    ) {
+        if let Some(shard) = context.snapshot.any_shard() {
+            let reply = shortened(reply);
+            let frame = RelayFrame::Backend {
+                reply,
+                shard,
+                hops: 1,
+            };
+            context.relay(reply.via, frame);
+        }
+    }
+
+    /// Takes a reply that another host or thread passed on. What this host
+    /// knows of the server goes before what the sender took for its shard.
+    pub(crate) fn take_relayed_reply<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        reply: &BackendReply<'_>,
+        shard: ShardId,
+        hops: u8,
+    ) {
+        if let BackendReplyKind::Opened = reply.kind {
+            return self.tell_opened(context, reply);
+        }
+        let entry = context.snapshot.backend(reply.backend);
+        match entry.map(|entry| context.snapshot.shard_of(entry)) {
+            Some(known) => self.account(context, reply, known, hops),
+            None if reply.via == self.identity.host => self.apply(context, reply),
+            None => self.account(context, reply, shard, hops),
+        }
+    }
+
     /// Brings a reply to the thread that counts for its server.
     pub(crate) fn account<S: TrafficSink>(
         &mut self,
@@ -87,6 +154,7 @@
                     part,
                     payload,
                 };
+                self.confirm_search(context, hash, reply);
                 let key = request_key(reply, request);
                 self.note_part(context, hash, reply.backend, &key, answered);
             }
@@ -100,16 +168,12 @@
                     None => self.note_opening_shed(context, hash, reply),
                 }
             }
-            BackendReplyKind::UnknownFlow => {
-                self.end_flow_requests(context, reply.backend, &reply.flow);
-                self.forget_flow(context, reply.flow, ResetReason::UnknownFlow);
-            }
             BackendReplyKind::Closed => {
-                if let Some(pin) = self.pins.remove(hash, &reply.flow) {
-                    self.uncount(&pin);
-                }
+                self.remove_pin(hash, &reply.flow);
             }
-            BackendReplyKind::Opened | BackendReplyKind::Notice { .. } => {}
+            BackendReplyKind::Opened
+            | BackendReplyKind::Notice { .. }
+            | BackendReplyKind::UnknownFlow { .. } => {}
         }
     }
 
--- a/crates/cardamomwinch_coordination/src/traffic/requests.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/requests.rs
@@ -127,6 +127,12 @@
         /// Why.
         reason: RefusalReason,
     },
+    /// Its server did not hold the flow, so that it did not run there; it was
+    /// passed on to the home of the next server that the flow may belong to.
+    Moved {
+        /// The server.
+        backend: BackendId,
+    },
     /// It was sent and its outcome is not known.
     Unknown,
 }
@@ -141,7 +147,10 @@
             Self::Answered {
                 kept: Some(kept), ..
             } => sum(kept),
-            Self::Answered { kept: None, .. } | Self::Refused { .. } | Self::Unknown => 0,
+            Self::Answered { kept: None, .. }
+            | Self::Refused { .. }
+            | Self::Moved { .. }
+            | Self::Unknown => 0,
         }
     }
 
@@ -150,7 +159,7 @@
         match self {
             Self::Queued { attempt, .. } => attempt.0 > 0,
             Self::Running(running) => running.attempt.0 > 0,
-            Self::Refused { .. } => false,
+            Self::Refused { .. } | Self::Moved { .. } => false,
             Self::Answered { .. } | Self::Unknown => true,
         }
     }
