--- a/crates/cardamomwinch_model/tests/conformance_faults.rs
+++ b/crates/cardamomwinch_model/tests/conformance_faults.rs
@@ -186,7 +186,8 @@
     let header = submission(&world, 1, world.limits.request_lifetime);
     let frame = RelayFrame::Caller {
         datagram: CallerDatagram::carry(support::flow(1), None, b"submission").with_request(header),
-        backend: Some(gone.id),
+        decided: Some(TokenClaim::from(&gone)),
+        search: None,
         shard: gone.shard(1),
         hops: 1,
     };
--- a/crates/cardamomwinch_model/tests/support/mod.rs
+++ b/crates/cardamomwinch_model/tests/support/mod.rs
@@ -205,7 +205,8 @@
 struct Relayed {
     to: HostId,
     datagram: CallerDatagram<'static>,
-    backend: Option<BackendId>,
+    decided: Option<TokenClaim>,
+    search: Option<FlowSearch>,
     shard: ShardId,
     hops: u8,
 }
@@ -218,8 +219,17 @@
     hops: u8,
 }
 
+/// What an engine wants another to learn.
+struct LearnedServer {
+    to: HostId,
+    flow: FlowKey,
+    claim: TokenClaim,
+    thread: u16,
+}
+
 #[derive(Default)]
 struct Collected {
+    learned: Vec<LearnedServer>,
     visible: VisibleOutcome,
     dispatched: Vec<UnderWay>,
     refused: Vec<RequestId>,
@@ -300,16 +310,28 @@
         match frame {
             RelayFrame::Caller {
                 datagram,
-                backend,
+                decided,
+                search,
                 shard,
                 hops,
             } => self.relayed.push(Relayed {
                 to,
                 datagram: owned(datagram),
-                backend: *backend,
+                decided: *decided,
+                search: *search,
                 shard: *shard,
                 hops: *hops,
             }),
+            RelayFrame::Learned {
+                flow,
+                claim,
+                thread,
+            } => self.learned.push(LearnedServer {
+                to,
+                flow: *flow,
+                claim: *claim,
+                thread: *thread,
+            }),
             RelayFrame::Backend { reply, shard, hops } => self.replies.push(RelayedReply {
                 to,
                 reply: owned_reply(reply),
@@ -501,12 +523,21 @@
         for relayed in collected.relayed {
             let frame = RelayFrame::Caller {
                 datagram: relayed.datagram,
-                backend: relayed.backend,
+                decided: relayed.decided,
+                search: relayed.search,
                 shard: relayed.shard,
                 hops: relayed.hops,
             };
             visible.add(&self.pass(index, relayed.to, frame));
         }
+        for learned in collected.learned {
+            let frame = RelayFrame::Learned {
+                flow: learned.flow,
+                claim: learned.claim,
+                thread: learned.thread,
+            };
+            visible.add(&self.pass(index, learned.to, frame));
+        }
         for relayed in collected.replies {
             let frame = RelayFrame::Backend {
                 reply: relayed.reply,
