--- a/crates/cardamomwinch_model/tests/conformance_faults.rs
+++ b/crates/cardamomwinch_model/tests/conformance_faults.rs
@@ -53,7 +53,7 @@
     assert!(world.grant(FIRST));
     let lifetime = world.limits.request_lifetime;
     let header = submission(&world, 1, lifetime * 2);
-    let first = world.copy(FIRST, opening(1, header));
+    let first = world.copy(FIRST, carrying(1, header));
     world.crash(FIRST);
     world.advance(world.limits.home_lease);
     assert!(world.grant(SECOND));
@@ -61,7 +61,7 @@
         world.advance(time::Duration::from_secs(1));
         assert!(world.grant(SECOND), "renewed in time");
     }
-    world.copy(SECOND, opening(1, header));
+    world.copy(SECOND, carrying(1, header));
     let under_way = world.under_way.len();
     if under_way > 0 {
         world.begin(0).unwrap();
