Measure the decisions against baselines in virtual time

One seeded event queue drives real hosts through their public interface beside small fakes of fabric, callers, backend servers and platform.

--- /dev/null
+++ b/crates/cardamomwinch_experiment/src/documents.rs
@@ -0,0 +1,122 @@
+//! What the operators publish, and how it is written down for the platform.
+
+use cardamomwinch_state::prelude::SortedVector;
+use serde_json::{Map, Value, json};
+
+use crate::deployment::{self, DeploymentPlan};
+
+/// The preset of ordinary days.
+pub const ORDINARY_PRESET: &str = "ordinary";
+/// The preset that changes weights and phases.
+pub const PEAK_PRESET: &str = "peak";
+
+/// What the operators want to be in force.
+#[derive(Debug, Clone)]
+pub struct PublishedState {
+    /// The name of the preset.
+    pub preset: &'static str,
+    /// Backend servers that drain.
+    pub draining: Vec<usize>,
+    /// Backend servers that have left the configuration.
+    pub removed: Vec<usize>,
+    /// Listed hosts, and whether each is leaving.
+    pub hosts: SortedVector<usize, bool>,
+}
+
+impl PublishedState {
+    /// What is in force at the start.
+    pub fn initial(plan: &DeploymentPlan) -> Self {
+        Self {
+            preset: ORDINARY_PRESET,
+            draining: Vec::new(),
+            removed: Vec::new(),
+            hosts: (0..plan.host_count).map(|host| (host, false)).collect(),
+        }
+    }
+
+    /// The root document over fragments of these revisions.
+    pub fn root(&self, plan: &DeploymentPlan, revisions: [u64; 2]) -> String {
+        let names = plan.services.iter().map(|service| service.name.to_owned());
+        let teams: Map<String, Value> = names.zip(revisions.map(Value::from)).collect();
+        json!({"preset": self.preset, "teams": teams}).to_string()
+    }
+
+    /// The fragment of the team of `service`.
+    pub fn fragment(&self, plan: &DeploymentPlan, service: usize) -> String {
+        let servers = plan.servers_of(service);
+        let kept = servers
+            .clone()
+            .filter(|server| !self.removed.contains(server));
+        let backends: Map<String, Value> = kept
+            .clone()
+            .map(|server| (server_name(server), self.server(plan, server)))
+            .collect();
+        let overrides: Map<String, Value> = kept
+            .filter_map(|server| {
+                Some((server_name(server), peak_override(server - servers.start)?))
+            })
+            .collect();
+        let name = plan.services[service].name;
+        let address = deployment::service_address(service);
+        json!({
+            "team": name,
+            "services": {name: {"address": address, "backends": backends}},
+            "presets": {PEAK_PRESET: {name: overrides}},
+        })
+        .to_string()
+    }
+
+    fn server(&self, plan: &DeploymentPlan, server: usize) -> Value {
+        let phase = match self.draining.contains(&server) {
+            true => "draining",
+            false => "active",
+        };
+        json!({
+            "domain": plan.domains[plan.domain_of_server(server)],
+            "address": deployment::server_address(server),
+            "slots": deployment::SLOTS,
+            "connections": deployment::CONNECTIONS,
+            "phase": phase,
+        })
+    }
+
+    /// The list of hosts.
+    pub fn host_list(&self, plan: &DeploymentPlan) -> String {
+        let hosts = self.hosts.iter().map(|(host, leaving)| {
+            let entry = json!({
+                "domain": plan.domains[plan.domain_of_host(*host)],
+                "traffic_address": deployment::host_address(*host, 0),
+                "relay_address": deployment::host_address(*host, 1),
+                "peer_address": deployment::host_address(*host, 2),
+                "phase": if *leaving { "leaving" } else { "live" },
+            });
+            (plan.host_name(*host), entry)
+        });
+        let hosts: Map<String, Value> = hosts.collect();
+        json!({ "hosts": hosts }).to_string()
+    }
+}
+
+fn server_name(server: usize) -> String {
+    format!("server-{server}")
+}
+
+/// The preset for peaks halves the weight of every third server and drains one.
+fn peak_override(position: usize) -> Option<Value> {
+    match position {
+        1 => Some(json!({"phase": "draining"})),
+        position if position % 3 == 0 => Some(json!({"weight": 50})),
+        _ => None,
+    }
+}
+
+/// Servers that a single change drains or removes.
+pub const DRAINED_SERVER: usize = 2;
+/// The server that leaves the configuration.
+pub const REMOVED_SERVER: usize = 5;
+
+/// Whether any scenario changes `server`, which stands at `position` of its
+/// service.
+pub fn is_touched(server: usize, position: usize) -> bool {
+    [DRAINED_SERVER, REMOVED_SERVER].contains(&server) || peak_override(position).is_some()
+}
--- /dev/null
+++ b/crates/cardamomwinch_experiment/src/report.rs
@@ -0,0 +1,257 @@
+//! The results of runs as a table and as JSON lines.
+
+use std::collections::BTreeMap;
+
+use cardamomwinch_coordination::prelude::Counter;
+use cardamomwinch_protocol::prelude::RefusalReason;
+use serde::Serialize;
+
+use crate::deployment::DeploymentPlan;
+use crate::documents;
+use crate::measures::{BreakCause, RunMeasures};
+use crate::world::RunOptions;
+
+/// Broken flows by cause.
+#[derive(Debug, Default, Clone, Copy, PartialEq)]
+#[derive(Serialize)]
+pub struct BrokenFlows {
+    /// Whose data reached another server.
+    pub other_server: u64,
+    /// That were reset.
+    pub reset: u64,
+    /// That fell silent.
+    pub silent: u64,
+}
+
+/// Refused requests by reason.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
+pub struct RefusalCount {
+    /// The reason.
+    pub reason: RefusalReason,
+    /// The number of requests.
+    pub count: u64,
+}
+
+/// One line of results.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
+pub struct RunReport {
+    /// The deployment.
+    pub deployment: String,
+    /// Its hosts at the start.
+    pub hosts: usize,
+    /// The changes.
+    pub scenario: String,
+    /// Who decided.
+    pub policy: &'static str,
+    /// The offered load in percent of all slots.
+    pub load_percent: f64,
+    /// The share of callers that echo tokens, in percent.
+    pub echo_percent: f64,
+    /// The seed.
+    pub seed: u64,
+    /// Flows established.
+    pub established: u64,
+    /// Openings given up.
+    pub not_established: u64,
+    /// Broken flows.
+    pub broken: BrokenFlows,
+    /// Broken flows per 100,000 established.
+    pub broken_per_100_000: f64,
+    /// Notices sent on open flows.
+    pub notices: u64,
+    /// Notices that were neither received nor lost by the network.
+    pub notices_missed: u64,
+    /// Maximum over mean of busy slot time per server: the median of windows.
+    pub imbalance_median: f64,
+    /// And the worst window.
+    pub imbalance_worst: f64,
+    /// The median wait for a slot in milliseconds.
+    pub wait_p50_ms: f64,
+    /// Its 99th percentile.
+    pub wait_p99_ms: f64,
+    /// Relayed datagrams of callers per hundred datagrams from the fabric.
+    pub relayed_percent: f64,
+    /// Relayed replies of backend servers per hundred datagrams from the fabric.
+    pub relayed_reply_percent: f64,
+    /// Control bytes a second, mean over hosts.
+    pub control_bytes: f64,
+    /// Control bytes a second of the host that sends most.
+    pub control_bytes_worst: f64,
+    /// Control messages a second, mean over hosts.
+    pub control_messages: f64,
+    /// Calls to the platform in the whole run.
+    pub platform_calls: u64,
+    /// Requests made.
+    pub requests: u64,
+    /// Answered whole.
+    pub answered: u64,
+    /// Told "not run", by reason.
+    pub not_run: Vec<RefusalCount>,
+    /// Told that the outcome is unknown.
+    pub outcome_unknown: u64,
+    /// Without any final answer.
+    pub unanswered: u64,
+    /// Sent to a server again by a host.
+    pub retried: u64,
+    /// Not idempotent and run twice.
+    pub run_twice: u64,
+    /// Told "not run" and run.
+    pub not_run_but_ran: u64,
+    /// Datagrams at a server of another service.
+    pub wrong_service: u64,
+    /// What hosts counted, by the name of the metric.
+    pub counters: BTreeMap<&'static str, u64>,
+}
+
+impl RunReport {
+    /// What `measures` say about the run of `policy` under `options`.
+    pub fn new(policy: &'static str, options: &RunOptions, measures: &RunMeasures) -> Self {
+        let counts = &measures.counts;
+        let cause = |cause| counts.broken.get(&cause).copied().unwrap_or(0);
+        let broken = BrokenFlows {
+            other_server: cause(BreakCause::OtherServer),
+            reset: cause(BreakCause::Reset),
+            silent: cause(BreakCause::Silent),
+        };
+        let broken_sum = broken.other_server + broken.reset + broken.silent;
+        let imbalance = imbalance(&options.plan, measures);
+        let control = ControlRates::of(measures);
+        let fabric = counts.fabric_datagrams.max(1) as f64;
+        let refusals = counts.not_run.iter();
+        let arrived = counts.notices_received + counts.notices_lost_by_fabric;
+        Self {
+            deployment: options.plan.name.to_string(),
+            hosts: options.plan.host_count,
+            scenario: options.scenario.to_string(),
+            policy,
+            load_percent: options.load * 100.0,
+            echo_percent: options.echo_share * 100.0,
+            seed: options.seed,
+            established: counts.established,
+            not_established: counts.not_established,
+            broken,
+            broken_per_100_000: broken_sum as f64 * 1e5 / counts.established.max(1) as f64,
+            notices: counts.notices,
+            notices_missed: counts.notices.saturating_sub(arrived),
+            imbalance_median: median(&imbalance),
+            imbalance_worst: imbalance.last().copied().unwrap_or(0.0),
+            wait_p50_ms: measures.waits.value_at_quantile(0.5) as f64 / 1e3,
+            wait_p99_ms: measures.waits.value_at_quantile(0.99) as f64 / 1e3,
+            relayed_percent: counts.relayed_callers as f64 * 100.0 / fabric,
+            relayed_reply_percent: counts.relayed_replies as f64 * 100.0 / fabric,
+            control_bytes: control.bytes,
+            control_bytes_worst: control.bytes_worst,
+            control_messages: control.messages,
+            platform_calls: counts.platform_calls,
+            requests: counts.requests,
+            answered: counts.answered,
+            not_run: refusals
+                .map(|(reason, count)| RefusalCount {
+                    reason: *reason,
+                    count: *count,
+                })
+                .collect(),
+            outcome_unknown: counts.outcome_unknown,
+            unanswered: counts.unanswered,
+            retried: counts
+                .counters
+                .get(&Counter::RequestRetried)
+                .copied()
+                .unwrap_or(0),
+            run_twice: counts.run_twice,
+            not_run_but_ran: counts.not_run_but_ran,
+            wrong_service: counts.wrong_service,
+            counters: counts
+                .counters
+                .iter()
+                .map(|(counter, count)| (counter.name(), *count))
+                .collect(),
+        }
+    }
+
+    /// The line of the table.
+    pub fn row(&self) -> String {
+        let refused: u64 = self.not_run.iter().map(|refusal| refusal.count).sum();
+        let BrokenFlows {
+            other_server,
+            reset,
+            silent,
+        } = self.broken;
+        format!(
+            "| {} | {} | {} | {:.1} | {other_server}/{reset}/{silent} | {} | {:.2}/{:.2} | {:.1}/{:.0} | {:.0}/{:.0} | {:.0}/{:.0}/{:.1} | {} | {refused} | {} | {} | {} | {} | {} | {} |",
+            self.scenario,
+            self.policy,
+            self.established,
+            self.broken_per_100_000,
+            self.notices_missed,
+            self.imbalance_median,
+            self.imbalance_worst,
+            self.wait_p50_ms,
+            self.wait_p99_ms,
+            self.relayed_percent,
+            self.relayed_reply_percent,
+            self.control_bytes,
+            self.control_bytes_worst,
+            self.control_messages,
+            self.answered,
+            self.outcome_unknown,
+            self.unanswered,
+            self.retried,
+            self.run_twice,
+            self.not_run_but_ran,
+            self.wrong_service,
+        )
+    }
+}
+
+/// The head of the table.
+pub const TABLE_HEAD: &str = "\
+| changes | policy | flows | broken per 100,000 | other server/reset/silent | notices missed | imbalance median/worst | wait p50/p99 ms | relayed %: callers/replies | control a host: B/s mean/worst, messages/s | answered | not run | unknown | no answer | retried | run twice | \"not run\" that ran | wrong service |
+|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|";
+
+struct ControlRates {
+    bytes: f64,
+    bytes_worst: f64,
+    messages: f64,
+}
+
+impl ControlRates {
+    fn of(measures: &RunMeasures) -> Self {
+        let seconds = measures.end.since(measures.begin).as_secs_f64();
+        let hosts = measures.control.len().max(1) as f64;
+        let costs = || measures.control.iter();
+        let bytes: u64 = costs().map(|cost| cost.bytes).sum();
+        let messages: u64 = costs().map(|cost| cost.messages).sum();
+        let worst = costs().map(|cost| cost.bytes).max().unwrap_or(0);
+        Self {
+            bytes: bytes as f64 / seconds / hosts,
+            bytes_worst: worst as f64 / seconds,
+            messages: messages as f64 / seconds / hosts,
+        }
+    }
+}
+
+/// The imbalance of all windows and services, smallest first. Servers that a
+/// change concerns are left out.
+fn imbalance(plan: &DeploymentPlan, measures: &RunMeasures) -> Vec<f64> {
+    let mut all = Vec::new();
+    for service in 0..plan.services.len() {
+        let first = plan.servers_of(service).start;
+        let servers = plan.servers_of(service);
+        let untouched: Vec<usize> = servers
+            .filter(|server| !documents::is_touched(*server, server - first))
+            .collect();
+        all.extend(measures.busy.imbalance(&untouched));
+    }
+    all.sort_by(f64::total_cmp);
+    all
+}
+
+fn median(sorted: &[f64]) -> f64 {
+    match sorted.len() {
+        0 => 0.0,
+        count => sorted[count / 2],
+    }
+}
