--- a/crates/cardamomwinch_experiment/src/bin/cardamomwinch_experiment.rs
+++ b/crates/cardamomwinch_experiment/src/bin/cardamomwinch_experiment.rs
@@ -98,6 +98,7 @@
     options.optopt("", "hosts", "entry hosts at the start", "COUNT");
     options.optopt("", "load", "offered load, percent of all slots", "PERCENT");
     options.optopt("", "echo", "callers that echo tokens, percent", "PERCENT");
+    options.optopt("", "loss", "datagrams lost, of 100,000", "COUNT");
     options.optopt("", "seed", "seed of everything random", "NUMBER");
     options.optopt(
         "",
@@ -146,10 +147,11 @@
     );
     let load = number::<u32>(&matches, "load", 80)?;
     let echo = number::<u32>(&matches, "echo", 50)?.min(100);
+    let loss = number::<u32>(&matches, "loss", 100)?.min(100_000);
     let seed = number(&matches, "seed", 1)?;
     let policies = PolicyName::parse(&text("policy", "all"))?;
     println!(
-        "{deployment}, {host_count} hosts, load {load} %, {echo} % echo tokens, seed {seed}\n"
+        "{deployment}, {host_count} hosts, load {load} %, {echo} % echo tokens, {loss} of 100,000 datagrams lost, seed {seed}\n"
     );
     println!("{TABLE_HEAD}");
     for scenario in scenarios(&text("scenario", "calm"))? {
@@ -158,6 +160,7 @@
             scenario,
             load: f64::from(load) / 100.0,
             echo_share: f64::from(echo) / 100.0,
+            loss: f64::from(loss) / 1e5,
             seed,
         };
         for policy in &policies {
--- a/crates/cardamomwinch_experiment/src/lib.rs
+++ b/crates/cardamomwinch_experiment/src/lib.rs
@@ -14,6 +14,7 @@
 //!     scenario: "calm".parse().unwrap(),
 //!     load: 0.02,
 //!     echo_share: 0.5,
+//!     loss: 0.001,
 //!     seed: 1,
 //! };
 //! let measures = WorldRun::<HostEngine>::measure(options.clone(), &mut |_: time::Duration| ());
--- a/crates/cardamomwinch_experiment/src/network.rs
+++ b/crates/cardamomwinch_experiment/src/network.rs
@@ -5,7 +5,6 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
-const LOSS: f64 = 0.001;
 const DOUBLING: f64 = 0.005;
 const HELD_UP: f64 = 0.005;
 const HELD_UP_LIMIT: time::Duration = time::Duration::from_millis(40);
@@ -18,6 +17,7 @@
 pub struct NetworkModel {
     rng: SmallRng,
     caller_delay: time::Duration,
+    loss: f64,
     /// The failure domain that is cut off from the others, if any.
     pub cut: Option<usize>,
     /// The hosts to which the fabric hands datagrams.
@@ -25,11 +25,12 @@
 }
 
 impl NetworkModel {
-    /// A network without a cut.
-    pub const fn new(rng: SmallRng, caller_delay: time::Duration) -> Self {
+    /// A network without a cut that loses a `loss` share of all datagrams.
+    pub const fn new(rng: SmallRng, caller_delay: time::Duration, loss: f64) -> Self {
         Self {
             rng,
             caller_delay,
+            loss,
             cut: None,
             sprayed: Vec::new(),
         }
@@ -49,15 +50,15 @@
     pub fn copies(&mut self) -> usize {
         let drawn = self.rng.random::<f64>();
         match drawn {
-            _ if drawn < LOSS => 0,
-            _ if drawn < LOSS + DOUBLING => 2,
+            _ if drawn < self.loss => 0,
+            _ if drawn < self.loss + DOUBLING => 2,
             _ => 1,
         }
     }
 
     /// Whether a datagram outside of the fabric is lost.
     pub fn loses(&mut self) -> bool {
-        self.rng.random_bool(LOSS)
+        self.rng.random_bool(self.loss)
     }
 
     /// A host for a datagram of a caller.
--- a/crates/cardamomwinch_experiment/src/report.rs
+++ b/crates/cardamomwinch_experiment/src/report.rs
@@ -49,6 +49,8 @@
     pub load_percent: f64,
     /// The share of callers that echo tokens, in percent.
     pub echo_percent: f64,
+    /// Datagrams lost, in percent.
+    pub loss_percent: f64,
     /// The seed.
     pub seed: u64,
     /// Flows established.
@@ -128,6 +130,7 @@
             policy,
             load_percent: options.load * 100.0,
             echo_percent: options.echo_share * 100.0,
+            loss_percent: options.loss * 100.0,
             seed: options.seed,
             established: counts.established,
             not_established: counts.not_established,
--- a/crates/cardamomwinch_experiment/src/world.rs
+++ b/crates/cardamomwinch_experiment/src/world.rs
@@ -68,6 +68,8 @@
     pub load: f64,
     /// The share of callers that echo their tokens.
     pub echo_share: f64,
+    /// The share of datagrams that get lost.
+    pub loss: f64,
     /// The seed of everything random.
     pub seed: u64,
 }
@@ -144,7 +146,7 @@
             time::Duration::from_secs_f64(f64::from(callers::SHORT_FLOW_REQUESTS) / rate)
         });
         let fleet = CallerFleet::new(fork(), options.echo_share, arrivals, load_until);
-        let network = NetworkModel::new(fork(), plan.caller_delay);
+        let network = NetworkModel::new(fork(), plan.caller_delay, options.loss);
         let cold_until = EPOCH.after(CALLERS_FROM + SESSIONS_WITHIN);
         let servers = (0..plan.server_count()).map(|_| BackendServer::new(fork(), cold_until));
         let servers = servers.collect();
