--- a/crates/cardamomwinch_experiment/src/changes.rs
+++ b/crates/cardamomwinch_experiment/src/changes.rs
@@ -238,6 +238,16 @@
         pairs
     }
 
+    /// Whether a change concerns `server`, so that its load is not to be compared.
+    pub fn touches(&self, plan: &DeploymentPlan, server: usize) -> bool {
+        self.changes.iter().any(|change| match change {
+            ChangeKind::PresetSwitch => documents::is_changed_by_preset(plan, server),
+            ChangeKind::Drain => server == documents::DRAINED_SERVER,
+            ChangeKind::ServerRemoved => server == documents::REMOVED_SERVER,
+            _ => false,
+        })
+    }
+
     /// The steps of all changes; the second change begins a second later.
     pub fn steps(&self, plan: &DeploymentPlan) -> Vec<TimedStep> {
         let mut all = Vec::new();
--- a/crates/cardamomwinch_experiment/src/documents.rs
+++ b/crates/cardamomwinch_experiment/src/documents.rs
@@ -44,17 +44,13 @@
     /// The fragment of the team of `service`.
     pub fn fragment(&self, plan: &DeploymentPlan, service: usize) -> String {
         let servers = plan.servers_of(service);
-        let kept = servers
-            .clone()
-            .filter(|server| !self.removed.contains(server));
+        let kept = servers.filter(|server| !self.removed.contains(server));
         let backends: Map<String, Value> = kept
             .clone()
             .map(|server| (server_name(server), self.server(plan, server)))
             .collect();
         let overrides: Map<String, Value> = kept
-            .filter_map(|server| {
-                Some((server_name(server), peak_override(server - servers.start)?))
-            })
+            .filter_map(|server| Some((server_name(server), peak_override(plan, server)?)))
             .collect();
         let name = plan.services[service].name;
         let address = deployment::service_address(service);
@@ -101,11 +97,13 @@
     format!("server-{server}")
 }
 
-/// The preset for peaks halves the weight of every third server and drains one.
-fn peak_override(position: usize) -> Option<Value> {
-    match position {
+/// The preset for peaks halves the weight of every third server of the first
+/// service and drains one.
+fn peak_override(plan: &DeploymentPlan, server: usize) -> Option<Value> {
+    match server {
+        _ if plan.service_of_server(server) != 0 => None,
         1 => Some(json!({"phase": "draining"})),
-        position if position % 3 == 0 => Some(json!({"weight": 50})),
+        _ if server % 3 == 0 => Some(json!({"weight": 50})),
         _ => None,
     }
 }
@@ -115,8 +113,7 @@
 /// The server that leaves the configuration.
 pub const REMOVED_SERVER: usize = 5;
 
-/// Whether any scenario changes `server`, which stands at `position` of its
-/// service.
-pub fn is_touched(server: usize, position: usize) -> bool {
-    [DRAINED_SERVER, REMOVED_SERVER].contains(&server) || peak_override(position).is_some()
+/// Whether the other preset changes `server`.
+pub fn is_changed_by_preset(plan: &DeploymentPlan, server: usize) -> bool {
+    peak_override(plan, server).is_some()
 }
--- a/crates/cardamomwinch_experiment/src/lib.rs
+++ b/crates/cardamomwinch_experiment/src/lib.rs
@@ -16,6 +16,7 @@
 //!     echo_share: 0.5,
 //!     loss: 0.001,
 //!     seed: 1,
+//!     traced: None,
 //! };
 //! let measures = WorldRun::<HostEngine>::measure(options.clone(), &mut |_: time::Duration| ());
 //! let report = RunReport::new("product", &options, &measures);
--- a/crates/cardamomwinch_experiment/src/measures.rs
+++ b/crates/cardamomwinch_experiment/src/measures.rs
@@ -57,6 +57,8 @@
     pub run_twice: u64,
     /// Requests that ran though their caller was told "not run".
     pub not_run_but_ran: u64,
+    /// Requests that ran twice though not idempotent, or ran after "not run".
+    pub violations: Vec<usize>,
     /// Datagrams that reached a server of another service.
     pub wrong_service: u64,
     /// Datagrams that the fabric handed to hosts.
@@ -137,14 +139,19 @@
 }
 
 impl RunMeasures {
-    /// Nothing measured yet.
-    pub fn new(plan: &DeploymentPlan, begin: Timestamp, end: Timestamp) -> Self {
+    /// Nothing measured yet. Callers make requests until `load_until`.
+    pub fn new(
+        plan: &DeploymentPlan,
+        begin: Timestamp,
+        load_until: Timestamp,
+        end: Timestamp,
+    ) -> Self {
         let waits = Histogram::new_with_bounds(1, LONGEST_WAIT_MICROS, 3);
         let waits = waits.expect("the bounds are more than a factor of two apart");
         Self {
             counts: RunCounts::default(),
             waits,
-            busy: BusyWindows::new(plan, begin, end),
+            busy: BusyWindows::new(plan, begin, load_until),
             control: Vec::new(),
             begin,
             end,
--- a/crates/cardamomwinch_experiment/src/report.rs
+++ b/crates/cardamomwinch_experiment/src/report.rs
@@ -1,13 +1,12 @@
 //! The results of runs as a table and as JSON lines.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use cardamomwinch_coordination::prelude::Counter;
 use cardamomwinch_protocol::prelude::RefusalReason;
 use serde::Serialize;
 
-use crate::deployment::DeploymentPlan;
-use crate::documents;
 use crate::measures::{BreakCause, RunMeasures};
 use crate::world::RunOptions;
 
@@ -23,6 +22,22 @@
     pub silent: u64,
 }
 
+/// Maximum over mean of busy slot time per server, in windows of ten seconds.
+#[derive(Debug, Default, Clone, Copy, PartialEq)]
+#[derive(Serialize)]
+pub struct ImbalanceSpread {
+    /// Of the median window.
+    pub median: f64,
+    /// Of the worst window.
+    pub worst: f64,
+}
+
+impl fmt::Display for ImbalanceSpread {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:.2}/{:.2}", self.median, self.worst)
+    }
+}
+
 /// Refused requests by reason.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize)]
@@ -65,10 +80,8 @@
     pub notices: u64,
     /// Notices that were neither received nor lost by the network.
     pub notices_missed: u64,
-    /// Maximum over mean of busy slot time per server: the median of windows.
-    pub imbalance_median: f64,
-    /// And the worst window.
-    pub imbalance_worst: f64,
+    /// Imbalance of the larger and of the smaller service.
+    pub imbalance: [ImbalanceSpread; 2],
     /// The median wait for a slot in milliseconds.
     pub wait_p50_ms: f64,
     /// Its 99th percentile.
@@ -103,6 +116,8 @@
     pub not_run_but_ran: u64,
     /// Datagrams at a server of another service.
     pub wrong_service: u64,
+    /// Requests that ran twice or after "not run", as numbers for `--trace`.
+    pub violations: Vec<usize>,
     /// What hosts counted, by the name of the metric.
     pub counters: BTreeMap<&'static str, u64>,
 }
@@ -118,7 +133,6 @@
             silent: cause(BreakCause::Silent),
         };
         let broken_sum = broken.other_server + broken.reset + broken.silent;
-        let imbalance = imbalance(&options.plan, measures);
         let control = ControlRates::of(measures);
         let fabric = counts.fabric_datagrams.max(1) as f64;
         let refusals = counts.not_run.iter();
@@ -138,8 +152,7 @@
             broken_per_100_000: broken_sum as f64 * 1e5 / counts.established.max(1) as f64,
             notices: counts.notices,
             notices_missed: counts.notices.saturating_sub(arrived),
-            imbalance_median: median(&imbalance),
-            imbalance_worst: imbalance.last().copied().unwrap_or(0.0),
+            imbalance: [0, 1].map(|service| imbalance(options, measures, service)),
             wait_p50_ms: measures.waits.value_at_quantile(0.5) as f64 / 1e3,
             wait_p99_ms: measures.waits.value_at_quantile(0.99) as f64 / 1e3,
             relayed_percent: counts.relayed_callers as f64 * 100.0 / fabric,
@@ -166,6 +179,7 @@
             run_twice: counts.run_twice,
             not_run_but_ran: counts.not_run_but_ran,
             wrong_service: counts.wrong_service,
+            violations: counts.violations.clone(),
             counters: counts
                 .counters
                 .iter()
@@ -177,20 +191,19 @@
     /// The line of the table.
     pub fn row(&self) -> String {
         let refused: u64 = self.not_run.iter().map(|refusal| refusal.count).sum();
+        let [large, small] = self.imbalance;
         let BrokenFlows {
             other_server,
             reset,
             silent,
         } = self.broken;
         format!(
-            "| {} | {} | {} | {:.1} | {other_server}/{reset}/{silent} | {} | {:.2}/{:.2} | {:.1}/{:.0} | {:.0}/{:.0} | {:.0}/{:.0}/{:.1} | {} | {refused} | {} | {} | {} | {} | {} | {} |",
+            "| {} | {} | {} | {:.1} | {other_server}/{reset}/{silent} | {} | {large} {small} | {:.1}/{:.0} | {:.0}/{:.0} | {:.0}/{:.0}/{:.1} | {} | {refused} | {} | {} | {} | {} | {} | {} |",
             self.scenario,
             self.policy,
             self.established,
             self.broken_per_100_000,
             self.notices_missed,
-            self.imbalance_median,
-            self.imbalance_worst,
             self.wait_p50_ms,
             self.wait_p99_ms,
             self.relayed_percent,
@@ -211,7 +224,7 @@
 
 /// The head of the table.
 pub const TABLE_HEAD: &str = "\
-| changes | policy | flows | broken per 100,000 | other server/reset/silent | notices missed | imbalance median/worst | wait p50/p99 ms | relayed %: callers/replies | control a host: B/s mean/worst, messages/s | answered | not run | unknown | no answer | retried | run twice | \"not run\" that ran | wrong service |
+| changes | policy | flows | broken per 100,000 | other server/reset/silent | notices missed | imbalance median/worst of the larger and the smaller service | wait p50/p99 ms | relayed %: callers/replies | control a host: B/s mean/worst, messages/s | answered | not run | unknown | no answer | retried | run twice | \"not run\" that ran | wrong service |
 |---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|";
 
 struct ControlRates {
@@ -236,25 +249,18 @@
     }
 }
 
-/// The imbalance of all windows and services, smallest first. Servers that a
-/// change concerns are left out.
-fn imbalance(plan: &DeploymentPlan, measures: &RunMeasures) -> Vec<f64> {
-    let mut all = Vec::new();
-    for service in 0..plan.services.len() {
-        let first = plan.servers_of(service).start;
-        let servers = plan.servers_of(service);
-        let untouched: Vec<usize> = servers
-            .filter(|server| !documents::is_touched(*server, server - first))
-            .collect();
-        all.extend(measures.busy.imbalance(&untouched));
-    }
-    all.sort_by(f64::total_cmp);
-    all
-}
-
-fn median(sorted: &[f64]) -> f64 {
-    match sorted.len() {
-        0 => 0.0,
-        count => sorted[count / 2],
+/// Median and worst of the imbalance of `service` over all windows. Servers
+/// that a change concerns are left out.
+fn imbalance(options: &RunOptions, measures: &RunMeasures, service: usize) -> ImbalanceSpread {
+    let plan = &options.plan;
+    let servers = plan.servers_of(service);
+    let compared: Vec<usize> = servers
+        .filter(|server| !options.scenario.touches(plan, *server))
+        .collect();
+    let mut windows = measures.busy.imbalance(&compared);
+    windows.sort_by(f64::total_cmp);
+    ImbalanceSpread {
+        median: windows.get(windows.len() / 2).copied().unwrap_or(0.0),
+        worst: windows.last().copied().unwrap_or(0.0),
     }
 }
--- a/crates/cardamomwinch_experiment/src/world.rs
+++ b/crates/cardamomwinch_experiment/src/world.rs
@@ -1,6 +1,7 @@
 //! Drives the hosts of one deployment through one scenario: takes events off
 //! the queue, gives them to whom they are for, and carries out what comes back.
 
+use std::fmt;
 use std::time;
 
 use cardamomwinch_coordination::control::event::{LoadFailure, PlatformAnswer, PlatformFailure};
@@ -72,6 +73,8 @@
     pub loss: f64,
     /// The seed of everything random.
     pub seed: u64,
+    /// Shows all that happens to the request of this number on standard error.
+    pub traced: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -162,7 +165,7 @@
             platform: PlatformStore::default(),
             published: PublishedState::initial(&plan),
             revisions: [0; 2],
-            measures: RunMeasures::new(&plan, EPOCH.after(MEASURE_FROM), end),
+            measures: RunMeasures::new(&plan, EPOCH.after(MEASURE_FROM), load_until, end),
             rng,
             options,
         }
@@ -216,7 +219,19 @@
         self.options.plan.domain_of_host(host)
     }
 
+    fn trace(&self, host: Option<usize>, subject: &dyn fmt::Debug) {
+        let Some(traced) = self.options.traced else {
+            return;
+        };
+        let shown = format!("{subject:?}");
+        if shown.contains(&format!("RequestId({traced})")) {
+            let micros = self.now.since(EPOCH).as_micros();
+            eprintln!("{micros} us, host {host:?}: {shown}");
+        }
+    }
+
     fn handle(&mut self, event: WorldEvent) {
+        self.trace(None, &event);
         match event {
             WorldEvent::Tick(host, life) => self.tick(host, life),
             WorldEvent::ToHost(host, input) => self.give_to_host(host, input),
@@ -479,6 +494,7 @@
 
     fn carry_out_host(&mut self, host: usize, outputs: Vec<HostOutput>) {
         for output in outputs {
+            self.trace(Some(host), &output);
             match output {
                 HostOutput::ToCaller(reply) => self.send_to_caller(reply),
                 HostOutput::ToBackend(address, datagram) => {
