--- a/crates/cardamomwinch_coordination/src/control/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/mod.rs
@@ -4,6 +4,7 @@
 pub mod adoption;
 pub mod effect;
 pub mod event;
+pub(crate) mod home_dispatch;
 pub mod homes;
 pub mod membership;
 pub(crate) mod publication;
@@ -12,10 +13,11 @@
 
 use cardamomwinch_configuration::resolve::RefusedFragment;
 use cardamomwinch_protocol::peer::configuration::ConfigurationMessage;
-use cardamomwinch_protocol::peer::homes::HomeMessage;
 use cardamomwinch_protocol::peer::membership::MembershipMessage;
 use cardamomwinch_protocol::prelude::{PeerEnvelope, PeerMessage};
-use cardamomwinch_state::prelude::{ConfigurationVersion, HostId, Timestamp};
+use cardamomwinch_state::prelude::{
+    ConfigurationVersion, DomainId, HostId, InForceConfiguration, SortedVector, Timestamp,
+};
 
 use crate::control::adoption::{AdoptionOutcome, ConfigurationAdoption};
 use crate::control::effect::{ControlEffect, ControlSink};
@@ -38,6 +40,17 @@
     homes: HomeTable,
     publisher: SnapshotPublisher,
     refused: Vec<RefusedFragment>,
+    domain_names: SortedVector<DomainId, String>,
+    platform: PlatformHealth,
+}
+
+/// How the platform answers.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct PlatformHealth {
+    /// Whether the last call was answered.
+    pub reachable: bool,
+    /// Answers older than what was accepted already.
+    pub stale_answers: u64,
 }
 
 impl ControlEngine {
@@ -51,9 +64,32 @@
             homes: HomeTable::default(),
             publisher: SnapshotPublisher::default(),
             refused: Vec::new(),
+            domain_names: SortedVector::new(),
+            platform: PlatformHealth::default(),
         }
     }
 
+    /// Who this host is.
+    pub fn identity(&self) -> HostIdentity {
+        self.identity
+    }
+
+    /// What is in force.
+    pub fn configuration(&self) -> &InForceConfiguration {
+        self.publisher.configuration()
+    }
+
+    /// How the platform answers.
+    pub fn platform_health(&self) -> PlatformHealth {
+        self.platform
+    }
+
+    /// The name of a failure domain, or its identifier where no fragment names it.
+    pub fn domain_name(&self, domain: DomainId) -> String {
+        let name = self.domain_names.get(&domain);
+        name.cloned().unwrap_or_else(|| domain.to_string())
+    }
+
     /// Whether the host serves.
     pub fn phase(&self) -> ServingPhase {
         self.phase
@@ -81,14 +117,18 @@
 
     /// Decides about `event` at `now` and gives the effects to `sink`.
     pub fn handle<S: ControlSink>(&mut self, now: Timestamp, event: ControlEvent, sink: &mut S) {
+        self.note_home_event(now);
         match event {
             ControlEvent::Start => self.request(ConfigurationAdoption::first_requests(), sink),
             ControlEvent::Tick => self.tick(now, sink),
             ControlEvent::Peer(envelope) => self.take_peer(now, &envelope, sink),
             ControlEvent::Platform(outcome) => self.take_platform(now, outcome, sink),
             ControlEvent::Load { .. } => {}
+            ControlEvent::HandOver(chunk) => self.take_exported(now, chunk, sink),
+            ControlEvent::TookOver(report) => self.take_imported(now, report, sink),
             ControlEvent::Stop => {
                 self.phase = ServingPhase::Stopping;
+                self.stop_homes(now, sink);
                 self.publish(now, sink);
             }
         }
@@ -111,6 +151,7 @@
             let message = MembershipMessage::Ping { digest };
             self.send(host, PeerMessage::Membership(message), sink);
         }
+        self.advance_homes(now, sink);
         self.publish(now, sink);
     }
 
@@ -141,7 +182,7 @@
         }
         match &envelope.message {
             PeerMessage::Membership(message) => self.take_membership(envelope, message, sink),
-            PeerMessage::Home(HomeMessage::Released { .. }) => self.publish(now, sink),
+            PeerMessage::Home(message) => self.take_home(now, envelope, message, sink),
             PeerMessage::Configuration(ConfigurationMessage::Want { .. }) => {}
         }
     }
@@ -167,6 +208,7 @@
         sink: &mut S,
     ) {
         let mut next = Vec::new();
+        self.platform.reachable = outcome.result.is_ok();
         let taken = self.adoption.take(now, outcome, &mut next);
         self.request(next, sink);
         self.apply(now, taken, sink);
@@ -175,7 +217,10 @@
     fn apply<S: ControlSink>(&mut self, now: Timestamp, taken: AdoptionOutcome, sink: &mut S) {
         match taken {
             AdoptionOutcome::Nothing => {}
-            AdoptionOutcome::Stale => sink.emit(ControlEffect::Count(Counter::PlatformStale)),
+            AdoptionOutcome::Stale => {
+                self.platform.stale_answers += 1;
+                sink.emit(ControlEffect::Count(Counter::PlatformStale));
+            }
             AdoptionOutcome::Failed => sink.emit(ControlEffect::Count(Counter::PlatformFailed)),
             AdoptionOutcome::Refused { .. } => {
                 sink.emit(ControlEffect::Count(Counter::DocumentRefused));
@@ -183,7 +228,9 @@
             AdoptionOutcome::Hosts => self.publish(now, sink),
             AdoptionOutcome::Configuration(resolution) => {
                 self.refused = resolution.refused;
-                self.publisher.adopt(resolution.configuration);
+                self.domain_names = resolution.domain_names.clone();
+                self.publisher
+                    .adopt(resolution.configuration, resolution.domain_names);
                 let record = self.adopted_record(now);
                 sink.emit(ControlEffect::Decide(record));
                 self.publish(now, sink);
@@ -214,9 +261,8 @@
         {
             self.phase = ServingPhase::Serving;
         }
-        let configuration = self.publisher.configuration();
-        self.homes
-            .choose(now, self.identity, configuration, hosts, &self.membership);
+        self.refresh_homes(now);
+        let hosts = self.adoption.hosts();
         let snapshot = self.publisher.make(
             now,
             self.identity,
