--- a/crates/cardamomwinch_experiment/src/measures.rs
+++ b/crates/cardamomwinch_experiment/src/measures.rs
@@ -37,7 +37,10 @@
     pub broken: SortedVector<BreakCause, u64>,
     /// Notices that servers sent on flows that were open.
     pub notices: u64,
-    /// Notices that the fabric lost, or gave to a host that was down or paused.
+    /// Notices that the fabric handed to a host that was down, or paused with
+    /// its buffers full.
+    pub notices_to_gone_hosts: u64,
+    /// Notices that the network lost.
     pub notices_lost_by_fabric: u64,
     /// Notices that came to their callers.
     pub notices_received: u64,
--- a/crates/cardamomwinch_experiment/src/report.rs
+++ b/crates/cardamomwinch_experiment/src/report.rs
@@ -78,8 +78,11 @@
     pub broken_per_100_000: f64,
     /// Notices sent on open flows.
     pub notices: u64,
-    /// Notices that were neither received nor lost by the network.
+    /// Notices that were neither received, nor lost by the network, nor handed
+    /// to a host that was gone.
     pub notices_missed: u64,
+    /// Notices that the fabric handed to a host that was gone.
+    pub notices_to_gone_hosts: u64,
     /// Imbalance of the larger and of the smaller service.
     pub imbalance: [ImbalanceSpread; 2],
     /// The median wait for a slot in milliseconds.
@@ -136,7 +139,8 @@
         let control = ControlRates::of(measures);
         let fabric = counts.fabric_datagrams.max(1) as f64;
         let refusals = counts.not_run.iter();
-        let arrived = counts.notices_received + counts.notices_lost_by_fabric;
+        let explained = counts.notices_lost_by_fabric + counts.notices_to_gone_hosts;
+        let arrived = counts.notices_received + explained;
         Self {
             deployment: options.plan.name.to_string(),
             hosts: options.plan.host_count,
@@ -151,6 +155,7 @@
             broken,
             broken_per_100_000: broken_sum as f64 * 1e5 / counts.established.max(1) as f64,
             notices: counts.notices,
+            notices_to_gone_hosts: counts.notices_to_gone_hosts,
             notices_missed: counts.notices.saturating_sub(arrived),
             imbalance: [0, 1].map(|service| imbalance(options, measures, service)),
             wait_p50_ms: measures.waits.value_at_quantile(0.5) as f64 / 1e3,
@@ -198,12 +203,13 @@
             silent,
         } = self.broken;
         format!(
-            "| {} | {} | {} | {:.1} | {other_server}/{reset}/{silent} | {} | {large} {small} | {:.1}/{:.0} | {:.0}/{:.0} | {:.0}/{:.0}/{:.1} | {} | {refused} | {} | {} | {} | {} | {} | {} |",
+            "| {} | {} | {} | {:.1} | {other_server}/{reset}/{silent} | {}/{} | {large} {small} | {:.1}/{:.0} | {:.0}/{:.0} | {:.0}/{:.0}/{:.1} | {} | {refused} | {} | {} | {} | {} | {} | {} |",
             self.scenario,
             self.policy,
             self.established,
             self.broken_per_100_000,
             self.notices_missed,
+            self.notices_to_gone_hosts,
             self.wait_p50_ms,
             self.wait_p99_ms,
             self.relayed_percent,
@@ -224,7 +230,7 @@
 
 /// The head of the table.
 pub const TABLE_HEAD: &str = "\
-| changes | policy | flows | broken per 100,000 | other server/reset/silent | notices missed | imbalance median/worst of the larger and the smaller service | wait p50/p99 ms | relayed %: callers/replies | control a host: B/s mean/worst, messages/s | answered | not run | unknown | no answer | retried | run twice | \"not run\" that ran | wrong service |
+| changes | policy | flows | broken per 100,000 | other server/reset/silent | notices missed/to gone hosts | imbalance median/worst of the larger and the smaller service | wait p50/p99 ms | relayed %: callers/replies | control a host: B/s mean/worst, messages/s | answered | not run | unknown | no answer | retried | run twice | \"not run\" that ran | wrong service |
 |---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|";
 
 struct ControlRates {
--- a/crates/cardamomwinch_experiment/src/wire.rs
+++ b/crates/cardamomwinch_experiment/src/wire.rs
@@ -27,6 +27,8 @@
     Platform(PlatformRequest),
     /// Ask a backend server about its load.
     AskLoad(BackendId, net::SocketAddr),
+    /// Nothing: it has stopped, and its process may end.
+    Drained,
     /// Count something.
     Count(Counter),
 }
@@ -46,7 +48,9 @@
             ControlEffect::Platform(request) => Some(Self::Platform(request)),
             ControlEffect::AskLoad { backend, address } => Some(Self::AskLoad(backend, address)),
             ControlEffect::Count(counter) => Some(Self::Count(counter)),
-            ControlEffect::Publish(_) | ControlEffect::Decide(_) => None,
+            ControlEffect::Drained => Some(Self::Drained),
+            // The rest stays between the engines of one host.
+            _ => None,
         }
     }
 
@@ -60,8 +64,9 @@
                 Some(Self::Relay(*host, bare_relay(envelope)))
             }
             TrafficEffect::Count(counter) => Some(Self::Count(*counter)),
-            // Hosts are driven with a single traffic thread each.
-            TrafficEffect::ToThread { .. } | TrafficEffect::Decide(_) => None,
+            // Hosts are driven with a single traffic thread each, and the rest
+            // stays between the engines of one host.
+            _ => None,
         }
     }
 }
--- a/crates/cardamomwinch_experiment/src/world.rs
+++ b/crates/cardamomwinch_experiment/src/world.rs
@@ -475,7 +475,7 @@
         let mut outputs = Vec::new();
         let taken = self.hosts[host].take(self.now, input, &mut outputs);
         if notice && !taken {
-            self.measures.counts.notices_lost_by_fabric += 1;
+            self.measures.counts.notices_to_gone_hosts += 1;
         }
         self.carry_out_host(host, outputs);
     }
@@ -506,6 +506,7 @@
                 HostOutput::AskLoad(backend, address) => {
                     self.ask_load(host, backend, deployment::server_at(address));
                 }
+                HostOutput::Drained => self.hosts[host].kill(),
                 HostOutput::Count(counter) => self.measures.count(counter),
             }
         }
