--- a/crates/cardamomwinch_experiment/src/callers.rs
+++ b/crates/cardamomwinch_experiment/src/callers.rs
@@ -11,7 +11,7 @@
 use rand::rngs::SmallRng;
 
 use crate::deployment;
-use crate::measures::{BreakCause, RunMeasures};
+use crate::measures::{BreakCause, RunCounts, RunMeasures};
 
 /// The longest time from first sending to deadline, as the configuration has it.
 const LONG_DEADLINE: time::Duration = time::Duration::from_secs(10);
@@ -72,6 +72,7 @@
     pause: time::Duration,
     first_arrival: Option<Timestamp>,
     ended: bool,
+    counted: bool,
     attempt: AttemptNumber,
     parts: Vec<bool>,
     runs: u32,
@@ -245,8 +246,9 @@
         measures: &mut RunMeasures,
         outputs: &mut Vec<CallerOutput>,
     ) {
-        measures.counts.requests += 1;
         self.flows[flow].requests += 1;
+        let counted = now >= measures.begin;
+        measures.counts.requests += u64::from(counted);
         let patience = match self.rng.random_bool(0.5) {
             true => LONG_DEADLINE,
             false => SHORT_DEADLINE,
@@ -258,6 +260,7 @@
             pause: FIRST_RESEND,
             first_arrival: None,
             ended: false,
+            counted,
             attempt: AttemptNumber::default(),
             parts: Vec::new(),
             runs: 0,
@@ -436,12 +439,8 @@
         }
         request.ended = true;
         let flow = request.flow;
-        let counts = &mut measures.counts;
-        match end {
-            RequestEnd::Answered => counts.answered += 1,
-            RequestEnd::NotRun(reason) => *counts.not_run.get_or_insert_with(reason, || 0) += 1,
-            RequestEnd::OutcomeUnknown => counts.outcome_unknown += 1,
-            RequestEnd::Unanswered => counts.unanswered += 1,
+        if request.counted {
+            count_end(end, &mut measures.counts);
         }
         self.after_request(now, flow, end, measures, outputs);
     }
@@ -528,7 +527,7 @@
             measures.counts.violations.push(index);
         }
         let arrival = request.first_arrival.unwrap_or(now);
-        if request.runs == 1 && now >= measures.begin {
+        if request.runs == 1 && request.counted {
             let wait = now.since(arrival).as_micros() as u64;
             measures.waits.saturating_record(wait);
         }
@@ -580,6 +579,15 @@
     }
 }
 
+fn count_end(end: RequestEnd, counts: &mut RunCounts) {
+    match end {
+        RequestEnd::Answered => counts.answered += 1,
+        RequestEnd::NotRun(reason) => *counts.not_run.get_or_insert_with(reason, || 0) += 1,
+        RequestEnd::OutcomeUnknown => counts.outcome_unknown += 1,
+        RequestEnd::Unanswered => counts.unanswered += 1,
+    }
+}
+
 const fn datagram(
     flow: &CallerFlow,
     kind: CallerKind,
--- a/crates/cardamomwinch_experiment/src/documents.rs
+++ b/crates/cardamomwinch_experiment/src/documents.rs
@@ -103,7 +103,7 @@
     match server {
         _ if plan.service_of_server(server) != 0 => None,
         1 => Some(json!({"phase": "draining"})),
-        _ if server % 3 == 0 => Some(json!({"weight": 50})),
+        _ if server.is_multiple_of(3) => Some(json!({"weight": 50})),
         _ => None,
     }
 }
