--- a/crates/cardamomwinch_daemon/src/administration/reports.rs
+++ b/crates/cardamomwinch_daemon/src/administration/reports.rs
@@ -1,11 +1,13 @@
 //! Fills in the reports of the administration API.
 
 use cardamomwinch_configuration::settings::HostSettings;
-use cardamomwinch_coordination::prelude::{ControlEngine, RoutingSnapshot, ServingPhase};
+use cardamomwinch_coordination::prelude::{
+    ControlEngine, PlatformKey, RoutingSnapshot, ServingPhase,
+};
 use cardamomwinch_protocol::administration as api;
 use cardamomwinch_state::prelude::{
-    BackendEntry, ConfigurationVersion, ConnectionCount, HostEntry, HostListVersion, SlotCount,
-    Timestamp,
+    BackendEntry, ConfigurationVersion, ConnectionCount, FragmentRevision, HostEntry,
+    HostListVersion, SlotCount, Timestamp,
 };
 
 use crate::messages::TrafficLoad;
@@ -22,7 +24,7 @@
     let adopted = version > ConfigurationVersion::ZERO;
     let host_list = adoption.hosts().version;
     let started = Timestamp::new(identity.incarnation.get());
-    let refused = engine.refused_fragments().iter();
+    let refused = engine.refused_fragments().into_iter();
     api::StatusReport {
         host: settings.host.clone(),
         domain: settings.domain.clone(),
@@ -32,10 +34,14 @@
         preset: adopted.then(|| engine.configuration().preset.clone()),
         host_list_version: (host_list > HostListVersion::ZERO).then_some(host_list),
         refused_fragments: refused
-            .map(|fragment| api::RefusedFragmentReport {
-                team: fragment.team.clone(),
-                revision: fragment.revision,
-                reason: fragment.reason.to_string(),
+            .map(|document| api::RefusedFragmentReport {
+                team: match document.key {
+                    PlatformKey::Team(team) => team,
+                    shared => shared.to_string(),
+                },
+                revision: FragmentRevision::new(document.revision),
+                // Each error of a document has a line of its own.
+                reason: document.reason.to_string().replace('\n', "; "),
             })
             .collect(),
         platform: api::PlatformReport {
--- a/crates/cardamomwinch_daemon/src/traffic_effects.rs
+++ b/crates/cardamomwinch_daemon/src/traffic_effects.rs
@@ -91,7 +91,8 @@
     }
 
     fn tell_control(&self, event: ControlEvent) {
-        // Where the queue is full the hand-over is broken off.
+        // Where the queue is full the word is lost; what is told again and
+        // again is made up for, and a hand-over is broken off.
         if self.control.try_send(ControlInput::Event(event)).is_err() {
             metrics::counter!("cardamomwinch_control_queue_drops_total").increment(1);
         }
@@ -141,6 +142,10 @@
                 address, envelope, ..
             } => self.outlets.relay(&envelope, address),
             TrafficEffect::ToThread { thread, envelope } => self.outlets.pass(thread, &envelope),
+            TrafficEffect::Observe(observations) => {
+                self.outlets
+                    .tell_control(ControlEvent::Observed(observations));
+            }
             TrafficEffect::HandOver { chunk } => {
                 self.outlets.tell_control(ControlEvent::HandOver(chunk));
             }
