--- /dev/null
+++ b/crates/cardamomwinch_experiment/src/world/endpoints.rs
@@ -0,0 +1,123 @@
+//! What callers and backend servers are given, and where that goes which they
+//! send.
+
+use cardamomwinch_protocol::prelude::{
+    BackendDatagram, BackendKind, BackendReply, BackendReplyKind, CallerDatagram, FabricDatagram,
+};
+use cardamomwinch_state::prelude::{BackendId, FlowKey, HostId};
+use rand::Rng;
+
+use crate::backends::ServerOutput;
+use crate::callers::{self, CallerOutput};
+use crate::deployment;
+use crate::hosts::HostInput;
+use crate::policy::HostPolicy;
+use crate::world::{WorldEvent, WorldRun};
+
+impl<P: HostPolicy> WorldRun<P> {
+    pub(super) fn carry_out_callers(&mut self, outputs: Vec<CallerOutput>) {
+        for output in outputs {
+            match output {
+                CallerOutput::Send(datagram) => self.send_from_caller(datagram),
+                CallerOutput::At(time, timer) => self.queue.push(time, WorldEvent::Caller(timer)),
+            }
+        }
+    }
+
+    pub(super) fn send_from_caller(&mut self, datagram: CallerDatagram<'static>) {
+        for _ in 0..self.network.copies() {
+            if let Some(host) = self.network.spray() {
+                let delay = self.network.caller_delay();
+                let input = HostInput::Fabric(FabricDatagram::Caller(datagram));
+                self.after(delay, WorldEvent::ToHost(host, input));
+            }
+        }
+    }
+
+    pub(super) fn give_to_server(&mut self, server: usize, datagram: &BackendDatagram<'static>) {
+        let service = self.options.plan.service_of_server(server);
+        if deployment::service_at(&datagram.flow) != service {
+            self.measures.counts.wrong_service += 1;
+        }
+        if datagram.kind == BackendKind::Carry {
+            let mut outputs = Vec::new();
+            let measures = &mut self.measures;
+            let flow = &datagram.flow;
+            self.fleet
+                .note_delivery(self.now, flow, server, measures, &mut outputs);
+            self.carry_out_callers(outputs);
+        }
+        let mut outputs = Vec::new();
+        self.servers[server].take(self.now, datagram, &mut outputs);
+        self.carry_out_server(server, outputs);
+    }
+
+    pub(super) fn carry_out_server(&mut self, server: usize, outputs: Vec<ServerOutput>) {
+        for output in outputs {
+            match output {
+                ServerOutput::Reply(reply) => self.send_from_server(server, reply),
+                ServerOutput::Began(request, number, end) => {
+                    let measures = &mut self.measures;
+                    self.fleet.note_run(self.now, request, measures);
+                    self.queue.push(end, WorldEvent::RunEnds(server, number));
+                }
+                ServerOutput::Busy(from, to) => self.measures.busy.add(server, from, to),
+                ServerOutput::Holds(flow, backend, via) => {
+                    if self.fleet.is_session(deployment::flow_at(&flow)) {
+                        let pause = callers::NOTICE_INTERVAL.mul_f64(self.rng.random());
+                        self.after(pause, WorldEvent::Notice(server, flow, backend, via));
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn send_notice(
+        &mut self,
+        server: usize,
+        flow: FlowKey,
+        backend: BackendId,
+        via: HostId,
+    ) {
+        let index = deployment::flow_at(&flow);
+        if self.now >= self.load_until || self.fleet.is_over(index) {
+            return;
+        }
+        let next = WorldEvent::Notice(server, flow, backend, via);
+        self.after(callers::NOTICE_INTERVAL, next);
+        if !self.fleet.is_open_on(index, server) {
+            return;
+        }
+        let Some(sequence) = self.servers[server].next_notice(index) else {
+            return;
+        };
+        self.measures.counts.notices += 1;
+        let kind = BackendReplyKind::Notice {
+            sequence,
+            payload: &[],
+        };
+        let reply = BackendReply {
+            flow,
+            backend,
+            via,
+            kind,
+        };
+        self.send_from_server(server, reply);
+    }
+
+    pub(super) fn send_from_server(&mut self, server: usize, reply: BackendReply<'static>) {
+        let domain = self.options.plan.domain_of_server(server);
+        let domain_count = self.options.plan.domains.len();
+        let copies = self.network.copies();
+        if copies == 0 && matches!(reply.kind, BackendReplyKind::Notice { .. }) {
+            self.measures.counts.notices_lost_by_fabric += 1;
+        }
+        for _ in 0..copies {
+            if let Some(host) = self.network.spray_from(domain, domain_count) {
+                let delay = self.network.delay(domain, self.domain_of(host));
+                let input = HostInput::Fabric(FabricDatagram::Backend(reply));
+                self.after(delay, WorldEvent::ToHost(host, input));
+            }
+        }
+    }
+}
