--- a/crates/cardamomwinch_experiment/src/backends.rs
+++ b/crates/cardamomwinch_experiment/src/backends.rs
@@ -82,13 +82,15 @@
     running: Vec<ActiveRun>,
     waiting: collections::VecDeque<ServerRequest>,
     run_count: u64,
+    /// The service that it serves.
+    pub service: usize,
     /// Whether it is about to leave.
     pub draining: bool,
 }
 
 impl BackendServer {
-    /// A server that is cold until then.
-    pub const fn new(rng: SmallRng, cold_until: Timestamp) -> Self {
+    /// A server of `service` that is cold until then.
+    pub const fn new(service: usize, rng: SmallRng, cold_until: Timestamp) -> Self {
         Self {
             rng,
             cold_until,
@@ -96,10 +98,21 @@
             running: Vec::new(),
             waiting: collections::VecDeque::new(),
             run_count: 0,
+            service,
             draining: false,
         }
     }
 
+    /// Starts anew for another service, and cold.
+    pub fn serve_other(&mut self, service: usize, cold_until: Timestamp) {
+        self.service = service;
+        self.cold_until = cold_until;
+        self.draining = false;
+        self.flows.clear();
+        self.running.clear();
+        self.waiting.clear();
+    }
+
     /// What the load endpoint answers.
     pub fn load(&self) -> LoadReport {
         LoadReport {
--- a/crates/cardamomwinch_experiment/src/documents.rs
+++ b/crates/cardamomwinch_experiment/src/documents.rs
@@ -19,6 +19,8 @@
     pub draining: Vec<usize>,
     /// Backend servers that have left the configuration.
     pub removed: Vec<usize>,
+    /// Removed servers whose addresses the first service was given.
+    pub moved: Vec<usize>,
     /// Listed hosts, and whether each is leaving.
     pub hosts: SortedVector<usize, bool>,
 }
@@ -30,6 +32,7 @@
             preset: ORDINARY_PRESET,
             draining: Vec::new(),
             removed: Vec::new(),
+            moved: Vec::new(),
             hosts: (0..plan.host_count).map(|host| (host, false)).collect(),
         }
     }
@@ -45,6 +48,8 @@
     pub fn fragment(&self, plan: &DeploymentPlan, service: usize) -> String {
         let servers = plan.servers_of(service);
         let kept = servers.filter(|server| !self.removed.contains(server));
+        let moved = self.moved.iter().copied().filter(|_| service == 0);
+        let kept = kept.chain(moved);
         let backends: Map<String, Value> = kept
             .clone()
             .map(|server| (server_name(server), self.server(plan, server)))
@@ -110,6 +115,8 @@
 
 /// Servers that a single change drains or removes.
 pub const DRAINED_SERVER: usize = 2;
+/// The server that is moved from the second service to the first.
+pub const MOVED_SERVER: usize = 16;
 /// The server that leaves the configuration.
 pub const REMOVED_SERVER: usize = 5;
 
--- a/crates/cardamomwinch_experiment/src/measures.rs
+++ b/crates/cardamomwinch_experiment/src/measures.rs
@@ -62,8 +62,11 @@
     pub not_run_but_ran: u64,
     /// Requests that ran twice though not idempotent, or ran after "not run".
     pub violations: Vec<usize>,
-    /// Datagrams that reached a server of another service.
+    /// Datagrams that reached a server of another service later than a change
+    /// has to be in force.
     pub wrong_service: u64,
+    /// Those before: only the server itself, which refuses them, can tell.
+    pub wrong_service_in_adoption: u64,
     /// Datagrams that the fabric handed to hosts.
     pub fabric_datagrams: u64,
     /// Callers' datagrams relayed among hosts.
--- a/crates/cardamomwinch_experiment/src/world/change_steps.rs
+++ b/crates/cardamomwinch_experiment/src/world/change_steps.rs
@@ -10,7 +10,8 @@
 use crate::hosts::{HostInput, HostProcess};
 use crate::policy::HostPolicy;
 use crate::world::{
-    CLOCK_SPREAD_MICROS, DEATH_LAG, FABRIC_LAG, LIST_LAG, READY_AFTER, TICK, WorldEvent, WorldRun,
+    CLOCK_SPREAD_MICROS, COLD_FOR, DEATH_LAG, FABRIC_LAG, LIST_LAG, READY_AFTER, TICK, WorldEvent,
+    WorldRun,
 };
 
 impl<P: HostPolicy> WorldRun<P> {
@@ -30,6 +31,13 @@
                 self.servers[server].draining = true;
                 self.publish_server(server);
             }
+            ChangeStep::Move(server) => {
+                self.published.moved.push(server);
+                self.moved_at = self.now;
+                self.servers[server].serve_other(0, self.now.after(COLD_FOR));
+                self.publish_fragment(0);
+                self.publish_root();
+            }
             ChangeStep::Start(host) => {
                 self.start_host(host, READY_AFTER);
                 self.list(host, false);
--- a/crates/cardamomwinch_experiment/src/world/endpoints.rs
+++ b/crates/cardamomwinch_experiment/src/world/endpoints.rs
@@ -12,7 +12,7 @@
 use crate::deployment;
 use crate::hosts::HostInput;
 use crate::policy::HostPolicy;
-use crate::world::{WorldEvent, WorldRun};
+use crate::world::{IN_FORCE_WITHIN, WorldEvent, WorldRun};
 
 impl<P: HostPolicy> WorldRun<P> {
     pub(super) fn carry_out_callers(&mut self, outputs: Vec<CallerOutput>) {
@@ -35,9 +35,13 @@
     }
 
     pub(super) fn give_to_server(&mut self, server: usize, datagram: &BackendDatagram<'static>) {
-        let service = self.options.plan.service_of_server(server);
+        let service = self.servers[server].service;
         if deployment::service_at(&datagram.flow) != service {
-            self.measures.counts.wrong_service += 1;
+            let counts = &mut self.measures.counts;
+            match self.now < self.moved_at.after(IN_FORCE_WITHIN) {
+                true => counts.wrong_service_in_adoption += 1,
+                false => counts.wrong_service += 1,
+            }
         }
         if datagram.kind == BackendKind::Carry {
             let mut outputs = Vec::new();
--- a/crates/cardamomwinch_experiment/src/world/mod.rs
+++ b/crates/cardamomwinch_experiment/src/world/mod.rs
@@ -35,6 +35,10 @@
 const CHANGE_AT: time::Duration = time::Duration::from_secs(20);
 const SETTLE: time::Duration = time::Duration::from_secs(44);
 const LAST_REQUESTS: time::Duration = time::Duration::from_secs(12);
+/// A published change has to be in force everywhere within this time.
+const IN_FORCE_WITHIN: time::Duration = time::Duration::from_secs(3);
+/// A server that starts in the middle of a run is cold for this long.
+const COLD_FOR: time::Duration = time::Duration::from_secs(6);
 const CLOCK_SPREAD_MICROS: u64 = 40_000;
 /// The fabric learns this late that a host is gone.
 const FABRIC_LAG: time::Duration = time::Duration::from_secs(1);
@@ -110,6 +114,7 @@
     published: PublishedState,
     revisions: [u64; 2],
     measures: RunMeasures,
+    moved_at: Timestamp,
 }
 
 impl<P: HostPolicy> WorldRun<P> {
@@ -149,7 +154,8 @@
         let fleet = CallerFleet::new(fork(), options.echo_share, arrivals, load_until);
         let network = NetworkModel::new(fork(), plan.caller_delay, options.loss);
         let cold_until = EPOCH.after(CALLERS_FROM + SESSIONS_WITHIN);
-        let servers = (0..plan.server_count()).map(|_| BackendServer::new(fork(), cold_until));
+        let servers = (0..plan.server_count())
+            .map(|server| BackendServer::new(plan.service_of_server(server), fork(), cold_until));
         let servers = servers.collect();
         Self {
             queue: EventQueue::default(),
@@ -163,6 +169,7 @@
             platform: PlatformStore::default(),
             published: PublishedState::initial(&plan),
             revisions: [0; 2],
+            moved_at: EPOCH,
             measures: RunMeasures::new(&plan, EPOCH.after(MEASURE_FROM), load_until, end),
             rng,
             options,
