--- a/crates/cardamomwinch_experiment/src/bin/cardamomwinch_experiment.rs
+++ b/crates/cardamomwinch_experiment/src/bin/cardamomwinch_experiment.rs
@@ -102,8 +102,8 @@
     options.optopt(
         "",
         "trace",
-        "show what happens to the request of this number",
-        "NUMBER",
+        "show events that have this text, such as RequestId(7)",
+        "TEXT",
     );
     options.optopt("", "seed", "seed of everything random", "NUMBER");
     options.optopt(
@@ -155,10 +155,7 @@
     let echo = number::<u32>(&matches, "echo", 50)?.min(100);
     let loss = number::<u32>(&matches, "loss", 100)?.min(100_000);
     let seed = number(&matches, "seed", 1)?;
-    let traced = matches.opt_str("trace").map(|text| text.parse());
-    let traced = traced
-        .transpose()
-        .context(NumberSnafu { option: "trace" })?;
+    let traced = matches.opt_str("trace");
     let policies = PolicyName::parse(&text("policy", "all"))?;
     println!(
         "{deployment}, {host_count} hosts, load {load} %, {echo} % echo tokens, {loss} of 100,000 datagrams lost, seed {seed}\n"
@@ -172,7 +169,7 @@
             echo_share: f64::from(echo) / 100.0,
             loss: f64::from(loss) / 1e5,
             seed,
-            traced,
+            traced: traced.clone(),
         };
         for policy in &policies {
             let report = policy.run(&options);
--- a/crates/cardamomwinch_experiment/src/report.rs
+++ b/crates/cardamomwinch_experiment/src/report.rs
@@ -122,7 +122,7 @@
     pub wrong_service: u64,
     /// Those before.
     pub wrong_service_in_adoption: u64,
-    /// Requests that ran twice or after "not run", as numbers for `--trace`.
+    /// Requests that ran twice or after "not run", as numbers for `--trace "RequestId(NUMBER)"`.
     pub violations: Vec<usize>,
     /// What hosts counted, by the name of the metric.
     pub counters: BTreeMap<&'static str, u64>,
--- a/crates/cardamomwinch_experiment/src/world/mod.rs
+++ b/crates/cardamomwinch_experiment/src/world/mod.rs
@@ -75,8 +75,9 @@
     pub loss: f64,
     /// The seed of everything random.
     pub seed: u64,
-    /// Shows all that happens to the request of this number on standard error.
-    pub traced: Option<u64>,
+    /// Shows every event and output whose debug form has this text, such as
+    /// `RequestId(7)`, on standard error.
+    pub traced: Option<String>,
 }
 
 #[derive(Debug)]
@@ -225,11 +226,11 @@
     }
 
     fn trace(&self, host: Option<usize>, subject: &dyn fmt::Debug) {
-        let Some(traced) = self.options.traced else {
+        let Some(traced) = &self.options.traced else {
             return;
         };
         let shown = format!("{subject:?}");
-        if shown.contains(&format!("RequestId({traced})")) {
+        if shown.contains(traced) {
             let micros = self.now.since(EPOCH).as_micros();
             eprintln!("{micros} us, host {host:?}: {shown}");
         }
