--- a/crates/cardamomwinch_experiment/src/callers/mod.rs
+++ b/crates/cardamomwinch_experiment/src/callers/mod.rs
@@ -30,6 +30,9 @@
 pub const SHORT_FLOW_REQUESTS: u32 = 2;
 /// A session counts as silent after this many requests without any reply.
 const SILENT_REQUESTS: u32 = 2;
+/// Only requests of this last part of a run tell whether a session is silent:
+/// by then all changes are over.
+const SETTLED_PART: time::Duration = time::Duration::from_secs(40);
 const SILENT_NOTICES: time::Duration = time::Duration::from_secs(16);
 /// How often a backend server sends a notice on a session.
 pub const NOTICE_INTERVAL: time::Duration = time::Duration::from_secs(5);
@@ -71,6 +74,7 @@
 #[derive(Debug)]
 struct CallerRequest {
     flow: usize,
+    made: Timestamp,
     idempotent: bool,
     deadline: Timestamp,
     pause: time::Duration,
--- a/crates/cardamomwinch_experiment/src/callers/requests.rs
+++ b/crates/cardamomwinch_experiment/src/callers/requests.rs
@@ -6,8 +6,8 @@
 
 use crate::callers::{
     CallerFleet, CallerOutput, CallerRequest, CallerTimer, FIRST_RESEND, FlowRole, FlowState,
-    LAST_RESEND, LONG_DEADLINE, RequestEnd, SHORT_DEADLINE, SHORT_FLOW_PAUSE, SHORT_FLOW_REQUESTS,
-    datagram,
+    LAST_RESEND, LONG_DEADLINE, RequestEnd, SETTLED_PART, SHORT_DEADLINE, SHORT_FLOW_PAUSE,
+    SHORT_FLOW_REQUESTS, datagram,
 };
 use crate::measures::{RunCounts, RunMeasures};
 
@@ -45,6 +45,7 @@
         };
         self.requests.push(CallerRequest {
             flow,
+            made: now,
             idempotent: self.rng.random_bool(0.5),
             deadline: now.after(patience),
             pause: FIRST_RESEND,
@@ -124,25 +125,27 @@
         }
         request.ended = true;
         let flow = request.flow;
+        if request.made >= self.load_until.before(SETTLED_PART) {
+            let unheard = &mut self.flows[flow].unheard;
+            *unheard = match end {
+                RequestEnd::Unanswered => *unheard + 1,
+                _ => 0,
+            };
+        }
         if request.counted {
             count_end(end, &mut measures.counts);
         }
-        self.after_request(now, flow, end, measures, outputs);
+        self.after_request(now, flow, measures, outputs);
     }
 
     pub(super) fn after_request(
         &mut self,
         now: Timestamp,
         index: usize,
-        end: RequestEnd,
         measures: &mut RunMeasures,
         outputs: &mut Vec<CallerOutput>,
     ) {
         let flow = &mut self.flows[index];
-        flow.unheard = match end {
-            RequestEnd::Unanswered => flow.unheard + 1,
-            _ => 0,
-        };
         if flow.role != FlowRole::Short {
             return;
         }
