--- a/crates/cardamomwinch_experiment/src/bin/cardamomwinch_experiment.rs
+++ b/crates/cardamomwinch_experiment/src/bin/cardamomwinch_experiment.rs
@@ -1,7 +1,6 @@
 //! Runs scenarios under each policy and prints what they measured.
 
 use std::env;
-use std::fmt;
 use std::fs;
 use std::io::{self, Write};
 use std::num;
@@ -12,6 +11,7 @@
 use cardamomwinch_coordination::prelude::HostEngine;
 use cardamomwinch_experiment::changes::ScenarioParseError;
 use cardamomwinch_experiment::deployment::DeploymentParseError;
+use cardamomwinch_experiment::measures::RunMeasures;
 use cardamomwinch_experiment::prelude::*;
 use getopts::{Matches, Options};
 use snafu::{ResultExt, Snafu};
@@ -63,25 +63,35 @@
         }
     }
 
-    fn run(self, options: &RunOptions) -> RunReport {
+    fn run(self, options: &RunOptions, runs: u64) -> RunReport {
         match self {
-            Self::Product => run::<HostEngine>(options),
-            Self::PinnedHash => run::<BaselineHost<PinnedHash>>(options),
-            Self::ConsistentTable => run::<BaselineHost<ConsistentTable>>(options),
+            Self::Product => run::<HostEngine>(options, runs),
+            Self::PinnedHash => run::<BaselineHost<PinnedHash>>(options, runs),
+            Self::ConsistentTable => run::<BaselineHost<ConsistentTable>>(options, runs),
         }
     }
 }
 
-fn run<P: HostPolicy + fmt::Debug>(options: &RunOptions) -> RunReport {
+fn run<P: HostPolicy>(options: &RunOptions, runs: u64) -> RunReport {
+    let mut sum = run_once::<P>(options.clone());
+    for further in 1..runs.max(1) {
+        let seed = options.seed + further;
+        let options = options.clone();
+        sum.add(&run_once::<P>(RunOptions { seed, ..options }));
+    }
+    RunReport::new(P::NAME, options, runs.max(1), &sum)
+}
+
+fn run_once<P: HostPolicy>(options: RunOptions) -> RunMeasures {
     let began = time::Instant::now();
-    let scenario = options.scenario.to_string();
+    let subject = format!("{}, {}, seed {}", options.scenario, P::NAME, options.seed);
     let mut progress = |passed: time::Duration| {
         let (virtual_time, real) = (passed.as_secs(), began.elapsed().as_secs());
-        eprint!("\r{scenario}, {}: {virtual_time} s in {real} s   ", P::NAME);
+        eprint!("\r{subject}: {virtual_time} s in {real} s   ");
     };
-    let measures = WorldRun::<P>::measure(options.clone(), &mut progress);
-    eprint!("\r{:60}\r", "");
-    RunReport::new(P::NAME, options, &measures)
+    let measures = WorldRun::<P>::measure(options, &mut progress);
+    eprint!("\r{:80}\r", "");
+    measures
 }
 
 fn option_table() -> Options {
@@ -105,6 +115,7 @@
         "show events that have this text, such as RequestId(7)",
         "TEXT",
     );
+    options.optopt("", "runs", "runs with successive seeds, added up", "COUNT");
     options.optopt("", "seed", "seed of everything random", "NUMBER");
     options.optopt(
         "",
@@ -156,9 +167,10 @@
     let loss = number::<u32>(&matches, "loss", 100)?.min(100_000);
     let seed = number(&matches, "seed", 1)?;
     let traced = matches.opt_str("trace");
+    let runs = number::<u64>(&matches, "runs", 1)?;
     let policies = PolicyName::parse(&text("policy", "all"))?;
     println!(
-        "{deployment}, {host_count} hosts, load {load} %, {echo} % echo tokens, {loss} of 100,000 datagrams lost, seed {seed}\n"
+        "{deployment}, {host_count} hosts, load {load} %, {echo} % echo tokens, {loss} of 100,000 datagrams lost, {runs} runs from seed {seed}\n"
     );
     println!("{TABLE_HEAD}");
     for scenario in scenarios(&text("scenario", "calm"))? {
@@ -172,7 +184,7 @@
             traced: traced.clone(),
         };
         for policy in &policies {
-            let report = policy.run(&options);
+            let report = policy.run(&options, runs);
             println!("{}", report.row());
             if let Some(path) = matches.opt_str("json") {
                 append(&path, &report)?;
--- a/crates/cardamomwinch_experiment/src/callers/observing.rs
+++ b/crates/cardamomwinch_experiment/src/callers/observing.rs
@@ -39,7 +39,7 @@
         request.runs += 1;
         if request.runs == 2 && !request.idempotent {
             measures.counts.run_twice += 1;
-            measures.counts.violations.push(index);
+            measures.note_violation(index);
         }
         let arrival = request.first_arrival.unwrap_or(now);
         if request.runs == 1 && request.counted {
@@ -54,7 +54,7 @@
         if request.told_not_run && request.runs > 0 && !request.counted_false {
             request.counted_false = true;
             measures.counts.not_run_but_ran += 1;
-            measures.counts.violations.push(index);
+            measures.note_violation(index);
         }
     }
 
--- a/crates/cardamomwinch_experiment/src/lib.rs
+++ b/crates/cardamomwinch_experiment/src/lib.rs
@@ -19,7 +19,7 @@
 //!     traced: None,
 //! };
 //! let measures = WorldRun::<HostEngine>::measure(options.clone(), &mut |_: time::Duration| ());
-//! let report = RunReport::new("product", &options, &measures);
+//! let report = RunReport::new("product", &options, 1, &measures);
 //! assert!(report.established > 0);
 //! ```
 
--- a/crates/cardamomwinch_experiment/src/measures.rs
+++ b/crates/cardamomwinch_experiment/src/measures.rs
@@ -6,6 +6,7 @@
 use cardamomwinch_protocol::prelude::RefusalReason;
 use cardamomwinch_state::prelude::{SortedVector, Timestamp};
 use hdrhistogram::Histogram;
+use serde::Serialize;
 
 use crate::deployment::DeploymentPlan;
 
@@ -61,7 +62,7 @@
     /// Requests that ran though their caller was told "not run".
     pub not_run_but_ran: u64,
     /// Requests that ran twice though not idempotent, or ran after "not run".
-    pub violations: Vec<usize>,
+    pub violations: Vec<RequestViolation>,
     /// Datagrams that reached a server of another service later than a change
     /// has to be in force.
     pub wrong_service: u64,
@@ -77,6 +78,50 @@
     pub platform_calls: u64,
 }
 
+impl RunCounts {
+    /// Adds the counts of another run.
+    pub fn add(&mut self, other: &Self) {
+        self.established += other.established;
+        self.not_established += other.not_established;
+        self.notices += other.notices;
+        self.notices_to_gone_hosts += other.notices_to_gone_hosts;
+        self.notices_lost_by_fabric += other.notices_lost_by_fabric;
+        self.notices_received += other.notices_received;
+        self.requests += other.requests;
+        self.answered += other.answered;
+        self.outcome_unknown += other.outcome_unknown;
+        self.unanswered += other.unanswered;
+        self.run_twice += other.run_twice;
+        self.not_run_but_ran += other.not_run_but_ran;
+        self.wrong_service += other.wrong_service;
+        self.wrong_service_in_adoption += other.wrong_service_in_adoption;
+        self.fabric_datagrams += other.fabric_datagrams;
+        self.relayed_callers += other.relayed_callers;
+        self.relayed_replies += other.relayed_replies;
+        self.platform_calls += other.platform_calls;
+        add_each(&mut self.broken, &other.broken);
+        add_each(&mut self.not_run, &other.not_run);
+        add_each(&mut self.counters, &other.counters);
+        self.violations.extend_from_slice(&other.violations);
+    }
+}
+
+fn add_each<K: Copy + Ord>(sums: &mut SortedVector<K, u64>, others: &SortedVector<K, u64>) {
+    for (key, count) in others.iter() {
+        *sums.get_or_insert_with(*key, || 0) += count;
+    }
+}
+
+/// A request that ran twice though not idempotent, or that ran after "not run".
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
+pub struct RequestViolation {
+    /// The seed of the run.
+    pub seed: u64,
+    /// The number of the request, for `--trace "RequestId(NUMBER)"`.
+    pub request: usize,
+}
+
 /// Control messages of one host.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct ControlCost {
@@ -130,6 +175,8 @@
 /// Everything that a run measured.
 #[derive(Debug)]
 pub struct RunMeasures {
+    /// The seed of the run.
+    pub seed: u64,
     /// Counts.
     pub counts: RunCounts,
     /// Waits for a slot in microseconds.
@@ -148,6 +195,7 @@
     /// Nothing measured yet. Callers make requests until `load_until`.
     pub fn new(
         plan: &DeploymentPlan,
+        seed: u64,
         begin: Timestamp,
         load_until: Timestamp,
         end: Timestamp,
@@ -155,6 +203,7 @@
         let waits = Histogram::new_with_bounds(1, LONGEST_WAIT_MICROS, 3);
         let waits = waits.expect("the bounds are more than a factor of two apart");
         Self {
+            seed,
             counts: RunCounts::default(),
             waits,
             busy: BusyWindows::new(plan, begin, load_until),
@@ -164,6 +213,23 @@
         }
     }
 
+    /// Adds what another run of the same scenario measured.
+    pub fn add(&mut self, other: &Self) {
+        self.counts.add(&other.counts);
+        self.waits
+            .add(&other.waits)
+            .expect("both histograms have the same bounds");
+        self.busy.windows.extend_from_slice(&other.busy.windows);
+        self.control.extend_from_slice(&other.control);
+    }
+
+    /// Notes that a request did what none may do.
+    pub fn note_violation(&mut self, request: usize) {
+        let seed = self.seed;
+        let violation = RequestViolation { seed, request };
+        self.counts.violations.push(violation);
+    }
+
     /// Counts a broken flow.
     pub fn count_broken(&mut self, cause: BreakCause) {
         *self.counts.broken.get_or_insert_with(cause, || 0) += 1;
--- a/crates/cardamomwinch_experiment/src/report.rs
+++ b/crates/cardamomwinch_experiment/src/report.rs
@@ -7,7 +7,7 @@
 use cardamomwinch_protocol::prelude::RefusalReason;
 use serde::Serialize;
 
-use crate::measures::{BreakCause, RunMeasures};
+use crate::measures::{BreakCause, RequestViolation, RunMeasures};
 use crate::world::RunOptions;
 
 /// Broken flows by cause.
@@ -66,8 +66,10 @@
     pub echo_percent: f64,
     /// Datagrams lost, in percent.
     pub loss_percent: f64,
-    /// The seed.
+    /// The first seed.
     pub seed: u64,
+    /// The number of runs, each with the next seed, that are added up.
+    pub runs: u64,
     /// Flows established.
     pub established: u64,
     /// Openings given up.
@@ -122,15 +124,20 @@
     pub wrong_service: u64,
     /// Those before.
     pub wrong_service_in_adoption: u64,
-    /// Requests that ran twice or after "not run", as numbers for `--trace "RequestId(NUMBER)"`.
-    pub violations: Vec<usize>,
+    /// Requests that ran twice or after "not run".
+    pub violations: Vec<RequestViolation>,
     /// What hosts counted, by the name of the metric.
     pub counters: BTreeMap<&'static str, u64>,
 }
 
 impl RunReport {
-    /// What `measures` say about the run of `policy` under `options`.
-    pub fn new(policy: &'static str, options: &RunOptions, measures: &RunMeasures) -> Self {
+    /// What `measures` say about `runs` runs of `policy` under `options`.
+    pub fn new(
+        policy: &'static str,
+        options: &RunOptions,
+        runs: u64,
+        measures: &RunMeasures,
+    ) -> Self {
         let counts = &measures.counts;
         let cause = |cause| counts.broken.get(&cause).copied().unwrap_or(0);
         let broken = BrokenFlows {
@@ -153,6 +160,7 @@
             echo_percent: options.echo_share * 100.0,
             loss_percent: options.loss * 100.0,
             seed: options.seed,
+            runs,
             established: counts.established,
             not_established: counts.not_established,
             broken,
--- a/crates/cardamomwinch_experiment/src/world/mod.rs
+++ b/crates/cardamomwinch_experiment/src/world/mod.rs
@@ -171,7 +171,13 @@
             published: PublishedState::initial(&plan),
             revisions: [0; 2],
             moved_at: EPOCH,
-            measures: RunMeasures::new(&plan, EPOCH.after(MEASURE_FROM), load_until, end),
+            measures: RunMeasures::new(
+                &plan,
+                options.seed,
+                EPOCH.after(MEASURE_FROM),
+                load_until,
+                end,
+            ),
             rng,
             options,
         }
--- a/crates/cardamomwinch_experiment/tests/runs.rs
+++ b/crates/cardamomwinch_experiment/tests/runs.rs
@@ -17,7 +17,7 @@
         traced: None,
     };
     let measures = WorldRun::<P>::measure(options.clone(), &mut |_: time::Duration| ());
-    RunReport::new(P::NAME, &options, &measures)
+    RunReport::new(P::NAME, &options, 1, &measures)
 }
 
 #[test]
