--- a/crates/cardamomwinch_experiment/src/callers/mod.rs
+++ b/crates/cardamomwinch_experiment/src/callers/mod.rs
@@ -67,6 +67,7 @@
     opening_sends: u32,
     requests: u32,
     unheard: u32,
+    last_heard: Timestamp,
     notices: Vec<bool>,
     last_notice: Timestamp,
 }
@@ -167,6 +168,7 @@
             opening_sends: 0,
             requests: 0,
             unheard: 0,
+            last_heard: Timestamp::ZERO,
             notices: Vec::new(),
             last_notice: Timestamp::ZERO,
         });
--- a/crates/cardamomwinch_experiment/src/callers/requests.rs
+++ b/crates/cardamomwinch_experiment/src/callers/requests.rs
@@ -125,19 +125,30 @@
         }
         request.ended = true;
         let flow = request.flow;
-        if request.made >= self.load_until.before(SETTLED_PART) {
-            let unheard = &mut self.flows[flow].unheard;
-            *unheard = match end {
-                RequestEnd::Unanswered => *unheard + 1,
-                _ => 0,
-            };
-        }
+        let made = request.made;
         if request.counted {
             count_end(end, &mut measures.counts);
         }
+        self.note_heard(now, flow, made, end);
         self.after_request(now, flow, measures, outputs);
     }
 
+    /// A session is silent only by requests that nothing was heard after.
+    fn note_heard(&mut self, now: Timestamp, index: usize, made: Timestamp, end: RequestEnd) {
+        let settled = self.load_until.before(SETTLED_PART);
+        let flow = &mut self.flows[index];
+        match end {
+            RequestEnd::Unanswered if made >= settled && made > flow.last_heard => {
+                flow.unheard += 1;
+            }
+            RequestEnd::Unanswered => {}
+            _ => {
+                flow.unheard = 0;
+                flow.last_heard = now;
+            }
+        }
+    }
+
     pub(super) fn after_request(
         &mut self,
         now: Timestamp,
