--- a/crates/cardamomwinch_experiment/src/hosts.rs
+++ b/crates/cardamomwinch_experiment/src/hosts.rs
@@ -15,6 +15,9 @@
 
 /// Datagrams that the sockets of a paused process hold.
 const BACKLOG_LIMIT: usize = 2000;
+/// As in the daemon, a host that is drained stays until the fabric has handed
+/// it nothing for this long.
+const QUIET_PERIOD: time::Duration = time::Duration::from_millis(1500);
 const SHARED_KEY: [u8; 32] = [7; 32];
 
 /// What reaches a host.
@@ -46,6 +49,8 @@
     /// Which life this is.
     pub life: u32,
     ahead: time::Duration,
+    drained: bool,
+    last_fabric: Timestamp,
     state: ProcessState<P>,
 }
 
@@ -57,6 +62,8 @@
             domain,
             life: 0,
             ahead,
+            drained: false,
+            last_fabric: Timestamp::ZERO,
             state: ProcessState::Down,
         }
     }
@@ -64,6 +71,7 @@
     /// Starts a new life.
     pub fn start(&mut self, now: Timestamp, outputs: &mut Vec<HostOutput>) {
         self.life += 1;
+        self.drained = false;
         let identity = HostIdentity {
             host: self.id,
             domain: self.domain,
@@ -79,6 +87,18 @@
         self.state = ProcessState::Down;
     }
 
+    /// Notes that the host holds nothing any more.
+    pub const fn note_drained(&mut self) {
+        self.drained = true;
+    }
+
+    /// Ends the process where it is drained and nothing is handed to it any more.
+    pub fn end_if_quiet(&mut self, now: Timestamp) {
+        if self.drained && now.since(self.last_fabric) >= QUIET_PERIOD {
+            self.kill();
+        }
+    }
+
     /// Whether the process exists.
     pub const fn is_up(&self) -> bool {
         !matches!(self.state, ProcessState::Down)
@@ -113,6 +133,9 @@
         input: HostInput,
         outputs: &mut Vec<HostOutput>,
     ) -> bool {
+        if matches!(input, HostInput::Fabric(_)) {
+            self.last_fabric = now;
+        }
         let now = now.after(self.ahead);
         match &mut self.state {
             ProcessState::Down => false,
--- a/crates/cardamomwinch_experiment/src/world/host_links.rs
+++ b/crates/cardamomwinch_experiment/src/world/host_links.rs
@@ -20,6 +20,7 @@
 
 impl<P: HostPolicy> WorldRun<P> {
     pub(super) fn tick(&mut self, host: usize, life: u32) {
+        self.hosts[host].end_if_quiet(self.now);
         if self.hosts[host].life != life || !self.hosts[host].is_up() {
             return;
         }
@@ -64,7 +65,7 @@
                 HostOutput::AskLoad(backend, address) => {
                     self.ask_load(host, backend, deployment::server_at(address));
                 }
-                HostOutput::Drained => self.hosts[host].kill(),
+                HostOutput::Drained => self.hosts[host].note_drained(),
                 HostOutput::Count(counter) => self.measures.count(counter),
             }
         }
