--- a/crates/cardamomwinch_coordination/src/traffic/handover.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/handover.rs
@@ -24,7 +24,7 @@
 use crate::traffic::handover_items::{self, KeyedRecord};
 use crate::traffic::ledger::QueueEntry;
 use crate::traffic::packing::{ChunkPacker, HandOverFullError};
-use crate::traffic::pins::FlowPin;
+use crate::traffic::pins::{FlowPin, PinRole};
 use crate::traffic::requests::{RequestKey, RequestState};
 use crate::traffic::resolve;
 
@@ -153,13 +153,18 @@
             let off_table = table.is_none_or(|entry| entry.id != pin.claim.backend);
             let counted = resolve::shard_of(context.snapshot, &pin.claim) == shard;
             let found_here = table.is_some_and(|entry| context.snapshot.shard_of(entry) == shard);
-            let goes_with_shard = counted || (found_here && off_table);
+            let goes_with_shard = match pin.role {
+                PinRole::Learned => false,
+                PinRole::Redirect => pin.shard == shard || (found_here && off_table),
+                PinRole::Placed => counted || (found_here && off_table),
+            };
             if !goes_with_shard {
                 continue;
             }
             let recent = context.now.since(pin.since) < copies_for;
             let item = pin_item(flow, pin, counted && pin.counted);
-            match off_table && (recent || !pin.echoes_token) {
+            let unlike_table = off_table || pin.role == PinRole::Redirect;
+            match unlike_table && (recent || !pin.echoes_token) {
                 true => needed.push(item),
                 false => other.push(item),
             }
@@ -225,12 +230,16 @@
         self.ledgers
             .retain(|backend, _| !is_in(snapshot, backend, shard));
         self.pins.retain(|flow, pin| {
-            if resolve::shard_of(snapshot, &pin.claim) != shard {
+            if pin.shard != shard || pin.role == PinRole::Learned {
                 return true;
             }
             pin.counted = false;
+            pin.role = PinRole::Redirect;
             // Its datagrams may still come here by the table.
-            table_pick(snapshot, flow).is_some_and(|entry| snapshot.shard_of(entry) != shard)
+            let found_by = table_pick(snapshot, flow).map(|entry| snapshot.shard_of(entry));
+            let elsewhere = found_by.filter(|found_by| *found_by != shard);
+            pin.shard = elsewhere.unwrap_or(shard);
+            elsewhere.is_some()
         });
     }
 
@@ -280,7 +289,7 @@
         let mut whole = true;
         for item in &chunk.items {
             whole &= match item {
-                HandOverItem::Pin(pin) => self.take_pin(context, pin),
+                HandOverItem::Pin(pin) => self.take_pin(context, pin, shard),
                 HandOverItem::Record(record) => self.take_record(context, record, shard),
                 HandOverItem::Connections(connections) => {
                     let ledger = self.ledgers.of(connections.backend);
@@ -305,15 +314,29 @@
         &mut self,
         context: &mut EventContext<'_, S>,
         item: &PinItem,
+        shard: ShardId,
     ) -> bool {
         let hash = Self::hasher(context.snapshot).hash(&item.flow);
         let mut counted = item.counted;
         if let Some(pin) = self.pins.get_mut(hash, &item.flow) {
             counted &= !(pin.counted && pin.claim == item.claim);
-            pin.counted |= item.counted;
-            pin.claim = item.claim;
-            pin.last_seen = pin.last_seen.max(item.last_seen);
-        } else if self.pins.insert(hash, item.flow, item.into()).is_err() {
+            let taken = handover_items::pin_of(item, shard);
+            let placed_here = pin.role == PinRole::Placed && pin.counted;
+            if placed_here && !taken.counted {
+                // This host is home of the server itself. A redirect from
+                // another shard that it becomes home of must not lead away.
+                return true;
+            }
+            *pin = FlowPin {
+                disputed: pin.disputed || taken.disputed,
+                last_seen: pin.last_seen.max(item.last_seen),
+                ..taken
+            };
+        } else if self
+            .pins
+            .insert(hash, item.flow, handover_items::pin_of(item, shard))
+            .is_err()
+        {
             context.count(Counter::TableFull);
             if counted {
                 let ledger = self.ledgers.of(item.claim.backend);
@@ -392,6 +415,7 @@
         since: pin.since,
         last_seen: pin.last_seen,
         echoes_token: pin.echoes_token,
+        disputed: pin.disputed,
         counted,
     }
 }
@@ -420,7 +444,10 @@
     match state {
         RequestState::Running(_) => 2,
         RequestState::Queued { .. } => 1,
-        RequestState::Answered { .. } | RequestState::Refused { .. } | RequestState::Unknown => 0,
+        RequestState::Answered { .. }
+        | RequestState::Refused { .. }
+        | RequestState::Moved { .. }
+        | RequestState::Unknown => 0,
     }
 }
 
@@ -428,7 +455,7 @@
 fn progress(state: &RequestState) -> u8 {
     match state {
         RequestState::Queued { .. } => 0,
-        RequestState::Unknown => 1,
+        RequestState::Unknown | RequestState::Moved { .. } => 1,
         RequestState::Running(_) => 2,
         RequestState::Refused { .. } => 3,
         RequestState::Answered { .. } => 4,
