--- a/crates/cardamomwinch_experiment/src/backends.rs
+++ b/crates/cardamomwinch_experiment/src/backends.rs
@@ -134,7 +134,12 @@
         match datagram.kind {
             BackendKind::Open => self.open(flow, datagram, outputs),
             BackendKind::Carry if !self.flows.contains_key(&flow) => {
-                outputs.push(reply(datagram, BackendReplyKind::UnknownFlow));
+                let request = datagram.request;
+                let unknown = BackendReplyKind::UnknownFlow {
+                    request: request.map(|request| request.id),
+                    attempt: request.map(|request| request.attempt).unwrap_or_default(),
+                };
+                outputs.push(reply(datagram, unknown));
                 return;
             }
             BackendKind::Carry => {}
--- a/crates/cardamomwinch_experiment/src/baseline/mod.rs
+++ b/crates/cardamomwinch_experiment/src/baseline/mod.rs
@@ -151,7 +151,7 @@
                 reason: RefusalReason::Shed,
                 retry_after: RETRY_AFTER,
             },
-            BackendReplyKind::UnknownFlow => CallerReplyKind::Reset {
+            BackendReplyKind::UnknownFlow { .. } => CallerReplyKind::Reset {
                 reason: ResetReason::UnknownFlow,
             },
             BackendReplyKind::Opened => {
--- a/crates/cardamomwinch_experiment/src/measures.rs
+++ b/crates/cardamomwinch_experiment/src/measures.rs
@@ -72,6 +72,8 @@
     pub fabric_datagrams: u64,
     /// Callers' datagrams relayed among hosts.
     pub relayed_callers: u64,
+    /// Results of searches, told to the host that began the search.
+    pub relayed_results: u64,
     /// Backend servers' replies relayed among hosts.
     pub relayed_replies: u64,
     /// Calls to the platform.
@@ -97,6 +99,7 @@
         self.wrong_service_in_adoption += other.wrong_service_in_adoption;
         self.fabric_datagrams += other.fabric_datagrams;
         self.relayed_callers += other.relayed_callers;
+        self.relayed_results += other.relayed_results;
         self.relayed_replies += other.relayed_replies;
         self.platform_calls += other.platform_calls;
         add_each(&mut self.broken, &other.broken);
--- a/crates/cardamomwinch_experiment/src/report.rs
+++ b/crates/cardamomwinch_experiment/src/report.rs
@@ -93,6 +93,8 @@
     pub wait_p99_ms: f64,
     /// Relayed datagrams of callers per hundred datagrams from the fabric.
     pub relayed_percent: f64,
+    /// Results of searches told per hundred datagrams from the fabric.
+    pub relayed_result_percent: f64,
     /// Relayed replies of backend servers per hundred datagrams from the fabric.
     pub relayed_reply_percent: f64,
     /// Control bytes a second, mean over hosts.
@@ -172,6 +174,7 @@
             wait_p50_ms: measures.waits.value_at_quantile(0.5) as f64 / 1e3,
             wait_p99_ms: measures.waits.value_at_quantile(0.99) as f64 / 1e3,
             relayed_percent: counts.relayed_callers as f64 * 100.0 / fabric,
+            relayed_result_percent: counts.relayed_results as f64 * 100.0 / fabric,
             relayed_reply_percent: counts.relayed_replies as f64 * 100.0 / fabric,
             control_bytes: control.bytes,
             control_bytes_worst: control.bytes_worst,
@@ -215,7 +218,7 @@
             silent,
         } = self.broken;
         format!(
-            "| {} | {} | {} | {:.1} | {other_server}/{reset}/{silent} | {}/{} | {large} {small} | {:.1}/{:.0} | {:.0}/{:.0} | {:.0}/{:.0}/{:.1} | {} | {refused} | {} | {} | {} | {} | {} | {}/{} |",
+            "| {} | {} | {} | {:.1} | {other_server}/{reset}/{silent} | {}/{} | {large} {small} | {:.1}/{:.0} | {:.0}/{:.0}/{:.0} | {:.0}/{:.0}/{:.1} | {} | {refused} | {} | {} | {} | {} | {} | {}/{} |",
             self.scenario,
             self.policy,
             self.established,
@@ -225,6 +228,7 @@
             self.wait_p50_ms,
             self.wait_p99_ms,
             self.relayed_percent,
+            self.relayed_result_percent,
             self.relayed_reply_percent,
             self.control_bytes,
             self.control_bytes_worst,
@@ -243,7 +247,7 @@
 
 /// The head of the table.
 pub const TABLE_HEAD: &str = "\
-| changes | policy | flows | broken per 100,000 | other server/reset/silent | notices missed/to gone hosts | imbalance median/worst of the larger and the smaller service | wait p50/p99 ms | relayed %: callers/replies | control a host: B/s mean/worst, messages/s | answered | not run | unknown | no answer | retried | run twice | \"not run\" that ran | wrong service after/within 3 s |
+| changes | policy | flows | broken per 100,000 | other server/reset/silent | notices missed/to gone hosts | imbalance median/worst of the larger and the smaller service | wait p50/p99 ms | relayed %: callers/results of searches/replies | control a host: B/s mean/worst, messages/s | answered | not run | unknown | no answer | retried | run twice | \"not run\" that ran | wrong service after/within 3 s |
 |---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|";
 
 struct ControlRates {
--- a/crates/cardamomwinch_experiment/src/wire.rs
+++ b/crates/cardamomwinch_experiment/src/wire.rs
@@ -154,7 +154,9 @@
             sequence,
             payload: &[],
         },
-        BackendReplyKind::UnknownFlow => BackendReplyKind::UnknownFlow,
+        BackendReplyKind::UnknownFlow { request, attempt } => {
+            BackendReplyKind::UnknownFlow { request, attempt }
+        }
         BackendReplyKind::Closed => BackendReplyKind::Closed,
     };
     BackendReply {
@@ -169,15 +171,26 @@
     let frame = match &envelope.frame {
         RelayFrame::Caller {
             datagram,
-            backend,
+            decided,
+            search,
             shard,
             hops,
         } => RelayFrame::Caller {
             datagram: bare_caller(datagram),
-            backend: *backend,
+            decided: *decided,
+            search: *search,
             shard: *shard,
             hops: *hops,
         },
+        RelayFrame::Learned {
+            flow,
+            claim,
+            thread,
+        } => RelayFrame::Learned {
+            flow: *flow,
+            claim: *claim,
+            thread: *thread,
+        },
         RelayFrame::Backend { reply, shard, hops } => RelayFrame::Backend {
             reply: bare_answer(reply),
             shard: *shard,
