--- a/crates/cardamomwinch_experiment/src/hosts.rs
+++ b/crates/cardamomwinch_experiment/src/hosts.rs
@@ -28,7 +28,7 @@
     /// From the fabric.
     Fabric(FabricDatagram<'static>),
     /// From another host.
-    Relay(RelayEnvelope<'static>),
+    Relay(Box<RelayEnvelope<'static>>),
     /// Time has passed.
     Tick,
 }
@@ -168,7 +168,7 @@
             policy.handle(now, HostEvent::Traffic(event), &mut sink);
         }
         HostInput::Relay(envelope) => {
-            let event = TrafficEvent::Relay(envelope);
+            let event = TrafficEvent::Relay(*envelope);
             policy.handle(now, HostEvent::Traffic(event), &mut sink);
         }
         HostInput::Tick => {
--- a/crates/cardamomwinch_experiment/src/world/host_links.rs
+++ b/crates/cardamomwinch_experiment/src/world/host_links.rs
@@ -116,7 +116,7 @@
         if let Some((target, delay)) = self.way_to_host(host, peer)
             && !self.network.loses()
         {
-            let input = HostInput::Relay(envelope);
+            let input = HostInput::Relay(Box::new(envelope));
             self.after(delay, WorldEvent::ToHost(target, input));
         }
     }
