--- a/crates/cardamomwinch_experiment/src/backends.rs
+++ b/crates/cardamomwinch_experiment/src/backends.rs
@@ -113,6 +113,11 @@
         self.waiting.clear();
     }
 
+    /// Whether `flow` is open here.
+    pub fn holds(&self, flow: usize) -> bool {
+        self.flows.contains_key(&flow)
+    }
+
     /// What the load endpoint answers.
     pub fn load(&self) -> LoadReport {
         LoadReport {
--- a/crates/cardamomwinch_experiment/src/measures.rs
+++ b/crates/cardamomwinch_experiment/src/measures.rs
@@ -19,7 +19,8 @@
 /// Why a flow counts as broken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum BreakCause {
-    /// Its data reached another backend server than its own.
+    /// Its data reached another backend server than its own, which took it.
+    /// One that says that it does not hold the flow does no harm in itself.
     OtherServer,
     /// It was reset.
     Reset,
