--- a/crates/cardamomwinch_coordination/src/decision.rs
+++ b/crates/cardamomwinch_coordination/src/decision.rs
@@ -3,10 +3,12 @@
 use std::fmt;
 
 use cardamomwinch_state::prelude::{
-    BackendId, ConfigurationVersion, FlowKey, HostId, ServiceId, ShardId, Timestamp,
+    BackendId, ConfigurationVersion, DomainId, FlowKey, HostId, ServiceId, ShardId, Timestamp,
 };
 use serde::Serialize;
 
+use crate::control::membership::Reachability;
+
 /// Why a decision was taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize)]
@@ -52,8 +54,15 @@
     ConfigurationAdopted,
     /// A backend server's health changed.
     BackendHealth,
-    /// A host's reachability changed.
-    HostReachability,
+    /// A host's reachability changed to this.
+    HostReachability(Reachability),
+    /// A whole failure domain was cut off from here, or is reachable again.
+    DomainReachability {
+        /// The failure domain.
+        domain: DomainId,
+        /// Whether it is reachable now.
+        reachable: bool,
+    },
 }
 
 impl fmt::Display for DecisionReason {
@@ -79,7 +88,16 @@
             Self::HomeChanged => "home_changed",
             Self::ConfigurationAdopted => "configuration_adopted",
             Self::BackendHealth => "backend_health",
-            Self::HostReachability => "host_reachability",
+            Self::HostReachability(Reachability::Unknown) => "host_unknown",
+            Self::HostReachability(Reachability::Alive) => "host_alive",
+            Self::HostReachability(Reachability::Suspect) => "host_suspect",
+            Self::HostReachability(Reachability::Dead) => "host_dead",
+            Self::DomainReachability {
+                reachable: true, ..
+            } => "domain_reachable",
+            Self::DomainReachability {
+                reachable: false, ..
+            } => "domain_cut_off",
         })
     }
 }
