Tell the home that the newest table leads to of flows placed under an earlier one

Cause: a host that started after a change knows the newest lookup table only.

Ruled out: handing the earlier tables over, which are as large as the configuration.

Figures: both cases of the new test fail without it, and pass with it.

--- a/crates/cardamomwinch_coordination/examples/pin_memory_figures.rs
+++ b/crates/cardamomwinch_coordination/examples/pin_memory_figures.rs
@@ -41,6 +41,7 @@
         since: Timestamp::new(1),
         last_seen: Timestamp::new(1),
         counted: true,
+        announced: ConfigurationVersion::ZERO,
         echoes_token: true,
     };
     println!("default bound: {} flows", TrafficBounds::default().flows);
--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/traffic/announcing.rs
@@ -0,0 +1,87 @@
+//! Tells homes of flows without token that lie off their tables.
+//!
+//! Guards against hosts that know the newest lookup table only, because they
+//! started after a change: none of them could find a flow that was placed under
+//! an earlier table, once all hosts that knew that table are replaced.
+
+use cardamomwinch_protocol::prelude::{RelayFrame, TokenClaim};
+use cardamomwinch_state::prelude::{ConfigurationVersion, FlowKey, ShardId};
+
+use crate::traffic::TrafficEngine;
+use crate::traffic::context::EventContext;
+use crate::traffic::effect::TrafficSink;
+use crate::traffic::pins::{FlowPin, PinRole};
+
+/// Whether `version` may lead to another home than the one that holds `pin`.
+pub(crate) fn is_due(pin: &FlowPin, version: ConfigurationVersion) -> bool {
+    pin.role == PinRole::Placed && !pin.echoes_token && pin.announced != version
+}
+
+impl TrafficEngine {
+    /// Tells the home that the newest table leads to, where that is another.
+    pub(crate) fn announce<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        flow: FlowKey,
+        claim: TokenClaim,
+    ) {
+        let snapshot = context.snapshot;
+        if !context.may_act || !self.is_home_of(context, &claim) {
+            return;
+        }
+        let Some(service) = snapshot.service_of(flow.service) else {
+            return;
+        };
+        let hash = Self::hasher(snapshot).hash(&flow);
+        let tables = snapshot.generations.first();
+        let picked = tables.and_then(|tables| tables.select(service.id, hash));
+        let picked = picked.filter(|picked| *picked != claim.backend);
+        let Some(entry) = picked.and_then(|picked| snapshot.backend(picked)) else {
+            return;
+        };
+        let shard = snapshot.shard_of(entry);
+        let frame = RelayFrame::Announced { flow, claim, shard };
+        match snapshot.shard(shard).home {
+            Some(home) if home != self.identity.host => _ = context.relay(home, frame),
+            Some(_) if !self.place.owns(shard) => {
+                context.pass_to_thread(self.place.owner(shard), frame);
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes the word of the home of a flow's server.
+    pub(crate) fn take_announced<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        flow: FlowKey,
+        claim: TokenClaim,
+        shard: ShardId,
+    ) {
+        if !self.place.owns(shard) {
+            let frame = RelayFrame::Announced { flow, claim, shard };
+            return context.pass_to_thread(self.place.owner(shard), frame);
+        }
+        if context.snapshot.lease_at(shard, context.now).is_none() || self.pins_are_short() {
+            return;
+        }
+        let hash = Self::hasher(context.snapshot).hash(&flow);
+        if let Some(pin) = self.pins.get(hash, &flow)
+            && self.is_authority(context, pin)
+        {
+            return;
+        }
+        let pin = FlowPin {
+            claim,
+            shard,
+            role: PinRole::Redirect,
+            disputed: false,
+            since: context.now,
+            last_seen: context.now,
+            counted: false,
+            announced: context.snapshot.version(),
+            echoes_token: false,
+        };
+        self.hold_pin(context, hash, flow, pin);
+    }
+}
--- a/crates/cardamomwinch_coordination/src/traffic/handover_items.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/handover_items.rs
@@ -3,7 +3,7 @@
 use cardamomwinch_protocol::peer::hand_over::{
     HeldItem, PartItem, PartsItem, PinItem, RecordItem, RecordState,
 };
-use cardamomwinch_state::prelude::{BackendId, ShardId};
+use cardamomwinch_state::prelude::{BackendId, ConfigurationVersion, ShardId};
 use snafu::Snafu;
 
 use crate::traffic::pins::{FlowPin, PinRole};
@@ -231,6 +231,7 @@
         since: item.since,
         last_seen: item.last_seen,
         counted: item.counted,
+        announced: ConfigurationVersion::ZERO,
         echoes_token: item.echoes_token,
     }
 }
--- a/crates/cardamomwinch_coordination/src/traffic/mod.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/mod.rs
@@ -1,6 +1,7 @@
 //! Decides about each datagram: which backend server its flow belongs to,
 //! which host is its home, and whether the request that it carries runs.
 
+pub(crate) mod announcing;
 pub(crate) mod caller_datagrams;
 pub(crate) mod context;
 pub(crate) mod dispatching;
@@ -214,6 +215,9 @@
                 claim,
                 thread,
             } => self.learn(context, frame, flow, claim, thread),
+            RelayFrame::Announced { flow, claim, shard } => {
+                self.take_announced(context, flow, claim, shard);
+            }
         }
     }
 
--- a/crates/cardamomwinch_coordination/src/traffic/opening.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/opening.rs
@@ -4,7 +4,9 @@
 use cardamomwinch_protocol::prelude::{
     BackendKind, CallerDatagram, CallerKind, FlowSearch, RefusalReason, TokenClaim,
 };
-use cardamomwinch_state::prelude::{BackendEntry, BackendId, FlowHash, FlowKey, HostId};
+use cardamomwinch_state::prelude::{
+    BackendEntry, BackendId, ConfigurationVersion, FlowHash, FlowKey, HostId,
+};
 
 use crate::counter::Counter;
 use crate::decision::DecisionReason;
@@ -113,6 +115,7 @@
                 since: context.now,
                 last_seen: context.now,
                 counted: false,
+                announced: ConfigurationVersion::ZERO,
                 echoes_token: routed.datagram.echoes_token,
             };
             if self
@@ -445,6 +448,7 @@
             since: context.now,
             last_seen: context.now,
             counted: true,
+            announced: ConfigurationVersion::ZERO,
             echoes_token: routed.datagram.echoes_token,
         };
         if !self.hold_pin(context, routed.hash, flow, pin) {
--- a/crates/cardamomwinch_coordination/src/traffic/pin_sweeping.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/pin_sweeping.rs
@@ -10,6 +10,7 @@
 
 use crate::routing::generations::FLOW_LIFE;
 use crate::traffic::TrafficEngine;
+use crate::traffic::announcing;
 use crate::traffic::context::EventContext;
 use crate::traffic::effect::TrafficSink;
 use crate::traffic::pins::{FlowPin, PinRole};
@@ -24,6 +25,9 @@
 /// Where room is short, pins whose loss a search makes good go after this.
 const SEARCHABLE_IDLE: time::Duration = time::Duration::from_secs(600);
 
+/// Flows of one part that are looked at at once for where the table leads now.
+const ANNOUNCED_PER_PART: usize = 64;
+
 /// How short room is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum PinPressure {
@@ -36,7 +40,7 @@
 }
 
 impl TrafficEngine {
-    pub(crate) fn sweep_pins<S: TrafficSink>(&mut self, context: &EventContext<'_, S>) {
+    pub(crate) fn sweep_pins<S: TrafficSink>(&mut self, context: &mut EventContext<'_, S>) {
         let pressure = match self.pins_are_short() {
             true => PinPressure::High,
             false => PinPressure::Low,
@@ -52,7 +56,10 @@
     }
 
     /// Tries to make room for one more flow.
-    pub(crate) fn make_pin_room<S: TrafficSink>(&mut self, context: &EventContext<'_, S>) -> bool {
+    pub(crate) fn make_pin_room<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+    ) -> bool {
         let mut seen = 0;
         for _ in 0..FlowTable::<FlowPin>::part_count() {
             if self.pins.len() < self.bounds.flows || seen >= PINS_FOR_ROOM {
@@ -66,7 +73,7 @@
     /// Sweeps the next part of the table and returns how many pins it held.
     fn sweep_next_pins<S: TrafficSink>(
         &mut self,
-        context: &EventContext<'_, S>,
+        context: &mut EventContext<'_, S>,
         pressure: PinPressure,
     ) -> usize {
         let limits = &context.snapshot.configuration.limits;
@@ -75,9 +82,15 @@
         self.pin_position = (position + 1) % FlowTable::<FlowPin>::part_count();
         let mut dropped = Vec::new();
         let mut seen = 0;
-        self.pins.retain_part(position, |_, pin| {
+        let (now, version) = (context.now, context.snapshot.version());
+        let mut moved = Vec::new();
+        self.pins.retain_part(position, |flow, pin| {
             seen += 1;
-            let keep = context.now < keep_until(pin, request_life, pressure);
+            let keep = now < keep_until(pin, request_life, pressure);
+            if keep && moved.len() < ANNOUNCED_PER_PART && announcing::is_due(pin, version) {
+                pin.announced = version;
+                moved.push((*flow, pin.claim));
+            }
             if !keep {
                 dropped.push(*pin);
             }
@@ -86,6 +99,9 @@
         for pin in dropped {
             self.uncount(&pin);
         }
+        for (flow, claim) in moved {
+            self.announce(context, flow, claim);
+        }
         seen
     }
 }
--- a/crates/cardamomwinch_coordination/src/traffic/pins.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/pins.rs
@@ -1,7 +1,7 @@
 //! Pins: the flows whose backend server this thread remembers.
 
 use cardamomwinch_protocol::prelude::TokenClaim;
-use cardamomwinch_state::prelude::{ShardId, Timestamp};
+use cardamomwinch_state::prelude::{ConfigurationVersion, ShardId, Timestamp};
 
 /// Why a thread remembers a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,6 +36,8 @@
     pub last_seen: Timestamp,
     /// Whether this thread counts the flow as a connection of the server.
     pub counted: bool,
+    /// The version for which the home that the newest table leads to was told.
+    pub announced: ConfigurationVersion,
     /// Whether the caller echoes the token, so that the flow survives the
     /// loss of this pin.
     pub echoes_token: bool,
--- a/crates/cardamomwinch_coordination/src/traffic/searching.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/searching.rs
@@ -6,7 +6,7 @@
     BackendKind, CallerDatagram, CallerKind, CallerReplyKind, FlowSearch, RelayFrame, ResetReason,
     SearchStage, TokenClaim, TriedServers,
 };
-use cardamomwinch_state::prelude::{FlowKey, FlowTable, Timestamp};
+use cardamomwinch_state::prelude::{ConfigurationVersion, FlowKey, FlowTable, Timestamp};
 
 use crate::counter::Counter;
 use crate::decision::DecisionReason;
@@ -323,6 +323,7 @@
             since: context.now,
             last_seen: context.now,
             counted: false,
+            announced: ConfigurationVersion::ZERO,
             echoes_token: false,
         };
         // Where room is short it is left to flows that need a pin more; the home
--- a/crates/cardamomwinch_coordination/src/traffic/unknown_flows.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/unknown_flows.rs
@@ -8,7 +8,9 @@
     AttemptNumber, BackendReply, BackendReplyKind, CallerReplyKind, FlowSearch, RelayFrame,
     RequestHeader, ResetReason, TokenClaim, TriedServers,
 };
-use cardamomwinch_state::prelude::{FlowHash, FlowKey, RequestId, ShardId, Timestamp};
+use cardamomwinch_state::prelude::{
+    ConfigurationVersion, FlowHash, FlowKey, RequestId, ShardId, Timestamp,
+};
 
 use crate::counter::Counter;
 use crate::decision::DecisionReason;
@@ -313,6 +315,7 @@
             since: context.now,
             last_seen: context.now,
             counted: true,
+            announced: ConfigurationVersion::ZERO,
             echoes_token: false,
         };
         if self.hold_pin(context, hash, reply.flow, pin) {
--- a/crates/cardamomwinch_coordination/tests/admission_support/mod.rs
+++ b/crates/cardamomwinch_coordination/tests/admission_support/mod.rs
@@ -201,7 +201,9 @@
             TrafficEffect::Relay { host, envelope, .. } => {
                 let of = match envelope.frame {
                     RelayFrame::Caller { datagram, .. } => datagram.request.map(|held| held.id),
-                    RelayFrame::Backend { .. } | RelayFrame::Learned { .. } => None,
+                    RelayFrame::Backend { .. }
+                    | RelayFrame::Learned { .. }
+                    | RelayFrame::Announced { .. } => None,
                 };
                 wanted.relayed.push((host, of));
             }
--- a/crates/cardamomwinch_coordination/tests/routing_changes.rs
+++ b/crates/cardamomwinch_coordination/tests/routing_changes.rs
@@ -246,3 +246,21 @@
     }
     assert_eq!(fleet.count(Counter::RequestAnswered), 0);
 }
+
+// A change moves flows of callers that echo no token; then every host is
+// replaced in turn, each handing over. None of the new hosts has ever known the
+// earlier table, and yet each must find the flows.
+#[parameterized(drain = { drained }, preset = { swapped })]
+fn flow_without_token_is_found_by_hosts_that_know_the_newest_table_only(
+    change: fn(Vec<BackendEntry>) -> Vec<BackendEntry>,
+) {
+    let mut fleet = Fleet::new(HOSTS, &routing_support::configuration(1, &servers()));
+    open_all(&mut fleet);
+    fleet.adopt_everywhere(&routing_support::configuration(2, &change(servers())));
+    fleet.pass(time::Duration::from_secs(10));
+    for member in &mut fleet.members {
+        member.snapshot.generations.truncate(1);
+        member.snapshot.opening_generations = 1;
+    }
+    check_all(&mut fleet);
+}
--- a/crates/cardamomwinch_protocol/src/relay.rs
+++ b/crates/cardamomwinch_protocol/src/relay.rs
@@ -121,6 +121,16 @@
         /// The traffic thread that wants to know.
         thread: u16,
     },
+    /// Tells the home that the newest lookup table leads to where a flow without
+    /// token lives, which was placed under an earlier table.
+    Announced {
+        /// The flow.
+        flow: FlowKey,
+        /// Its server.
+        claim: TokenClaim,
+        /// The shard whose home is told.
+        shard: ShardId,
+    },
     /// A backend server's reply, to the home that accounts for it. The caller
     /// has already been sent what concerns it.
     Backend {
