--- a/crates/cardamomwinch_coordination/src/traffic/handover.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/handover.rs
@@ -228,7 +228,7 @@
         self.requests.retain(|_, record| record.shard != shard);
         let snapshot = context.snapshot;
         self.ledgers
-            .retain(|backend| !is_in(snapshot, backend, shard));
+            .retain(|backend, _| !is_in(snapshot, backend, shard));
         self.pins.retain(|flow, pin| {
             if pin.shard != shard || pin.role == PinRole::Learned {
                 return true;
@@ -243,6 +243,17 @@
         });
     }
 
+    pub(crate) fn thaw_shard<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        shard: ShardId,
+    ) {
+        if let Some(frozen) = self.frozen.shards.get_mut(&shard) {
+            frozen.until = context.now;
+        }
+        self.thaw(context);
+    }
+
     /// Sends on, or applies, what was held back for shards that are frozen no more.
     pub(crate) fn thaw<S: TrafficSink>(&mut self, context: &mut EventContext<'_, S>) {
         let now = context.now;
--- a/crates/cardamomwinch_coordination/src/traffic/serving.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/serving.rs
@@ -9,8 +9,8 @@
     RefusalReason, RequestHeader, TokenClaim,
 };
 use cardamomwinch_state::prelude::{
-    BackendEntry, BackendPhase, ConnectionCount, FlowHash, RequestId, ShardId, SlotCount,
-    Timestamp, Weight,
+    BackendEntry, BackendId, BackendPhase, ConnectionCount, FlowHash, RequestId, ShardId,
+    SlotCount, Timestamp, Weight,
 };
 
 use crate::counter::Counter;
@@ -75,7 +75,8 @@
             return self.refuse_request(context, routed, arriving.shard, RefusalReason::Deadline);
         }
         if !header.idempotent && self.may_be_known_elsewhere(context, &claim, &header) {
-            return context.outcome_unknown(arriving.key.flow, header.id, RETRY_AFTER);
+            let retry_after = knows_after(context, arriving.shard, &header);
+            return context.outcome_unknown(arriving.key.flow, header.id, retry_after);
         }
         self.retry_budgets.note_first_try(
             routed.service.id,
@@ -271,7 +272,7 @@
             kind: routed.datagram.kind,
         };
         if self.requests.get(routed.hash, &arriving.key).is_some() {
-            return self.repeat_known(context, &arriving);
+            return self.repeat_known(context, &arriving, RETRY_AFTER);
         }
         self.refuse_arriving(context, &arriving, reason, RETRY_AFTER);
     }
@@ -333,14 +334,33 @@
             Some(attempt) if in_time && self.retry_budgets.take(routed.service.id, percent) => {
                 self.admit(context, routed, claim, arriving, AttemptNumber(attempt));
             }
-            _ => self.repeat_known(context, arriving),
+            _ => {
+                let retry_after = self.retry_after(context, claim.backend, arriving.hash);
+                self.repeat_known(context, arriving, retry_after);
+            }
         }
     }
 
+    /// When a caller whose request `backend` cannot take now should come back.
+    pub(crate) fn retry_after<S: TrafficSink>(
+        &mut self,
+        context: &EventContext<'_, S>,
+        backend: BackendId,
+        hash: FlowHash,
+    ) -> time::Duration {
+        let Some(entry) = context.snapshot.backend(backend) else {
+            return RETRY_AFTER;
+        };
+        let view = context.snapshot.view(backend);
+        let ledger = self.ledgers.of(backend);
+        ledger.retry_after(context.now, entry, view, hash)
+    }
+
     fn repeat_known<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
         arriving: &ArrivingRequest,
+        retry_after: time::Duration,
     ) {
         let key = arriving.key;
         context.count(Counter::RequestDuplicate);
@@ -369,10 +389,10 @@
                 }
             }
             RequestState::Refused { reason } => {
-                context.refuse(key.flow, Some(key.id), *reason, RETRY_AFTER);
+                context.refuse(key.flow, Some(key.id), *reason, retry_after);
             }
             RequestState::Answered { kept: None, .. } | RequestState::Unknown => {
-                context.outcome_unknown(key.flow, key.id, RETRY_AFTER);
+                context.outcome_unknown(key.flow, key.id, retry_after);
             }
         }
     }
@@ -396,6 +416,21 @@
     }
 }
 
+/// How long it takes until a request like this one is certainly newer than the
+/// records of this home.
+fn knows_after<S: TrafficSink>(
+    context: &EventContext<'_, S>,
+    shard: ShardId,
+    header: &RequestHeader,
+) -> time::Duration {
+    let lifetime = context.snapshot.configuration.limits.request_lifetime;
+    let lease = context.snapshot.lease_at(shard, context.now);
+    let since = lease.map_or(Timestamp::ZERO, |lease| lease.records_since);
+    since
+        .since(header.deadline.before(lifetime))
+        .max(RETRY_AFTER)
+}
+
 /// Whether a request may wait: the queue has room, its flow does not fill the
 /// queue alone, and there will be time left to serve it.
 fn may_wait(
--- a/crates/cardamomwinch_daemon/src/decision_line.rs
+++ b/crates/cardamomwinch_daemon/src/decision_line.rs
@@ -65,7 +65,8 @@
             DecisionReason::HomeChanged
             | DecisionReason::ConfigurationAdopted
             | DecisionReason::BackendHealth
-            | DecisionReason::HostReachability => "control",
+            | DecisionReason::HostReachability(_)
+            | DecisionReason::DomainReachability { .. } => "control",
             _ => "routing",
         }
     }
