Show operators what the home of a server knows of it

Cause: the report of backend servers called a draining server unhealthy, and called healthy every server of which the host knows nothing.

Change: a server that says it drains is shown as draining, a cold one as warming, one of another home as unknown. The test of draining reads it from the administration API.

--- a/crates/cardamomwinch_daemon/src/administration/reports.rs
+++ b/crates/cardamomwinch_daemon/src/administration/reports.rs
@@ -4,9 +4,10 @@
 use cardamomwinch_coordination::prelude::{
     ControlEngine, PlatformKey, RoutingSnapshot, ServingPhase,
 };
+use cardamomwinch_coordination::snapshot::BackendView;
 use cardamomwinch_protocol::administration as api;
 use cardamomwinch_state::prelude::{
-    BackendEntry, ConfigurationVersion, ConnectionCount, FragmentRevision, HostEntry,
+    BackendEntry, BackendPhase, ConfigurationVersion, ConnectionCount, FragmentRevision, HostEntry,
     HostListVersion, SlotCount, Timestamp,
 };
 
@@ -115,6 +116,16 @@
         .collect()
 }
 
+/// Only the home of a server asks it, so that others know nothing of it.
+fn health(known: BackendView) -> api::HealthState {
+    match known {
+        BackendView { ejected: true, .. } => api::HealthState::Unhealthy,
+        BackendView { report: None, .. } => api::HealthState::Unknown,
+        BackendView { warm_percent, .. } if warm_percent < 100 => api::HealthState::Warming,
+        _ => api::HealthState::Healthy,
+    }
+}
+
 fn backend(
     snapshot: &RoutingSnapshot,
     load: &TrafficLoad,
@@ -125,9 +136,10 @@
     let view = snapshot.shard(shard);
     let home = view.home;
     let home = home.and_then(|id| snapshot.hosts.get(id));
-    let health = match snapshot.is_ejected(entry.id) {
-        true => api::HealthState::Unhealthy,
-        false => api::HealthState::Healthy,
+    let known = snapshot.view(entry.id);
+    let phase = match known.draining {
+        true => BackendPhase::Draining,
+        false => entry.phase,
     };
     let held = |held: Option<&u32>| held.copied().unwrap_or_default();
     api::BackendReport {
@@ -136,9 +148,9 @@
         id: entry.id.to_string(),
         domain: snapshot.domain_name(entry.domain),
         address: entry.address.to_string(),
-        phase: entry.phase,
+        phase,
         weight: entry.weight,
-        health,
+        health: health(known),
         busy_slots: SlotCount::new(held(load.busy_slots.get(&entry.id))),
         slots: entry.slots,
         connections: ConnectionCount::new(held(load.connections.get(&entry.id))),
--- a/tests/backend_servers.rs
+++ b/tests/backend_servers.rs
@@ -61,6 +61,22 @@
     reply.json().unwrap()
 }
 
+/// The phase of a backend server as each host reports it to operators.
+async fn known_phases(deployment: &Deployment, index: usize) -> Vec<String> {
+    let name = &deployment.backends[index].name;
+    let mut phases = Vec::new();
+    for position in 0..deployment.hosts.len() {
+        let answer = deployment
+            .call(position, "backends", serde_json::json!([]))
+            .await
+            .unwrap();
+        let reports = answer.as_array().unwrap();
+        let of_server = reports.iter().filter(|held| held["backend"] == **name);
+        phases.extend(of_server.map(|held| held["phase"].as_str().unwrap().to_owned()));
+    }
+    phases
+}
+
 fn total(reports: &[Value], key: &str) -> u64 {
     reports
         .iter()
@@ -86,6 +102,8 @@
         let address = deployment.backends[draining].address;
         http::request(address, "POST", "/drain", "").await.unwrap();
         async_io::Timer::after(time::Duration::from_secs(3)).await;
+        let known = known_phases(&deployment, draining).await;
+        assert!(known.contains(&"draining".to_owned()), "{known:?}");
         let before = report(&deployment, draining).await;
         open_flows(executor, &deployment, 40).await;
         let after = report(&deployment, draining).await;
