--- a/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
@@ -229,7 +229,8 @@
                 };
                 let frame = RelayFrame::Caller {
                     datagram,
-                    backend: Some(claim.backend),
+                    decided: Some(claim),
+                    search: None,
                     shard,
                     hops: 1,
                 };
--- a/crates/cardamomwinch_coordination/src/traffic/serving.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/serving.rs
@@ -90,7 +90,7 @@
     /// request can have been sent at most its longest lifetime before its
     /// deadline, so one whose deadline is late enough is certainly newer than
     /// this home's own records.
-    fn may_be_known_elsewhere<S: TrafficSink>(
+    pub(crate) fn may_be_known_elsewhere<S: TrafficSink>(
         &self,
         context: &EventContext<'_, S>,
         claim: &TokenClaim,
@@ -114,7 +114,7 @@
         arriving: &ArrivingRequest,
         attempt: AttemptNumber,
     ) {
-        if !Self::may_reach(context, routed, &claim) {
+        if !context.may_send(routed.datagram.flow.service, &claim) {
             let reason = RefusalReason::NoBackend;
             return self.refuse_attempt(context, arriving, attempt, reason, RETRY_AFTER);
         }
@@ -373,7 +373,7 @@
             return;
         };
         match &record.state {
-            RequestState::Queued { .. } => {}
+            RequestState::Queued { .. } | RequestState::Moved { .. } => {}
             RequestState::Running(running) => {
                 for kept in &running.kept {
                     let (attempt, part) = (running.attempt, kept.part);
