--- a/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
@@ -6,7 +6,7 @@
 use cardamomwinch_protocol::prelude::{
     AttemptNumber, CallerDatagram, RefusalReason, RelayFrame, TokenClaim,
 };
-use cardamomwinch_state::prelude::{BackendId, ShardId};
+use cardamomwinch_state::prelude::{BackendId, FlowKey, ShardId};
 
 use crate::counter::Counter;
 use crate::decision::DecisionReason;
@@ -326,7 +326,7 @@
         &mut self,
         context: &mut EventContext<'_, S>,
         backend: BackendId,
-        flow: &cardamomwinch_state::prelude::FlowKey,
+        flow: &FlowKey,
     ) {
         let ledger = self.ledgers.of(backend);
         let slots = ledger.running().iter().map(|slot| slot.entry);
--- a/crates/cardamomwinch_coordination/src/traffic/mod.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/mod.rs
@@ -15,6 +15,7 @@
 pub(crate) mod packing;
 pub(crate) mod pin_sweeping;
 pub mod pins;
+pub(crate) mod repeating;
 pub(crate) mod replies;
 pub mod requests;
 pub(crate) mod resolve;
--- a/crates/cardamomwinch_coordination/src/traffic/serving.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/serving.rs
@@ -5,20 +5,19 @@
 use std::time;
 
 use cardamomwinch_protocol::prelude::{
-    AttemptNumber, BackendKind, CallerDatagram, CallerKind, CallerReplyKind, PartNumber,
-    RefusalReason, RequestHeader, TokenClaim,
+    AttemptNumber, BackendKind, CallerDatagram, CallerKind, RefusalReason, RequestHeader,
+    TokenClaim,
 };
 use cardamomwinch_state::prelude::{
-    BackendEntry, BackendId, BackendPhase, ConnectionCount, FlowHash, RequestId, ShardId,
-    SlotCount, Timestamp, Weight,
+    BackendEntry, BackendPhase, ConnectionCount, FlowHash, RequestId, ShardId, SlotCount,
+    Timestamp, Weight,
 };
 
 use crate::counter::Counter;
-use crate::decision::DecisionReason;
 use crate::snapshot::BackendView;
 use crate::traffic::TrafficEngine;
 use crate::traffic::caller_datagrams::{self, RETRY_AFTER, RoutedDatagram};
-use crate::traffic::context::{DecisionSubject, EventContext};
+use crate::traffic::context::EventContext;
 use crate::traffic::effect::TrafficSink;
 use crate::traffic::ledger::{QueueEntry, ServerLedger, WaitingRequest};
 use crate::traffic::requests::{HeldRequest, RequestKey, RequestRecord, RequestState};
@@ -37,12 +36,12 @@
 
 /// What is known about a request that has just come in.
 #[derive(Debug, Clone, Copy)]
-struct ArrivingRequest {
-    key: RequestKey,
-    hash: FlowHash,
-    shard: ShardId,
-    header: RequestHeader,
-    kind: CallerKind,
+pub(crate) struct ArrivingRequest {
+    pub(crate) key: RequestKey,
+    pub(crate) hash: FlowHash,
+    pub(crate) shard: ShardId,
+    pub(crate) header: RequestHeader,
+    pub(crate) kind: CallerKind,
 }
 
 impl TrafficEngine {
@@ -106,7 +105,7 @@
 
     /// Queues a request for its server, or refuses it where it could not be
     /// served in time.
-    fn admit<S: TrafficSink>(
+    pub(crate) fn admit<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
         routed: &RoutedDatagram<'_, '_>,
@@ -309,93 +308,6 @@
             context.refuse(key.flow, Some(key.id), reason, retry_after);
         }
     }
-
-    /// Handles a copy of a request that is remembered. An idempotent one whose
-    /// answer was not kept may run again, as an attempt of its own, so that the
-    /// parts of two runs are never mixed.
-    fn repeat<S: TrafficSink>(
-        &mut self,
-        context: &mut EventContext<'_, S>,
-        routed: &RoutedDatagram<'_, '_>,
-        claim: TokenClaim,
-        arriving: &ArrivingRequest,
-    ) {
-        let record = self.requests.get(arriving.hash, &arriving.key);
-        let attempt = record.and_then(|record| match record.state {
-            RequestState::Answered {
-                attempt,
-                kept: None,
-            } if record.idempotent => attempt.0.checked_add(1),
-            _ => None,
-        });
-        let percent = context.snapshot.configuration.limits.retry_percent;
-        let in_time = arriving.header.deadline > context.now;
-        match attempt {
-            Some(attempt) if in_time && self.retry_budgets.take(routed.service.id, percent) => {
-                self.admit(context, routed, claim, arriving, AttemptNumber(attempt));
-            }
-            _ => {
-                let retry_after = self.retry_after(context, claim.backend, arriving.hash);
-                self.repeat_known(context, arriving, retry_after);
-            }
-        }
-    }
-
-    /// When a caller whose request `backend` cannot take now should come back.
-    pub(crate) fn retry_after<S: TrafficSink>(
-        &mut self,
-        context: &EventContext<'_, S>,
-        backend: BackendId,
-        hash: FlowHash,
-    ) -> time::Duration {
-        let Some(entry) = context.snapshot.backend(backend) else {
-            return RETRY_AFTER;
-        };
-        let view = context.snapshot.view(backend);
-        let ledger = self.ledgers.of(backend);
-        ledger.retry_after(context.now, entry, view, hash)
-    }
-
-    fn repeat_known<S: TrafficSink>(
-        &mut self,
-        context: &mut EventContext<'_, S>,
-        arriving: &ArrivingRequest,
-        retry_after: time::Duration,
-    ) {
-        let key = arriving.key;
-        context.count(Counter::RequestDuplicate);
-        let subject = DecisionSubject {
-            flow: Some(key.flow),
-            ..DecisionSubject::default()
-        };
-        context.decide(DecisionReason::Duplicate, subject);
-        let Some(record) = self.requests.get(arriving.hash, &key) else {
-            return;
-        };
-        match &record.state {
-            RequestState::Queued { .. } | RequestState::Moved { .. } => {}
-            RequestState::Running(running) => {
-                for kept in &running.kept {
-                    let (attempt, part) = (running.attempt, kept.part);
-                    context.reply(key.flow, answer(&key, attempt, part, &kept.payload));
-                }
-            }
-            RequestState::Answered {
-                attempt,
-                kept: Some(parts),
-            } => {
-                for kept in parts {
-                    context.reply(key.flow, answer(&key, *attempt, kept.part, &kept.payload));
-                }
-            }
-            RequestState::Refused { reason } => {
-                context.refuse(key.flow, Some(key.id), *reason, retry_after);
-            }
-            RequestState::Answered { kept: None, .. } | RequestState::Unknown => {
-                context.outcome_unknown(key.flow, key.id, retry_after);
-            }
-        }
-    }
 }
 
 fn arriving<S: TrafficSink>(
@@ -487,17 +399,3 @@
         payload: routed.datagram.payload.into(),
     }
 }
-
-pub(crate) fn answer<'p>(
-    key: &RequestKey,
-    attempt: AttemptNumber,
-    part: PartNumber,
-    payload: &'p [u8],
-) -> CallerReplyKind<'p> {
-    CallerReplyKind::Answer {
-        request: key.id,
-        attempt,
-        part,
-        payload,
-    }
-}
