Say 'not run' only where an earlier home cannot have run the request

Ruled out: keeping refusals longer, since what the dead home knew is lost. Change: such requests are answered 'outcome unknown'; that they may have run is remembered and handed over; a newer hand-over ends the earlier inheritance. The conformance test asks the stricter rule of idempotent requests too.

--- a/crates/cardamomwinch_coordination/src/control/homes/handing_over.rs
+++ b/crates/cardamomwinch_coordination/src/control/homes/handing_over.rs
@@ -53,6 +53,7 @@
             .after(limits.home_lease)
             .before(limits.clock_skew);
         let inherited = InheritedRecords {
+            hand_over: report.hand_over,
             records_since,
             valid_until,
         };
--- a/crates/cardamomwinch_coordination/src/control/homes/leases.rs
+++ b/crates/cardamomwinch_coordination/src/control/homes/leases.rs
@@ -2,7 +2,9 @@
 
 use std::time;
 
-use cardamomwinch_protocol::peer::homes::{LeaseGrant, LeaseRequest, LeaseRound, ShardSet};
+use cardamomwinch_protocol::peer::homes::{
+    HandOverId, LeaseGrant, LeaseRequest, LeaseRound, ShardSet,
+};
 use cardamomwinch_state::prelude::{
     ConfigurationLimits, HostId, HostListVersion, HostTable, ShardId, SortedVector, Timestamp,
 };
@@ -30,6 +32,8 @@
 /// What a hand-over left to this host, until it holds the lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct InheritedRecords {
+    /// The hand-over.
+    pub hand_over: HandOverId,
     /// From when on the records handed over are whole.
     pub records_since: Timestamp,
     /// Another host may have held the shard in between from this point on.
@@ -205,6 +209,14 @@
         begun
     }
 
+    /// Forgets what a hand-over left that began before `newer`.
+    pub fn forget_inherited_before(&mut self, newer: HandOverId) {
+        if let Some(state) = self.shards.get_mut(&newer.shard) {
+            let inherited = state.inherited;
+            state.inherited = inherited.filter(|records| records.hand_over >= newer);
+        }
+    }
+
     /// Takes over what a hand-over left.
     pub fn inherit(&mut self, shard: ShardId, inherited: InheritedRecords) {
         if let Some(state) = self.shards.get_mut(&shard) {
--- a/crates/cardamomwinch_coordination/src/control/homes/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/homes/mod.rs
@@ -266,6 +266,9 @@
             HomeMessage::HandOver(chunk) => {
                 let own = chunk.hand_over.shard.domain == world.identity.domain;
                 if own && world.is_serving() && world.may_hold() {
+                    // The sender has been home since, so that what an earlier
+                    // hand-over left is not all that is known any more.
+                    self.leases.forget_inherited_before(chunk.hand_over);
                     self.incoming.take_chunk(now, host, chunk.clone(), out);
                 }
             }
--- a/crates/cardamomwinch_coordination/src/traffic/handover_items.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/handover_items.rs
@@ -141,6 +141,7 @@
         backend,
         expires: record.expires,
         idempotent: record.idempotent,
+        may_have_run: record.may_have_run,
         state,
     }
 }
@@ -211,7 +212,7 @@
         shard,
         expires: item.expires,
         idempotent: item.idempotent,
-        may_have_run: state.may_have_run_before(),
+        may_have_run: item.may_have_run || state.may_have_run_before(),
         state,
     };
     Ok(KeyedRecord { key, record })
--- a/crates/cardamomwinch_coordination/src/traffic/serving.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/serving.rs
@@ -64,14 +64,10 @@
         }
         let limits = &context.snapshot.configuration.limits;
         let lifetime = limits.request_lifetime + limits.clock_skew;
-        if header.deadline > context.now.after(lifetime * 2) {
-            // Guards against records that stay for years: a refusal has to be
-            // remembered until the deadline, and a caller that sets absurd ones
-            // would fill the table. Without a record nothing can be promised.
-            return context.outcome_unknown(arriving.key.flow, header.id, RETRY_AFTER);
-        }
         if header.deadline > context.now.after(lifetime) {
-            return self.refuse_request(context, routed, arriving.shard, RefusalReason::Deadline);
+            // A refusal is remembered by this home only: the next one could run
+            // a late copy once the deadline is near enough.
+            return context.outcome_unknown(arriving.key.flow, header.id, RETRY_AFTER);
         }
         if !header.idempotent && self.may_be_known_elsewhere(context, &claim, &header) {
             let retry_after = knows_after(context, arriving.shard, &header);
@@ -96,6 +92,14 @@
         header: &RequestHeader,
     ) -> bool {
         let shard = resolve::shard_of(context.snapshot, claim);
+        Self::predates_records(context, shard, header)
+    }
+
+    fn predates_records<S: TrafficSink>(
+        context: &EventContext<'_, S>,
+        shard: ShardId,
+        header: &RequestHeader,
+    ) -> bool {
         let Some(lease) = context.snapshot.lease_at(shard, context.now) else {
             return true;
         };
@@ -198,11 +202,12 @@
             key, hash, header, ..
         } = *arriving;
         let skew = context.snapshot.configuration.limits.clock_skew;
+        let predates = Self::predates_records(context, arriving.shard, &header);
         let record = RequestRecord {
             shard: arriving.shard,
             expires: header.deadline.after(skew),
             idempotent: header.idempotent,
-            may_have_run: state.may_have_run_before(),
+            may_have_run: predates || state.may_have_run_before(),
             state,
         };
         let limit = self.requests.limit();
@@ -273,6 +278,15 @@
         if self.requests.get(routed.hash, &arriving.key).is_some() {
             return self.repeat_known(context, &arriving, RETRY_AFTER);
         }
+        // What holds before a request is run holds before "not run" is said.
+        if header.deadline <= context.now {
+            return context.count(Counter::RequestLate);
+        }
+        let limits = &context.snapshot.configuration.limits;
+        let lifetime = limits.request_lifetime + limits.clock_skew;
+        if header.deadline > context.now.after(lifetime) {
+            return context.outcome_unknown(flow, header.id, RETRY_AFTER);
+        }
         self.refuse_arriving(context, &arriving, reason, RETRY_AFTER);
     }
 
@@ -302,6 +316,12 @@
         reason: RefusalReason,
         retry_after: time::Duration,
     ) {
+        // An earlier home may have run the request, idempotent or not, and what
+        // it knew is lost: whatever this home does not run may have run there.
+        if Self::predates_records(context, arriving.shard, &arriving.header) {
+            let ArrivingRequest { key, .. } = arriving;
+            return context.outcome_unknown(key.flow, key.id, retry_after);
+        }
         let state = RequestState::Refused { reason };
         if self.remember(context, arriving, state).is_some() {
             let ArrivingRequest { key, .. } = arriving;
--- a/crates/cardamomwinch_experiment/src/wire.rs
+++ b/crates/cardamomwinch_experiment/src/wire.rs
@@ -191,6 +191,11 @@
             claim: *claim,
             thread: *thread,
         },
+        RelayFrame::Announced { flow, claim, shard } => RelayFrame::Announced {
+            flow: *flow,
+            claim: *claim,
+            shard: *shard,
+        },
         RelayFrame::Backend { reply, shard, hops } => RelayFrame::Backend {
             reply: bare_answer(reply),
             shard: *shard,
--- a/crates/cardamomwinch_experiment/src/world/host_links.rs
+++ b/crates/cardamomwinch_experiment/src/world/host_links.rs
@@ -110,7 +110,9 @@
     pub(super) fn relay(&mut self, host: usize, peer: HostId, envelope: RelayEnvelope<'static>) {
         match envelope.frame {
             RelayFrame::Caller { .. } => self.measures.counts.relayed_callers += 1,
-            RelayFrame::Learned { .. } => self.measures.counts.relayed_results += 1,
+            RelayFrame::Learned { .. } | RelayFrame::Announced { .. } => {
+                self.measures.counts.relayed_results += 1;
+            }
             RelayFrame::Backend { .. } => self.measures.counts.relayed_replies += 1,
         }
         if let Some((target, delay)) = self.way_to_host(host, peer)
--- a/crates/cardamomwinch_model/tests/conformance_requests.rs
+++ b/crates/cardamomwinch_model/tests/conformance_requests.rs
@@ -207,6 +207,15 @@
         let remembered = self.memory.get(&(home, request)).copied();
         let facts = self.world.facts(home, &header, remembered.is_some());
         let mut allowed = facts.outcomes().to_vec();
+        if header.idempotent && self.world.predates(home, &header) {
+            // It may run again, but "not run" must not be said of what may have
+            // run at an earlier home.
+            for outcome in &mut allowed {
+                if *outcome == CopyOutcome::Refuse {
+                    *outcome = CopyOutcome::OutcomeUnknown;
+                }
+            }
+        }
         if remembered.is_some() && facts.past_deadline {
             // The record may be swept once no copy can be accepted any more.
             allowed.push(CopyOutcome::Late);
--- a/crates/cardamomwinch_model/tests/support/mod.rs
+++ b/crates/cardamomwinch_model/tests/support/mod.rs
@@ -332,6 +332,8 @@
                 claim: *claim,
                 thread: *thread,
             }),
+            // Where an announced flow lives changes no outcome that is compared.
+            RelayFrame::Announced { .. } => {}
             RelayFrame::Backend { reply, shard, hops } => self.replies.push(RelayedReply {
                 to,
                 reply: owned_reply(reply),
@@ -568,15 +570,20 @@
     ) -> CopyFacts {
         let limits = &self.limits;
         let furthest = self.now.after(limits.request_lifetime + limits.clock_skew);
-        let earliest = header.deadline.before(limits.request_lifetime);
-        let since = self.records_since(index).unwrap();
         CopyFacts {
             remembered,
             past_deadline: header.deadline <= self.now,
             far_deadline: header.deadline > furthest,
-            may_be_known_elsewhere: !header.idempotent && earliest < since,
+            may_be_known_elsewhere: !header.idempotent && self.predates(index, header),
         }
     }
+
+    /// Whether the request may have been sent before the records of the home
+    /// `index` begin.
+    pub(crate) fn predates(&self, index: usize, header: &RequestHeader) -> bool {
+        let earliest = header.deadline.before(self.limits.request_lifetime);
+        earliest < self.records_since(index).unwrap()
+    }
 }
 
 impl VisibleOutcome {
--- a/crates/cardamomwinch_protocol/src/peer/hand_over.rs
+++ b/crates/cardamomwinch_protocol/src/peer/hand_over.rs
@@ -87,6 +87,8 @@
     pub expires: Timestamp,
     /// Whether running it twice is harmless.
     pub idempotent: bool,
+    /// Whether it may have run before, so that "not run" must not be said.
+    pub may_have_run: bool,
     /// Where it stands.
     pub state: RecordState,
 }
