Let decision lines follow the log level, and report what was left out

Cause: the logger of decisions knew neither the level of the settings, so that `warn` still wrote every decision, nor a way to tell the number left out when no later decision came; on a quiet host the number of a rush showed hours later or never. Change: the logger takes the level, and reports the number left out at the next tick of a later second as a line of its own. Left: what is left out in the last second before the process ends is not told.

--- a/crates/cardamomwinch_daemon/src/control_effects.rs
+++ b/crates/cardamomwinch_daemon/src/control_effects.rs
@@ -94,6 +94,9 @@
     }
 
     fn log(&mut self, now: Timestamp, record: &DecisionRecord) {
+        if !self.logger.is_enabled() {
+            return;
+        }
         let snapshot = self.snapshots.load();
         let line = DecisionLine::new(&self.host, record, &snapshot);
         self.logger.log(now, &line);
--- a/crates/cardamomwinch_daemon/src/control_thread.rs
+++ b/crates/cardamomwinch_daemon/src/control_thread.rs
@@ -51,6 +51,7 @@
             now,
         };
         self.engine.handle(now, event, &mut sink);
+        self.outlets.logger.report_left_out(now);
     }
 
     fn answer(&self, query: ControlQuery) {
--- a/crates/cardamomwinch_daemon/src/launch.rs
+++ b/crates/cardamomwinch_daemon/src/launch.rs
@@ -229,12 +229,13 @@
             count: count as u16,
         };
         let limit = self.settings.log.decisions_per_second / count as u32;
+        let level = level_filter(self.settings.log.level);
         let outlets = TrafficOutlets::new(
             sockets,
             senders.to_vec(),
             control.clone(),
             self.settings.keys.clone(),
-            DecisionLogger::new(&self.log, limit),
+            DecisionLogger::new(&self.log, limit).with_level(level),
             self.settings.host.clone(),
         );
         TrafficThread {
@@ -307,7 +308,8 @@
             threads: threads.clone(),
             drained: drained.clone(),
             counters: CounterHandles::default(),
-            logger: DecisionLogger::new(&self.log, settings.log.decisions_per_second),
+            logger: DecisionLogger::new(&self.log, settings.log.decisions_per_second)
+                .with_level(level_filter(settings.log.level)),
             host: settings.host.clone(),
         };
         let clock = *self.timers.clock();
--- a/crates/cardamomwinch_daemon/src/traffic_effects.rs
+++ b/crates/cardamomwinch_daemon/src/traffic_effects.rs
@@ -99,6 +99,9 @@
     }
 
     fn log(&mut self, now: Timestamp, record: &DecisionRecord, snapshot: &RoutingSnapshot) {
+        if !self.logger.is_enabled() {
+            return;
+        }
         let line = DecisionLine::new(&self.host, record, snapshot);
         self.logger.log(now, &line);
     }
--- a/crates/cardamomwinch_daemon/src/traffic_thread.rs
+++ b/crates/cardamomwinch_daemon/src/traffic_thread.rs
@@ -61,6 +61,11 @@
         self.engine.handle(now, &snapshot, event, &mut sink);
     }
 
+    fn tick(&mut self) {
+        self.handle(TrafficEvent::Tick);
+        self.outlets.logger.report_left_out(self.clock.now());
+    }
+
     fn handle_fabric(&mut self, bytes: &[u8]) {
         self.last_fabric = self.clock.now();
         match codec::decode::<FabricDatagram<'_>>(bytes) {
@@ -210,7 +215,7 @@
     };
     let mut subscription = timers.subscribe_ticks((), plan);
     while subscription.next().await.is_some() {
-        driver.borrow_mut().handle(TrafficEvent::Tick);
+        driver.borrow_mut().tick();
     }
 }
 
--- a/crates/cardamomwinch_transport/src/log_sink.rs
+++ b/crates/cardamomwinch_transport/src/log_sink.rs
@@ -76,7 +76,7 @@
 }
 
 #[derive(Serialize)]
-struct NoFields {}
+pub(crate) struct NoFields {}
 
 /// Takes lines without ever waiting.
 #[derive(Debug, Clone)]
--- a/crates/cardamomwinch_transport/tests/log_sink.rs
+++ b/crates/cardamomwinch_transport/tests/log_sink.rs
@@ -129,6 +129,50 @@
     assert_eq!(lines[4].get("left_out"), None);
 }
 
+// A rush of decisions ends, and then nothing is decided for hours. The reader of
+// the log would not learn that lines are missing, since only a later decision
+// carried their number.
+#[test]
+fn what_was_left_out_is_reported_without_a_further_decision() {
+    let output = SharedOutput::default();
+    let sink = LogSink::start(output.clone(), 64, HostClock::start()).unwrap();
+    let mut logger = DecisionLogger::new(&sink, 2);
+    for _ in 0..5 {
+        logger.log(seconds(5), &PLACEMENT);
+    }
+    logger.report_left_out(seconds(5));
+    logger.report_left_out(seconds(6));
+    logger.report_left_out(seconds(7));
+    assert_eq!(logger.left_out(), 0);
+    drop(sink);
+    let lines = output.lines();
+    assert_eq!(lines.len(), 3);
+    assert_eq!(lines[2]["event"], "decisions_left_out");
+    assert_eq!(lines[2]["left_out"], 3);
+}
+
+// An operator sets the level to warn, and the log is still full of decisions:
+// they are lines of the level info.
+#[test]
+fn decisions_are_logged_from_the_level_info_on() {
+    for (level, count) in [
+        (LevelFilter::Off, 0),
+        (LevelFilter::Warn, 0),
+        (LevelFilter::Info, 1),
+        (LevelFilter::Trace, 1),
+    ] {
+        let output = SharedOutput::default();
+        let sink = LogSink::start(output.clone(), 64, HostClock::start()).unwrap();
+        let mut logger = DecisionLogger::new(&sink, 2).with_level(level);
+        assert_eq!(logger.is_enabled(), count == 1);
+        logger.log(seconds(5), &PLACEMENT);
+        logger.report_left_out(seconds(6));
+        assert_eq!(logger.left_out(), 0);
+        drop(sink);
+        assert_eq!(output.lines().len(), count, "{level}");
+    }
+}
+
 // Whatever reads the standard output of the host stands still. Were lines
 // written on the traffic threads, the host would stop serving; here lines are
 // left out, and once the reader goes on their number is known.
