Escape control characters of a host's texts in the command's tables

Cause: names and reasons come from documents of many teams and were printed as they are; an escape sequence in one could rewrite what the operator sees. Change: cells, labels and messages of refusals are escaped; JSON output escapes by itself.

--- a/crates/cardamomwinch_ctl/src/client.rs
+++ b/crates/cardamomwinch_ctl/src/client.rs
@@ -19,6 +19,7 @@
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 
 use crate::rpc::{RpcRequest, RpcResponse};
+use crate::text_table::printable;
 
 /// A longer answer is refused, so that a wrong address can't fill the memory.
 pub const ANSWER_BYTE_LIMIT: usize = 64 * 1024 * 1024;
@@ -100,7 +101,7 @@
         address: net::SocketAddr,
     },
     /// The host refuses.
-    #[snafu(display("{address} refused: {message} (code {code})"))]
+    #[snafu(display("{address} refused: {} (code {code})", printable(message)))]
     Refused {
         /// The address.
         address: net::SocketAddr,
--- a/crates/cardamomwinch_ctl/src/report_text.rs
+++ b/crates/cardamomwinch_ctl/src/report_text.rs
@@ -6,7 +6,7 @@
     BackendReport, ExplainReport, FlowsReport, MemberReport, StatusReport,
 };
 
-use crate::text_table::{TextTable, or_dash};
+use crate::text_table::{TextTable, or_dash, printable};
 
 const LABEL_WIDTH: usize = 18;
 
@@ -15,7 +15,8 @@
     label: &str,
     value: impl fmt::Display,
 ) -> fmt::Result {
-    writeln!(formatter, "{label:LABEL_WIDTH$}{value}")
+    let value = value.to_string();
+    writeln!(formatter, "{label:LABEL_WIDTH$}{}", printable(&value))
 }
 
 /// How a host is doing.
--- a/crates/cardamomwinch_ctl/src/text_table.rs
+++ b/crates/cardamomwinch_ctl/src/text_table.rs
@@ -1,5 +1,6 @@
 //! Tables for people.
 
+use std::borrow;
 use std::cmp;
 use std::fmt;
 
@@ -20,9 +21,10 @@
         }
     }
 
-    /// Adds a row.
+    /// Adds a row. Control characters in it are escaped.
     pub fn push(&mut self, row: Vec<String>) {
-        self.rows.push(row);
+        let row = row.iter().map(|cell| printable(cell).into_owned());
+        self.rows.push(row.collect());
     }
 
     fn widths(&self) -> Vec<usize> {
@@ -55,3 +57,21 @@
 pub fn or_dash<T: fmt::Display>(value: Option<T>) -> String {
     value.map_or_else(|| "-".to_owned(), |value| value.to_string())
 }
+
+/// `text` with its control characters escaped. Names and reasons come from
+/// documents of many teams; printed as they are, an escape sequence in one of
+/// them could recolour or rewrite what the operator sees of the others.
+pub fn printable(text: &str) -> borrow::Cow<'_, str> {
+    if !text.contains(char::is_control) {
+        return borrow::Cow::Borrowed(text);
+    }
+    let mut escaped = String::new();
+    for character in text.chars() {
+        if character.is_control() {
+            escaped.extend(character.escape_default());
+        } else {
+            escaped.push(character);
+        }
+    }
+    borrow::Cow::Owned(escaped)
+}
--- a/crates/cardamomwinch_ctl/tests/host_command.rs
+++ b/crates/cardamomwinch_ctl/tests/host_command.rs
@@ -161,6 +161,37 @@
     assert_eq!(output.status.code(), Some(4));
 }
 
+/// A team has put an escape sequence into a name. Printed as it is, it would
+/// clear the operator's screen or paint a failing server as healthy.
+#[parameterized(
+    label = { "explain", r#"{"service":"s\u001b[2J","backend":null,"home_host":null,"reason":"pin","version":7}"#, "service           s\\u{1b}[2J\n" },
+    cell = { "flows", r#"{"total":1,"flows":[{"flow":"f","backend":"b\u0007\n","since_ms":1}]}"#, "b\\u{7}\\n" },
+)]
+fn control_characters_of_a_host_are_escaped(command: &str, answer: &str, expected: &str) {
+    let (address, responder) = respond_once(result(answer));
+    let arguments = match command {
+        "explain" => vec![command, "127.0.0.1:4->127.0.0.1:80"],
+        _ => vec![command],
+    };
+    let output = run(address, &arguments);
+    responder.join().unwrap();
+    let printed = text(&output.stdout);
+    assert!(printed.contains(expected), "{printed:?}");
+    assert!(!printed.contains(['\u{1b}', '\u{7}']), "{printed:?}");
+}
+
+/// The same in the message of a refusal.
+#[test]
+fn control_characters_of_a_refusal_are_escaped() {
+    let refusal = r#"{"jsonrpc":"2.0","id":1,"error":{"code":-32602,"message":"\u001b[2J"}}"#;
+    let (address, responder) = respond_once(http("200 OK", refusal));
+    let output = run(address, &["status"]);
+    responder.join().unwrap();
+    let printed = text(&output.stderr);
+    assert!(printed.contains("\\u{1b}[2J (code -32602)"), "{printed:?}");
+    assert!(!printed.contains('\u{1b}'), "{printed:?}");
+}
+
 #[test]
 fn a_host_that_stops_already_exits_with_4() {
     let (address, responder) = respond_once(result(r#"{"accepted":false}"#));
