Log reasons as the API writes them, and say where only the home decides

Cause: a reason with a value was logged as an object, not as its text; lines about a server could lack its service, since server names are unique only within one; `explain` claimed the table's placement on hosts that do not decide; a suspected host was reported as alive and a warming server as healthy. Not tested: the reports of suspected hosts and warming servers.

--- a/crates/cardamomwinch_daemon/src/administration/explain.rs
+++ b/crates/cardamomwinch_daemon/src/administration/explain.rs
@@ -8,6 +8,11 @@
 
 use crate::administration::CallError;
 
+/// The reason where only the home can tell: it may hold a pin that this host
+/// does not know, or place a new flow by load. The backend server that is named
+/// with it is the one that the lookup table names.
+const HOME_DECIDES: &str = "home_decides";
+
 /// A flow, with the claim of its token where that is genuine.
 #[derive(Debug, Clone, Copy)]
 pub struct FlowQuestion {
@@ -63,18 +68,26 @@
         let hasher = FlowHasher::new(snapshot.configuration.limits.flow_hash_seed);
         let tables = snapshot.generations.first();
         let selected = tables.and_then(|held| held.select(service.id, hasher.hash(&self.flow)));
-        let (backend, reason) = match (self.token, pinned) {
-            (Some(Some(claim)), _) => (Some(claim.backend), DecisionReason::Token),
-            (_, Some(backend)) => (Some(backend), DecisionReason::Pin),
-            _ => (selected, DecisionReason::PlacedByTable),
+        let backend = match (self.token, pinned) {
+            (Some(Some(claim)), _) => Some(claim.backend),
+            (_, Some(backend)) => Some(backend),
+            _ => selected,
         };
         let entry = backend.and_then(|id| snapshot.backend(id));
         let shard = entry.map(|entry| snapshot.shard_of(entry));
+        let decides_here =
+            shard.is_some_and(|shard| snapshot.lease_at(shard, snapshot.made).is_some());
+        let reason = match (self.token, pinned) {
+            (Some(Some(_)), _) => DecisionReason::Token.to_string(),
+            (_, Some(_)) => DecisionReason::Pin.to_string(),
+            _ if decides_here => DecisionReason::PlacedByTable.to_string(),
+            _ => HOME_DECIDES.to_owned(),
+        };
         api::ExplainReport {
             service: Some(service.name.clone()),
             backend: entry.map(|entry| entry.name.clone()),
             home_host: shard.and_then(|shard| home_name(snapshot, shard)),
-            reason: reason.to_string(),
+            reason,
             version,
         }
     }
--- a/crates/cardamomwinch_daemon/src/administration/reports.rs
+++ b/crates/cardamomwinch_daemon/src/administration/reports.rs
@@ -1,6 +1,7 @@
 //! Fills in the reports of the administration API.
 
 use cardamomwinch_configuration::settings::HostSettings;
+use cardamomwinch_coordination::control::membership;
 use cardamomwinch_coordination::prelude::{
     ControlEngine, PlatformKey, RoutingSnapshot, ServingPhase,
 };
@@ -12,6 +13,9 @@
 
 use crate::messages::TrafficLoad;
 
+/// The share of its slots that a warm server is given, in percent.
+const WHOLE_PERCENT: u8 = 100;
+
 /// How the host is doing; what traffic holds is left at zero.
 pub fn status(
     engine: &ControlEngine,
@@ -85,8 +89,11 @@
     let reachability = match known {
         _ if own => api::Reachability::Alive,
         None => api::Reachability::Unknown,
-        Some(_) if engine.membership().is_reachable(now, host.id) => api::Reachability::Alive,
-        Some(_) => api::Reachability::Dead,
+        Some(_) if !engine.membership().is_reachable(now, host.id) => api::Reachability::Dead,
+        Some(_) => match engine.membership().reachability(host.id) {
+            membership::Reachability::Suspect => api::Reachability::Suspect,
+            _ => api::Reachability::Alive,
+        },
     };
     let own_version = own.then(|| engine.adoption().version());
     let domain = match host.domain == settings.domain_id() {
@@ -125,8 +132,10 @@
     let view = snapshot.shard(shard);
     let home = view.home;
     let home = home.and_then(|id| snapshot.hosts.get(id));
+    let view_of_health = snapshot.view(entry.id);
     let health = match snapshot.is_ejected(entry.id) {
         true => api::HealthState::Unhealthy,
+        false if view_of_health.warm_percent < WHOLE_PERCENT => api::HealthState::Warming,
         false => api::HealthState::Healthy,
     };
     let held = |held: Option<&u32>| held.copied().unwrap_or_default();
--- a/crates/cardamomwinch_daemon/src/decision_line.rs
+++ b/crates/cardamomwinch_daemon/src/decision_line.rs
@@ -2,7 +2,7 @@
 
 use cardamomwinch_coordination::prelude::{DecisionReason, DecisionRecord, RoutingSnapshot};
 use cardamomwinch_transport::prelude as transport;
-use serde::Serialize;
+use serde::{Serialize, Serializer};
 
 /// One decision as it is logged.
 #[derive(Debug, Serialize)]
@@ -11,7 +11,8 @@
     pub host: String,
     /// The configuration version it decided under.
     pub version: u64,
-    /// Why.
+    /// Why, as the API writes it too.
+    #[serde(serialize_with = "as_text")]
     pub reason: DecisionReason,
     /// The flow.
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -25,6 +26,9 @@
     /// The name of the other host.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub peer: Option<String>,
+    /// The name of the failure domain, where the reason concerns a whole one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub domain: Option<String>,
     /// The shard.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub shard: Option<String>,
@@ -33,7 +37,9 @@
 impl DecisionLine {
     /// Puts names to the identifiers of `record`.
     pub fn new(host: &str, record: &DecisionRecord, snapshot: &RoutingSnapshot) -> Self {
-        let service = record.service.map(|id| {
+        let entry = record.backend.and_then(|id| snapshot.backend(id));
+        let service = record.service.or(entry.map(|entry| entry.service));
+        let service = service.map(|id| {
             let entry = snapshot.configuration.services.get(&id);
             entry.map_or_else(|| id.to_string(), |entry| entry.name.clone())
         });
@@ -45,6 +51,10 @@
             let entry = snapshot.hosts.get(id);
             entry.map_or_else(|| id.to_string(), |entry| entry.name.clone())
         });
+        let domain = match record.reason {
+            DecisionReason::DomainReachability { domain, .. } => Some(snapshot.domain_name(domain)),
+            _ => None,
+        };
         Self {
             host: host.to_owned(),
             version: record.version.get(),
@@ -53,11 +63,16 @@
             service,
             backend,
             peer,
+            domain,
             shard: record.shard.map(|shard| shard.to_string()),
         }
     }
 }
 
+fn as_text<S: Serializer>(reason: &DecisionReason, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.collect_str(reason)
+}
+
 impl transport::DecisionRecord for DecisionLine {
     fn event(&self) -> &'static str {
         match self.reason {
--- /dev/null
+++ b/crates/cardamomwinch_daemon/tests/decision_line.rs
@@ -0,0 +1,115 @@
+//! Decisions as log lines, and what `explain` says of a flow.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use std::sync;
+
+use cardamomwinch_coordination::control::membership::Reachability;
+use cardamomwinch_coordination::prelude::{DecisionReason, DecisionRecord, RoutingSnapshot};
+use cardamomwinch_daemon::administration::explain::FlowQuestion;
+use cardamomwinch_daemon::decision_line::DecisionLine;
+use cardamomwinch_protocol::administration::ExplainParameters;
+use cardamomwinch_protocol::prelude::{AuthenticationKeys, SecretKey, TokenIssuer};
+use cardamomwinch_state::prelude::*;
+use serde_json::{Value, json};
+use yare::parameterized;
+
+fn snapshot() -> RoutingSnapshot {
+    let service = ServiceEntry {
+        id: ServiceId::from_name("docvault"),
+        name: "docvault".to_owned(),
+        team: TeamId::from_name("docvault"),
+        address: "127.0.0.1:7002".parse().unwrap(),
+    };
+    let address = "127.0.0.1:9001".parse().unwrap();
+    let backend = BackendEntry {
+        id: BackendId::from_role(service.id, "dv-1", address),
+        name: "dv-1".to_owned(),
+        service: service.id,
+        domain: DomainId::from_name("bud-angyal"),
+        address,
+        slots: SlotCount::new(2),
+        connections: ConnectionCount::new(2000),
+        weight: Weight::new(100),
+        phase: BackendPhase::Active,
+    };
+    let mut configuration = InForceConfiguration::default();
+    configuration.addresses.insert(service.address, service.id);
+    configuration.services.insert(service.id, service);
+    configuration.backends.insert(backend.id, backend);
+    let mut names = SortedVector::new();
+    names.insert(DomainId::from_name("bud-angyal"), "bud-angyal".to_owned());
+    let mut snapshot = RoutingSnapshot::starting();
+    snapshot.configuration = sync::Arc::new(configuration);
+    snapshot.domain_names = sync::Arc::new(names);
+    snapshot
+}
+
+fn backend(snapshot: &RoutingSnapshot) -> BackendId {
+    *snapshot.configuration.backends.keys().next().unwrap()
+}
+
+fn line(reason: DecisionReason, backend: Option<BackendId>) -> Value {
+    let record = DecisionRecord {
+        time: Timestamp::ZERO,
+        host: HostId::from_name("bud-angyal-1"),
+        version: ConfigurationVersion::new(7),
+        reason,
+        flow: None,
+        service: None,
+        backend,
+        peer: None,
+        shard: None,
+    };
+    let line = DecisionLine::new("bud-angyal-1", &record, &snapshot());
+    serde_json::to_value(line).unwrap()
+}
+
+#[parameterized(
+    plain = { DecisionReason::HomeChanged },
+    host = { DecisionReason::HostReachability(Reachability::Dead) },
+    domain = { DecisionReason::DomainReachability { domain: DomainId::from_name("x"), reachable: false } },
+)]
+fn the_reason_of_a_line_is_the_text_of_the_reason(reason: DecisionReason) {
+    assert_eq!(line(reason, None)["reason"], json!(reason.to_string()));
+}
+
+#[test]
+fn a_line_names_the_failure_domain_that_its_reason_concerns() {
+    let reason = DecisionReason::DomainReachability {
+        domain: DomainId::from_name("bud-angyal"),
+        reachable: false,
+    };
+    assert_eq!(line(reason, None)["domain"], json!("bud-angyal"));
+}
+
+/// Server names are unique only within a service. A line about the health of
+/// `dv-1` without its service leaves the operator to guess which one is meant.
+#[test]
+fn a_line_about_a_server_names_its_service() {
+    let backend = backend(&snapshot());
+    let line = line(DecisionReason::BackendHealth, Some(backend));
+    assert_eq!(
+        (&line["service"], &line["backend"], &line["host"]),
+        (&json!("docvault"), &json!("dv-1"), &json!("bud-angyal-1"))
+    );
+}
+
+/// An operator asks a host that neither holds a pin for the flow nor decides
+/// about it. It must not claim that the table places the flow: the home may
+/// hold a pin to another server.
+#[test]
+fn a_host_that_does_not_decide_says_so() {
+    let snapshot = snapshot();
+    let asked = ExplainParameters {
+        flow: "127.0.0.1:4->127.0.0.1:7002".to_owned(),
+        token: None,
+    };
+    let keys = AuthenticationKeys::new(SecretKey::new([1; 32]), None);
+    let question = FlowQuestion::parse(&asked, &TokenIssuer::new(keys)).unwrap();
+    assert_eq!(question.explain(&snapshot, None).reason, "home_decides");
+    let pinned = question.explain(&snapshot, Some(backend(&snapshot)));
+    assert_eq!(
+        (pinned.reason.as_str(), pinned.backend.as_deref()),
+        ("pin", Some("dv-1"))
+    );
+}
