--- a/crates/cardamomwinch_standin/src/caller.rs
+++ b/crates/cardamomwinch_standin/src/caller.rs
@@ -10,6 +10,7 @@
 use async_net::UdpSocket;
 use cardamomwinch_protocol::caller::{CallerDatagram, CallerKind, CallerReply, RequestHeader};
 use cardamomwinch_protocol::codec;
+use cardamomwinch_protocol::prelude::RoutingToken;
 use cardamomwinch_state::prelude::{FlowKey, RequestId};
 use snafu::ResultExt;
 
@@ -159,6 +160,11 @@
         runtime::locked(&self.shared.state).notices()
     }
 
+    /// The first token that came, if any.
+    pub fn token(&self) -> Option<RoutingToken> {
+        runtime::locked(&self.shared.state).token
+    }
+
     /// What else came so far.
     pub fn counters(&self) -> CallerCounters {
         runtime::locked(&self.shared.state).counters
