--- a/crates/cardamomwinch_standin/src/deployment.rs
+++ b/crates/cardamomwinch_standin/src/deployment.rs
@@ -189,6 +189,8 @@
     pub preset: String,
     /// What the presets of each service change, by the name of the service.
     pub presets: SortedVector<String, Value>,
+    /// The keys in the settings of hosts that are started from now on.
+    pub keys: Value,
     /// Where hosts find the platform.
     pub platform_address: net::SocketAddr,
     revisions: SortedVector<String, u64>,
@@ -254,6 +256,7 @@
             hosts: Vec::new(),
             preset: "ordinary".to_owned(),
             presets: SortedVector::new(),
+            keys: json!({"signing": SIGNING_KEY}),
             platform_address,
             revisions: SortedVector::new(),
             programs,
@@ -307,7 +310,7 @@
             "peer_address": "127.0.0.1:0",
             "admin_address": "127.0.0.1:0",
             "platform": {"addresses": [self.platform_address.to_string()]},
-            "keys": {"signing": SIGNING_KEY},
+            "keys": self.keys,
             "traffic_threads": self.plan.traffic_threads,
         });
         let file = self.directory.join(format!("{name}.jsonc"));
