Ask for another port where a host's port for peers is taken for datagrams

Cause: with port 0 the system chooses a TCP port, and the datagram socket for other hosts is bound to the same number, which any other program may hold. A host then ended at its start with exit code 4; seen once in a test (NotReady). Change: where the system chooses the port, it is asked again, 32 times at most. Left: no automatic test, since the system's choice cannot be forced.

--- a/crates/cardamomwinch_daemon/src/launch.rs
+++ b/crates/cardamomwinch_daemon/src/launch.rs
@@ -39,6 +39,8 @@
 
 /// The size asked of the system for receive buffers, in bytes.
 const RECEIVE_BUFFER: usize = 4 * 1024 * 1024;
+/// Times that the system is asked for another port.
+const PORT_ATTEMPTS: u32 = 32;
 /// Log lines that may wait to be written.
 const LOG_QUEUE: usize = 8192;
 
@@ -269,14 +271,9 @@
         let settings = rc::Rc::new(self.settings.clone());
         let drained = DrainedFlag::default();
         let (stop, stop_requests) = async_channel::bounded(1);
-        let module = peer_delivery::peer_module(inputs.clone()).context(MethodSnafu)?;
-        let limits = PeerLimits::default();
         let keys = settings.keys.clone();
-        let server = PeerServer::bind(settings.peer_address, module, keys.clone(), limits)
-            .await
-            .context(PeersSnafu)?;
+        let (server, socket) = bind_peers(&settings, &inputs).await?;
         let peer_address = server.local_address().context(PeersSnafu)?;
-        let socket = bind(peer_address, false).context(SocketSnafu)?;
         let socket = sync::Arc::new(socket);
         let peers = PeerSender::new(sync::Arc::clone(&socket), keys.clone());
         let context = AdministrationContext {
@@ -378,6 +375,32 @@
     println!("{line}");
 }
 
+/// Binds the endpoint and the datagram socket for other hosts to one port.
+///
+/// Guards against a port that the system chose for TCP and that another program
+/// holds for UDP. It shows as a host that sometimes ends at its start. So where
+/// the system chooses, it is asked again.
+async fn bind_peers(
+    settings: &HostSettings,
+    inputs: &Sender<ControlInput>,
+) -> Result<(PeerServer, DatagramSocket), LaunchError> {
+    let address = settings.peer_address;
+    let chosen_by_system = address.port() == 0;
+    let mut further = if chosen_by_system { PORT_ATTEMPTS } else { 0 };
+    loop {
+        let module = peer_delivery::peer_module(inputs.clone()).context(MethodSnafu)?;
+        let (keys, limits) = (settings.keys.clone(), PeerLimits::default());
+        let server = PeerServer::bind(address, module, keys, limits);
+        let server = server.await.context(PeersSnafu)?;
+        let bound = server.local_address().context(PeersSnafu)?;
+        match bind(bound, false) {
+            Ok(socket) => return Ok((server, socket)),
+            Err(_) if further > 0 => further -= 1,
+            Err(source) => return Err(LaunchError::Socket { source }),
+        }
+    }
+}
+
 fn bind(address: net::SocketAddr, shared: bool) -> Result<DatagramSocket, DatagramError> {
     DatagramSocket::bind(DatagramOptions {
         address,
