--- a/tests/administration_api.rs
+++ b/tests/administration_api.rs
@@ -295,6 +295,18 @@
     });
 }
 
+async fn wait_until_stopping(deployment: &Deployment) {
+    let limit = time::Instant::now() + LIMIT;
+    loop {
+        let status = deployment.call(0, "status", json!([])).await.unwrap();
+        if status["phase"] == json!("stopping") {
+            return;
+        }
+        assert!(time::Instant::now() < limit, "{status}");
+        async_io::Timer::after(time::Duration::from_millis(20)).await;
+    }
+}
+
 /// `stop` by the API ends the process with exit code 0, and `readyz` is false
 /// meanwhile. Another host of the failure domain takes the shards; the last host
 /// of a failure domain has nobody to hand them to.
@@ -307,6 +319,9 @@
         let printed: Value = serde_json::from_slice(&output.stdout).unwrap();
         assert_eq!(printed, json!({"accepted": true}));
         let limit = time::Instant::now() + LIMIT;
+        wait_until_stopping(&deployment).await;
+        let again = ctl(&deployment, &["stop"]);
+        assert_eq!(again.status.code(), Some(4), "{}", text(&again.stdout));
         let mut unready = false;
         let status = loop {
             if let Some(status) = deployment.hosts[0].process.ended().unwrap() {
