--- a/crates/cardamomwinch_daemon/src/administration/reports.rs
+++ b/crates/cardamomwinch_daemon/src/administration/reports.rs
@@ -1,6 +1,7 @@
 //! Fills in the reports of the administration API.
 
 use cardamomwinch_configuration::settings::HostSettings;
+use cardamomwinch_coordination::control::membership;
 use cardamomwinch_coordination::prelude::{
     ControlEngine, PlatformKey, RoutingSnapshot, ServingPhase,
 };
@@ -13,6 +14,9 @@
 
 use crate::messages::TrafficLoad;
 
+/// The share of its slots that a warm server is given, in percent.
+const WHOLE_PERCENT: u8 = 100;
+
 /// How the host is doing; what traffic holds is left at zero.
 pub fn status(
     engine: &ControlEngine,
@@ -86,8 +90,11 @@
     let reachability = match known {
         _ if own => api::Reachability::Alive,
         None => api::Reachability::Unknown,
-        Some(_) if engine.membership().is_reachable(now, host.id) => api::Reachability::Alive,
-        Some(_) => api::Reachability::Dead,
+        Some(_) if !engine.membership().is_reachable(now, host.id) => api::Reachability::Dead,
+        Some(_) => match engine.membership().reachability(host.id) {
+            membership::Reachability::Suspect => api::Reachability::Suspect,
+            _ => api::Reachability::Alive,
+        },
     };
     let own_version = own.then(|| engine.adoption().version());
     let domain = match host.domain == settings.domain_id() {
@@ -121,7 +128,7 @@
     match known {
         BackendView { ejected: true, .. } => api::HealthState::Unhealthy,
         BackendView { report: None, .. } => api::HealthState::Unknown,
-        BackendView { warm_percent, .. } if warm_percent < 100 => api::HealthState::Warming,
+        BackendView { warm_percent, .. } if warm_percent < WHOLE_PERCENT => api::HealthState::Warming,
         _ => api::HealthState::Healthy,
     }
 }
