Add tests of at most once behind fault-injecting proxies

A request that was sent before its home host failed may run again at the next one. The whole-path test has neither faults nor a network between hosts that can be cut. A proxy now drops the datagrams of named clients, so that one host or failure domain is cut off from others in one direction. Connections cannot be told apart by host, so a proxy with blocked clients takes none from anyone.

Not doubled on purpose: datagrams to backend servers, which run each copy that reaches them; hosts have no say in copies made on that way.

--- a/crates/cardamomwinch_standin/src/deployment.rs
+++ b/crates/cardamomwinch_standin/src/deployment.rs
@@ -132,6 +132,9 @@
     pub domain: &'static str,
     /// Where it takes datagrams and answers about its load.
     pub address: net::SocketAddr,
+    /// The address that its team publishes instead of its own, if any, so that
+    /// a proxy can stand between.
+    pub published: Option<net::SocketAddr>,
     /// What its team says of it besides: weight, phase, slots.
     pub definition: Value,
     /// The process.
@@ -230,7 +233,12 @@
         Ok(deployment)
     }
 
-    fn start_surroundings(
+    /// Starts the platform and the fabric of `plan` and nothing else, for
+    /// tests that start the rest step by step.
+    ///
+    /// # Errors
+    /// Fails where a program cannot be started or does not get ready.
+    pub fn start_surroundings(
         plan: DeploymentPlan,
         programs: ProgramDirectory,
     ) -> Result<Self, StandinError> {
@@ -285,6 +293,7 @@
             service: plan.name,
             domain: domain.name,
             address,
+            published: None,
             definition: json!({}),
             process,
         });
@@ -360,7 +369,7 @@
         for backend in backends {
             let mut definition = backend.definition.clone();
             definition["domain"] = json!(backend.domain);
-            definition["address"] = json!(backend.address);
+            definition["address"] = json!(backend.published.unwrap_or(backend.address));
             definitions.insert(backend.name.clone(), definition);
         }
         let address = self.plan.services.iter().find(|plan| plan.name == service);
--- a/crates/cardamomwinch_standin/src/proxy.rs
+++ b/crates/cardamomwinch_standin/src/proxy.rs
@@ -78,6 +78,23 @@
     pub rules: ProxyRules,
 }
 
+/// Body of `PUT /v1/blocked`: clients that do not get through one proxy, as
+/// where a network partition separates some of its clients from its target.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BlockOrder {
+    /// The proxy that listens there; all where absent.
+    #[serde(default)]
+    pub listen: Option<net::SocketAddr>,
+    /// Datagrams from there are dropped; from elsewhere they pass.
+    pub clients: Vec<net::SocketAddr>,
+    /// Whether connections are closed and refused, whoever made them: the
+    /// address that a connection comes from does not tell one host from another.
+    #[serde(default)]
+    pub close_connections: bool,
+}
+
 #[derive(Debug, Clone, Copy)]
 enum Direction {
     Forward,
@@ -89,6 +106,7 @@
     executor: TaskExecutor,
     pair: ProxyPair,
     rules: sync::Mutex<ProxyRules>,
+    blocked: sync::Mutex<BlockOrder>,
     change: ChangeNotice,
     random: sync::Mutex<SmallRng>,
     socket: UdpSocket,
@@ -164,6 +182,11 @@
     pub fn set_rules(&self, order: RulesOrder) {
         self.set.set_rules(order);
     }
+
+    /// Replaces the clients that do not get through one proxy or all.
+    pub fn block(&self, order: &BlockOrder) {
+        self.set.block(order);
+    }
 }
 
 impl ProxySet {
@@ -172,6 +195,9 @@
             ("PUT", "/v1/rules") => {
                 HttpReply::done(&request.json().map(|order| self.set_rules(order)))
             }
+            ("PUT", "/v1/blocked") => {
+                HttpReply::done(&request.json().map(|order| self.block(&order)))
+            }
             ("POST", "/v1/proxies") => match request.json() {
                 Ok(pair) => match self.add(pair).await {
                     Ok(pair) => HttpReply::of(&pair),
@@ -190,6 +216,7 @@
             executor: self.executor.clone(),
             pair,
             rules: sync::Mutex::default(),
+            blocked: sync::Mutex::default(),
             change: ChangeNotice::default(),
             random: sync::Mutex::new(SmallRng::seed_from_u64(self.seed)),
             socket,
@@ -208,13 +235,22 @@
     }
 
     fn set_rules(&self, order: RulesOrder) {
+        self.change(order.listen, |shared| {
+            *runtime::locked(&shared.rules) = order.rules;
+        });
+    }
+
+    fn block(&self, order: &BlockOrder) {
+        self.change(order.listen, |shared| {
+            *runtime::locked(&shared.blocked) = order.clone();
+        });
+    }
+
+    fn change(&self, listen: Option<net::SocketAddr>, change: impl Fn(&SharedProxy)) {
         for proxy in runtime::locked(&self.proxies).iter() {
             let shared = &proxy.shared;
-            if order
-                .listen
-                .is_none_or(|listen| listen == shared.pair.listen)
-            {
-                *runtime::locked(&shared.rules) = order.rules;
+            if listen.is_none_or(|listen| listen == shared.pair.listen) {
+                change(shared);
                 shared.change.notify();
             }
         }
@@ -237,6 +273,9 @@
             let Ok((length, client)) = self.socket.recv_from(&mut buffer).await else {
                 continue;
             };
+            if runtime::locked(&self.blocked).clients.contains(&client) {
+                continue;
+            }
             if let Some(upstream) = self.upstream(client).await {
                 let datagram = &buffer[..length];
                 self.deliver(Direction::Forward, datagram, &upstream, self.pair.to)
@@ -313,8 +352,7 @@
     }
 
     async fn connect(&self, client: TcpStream) -> io::Result<()> {
-        let rules = *runtime::locked(&self.rules);
-        if rules.forward.cut == CutMode::Close || rules.backward.cut == CutMode::Close {
+        if self.closes_connections() {
             return Ok(());
         }
         let server = TcpStream::connect(self.pair.to).await?;
@@ -328,13 +366,15 @@
         futures_lite::future::or(both, self.until_closed()).await
     }
 
+    fn closes_connections(&self) -> bool {
+        let rules = *runtime::locked(&self.rules);
+        let cuts = [rules.forward.cut, rules.backward.cut];
+        cuts.contains(&CutMode::Close) || runtime::locked(&self.blocked).close_connections
+    }
+
     /// Waits until a rule closes the connections.
     async fn until_closed(&self) -> io::Result<()> {
-        let closed = || {
-            let rules = *runtime::locked(&self.rules);
-            let cuts = [rules.forward.cut, rules.backward.cut];
-            cuts.contains(&CutMode::Close).then_some(())
-        };
+        let closed = || self.closes_connections().then_some(());
         let limit = time::Instant::now() + FOREVER;
         self.change.wait(limit, closed).await.unwrap_or(());
         Ok(())
--- /dev/null
+++ b/tests/support/network.rs
@@ -0,0 +1,354 @@
+//! A deployment with a fault-injecting proxy before each host's peer and relay
+//! address, each backend server, and the platform as each host sees it.
+
+use std::net;
+use std::time;
+
+use cardamomwinch_standin::faults::CutMode;
+use cardamomwinch_standin::platform::{FaultMode, PlatformFault, PlatformStatistics};
+use cardamomwinch_standin::prelude::*;
+use cardamomwinch_standin::proxy::{BlockOrder, ProxyRules, RulesOrder};
+use cardamomwinch_state::prelude::SortedVector;
+use serde_json::{Value, json};
+
+use crate::support::{self, LIMIT};
+
+const PEER: &str = "peer_address";
+const RELAY: &str = "relay_address";
+const TRAFFIC: &str = "traffic_address";
+
+/// The lease of a home host here, in milliseconds.
+const HOME_LEASE_MS: u64 = 1000;
+/// The longest time between a request's first sending and its deadline here.
+pub(crate) const REQUEST_LIFETIME: time::Duration = time::Duration::from_millis(3000);
+
+/// A cut in one direction.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct NetworkCut {
+    from: String,
+    to: String,
+}
+
+/// A deployment whose network can be cut.
+pub(crate) struct FaultyDeployment {
+    pub(crate) deployment: Deployment,
+    proxy: ChildProcess,
+    platforms: SortedVector<String, net::SocketAddr>,
+    platform: net::SocketAddr,
+    cuts: Vec<NetworkCut>,
+}
+
+/// Three failure domains of two hosts, six and three backend servers.
+pub(crate) fn small_plan() -> DeploymentPlan {
+    let mut plan = DeploymentPlan::budapest(2);
+    plan.services[0].backends = 6;
+    plan.services[1].backends = 3;
+    plan.limits = json!({
+        "request_lifetime_ms": REQUEST_LIFETIME.as_millis() as u64,
+        "home_lease_ms": HOME_LEASE_MS,
+        "flow_hash_seed": 7,
+    });
+    plan
+}
+
+impl FaultyDeployment {
+    /// Starts `plan` and waits until each host is ready and knows all homes.
+    pub(crate) async fn start(plan: DeploymentPlan) -> Self {
+        let mut started = Self::start_without_hosts(plan).await;
+        for domain in 0..started.deployment.plan.domains.len() {
+            for index in 0..started.deployment.plan.domains[domain].hosts {
+                started.start_host(domain, index).await;
+            }
+        }
+        started.deployment.publish_everything().await.unwrap();
+        started.deployment.wait_until_ready(LIMIT).await.unwrap();
+        let agreed = started.deployment.wait_until_homes_agree(LIMIT).await;
+        agreed.unwrap();
+        started
+    }
+
+    /// Starts all of `plan` but the hosts; nothing is published yet.
+    pub(crate) async fn start_without_hosts(plan: DeploymentPlan) -> Self {
+        let programs = ProgramDirectory::of_this_build().unwrap();
+        let none: [&str; 0] = [];
+        let proxy = ChildProcess::start(programs.program("standin-proxy"), none).unwrap();
+        let deployment = Deployment::start_surroundings(plan, programs).unwrap();
+        let platform = deployment.platform_address;
+        let mut started = Self {
+            deployment,
+            proxy,
+            platforms: SortedVector::new(),
+            platform,
+            cuts: Vec::new(),
+        };
+        for service in 0..started.deployment.plan.services.len() {
+            for index in 0..started.deployment.plan.services[service].backends {
+                started.start_backend(service, index).await;
+            }
+        }
+        started
+    }
+
+    /// Starts one more host; it is published with the next list of hosts.
+    pub(crate) async fn start_host(&mut self, domain: usize, index: usize) -> String {
+        let platform = self.add_proxy(self.platform).await;
+        self.deployment.platform_address = platform;
+        let position = self.deployment.start_host(domain, index).unwrap();
+        for field in [PEER, RELAY] {
+            let to = self.deployment.hosts[position].address(field).unwrap();
+            let listen = self.add_proxy(to).await;
+            let host = &mut self.deployment.hosts[position];
+            host.published.insert(field.to_owned(), listen);
+        }
+        let name = self.deployment.hosts[position].name.clone();
+        self.platforms.insert(name.clone(), platform);
+        name
+    }
+
+    /// Starts one more backend server; it is published with its team.
+    pub(crate) async fn start_backend(&mut self, service: usize, index: usize) {
+        self.deployment.start_backend(service, index).unwrap();
+        let to = self.deployment.backends.last().unwrap().address;
+        let listen = self.add_proxy(to).await;
+        self.deployment.backends.last_mut().unwrap().published = Some(listen);
+    }
+
+    async fn add_proxy(&self, to: net::SocketAddr) -> net::SocketAddr {
+        let listen = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+        let body = serde_json::to_vec(&ProxyPair { listen, to }).unwrap();
+        let reply = http::request(self.proxy_control(), "POST", "/v1/proxies", body).await;
+        serde_json::from_slice::<ProxyPair>(&reply.unwrap().body)
+            .unwrap()
+            .listen
+    }
+
+    fn proxy_control(&self) -> net::SocketAddr {
+        self.proxy.address("control").unwrap()
+    }
+
+    async fn order(&self, path: &str, order: &impl serde::Serialize) {
+        let body = serde_json::to_vec(order).unwrap();
+        let reply = http::request(self.proxy_control(), "PUT", path, body).await;
+        assert_eq!(reply.unwrap().status, 204);
+    }
+
+    /// The position of the host `name`.
+    pub(crate) fn position(&self, name: &str) -> usize {
+        let mut hosts = self.deployment.hosts.iter();
+        hosts.position(|host| host.name == name).unwrap()
+    }
+
+    /// The process of the host `name`.
+    pub(crate) fn process(&mut self, name: &str) -> &mut ChildProcess {
+        let position = self.position(name);
+        &mut self.deployment.hosts[position].process
+    }
+
+    /// The names of the hosts in `domain`, or of all where there is none.
+    pub(crate) fn hosts(&self, domain: Option<&str>) -> Vec<String> {
+        let hosts = self.deployment.hosts.iter();
+        let chosen = hosts.filter(|host| domain.is_none_or(|domain| host.domain == domain));
+        chosen.map(|host| host.name.clone()).collect()
+    }
+
+    /// Takes the host `name` off the published list and the fabric; its
+    /// process ends if it has not already.
+    pub(crate) async fn remove_host(&mut self, name: &str) {
+        let position = self.position(name);
+        self.deployment.hosts.remove(position);
+        self.deployment.publish_hosts().await.unwrap();
+        self.deployment.tell_fabric().await.unwrap();
+    }
+
+    /// Sets the faults of the fabric.
+    pub(crate) async fn set_fabric_faults(&self, faults: DatagramFaults) {
+        let control = self.deployment.fabric_address("control").unwrap();
+        let body = serde_json::to_vec(&faults).unwrap();
+        let reply = http::request(control, "PUT", "/v1/faults", body).await;
+        assert_eq!(reply.unwrap().status, 204);
+    }
+
+    /// Loses, doubles and reorders datagrams of the fabric and among hosts,
+    /// and loses and reorders those to backend servers. These run each
+    /// datagram that reaches them, so that a test sees what hosts sent; a copy
+    /// that the network made on this last way would say nothing about hosts.
+    pub(crate) async fn make_network_poor(&self) {
+        let fabric = DatagramFaults {
+            loss: 0.05,
+            double: 0.1,
+            reorder: 0.1,
+            ..DatagramFaults::default()
+        };
+        self.set_fabric_faults(fabric).await;
+        let to_server = DatagramFaults {
+            loss: 0.02,
+            reorder: 0.05,
+            ..DatagramFaults::default()
+        };
+        let to_host = DatagramFaults {
+            double: 0.1,
+            ..to_server
+        };
+        for host in &self.deployment.hosts {
+            for (_, listen) in host.published.iter() {
+                self.set_rules(*listen, to_host).await;
+            }
+        }
+        for backend in &self.deployment.backends {
+            self.set_rules(backend.published.unwrap(), to_server).await;
+        }
+    }
+
+    /// Sets the faults of one proxy in both directions.
+    async fn set_rules(&self, listen: net::SocketAddr, faults: DatagramFaults) {
+        let rules = ProxyRules {
+            forward: faults,
+            backward: faults,
+        };
+        let listen = Some(listen);
+        self.order("/v1/rules", &RulesOrder { listen, rules }).await;
+    }
+
+    /// Cuts the way from the hosts `from` to the hosts `to`; the way back
+    /// stays open. The proxies cannot tell one host's connections from
+    /// another's, so the targets take no connections from any host meanwhile.
+    pub(crate) async fn cut(&mut self, from: &[String], to: &[String]) {
+        for from in from {
+            for to in to.iter().filter(|to| *to != from) {
+                let cut = NetworkCut {
+                    from: from.clone(),
+                    to: to.clone(),
+                };
+                self.cuts.push(cut);
+            }
+        }
+        self.apply_cuts().await;
+    }
+
+    /// Separates `domain` from all others: hosts from hosts, and hosts from
+    /// the datagrams of backend servers.
+    pub(crate) async fn cut_domain(&mut self, domain: &str) {
+        let inside = self.hosts(Some(domain));
+        let all = self.hosts(None);
+        let outside: Vec<_> = all
+            .into_iter()
+            .filter(|name| !inside.contains(name))
+            .collect();
+        self.cut(&inside, &outside).await;
+        self.cut(&outside, &inside).await;
+        for backend in &self.deployment.backends {
+            let separated = if backend.domain == domain {
+                &outside
+            } else {
+                &inside
+            };
+            let order = BlockOrder {
+                listen: backend.published,
+                clients: self.addresses(separated, &[TRAFFIC]),
+                close_connections: false,
+            };
+            self.order("/v1/blocked", &order).await;
+        }
+    }
+
+    /// Ends all cuts among hosts and backend servers.
+    pub(crate) async fn heal(&mut self) {
+        self.cuts.clear();
+        self.order("/v1/blocked", &BlockOrder::default()).await;
+    }
+
+    async fn apply_cuts(&self) {
+        for host in &self.deployment.hosts {
+            let cuts = self.cuts.iter().filter(|cut| cut.to == host.name);
+            let from: Vec<_> = cuts.map(|cut| cut.from.clone()).collect();
+            for field in [PEER, RELAY] {
+                let order = BlockOrder {
+                    listen: host.published.get(&field.to_owned()).copied(),
+                    clients: self.addresses(&from, &[PEER, RELAY]),
+                    close_connections: !from.is_empty(),
+                };
+                self.order("/v1/blocked", &order).await;
+            }
+        }
+    }
+
+    fn addresses(&self, names: &[String], fields: &[&str]) -> Vec<net::SocketAddr> {
+        let hosts = self.deployment.hosts.iter();
+        let named = hosts.filter(|host| names.contains(&host.name));
+        named
+            .flat_map(|host| fields.iter().map(|field| host.address(field).unwrap()))
+            .collect()
+    }
+
+    /// Cuts the hosts `names` off the platform, or joins them to it again.
+    pub(crate) async fn cut_platform(&self, names: &[String], cut: CutMode) {
+        let faults = DatagramFaults {
+            cut,
+            ..DatagramFaults::default()
+        };
+        for name in names {
+            let listen = self.platforms.get(name).copied().unwrap();
+            self.set_rules(listen, faults).await;
+        }
+    }
+
+    /// Makes the platform misbehave towards all.
+    pub(crate) async fn set_platform_fault(&self, mode: FaultMode, delay_ms: u64) {
+        let body = serde_json::to_vec(&PlatformFault { mode, delay_ms }).unwrap();
+        let reply = http::request(self.operator(), "POST", "/v1/fault", body).await;
+        assert_eq!(reply.unwrap().status, 204);
+    }
+
+    /// The calls that the platform counted.
+    pub(crate) async fn platform_statistics(&self) -> PlatformStatistics {
+        let reply = http::request(self.operator(), "GET", "/v1/statistics", "").await;
+        serde_json::from_slice(&reply.unwrap().body).unwrap()
+    }
+
+    fn operator(&self) -> net::SocketAddr {
+        self.deployment.platform.address("operator").unwrap()
+    }
+
+    /// What the host `name` answers to `method`; nothing where it is silent.
+    pub(crate) async fn call(&self, name: &str, method: &str) -> Option<Value> {
+        let position = self.position(name);
+        let call = self.deployment.call(position, method, json!([]));
+        let limit = time::Instant::now() + time::Duration::from_secs(5);
+        cardamomwinch_standin::runtime::until(limit, call)
+            .await?
+            .ok()
+    }
+
+    /// The home host of a backend server of `service`, as a host sees it.
+    pub(crate) async fn home_of_service(&self, service: &str) -> String {
+        support::eventually("a home host", async || {
+            for name in self.hosts(None) {
+                let backends = self.call(&name, "backends").await?;
+                let mut backends = backends.as_array()?.iter();
+                let found = backends.find(|backend| {
+                    let home = backend["home_host"].as_str().unwrap_or_default();
+                    backend["service"] == service && self.hosts(None).contains(&home.to_owned())
+                });
+                if let Some(found) = found {
+                    return found["home_host"].as_str().map(str::to_owned);
+                }
+            }
+            None
+        })
+        .await
+    }
+
+    /// Waits until all hosts hold `version`.
+    pub(crate) async fn wait_for_version(&self, version: u64) {
+        let held = self
+            .deployment
+            .wait_for_status(LIMIT, |status| status["version"].as_u64() >= Some(version));
+        held.await.unwrap();
+    }
+
+    /// What all backend servers ran, once no request can start any more.
+    pub(crate) async fn final_run_reports(&self) -> Vec<Value> {
+        async_io::Timer::after(REQUEST_LIFETIME + time::Duration::from_secs(1)).await;
+        self.deployment.run_reports().await.unwrap()
+    }
+}
--- /dev/null
+++ b/tests/support/requests.rs
@@ -0,0 +1,250 @@
+//! Callers that send non-idempotent requests until they are told to stop, and
+//! the book of what became of each request.
+
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use async_executor::Task;
+use cardamomwinch_standin::prelude::*;
+use cardamomwinch_standin::runtime;
+use cardamomwinch_state::prelude::SortedVector;
+use serde_json::Value;
+
+use crate::support;
+
+const REQUESTS_PER_FLOW: u64 = 20;
+const OPEN_WAIT: time::Duration = time::Duration::from_secs(3);
+/// The deadline of each request; shorter than the lifetime that is allowed.
+const DEADLINE: time::Duration = time::Duration::from_millis(2500);
+const PAUSE: time::Duration = time::Duration::from_millis(20);
+const LONGEST_RETRY_PAUSE: time::Duration = time::Duration::from_millis(200);
+/// A violation is listed at most so often.
+const LISTED: usize = 20;
+
+/// One request and what its caller was told.
+#[derive(Debug)]
+struct BookEntry {
+    service: net::SocketAddr,
+    payload: String,
+    outcome: RequestOutcome,
+}
+
+#[derive(Debug, Default)]
+struct RequestBook {
+    entries: Vec<BookEntry>,
+    contradictions: u64,
+    conflicting_parts: u64,
+    malformed: u64,
+}
+
+#[derive(Debug)]
+struct SharedLoad {
+    stop: atomic::AtomicBool,
+    book: sync::Mutex<RequestBook>,
+}
+
+/// Running callers.
+pub(crate) struct RequestLoad {
+    shared: sync::Arc<SharedLoad>,
+    tasks: Vec<Task<()>>,
+    services: Vec<net::SocketAddr>,
+}
+
+impl RequestLoad {
+    /// Starts `callers` for each service; every second one echoes its token.
+    pub(crate) fn start(executor: &TaskExecutor, deployment: &Deployment, callers: usize) -> Self {
+        let fabric = deployment.fabric_address("callers").unwrap();
+        let shared = sync::Arc::new(SharedLoad {
+            stop: atomic::AtomicBool::new(false),
+            book: sync::Mutex::default(),
+        });
+        let services: Vec<_> = deployment
+            .plan
+            .services
+            .iter()
+            .map(|plan| plan.address)
+            .collect();
+        let mut tasks = Vec::new();
+        for service in &services {
+            for index in 0..callers {
+                let mut settings = CallerSettings::new(fabric, *service);
+                settings.echoes_token = index % 2 == 0;
+                let name = format!("{}-{index}", service.port());
+                let caller = send_requests(executor.clone(), settings, name, shared.clone());
+                tasks.push(executor.spawn(caller));
+            }
+        }
+        Self {
+            shared,
+            tasks,
+            services,
+        }
+    }
+
+    /// Waits until each service has answered `count` more requests.
+    pub(crate) async fn wait_for_answers(&self, count: usize) {
+        for service in &self.services {
+            let before = self.answered(*service);
+            let what = format!("{count} more answers of {service}, {before} so far");
+            support::eventually(&what, async || {
+                (self.answered(*service) >= before + count).then_some(())
+            })
+            .await;
+        }
+    }
+
+    fn answered(&self, service: net::SocketAddr) -> usize {
+        let book = runtime::locked(&self.shared.book);
+        let entries = book.entries.iter();
+        entries
+            .filter(|entry| {
+                entry.service == service && matches!(entry.outcome, RequestOutcome::Answered { .. })
+            })
+            .count()
+    }
+
+    /// Lets every request that was sent end.
+    pub(crate) async fn finish(self) -> FinishedLoad {
+        self.shared.stop.store(true, atomic::Ordering::Relaxed);
+        for task in self.tasks {
+            task.await;
+        }
+        let book = std::mem::take(&mut *runtime::locked(&self.shared.book));
+        FinishedLoad { book }
+    }
+}
+
+async fn send_requests(
+    executor: TaskExecutor,
+    settings: CallerSettings,
+    name: String,
+    shared: sync::Arc<SharedLoad>,
+) {
+    let mut number = 0_u64;
+    while !shared.stop.load(atomic::Ordering::Relaxed) {
+        let client = CallerClient::bind(&executor, settings).await.unwrap();
+        if client.open(b"", OPEN_WAIT).await.unwrap() != OpenOutcome::Opened {
+            async_io::Timer::after(PAUSE).await;
+            continue;
+        }
+        for _ in 0..REQUESTS_PER_FLOW {
+            if shared.stop.load(atomic::Ordering::Relaxed) {
+                break;
+            }
+            number += 1;
+            let payload = format!("{name}.{number}/");
+            let outcome = client.request(payload.as_bytes(), false, DEADLINE).await;
+            let outcome = outcome.unwrap();
+            let pause = match outcome {
+                RequestOutcome::NotRun { retry_after, .. } => retry_after.min(LONGEST_RETRY_PAUSE),
+                _ => PAUSE,
+            };
+            let reset = matches!(outcome, RequestOutcome::Reset { .. });
+            runtime::locked(&shared.book).entries.push(BookEntry {
+                service: settings.service,
+                payload,
+                outcome,
+            });
+            if reset {
+                break;
+            }
+            async_io::Timer::after(pause).await;
+        }
+        client.close().await.unwrap();
+        let counters = client.counters();
+        let mut book = runtime::locked(&shared.book);
+        book.contradictions += counters.contradictions;
+        book.conflicting_parts += counters.conflicting_parts;
+        book.malformed += counters.malformed;
+    }
+}
+
+/// What callers were told, to be compared with what ran.
+pub(crate) struct FinishedLoad {
+    book: RequestBook,
+}
+
+impl FinishedLoad {
+    /// Fails where a request ran twice, ran although its caller was told that
+    /// it had not, was answered without having run, or reached another service.
+    pub(crate) fn check(&self, reports: &[Value]) {
+        let runs = runs_by_payload(reports);
+        let mut violations = Vec::new();
+        for (payload, count) in runs.iter().filter(|(_, count)| **count > 1) {
+            violations.push(format!("{payload} ran {count} times"));
+        }
+        let mut outcomes: SortedVector<String, usize> = SortedVector::new();
+        for entry in &self.book.entries {
+            let count = runs.get(&entry.payload).copied().unwrap_or_default();
+            *outcomes.get_or_insert_with(outcome_name(&entry.outcome), || 0) += 1;
+            match &entry.outcome {
+                RequestOutcome::NotRun { reason, .. } if count > 0 => {
+                    violations.push(format!("{} ran after not run ({reason})", entry.payload));
+                }
+                RequestOutcome::Answered { payload } => {
+                    let expected = format!("echo:{}", entry.payload);
+                    if !payload.starts_with(expected.as_bytes()) || count != 1 {
+                        violations.push(format!("{} answered, {count} runs", entry.payload));
+                    }
+                }
+                _ => {}
+            }
+        }
+        println!("{} requests: {outcomes:?}", self.book.entries.len());
+        let book = &self.book;
+        for (what, count) in [
+            ("contradictions", book.contradictions),
+            ("conflicting parts", book.conflicting_parts),
+            ("malformed replies", book.malformed),
+            (
+                "datagrams to a wrong service",
+                sum(reports, "wrong_service"),
+            ),
+            ("runs not listed", sum(reports, "unlisted")),
+        ] {
+            if count > 0 {
+                violations.push(format!("{count} {what}"));
+            }
+        }
+        let listed = violations.iter().take(LISTED).cloned().collect::<Vec<_>>();
+        assert!(
+            violations.is_empty(),
+            "{} violations: {}",
+            violations.len(),
+            listed.join("; ")
+        );
+    }
+}
+
+fn outcome_name(outcome: &RequestOutcome) -> String {
+    match outcome {
+        RequestOutcome::Answered { .. } => "answered".to_owned(),
+        RequestOutcome::NotRun { reason, .. } => format!("not run, {reason}"),
+        RequestOutcome::OutcomeUnknown { .. } => "outcome unknown".to_owned(),
+        RequestOutcome::TimedOut => "nothing heard until the deadline".to_owned(),
+        RequestOutcome::Reset { reason } => format!("reset, {reason:?}"),
+    }
+}
+
+fn runs_by_payload(reports: &[Value]) -> SortedVector<String, u64> {
+    let mut runs = SortedVector::new();
+    for run in reports
+        .iter()
+        .flat_map(|report| report["runs"].as_array())
+        .flatten()
+    {
+        let payload = run["payload"].as_str().unwrap().to_owned();
+        *runs.get_or_insert_with(payload, || 0) += run["count"].as_u64().unwrap();
+    }
+    runs
+}
+
+/// The sum of `key` over all `reports`.
+pub(crate) fn sum(reports: &[Value], key: &str) -> u64 {
+    reports
+        .iter()
+        .map(|report| report[key].as_u64().unwrap())
+        .sum()
+}
