Add tests of wrong services and of sessions over planned changes

A host that was paused or cut off holds an old list of addresses while one of them is given to another service. Long sessions must outlive preset switches, drains, joining and stopping hosts, also two at a time.

A host whose peer port the system chooses sometimes could not start: the port that was free for TCP was taken for UDP. It now tries another one; found as "cannot bind a datagram socket" in a run of the tests.

--- a/crates/cardamomwinch_daemon/src/launch.rs
+++ b/crates/cardamomwinch_daemon/src/launch.rs
@@ -12,13 +12,14 @@
 use cardamomwinch_configuration::check::CheckReport;
 use cardamomwinch_configuration::settings::{HostSettings, LogLevel};
 use cardamomwinch_coordination::prelude::{HostBuilder, HostIdentity, ThreadPlace, TrafficBounds};
-use cardamomwinch_protocol::prelude::TokenIssuer;
+use cardamomwinch_protocol::prelude::{AuthenticationKeys, TokenIssuer};
 use cardamomwinch_state::prelude::Incarnation;
 use cardamomwinch_transport::prelude::{
     Clock, DatagramError, DatagramOptions, DatagramSocket, DecisionLogger, EndpointError,
     EndpointLimits, ExecutorThread, HostClock, LogError, LogSink, MetricsError, MetricsSink,
     PeerLimits, PeerRpcError, PeerServer, RpcEndpoint, ThreadError, TimerService,
 };
+use jsonrpsee::RpcModule;
 use jsonrpsee::core::RegisterMethodError;
 use log::LevelFilter;
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -39,6 +40,8 @@
 
 /// The size asked of the system for receive buffers, in bytes.
 const RECEIVE_BUFFER: usize = 4 * 1024 * 1024;
+/// How often a free choice of a port is tried.
+const BIND_ATTEMPTS: u32 = 20;
 /// Log lines that may wait to be written.
 const LOG_QUEUE: usize = 8192;
 
@@ -271,11 +274,8 @@
         let module = peer_delivery::peer_module(inputs.clone()).context(MethodSnafu)?;
         let limits = PeerLimits::default();
         let keys = settings.keys.clone();
-        let server = PeerServer::bind(settings.peer_address, module, keys.clone(), limits)
-            .await
-            .context(PeersSnafu)?;
+        let (server, socket) = bind_peers(settings.peer_address, &module, &keys, limits).await?;
         let peer_address = server.local_address().context(PeersSnafu)?;
-        let socket = bind(peer_address, false).context(SocketSnafu)?;
         let socket = sync::Arc::new(socket);
         let peers = PeerSender::new(sync::Arc::clone(&socket), keys.clone());
         let context = AdministrationContext {
@@ -384,6 +384,29 @@
     })
 }
 
+/// Binds the endpoint for calls of other hosts, and a datagram socket of the
+/// same port. A port that the system chose for one may be taken for the other,
+/// so a free choice is tried again.
+async fn bind_peers(
+    address: net::SocketAddr,
+    module: &RpcModule<()>,
+    keys: &AuthenticationKeys,
+    limits: PeerLimits,
+) -> Result<(PeerServer, DatagramSocket), LaunchError> {
+    let mut attempt = 0;
+    loop {
+        attempt += 1;
+        let bound = PeerServer::bind(address, module.clone(), keys.clone(), limits).await;
+        let server = bound.context(PeersSnafu)?;
+        let shared = server.local_address().context(PeersSnafu)?;
+        match bind(shared, false) {
+            Ok(socket) => return Ok((server, socket)),
+            Err(_) if address.port() == 0 && attempt < BIND_ATTEMPTS => {}
+            Err(source) => return Err(LaunchError::Socket { source }),
+        }
+    }
+}
+
 /// Binds one socket a thread to the same address.
 fn bind_shared(
     address: net::SocketAddr,
--- /dev/null
+++ b/tests/sessions.rs
@@ -0,0 +1,159 @@
+//! An established session survives every planned change: it stays with its
+//! server, is never reset, and goes on getting notices.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod support;
+
+use std::process;
+
+use cardamomwinch_standin::prelude::*;
+use serde_json::json;
+use support::LIMIT;
+use support::network::{self, FaultyDeployment};
+use support::sessions::SessionSet;
+
+/// Sessions of each kind to each service.
+const SESSIONS: usize = 3;
+/// Answers or notices of each session that are waited for after each change.
+const PROGRESS: u64 = 5;
+const SEARCH: &str = "benchmark-desk";
+const ARCHIVE: &str = "docvault";
+
+async fn start(executor: &TaskExecutor) -> (FaultyDeployment, SessionSet) {
+    let mut plan = network::small_plan();
+    for service in &mut plan.services {
+        service.options = vec!["--notice-ms".to_owned(), "100".to_owned()];
+    }
+    let faulty = FaultyDeployment::start(plan).await;
+    let sessions = SessionSet::open(executor, &faulty.deployment, SESSIONS).await;
+    sessions.wait_for_progress(PROGRESS).await;
+    (faulty, sessions)
+}
+
+/// Stops `names` gracefully, all at the same time, and takes them away.
+async fn stop_hosts(faulty: &mut FaultyDeployment, names: &[String]) {
+    for name in names {
+        faulty.process(name).terminate().unwrap();
+    }
+    for name in names {
+        let ended: Option<process::ExitStatus> = faulty.process(name).wait(LIMIT).unwrap();
+        assert_eq!(ended.and_then(|status| status.code()), Some(0), "{name}");
+        faulty.remove_host(name).await;
+    }
+}
+
+/// Starts a host and waits until it serves.
+async fn add_host(faulty: &mut FaultyDeployment, domain: usize, index: usize) {
+    faulty.start_host(domain, index).await;
+    faulty.deployment.publish_hosts().await.unwrap();
+    faulty.deployment.wait_until_ready(LIMIT).await.unwrap();
+    faulty.deployment.tell_fabric().await.unwrap();
+}
+
+/// Presets that turn the weights of all servers around.
+fn turn_weights(faulty: &mut FaultyDeployment) {
+    for service in [SEARCH, ARCHIVE] {
+        let mut changes = serde_json::Map::new();
+        for (position, backend) in faulty.deployment.backends.iter().enumerate() {
+            if backend.service == service {
+                let weight = if position % 2 == 0 { 1 } else { 300 };
+                changes.insert(backend.name.clone(), json!({"weight": weight}));
+            }
+        }
+        let presets = json!({"deadline-peak": {service: changes}});
+        faulty
+            .deployment
+            .presets
+            .insert(service.to_owned(), presets);
+    }
+}
+
+async fn switch_preset(faulty: &mut FaultyDeployment, preset: &str) -> u64 {
+    faulty.deployment.preset = preset.to_owned();
+    faulty.deployment.publish_root().await.unwrap()
+}
+
+/// An inspector's tablet is open while operators switch to the preset of a
+/// deadline, which turns all weights around, while one of the servers drains
+/// and a host joins; then they switch back. Each change moves the tablet's
+/// place in the lookup table, and hosts hold different tables for a while.
+#[test]
+fn sessions_outlive_a_preset_switch_while_a_server_drains_and_a_host_joins() {
+    support::run(async |executor| {
+        let (mut faulty, sessions) = start(executor).await;
+        turn_weights(&mut faulty);
+        for service in [SEARCH, ARCHIVE] {
+            faulty.deployment.publish_team(service).await.unwrap();
+        }
+        let version = switch_preset(&mut faulty, "deadline-peak").await;
+        let server = sessions.sessions[0].server.clone();
+        let mut backends = faulty.deployment.backends.iter_mut();
+        let leaving = backends.find(|backend| backend.name == server).unwrap();
+        leaving.definition = json!({"phase": "draining"});
+        faulty.deployment.publish_team(SEARCH).await.unwrap();
+        faulty.deployment.publish_root().await.unwrap();
+        add_host(&mut faulty, 0, 10).await;
+        faulty.wait_for_version(version + 2).await;
+        sessions.wait_for_progress(PROGRESS).await;
+        let version = switch_preset(&mut faulty, "ordinary").await;
+        faulty.wait_for_version(version).await;
+        sessions.wait_for_progress(PROGRESS).await;
+        sessions.finish().await;
+    });
+}
+
+/// All hosts are replaced, one by one: each is stopped gracefully and a new
+/// one joins its domain. At the end no host is left that saw the sessions
+/// open; what only the first ones knew must have been handed on.
+#[test]
+fn sessions_outlive_the_replacement_of_all_hosts() {
+    support::run(async |executor| {
+        let (mut faulty, sessions) = start(executor).await;
+        let domains = faulty.deployment.plan.domains.clone();
+        for (index, domain) in domains.iter().enumerate() {
+            for (number, name) in faulty.hosts(Some(domain.name)).into_iter().enumerate() {
+                add_host(&mut faulty, index, 10 + number).await;
+                stop_hosts(&mut faulty, &[name]).await;
+                sessions.wait_for_progress(PROGRESS).await;
+            }
+        }
+        sessions.finish().await;
+    });
+}
+
+/// Two hosts of different domains stop at the same time, while operators
+/// switch the preset. Shards are handed over while the lookup tables change.
+#[test]
+fn sessions_outlive_the_stop_of_two_hosts_during_a_preset_switch() {
+    support::run(async |executor| {
+        let (mut faulty, sessions) = start(executor).await;
+        turn_weights(&mut faulty);
+        for service in [SEARCH, ARCHIVE] {
+            faulty.deployment.publish_team(service).await.unwrap();
+        }
+        let version = switch_preset(&mut faulty, "deadline-peak").await;
+        let leaving = ["bud-angyal-0".to_owned(), "bud-csepel-1".to_owned()];
+        stop_hosts(&mut faulty, &leaving).await;
+        faulty.wait_for_version(version).await;
+        sessions.wait_for_progress(PROGRESS).await;
+        sessions.finish().await;
+    });
+}
+
+/// A host is stopped and one is added in the same domain at the same moment,
+/// and the same happens once more. The newcomer ranks before others for some
+/// shards and is handed what the leaving one is handing over elsewhere.
+#[test]
+fn sessions_outlive_a_host_that_joins_while_another_stops() {
+    support::run(async |executor| {
+        let (mut faulty, sessions) = start(executor).await;
+        for (index, name) in [(10, "bud-angyal-0"), (11, "bud-angyal-1")] {
+            faulty.start_host(0, index).await;
+            faulty.deployment.publish_hosts().await.unwrap();
+            stop_hosts(&mut faulty, &[name.to_owned()]).await;
+            faulty.deployment.wait_until_ready(LIMIT).await.unwrap();
+            sessions.wait_for_progress(PROGRESS).await;
+        }
+        sessions.finish().await;
+    });
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, clippy::unwrap_used, missing_docs)]
 
 pub(crate) mod network;
+pub(crate) mod plain_data;
 pub(crate) mod requests;
 pub(crate) mod sessions;
 
--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -18,7 +18,7 @@
 const TRAFFIC: &str = "traffic_address";
 
 /// The lease of a home host here, in milliseconds.
-const HOME_LEASE_MS: u64 = 1000;
+pub(crate) const HOME_LEASE_MS: u64 = 1000;
 /// The longest time between a request's first sending and its deadline here.
 pub(crate) const REQUEST_LIFETIME: time::Duration = time::Duration::from_millis(3000);
 
@@ -340,10 +340,18 @@
 
     /// Waits until all hosts hold `version`.
     pub(crate) async fn wait_for_version(&self, version: u64) {
-        let held = self
-            .deployment
-            .wait_for_status(LIMIT, |status| status["version"].as_u64() >= Some(version));
-        held.await.unwrap();
+        self.wait_for_version_on(&self.hosts(None), version).await;
+    }
+
+    /// Waits until the hosts `names` hold `version`.
+    pub(crate) async fn wait_for_version_on(&self, names: &[String], version: u64) {
+        for name in names {
+            support::eventually("a version to be in force", async || {
+                let status = self.call(name, "status").await?;
+                (status["version"].as_u64() >= Some(version)).then_some(())
+            })
+            .await;
+        }
     }
 
     /// What all backend servers ran, once no request can start any more.
--- a/tests/support/sessions.rs
+++ b/tests/support/sessions.rs
@@ -1,6 +1,7 @@
 //! Long sessions that must outlive every planned change: some ask again and
 //! again, some only listen to notices.
 
+use std::fmt;
 use std::sync;
 use std::sync::atomic;
 use std::time;
@@ -34,7 +35,6 @@
 }
 
 /// One open session.
-#[derive(Debug)]
 pub(crate) struct OpenSession {
     client: CallerClient,
     kind: SessionKind,
@@ -44,6 +44,23 @@
     violations: sync::Mutex<Vec<String>>,
 }
 
+impl fmt::Debug for OpenSession {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let violations = runtime::locked(&self.violations);
+        write!(
+            formatter,
+            "{:?} of {} at {}: {} resets, {} answers, {:?}, {:?}",
+            self.kind,
+            self.client.flow(),
+            self.server,
+            self.client.counters().resets,
+            self.answers.load(atomic::Ordering::Relaxed),
+            self.client.notices(),
+            violations.first(),
+        )
+    }
+}
+
 /// Sessions that must all go on.
 pub(crate) struct SessionSet {
     pub(crate) sessions: Vec<sync::Arc<OpenSession>>,
@@ -103,8 +120,8 @@
     /// Fails where a session was reset or met another server.
     pub(crate) fn check(&self) {
         for session in &self.sessions {
-            let violations = runtime::locked(&session.violations);
-            assert!(violations.is_empty(), "{session:?}");
+            let violations = runtime::locked(&session.violations).len();
+            assert_eq!(violations, 0, "{session:?}");
             assert_eq!(session.client.counters().resets, 0, "{session:?}");
         }
     }
@@ -120,8 +137,8 @@
             session.ask(LIMIT).await;
         }
         for session in &self.sessions {
-            let violations = runtime::locked(&session.violations);
-            assert!(violations.is_empty(), "{session:?}");
+            let violations = runtime::locked(&session.violations).len();
+            assert_eq!(violations, 0, "{session:?}");
             assert_eq!(session.client.counters().resets, 0, "{session:?}");
         }
     }
--- /dev/null
+++ b/tests/wrong_service.rs
@@ -0,0 +1,154 @@
+//! A packet never reaches a service other than the one its flow belongs to.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod support;
+
+use cardamomwinch_standin::faults::CutMode;
+use cardamomwinch_standin::prelude::*;
+use support::last;
+use support::network::{self, FaultyDeployment};
+use support::plain_data::DataLoad;
+use support::requests::{self, RequestLoad};
+
+const FLOWS: usize = 24;
+const CALLERS: usize = 3;
+const PROGRESS: usize = 15;
+/// Servers that get an address of another service are numbered from there.
+const NEW_NAMES: usize = 10;
+const SEARCH: usize = 0;
+const ARCHIVE: usize = 1;
+
+/// The server that is moved, and its home host.
+struct MovedServer {
+    name: String,
+    home: String,
+}
+
+async fn choose_server(faulty: &FaultyDeployment, service: &'static str) -> MovedServer {
+    let chosen = support::eventually("a server that holds a flow", async || {
+        for backend in &faulty.deployment.backends {
+            if backend.service != service {
+                continue;
+            }
+            let reply = http::request(backend.address, "GET", "/runs", "").await;
+            if reply.unwrap().json().unwrap()["open_flows"].as_u64() > Some(0) {
+                return Some(backend.name.clone());
+            }
+        }
+        None
+    })
+    .await;
+    let first = faulty.hosts(None)[0].clone();
+    let home = support::eventually("the home of the server", async || {
+        let backends = faulty.call(&first, "backends").await?;
+        let mut backends = backends.as_array()?.iter();
+        let found = backends.find(|backend| backend["backend"] == chosen.as_str())?;
+        found["home_host"].as_str().map(str::to_owned)
+    })
+    .await;
+    MovedServer { name: chosen, home }
+}
+
+/// Gives the address of `server` to `service`. Its process is replaced once
+/// every host in `reached` holds the new version. Returns that version.
+async fn move_address(
+    faulty: &mut FaultyDeployment,
+    server: &str,
+    service: usize,
+    reached: &[String],
+) -> u64 {
+    let domains = faulty.deployment.plan.domains.len();
+    let plan = &faulty.deployment.plan.services[service];
+    let team = plan.name;
+    let mut held = faulty.deployment.backends.iter();
+    let position = held.position(|held| held.name == server).unwrap();
+    let index = NEW_NAMES * domains + position % domains;
+    let moved = &mut faulty.deployment.backends[position];
+    let (address, published, former) = (moved.address, moved.published, moved.service);
+    moved.service = team;
+    moved.name = format!("{team}-{index}");
+    for team in [former, team] {
+        faulty.deployment.publish_team(team).await.unwrap();
+    }
+    let version = faulty.deployment.publish_root().await.unwrap();
+    faulty.wait_for_version_on(reached, version).await;
+    // Dropping the process of the old service ends it and frees the address.
+    drop(faulty.deployment.backends.remove(position));
+    let plan = &mut faulty.deployment.plan.services[service];
+    plan.options = vec!["--listen".to_owned(), address.to_string()];
+    faulty.deployment.start_backend(service, index).unwrap();
+    let started = faulty.deployment.backends.last_mut().unwrap();
+    started.published = published;
+    version
+}
+
+async fn check(faulty: &FaultyDeployment, moment: &str) {
+    let reports = faulty.deployment.run_reports().await.unwrap();
+    assert_eq!(requests::sum(&reports, "wrong_service"), 0, "{moment}");
+}
+
+/// A search server is taken out of service and its address given to the
+/// archive while a host is paused. The host wakes late, with the old list and
+/// with packets of searches in its sockets that it would send to that address.
+#[test]
+fn a_host_that_wakes_late_sends_nothing_to_an_address_that_was_moved() {
+    support::run(async |executor| {
+        let mut faulty = FaultyDeployment::start(network::small_plan()).await;
+        let data = DataLoad::open(executor, &faulty.deployment, FLOWS).await;
+        let load = RequestLoad::start(executor, &faulty.deployment, CALLERS);
+        load.wait_for_answers(PROGRESS).await;
+        for (from, to) in [(SEARCH, ARCHIVE), (ARCHIVE, SEARCH)] {
+            let from = faulty.deployment.plan.services[from].name;
+            let server = choose_server(&faulty, from).await;
+            let paused = server.home;
+            let mut reached = faulty.hosts(None);
+            reached.retain(|name| *name != paused);
+            faulty.process(&paused).pause().unwrap();
+            let version = move_address(&mut faulty, &server.name, to, &reached).await;
+            last(1000).await;
+            check(&faulty, "while the host is paused").await;
+            faulty.process(&paused).resume().unwrap();
+            faulty.wait_for_version(version).await;
+            load.wait_for_answers(PROGRESS).await;
+            check(&faulty, "after the host woke").await;
+        }
+        drop(data);
+        load.finish().await.check(&faulty.final_run_reports().await);
+    });
+}
+
+/// A search server is taken out of service and its address given to the
+/// archive, three leases after a host was cut off from all hosts and from the
+/// platform, so that it cannot know. Callers still reach it with packets of
+/// searches whose tokens name that server.
+#[test]
+fn a_host_that_is_cut_off_sends_nothing_to_an_address_that_was_moved() {
+    support::run(async |executor| {
+        let mut faulty = FaultyDeployment::start(network::small_plan()).await;
+        let data = DataLoad::open(executor, &faulty.deployment, FLOWS).await;
+        let load = RequestLoad::start(executor, &faulty.deployment, CALLERS);
+        load.wait_for_answers(PROGRESS).await;
+        let from = faulty.deployment.plan.services[SEARCH].name;
+        let server = choose_server(&faulty, from).await;
+        let all = faulty.hosts(None);
+        let alone = vec![server.home];
+        let mut reached = all.clone();
+        reached.retain(|name| *name != alone[0]);
+        faulty.cut(&alone, &all).await;
+        faulty.cut(&all, &alone).await;
+        faulty.cut_platform(&alone, CutMode::Close).await;
+        // No host can tell sooner that it is cut off; operators wait as long
+        // before they use an address again.
+        last(3 * network::HOME_LEASE_MS).await;
+        let version = move_address(&mut faulty, &server.name, ARCHIVE, &reached).await;
+        last(2000).await;
+        check(&faulty, "while the host is cut off").await;
+        faulty.heal().await;
+        faulty.cut_platform(&alone, CutMode::None).await;
+        faulty.wait_for_version(version).await;
+        load.wait_for_answers(PROGRESS).await;
+        check(&faulty, "after the cut healed").await;
+        drop(data);
+        load.finish().await.check(&faulty.final_run_reports().await);
+    });
+}
