--- a/crates/cardamomwinch_standin/src/deployment.rs
+++ b/crates/cardamomwinch_standin/src/deployment.rs
@@ -392,12 +392,24 @@
     /// # Errors
     /// Fails where the platform does not take it.
     pub async fn publish_root(&mut self) -> Result<u64, StandinError> {
+        let root = self.root_document(&self.preset);
+        self.put("root", &root.to_string()).await
+    }
+
+    /// The root document that puts `preset` in force, with the latest fragment
+    /// of each team.
+    pub fn root_document(&self, preset: &str) -> Value {
         let mut teams = serde_json::Map::new();
         for (team, revision) in self.revisions.iter() {
             teams.insert(team.clone(), json!(revision));
         }
-        let root = json!({"preset": self.preset, "teams": teams, "limits": self.plan.limits});
-        self.put("root", &root.to_string()).await
+        json!({"preset": preset, "teams": teams, "limits": self.plan.limits})
+    }
+
+    /// Lets the next root document name `revision` of a team's fragment that
+    /// was put by other means.
+    pub fn set_revision(&mut self, team: &str, revision: u64) {
+        self.revisions.insert(team.to_owned(), revision);
     }
 
     /// Publishes the list of hosts.
--- /dev/null
+++ b/tests/graceful_stop.rs
@@ -0,0 +1,138 @@
+//! Every planned stop is graceful: it cuts no request in flight.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod support;
+
+use std::time;
+
+use cardamomwinch_standin::prelude::*;
+use support::network::{self, FaultyDeployment};
+use support::{LIMIT, requests};
+
+const CALLERS: usize = 12;
+/// How long a request runs, in milliseconds: long enough that it still runs
+/// when the host is told to stop.
+const SERVICE_MS: &str = "1500";
+const DEADLINE: time::Duration = time::Duration::from_secs(9);
+
+async fn start() -> FaultyDeployment {
+    let mut plan = network::small_plan();
+    plan.services[0].options = vec!["--service-ms-mean".to_owned(), SERVICE_MS.to_owned()];
+    plan.limits["request_lifetime_ms"] = serde_json::json!(10_000);
+    FaultyDeployment::start(plan).await
+}
+
+/// Opens flows and sends one request on each, and returns once as many run.
+async fn send_requests(
+    executor: &TaskExecutor,
+    faulty: &FaultyDeployment,
+) -> Vec<async_executor::Task<RequestOutcome>> {
+    let fabric = faulty.deployment.fabric_address("callers").unwrap();
+    let service = faulty.deployment.plan.services[0].address;
+    let mut clients = Vec::new();
+    for index in 0..CALLERS {
+        let mut settings = CallerSettings::new(fabric, service);
+        settings.echoes_token = index % 2 == 0;
+        let client = CallerClient::bind(executor, settings).await.unwrap();
+        let opened = client.open(b"", LIMIT).await.unwrap();
+        assert_eq!(opened, OpenOutcome::Opened);
+        clients.push(client);
+    }
+    let tasks = clients.into_iter().enumerate().map(|(index, client)| {
+        executor.spawn(async move {
+            let payload = format!("filing-{index}/");
+            let sent = client.request(payload.as_bytes(), false, DEADLINE);
+            sent.await.unwrap()
+        })
+    });
+    let tasks = tasks.collect();
+    support::eventually("requests to run", async || {
+        let reports = faulty.deployment.run_reports().await.unwrap();
+        (requests::sum(&reports, "total") > 0).then_some(())
+    })
+    .await;
+    tasks
+}
+
+/// The hosts that are home of a server with a request in flight.
+async fn busy_hosts(faulty: &FaultyDeployment) -> Vec<String> {
+    support::eventually("a host with requests in flight", async || {
+        let mut busy = Vec::new();
+        for name in faulty.hosts(None) {
+            let status = faulty.call(&name, "status").await?;
+            if status["pending_requests"].as_u64()? > 0 {
+                busy.push(name);
+            }
+        }
+        (!busy.is_empty()).then_some(busy)
+    })
+    .await
+}
+
+/// Filings run when the host that waits for their answers is told to stop.
+/// Their callers get the answers all the same, or hear that the filing was not
+/// run; the process ends by itself and says that it cut nothing.
+#[test]
+fn requests_in_flight_are_answered_although_their_home_host_stops() {
+    support::run(async |executor| {
+        let mut faulty = start().await;
+        let tasks = send_requests(executor, &faulty).await;
+        let stopping = busy_hosts(&faulty).await[0].clone();
+        faulty.process(&stopping).terminate().unwrap();
+        let mut outcomes = Vec::new();
+        for task in tasks {
+            outcomes.push(task.await);
+        }
+        let ended = faulty.process(&stopping).wait(LIMIT).unwrap();
+        assert_eq!(ended.and_then(|status| status.code()), Some(0));
+        let reports = faulty.final_run_reports().await;
+        let answered = outcomes.iter().filter(|outcome| is_answered(outcome));
+        assert_eq!(
+            answered.count() as u64,
+            requests::sum(&reports, "total"),
+            "{outcomes:?}"
+        );
+        let refused = |outcome: &&RequestOutcome| matches!(outcome, RequestOutcome::NotRun { .. });
+        let settled = |outcome: &RequestOutcome| is_answered(&outcome) || refused(&outcome);
+        assert!(outcomes.iter().all(settled), "{outcomes:?}");
+    });
+}
+
+fn is_answered(outcome: &&RequestOutcome) -> bool {
+    matches!(outcome, RequestOutcome::Answered { .. })
+}
+
+/// An operator is in a hurry and asks twice. The second signal ends the host
+/// at once, which cuts the requests that it waits for; it says how many.
+#[test]
+fn a_second_signal_ends_the_host_at_once_and_says_what_it_cut() {
+    support::run(async |executor| {
+        let mut faulty = start().await;
+        let tasks = send_requests(executor, &faulty).await;
+        let stopping = busy_hosts(&faulty).await[0].clone();
+        let process = faulty.process(&stopping);
+        process.terminate().unwrap();
+        // Two signals that are pending together count as one, so the second
+        // is sent once the first was taken.
+        let stopping_line = wait_for_line(process, "stopping gracefully");
+        assert!(stopping_line.is_some());
+        process.terminate().unwrap();
+        let ended = process.wait(LIMIT).unwrap();
+        assert_eq!(ended.and_then(|status| status.code()), Some(1));
+        let line = wait_for_line(process, "stopped: Cut").unwrap();
+        assert!(!line.contains("pending_requests: 0"), "{line}");
+        for task in tasks {
+            task.await;
+        }
+    });
+}
+
+/// The next line of the log that contains `text`.
+fn wait_for_line(process: &ChildProcess, text: &str) -> Option<String> {
+    loop {
+        let line = process.next_line(LIMIT)?;
+        if line.contains(text) {
+            return Some(line);
+        }
+    }
+}
--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -91,7 +91,22 @@
 
     /// Starts one more host; it is published with the next list of hosts.
     pub(crate) async fn start_host(&mut self, domain: usize, index: usize) -> String {
+        self.start_host_behind(domain, index, CutMode::None).await
+    }
+
+    /// Starts one more host, whose way to the platform is cut as `cut` says.
+    pub(crate) async fn start_host_behind(
+        &mut self,
+        domain: usize,
+        index: usize,
+        cut: CutMode,
+    ) -> String {
         let platform = self.add_proxy(self.platform).await;
+        let faults = DatagramFaults {
+            cut,
+            ..DatagramFaults::default()
+        };
+        self.set_rules(platform, faults).await;
         self.deployment.platform_address = platform;
         let position = self.deployment.start_host(domain, index).unwrap();
         for field in [PEER, RELAY] {
