--- a/crates/cardamomwinch_coordination/src/traffic/effect.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/effect.rs
@@ -7,6 +7,7 @@
 use cardamomwinch_state::prelude::HostId;
 
 use crate::control::event::TakeOverReport;
+use crate::control::health::observation::BackendObservation;
 use crate::counter::Counter;
 use crate::decision::DecisionRecord;
 
@@ -39,6 +40,8 @@
         /// The datagram.
         envelope: RelayEnvelope<'a>,
     },
+    /// Tell control what backend servers did.
+    Observe(Vec<BackendObservation>),
     /// Give a part of a hand-over to control.
     HandOver {
         /// The part.
--- a/crates/cardamomwinch_coordination/src/traffic/mod.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/mod.rs
@@ -3,19 +3,26 @@
 
 pub(crate) mod caller_datagrams;
 pub(crate) mod context;
+pub(crate) mod dispatching;
 pub mod effect;
 pub mod event;
+pub(crate) mod giving_up;
 pub(crate) mod handover;
 pub mod handover_items;
 pub mod ledger;
+pub(crate) mod observing;
 pub(crate) mod opening;
 pub(crate) mod packing;
 pub mod pins;
 pub(crate) mod replies;
 pub mod requests;
 pub(crate) mod resolve;
+pub mod retry_budget;
+pub mod service_time;
 pub(crate) mod serving;
+pub mod slots;
 pub(crate) mod sweeping;
+pub(crate) mod taking_over;
 
 use cardamomwinch_protocol::prelude::{
     AuthenticationKeys, FabricDatagram, RelayFrame, TokenIssuer,
@@ -34,6 +41,7 @@
 use crate::traffic::ledger::ServerLedgers;
 use crate::traffic::pins::FlowPin;
 use crate::traffic::requests::RequestTable;
+use crate::traffic::retry_budget::RetryBudgets;
 
 /// A datagram that was relayed this often is dropped instead of relayed again.
 pub const HOP_LIMIT: u8 = 4;
@@ -48,8 +56,9 @@
     pub(crate) pins: FlowTable<FlowPin>,
     pub(crate) requests: RequestTable,
     pub(crate) ledgers: ServerLedgers,
-    pub(crate) held_bytes: usize,
+    pub(crate) retry_budgets: RetryBudgets,
     pub(crate) sweep_position: usize,
+    pub(crate) next_observation: Timestamp,
     pub(crate) frozen: FrozenShards,
     last_event: Timestamp,
     slept_until: Option<Timestamp>,
@@ -70,8 +79,9 @@
             pins: FlowTable::new(bounds.flows),
             requests: RequestTable::new(bounds.request_records),
             ledgers: ServerLedgers::default(),
-            held_bytes: 0,
+            retry_budgets: RetryBudgets::default(),
             sweep_position: 0,
+            next_observation: Timestamp::ZERO,
             frozen: FrozenShards::default(),
             last_event: Timestamp::ZERO,
             slept_until: None,
@@ -124,9 +134,10 @@
     }
 
     fn tick<S: TrafficSink>(&mut self, context: &mut EventContext<'_, S>) {
-        self.sweep(context);
+        self.review_requests(context);
+        self.sweep(context.now);
         self.thaw(context);
-        self.start_waiting(context);
+        self.observe(context);
     }
 
     fn handle_fabric<S: TrafficSink>(
--- a/crates/cardamomwinch_protocol/src/administration.rs
+++ b/crates/cardamomwinch_protocol/src/administration.rs
@@ -46,11 +46,12 @@
     }
 }
 
-/// A fragment that is not in force.
+/// A published document that is not in force.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct RefusedFragmentReport {
-    /// The team that published it.
+    /// The team that published it; `root` or `hosts` for a document that
+    /// concerns all teams.
     pub team: String,
     /// Its revision.
     pub revision: FragmentRevision,
