--- a/crates/cardamomwinch_daemon/src/stopping.rs
+++ b/crates/cardamomwinch_daemon/src/stopping.rs
@@ -96,6 +96,8 @@
         }
     };
     futures_lite::future::or(signalled, requested).await;
+    // Whoever asks again by a call is told that the host was stopping already.
+    stop_requests.close();
     log::info!("stopping gracefully");
     drop(control.send(ControlInput::Stop).await);
     let begun = clock.now();
