--- a/tests/forged_messages.rs
+++ b/tests/forged_messages.rs
@@ -231,7 +231,7 @@
         load.wait_for_answers(PROGRESS).await;
         assert_eq!(beliefs(&tapped).await, before);
         let finished = load.finish().await;
-        finished.check(&tapped.faulty.final_run_reports().await);
+        finished.check(&tapped.faulty).await;
     });
 }
 
@@ -262,6 +262,6 @@
                 .iter()
                 .all(|call| reads.contains(&call.kind))
         );
-        finished.check(&faulty.final_run_reports().await);
+        finished.check(&faulty).await;
     });
 }
--- a/tests/support/requests.rs
+++ b/tests/support/requests.rs
@@ -13,6 +13,7 @@
 use serde_json::Value;
 
 use crate::support;
+use crate::support::network::FaultyDeployment;
 
 const REQUESTS_PER_FLOW: u64 = 20;
 const OPEN_WAIT: time::Duration = time::Duration::from_secs(3);
@@ -169,30 +170,28 @@
 impl FinishedLoad {
     /// Fails where a request ran twice, ran although its caller was told that
     /// it had not, was answered without having run, or reached another service.
-    pub(crate) fn check(&self, reports: &[Value]) {
+    pub(crate) async fn check(&self, faulty: &FaultyDeployment) {
+        let reports = faulty.final_run_reports().await;
+        self.print_outcomes();
+        let violations = self.violations(&reports);
+        if violations.is_empty() {
+            return;
+        }
+        print_decisions(faulty, &reports);
+        let listed = violations.iter().take(LISTED).cloned().collect::<Vec<_>>();
+        panic!("{} violations: {}", violations.len(), listed.join("; "));
+    }
+
+    fn violations(&self, reports: &[Value]) -> Vec<String> {
         let runs = runs_by_payload(reports);
         let mut violations = Vec::new();
         for (payload, servers) in runs.iter().filter(|(_, servers)| servers.len() > 1) {
             violations.push(format!("{payload} ran on {servers:?}"));
         }
-        let mut outcomes: SortedVector<String, usize> = SortedVector::new();
         for entry in &self.book.entries {
             let count = runs.get(&entry.payload).map_or(0, Vec::len);
-            *outcomes.get_or_insert_with(outcome_name(&entry.outcome), || 0) += 1;
-            match &entry.outcome {
-                RequestOutcome::NotRun { reason, .. } if count > 0 => {
-                    violations.push(format!("{} ran after not run ({reason})", entry.payload));
-                }
-                RequestOutcome::Answered { payload } => {
-                    let expected = format!("echo:{}", entry.payload);
-                    if !payload.starts_with(expected.as_bytes()) || count != 1 {
-                        violations.push(format!("{} answered, {count} runs", entry.payload));
-                    }
-                }
-                _ => {}
-            }
+            violations.extend(entry.violation(count));
         }
-        println!("{} requests: {outcomes:?}", self.book.entries.len());
         let book = &self.book;
         for (what, count) in [
             ("contradictions", book.contradictions),
@@ -208,13 +207,63 @@
                 violations.push(format!("{count} {what}"));
             }
         }
-        let listed = violations.iter().take(LISTED).cloned().collect::<Vec<_>>();
-        assert!(
-            violations.is_empty(),
-            "{} violations: {}",
-            violations.len(),
-            listed.join("; ")
-        );
+        violations
+    }
+
+    fn print_outcomes(&self) {
+        let mut outcomes: SortedVector<String, usize> = SortedVector::new();
+        for entry in &self.book.entries {
+            *outcomes.get_or_insert_with(outcome_name(&entry.outcome), || 0) += 1;
+        }
+        println!("{} requests: {outcomes:?}", self.book.entries.len());
+    }
+}
+
+impl BookEntry {
+    /// What is wrong with what the caller was told, where the request ran
+    /// `count` times.
+    fn violation(&self, count: usize) -> Option<String> {
+        match &self.outcome {
+            RequestOutcome::NotRun { reason, .. } if count > 0 => {
+                Some(format!("{} ran after not run ({reason})", self.payload))
+            }
+            RequestOutcome::Answered { payload } => {
+                let expected = format!("echo:{}", self.payload);
+                let right = payload.starts_with(expected.as_bytes()) && count == 1;
+                (!right).then(|| format!("{} answered, {count} runs", self.payload))
+            }
+            _ => None,
+        }
+    }
+}
+
+/// Prints what the hosts logged about the first flow with a request that ran
+/// twice, so that a failure can be understood.
+fn print_decisions(faulty: &FaultyDeployment, reports: &[Value]) {
+    let mut flows: SortedVector<String, String> = SortedVector::new();
+    let runs = reports
+        .iter()
+        .filter_map(|report| report["runs"].as_array());
+    let mut doubled = None;
+    for run in runs.flatten() {
+        let payload = run["payload"].as_str().unwrap().to_owned();
+        let flow = &run["flow"];
+        let (caller, service) = (flow["caller"].as_str(), flow["service"].as_str());
+        let flow = format!("{}->{}", caller.unwrap(), service.unwrap());
+        let known = flows.insert(payload, flow.clone()).is_some();
+        if known || run["count"].as_u64() > Some(1) {
+            doubled.get_or_insert(flow);
+        }
+    }
+    let Some(flow) = doubled else {
+        return;
+    };
+    for host in &faulty.deployment.hosts {
+        while let Some(line) = host.process.next_line(time::Duration::ZERO) {
+            if line.contains(&flow) {
+                println!("{line}");
+            }
+        }
     }
 }
 
--- a/tests/wrong_service.rs
+++ b/tests/wrong_service.rs
@@ -113,7 +113,7 @@
             check(&faulty, "after the host woke").await;
         }
         drop(data);
-        load.finish().await.check(&faulty.final_run_reports().await);
+        load.finish().await.check(&faulty).await;
     });
 }
 
@@ -149,6 +149,6 @@
         load.wait_for_answers(PROGRESS).await;
         check(&faulty, "after the cut healed").await;
         drop(data);
-        load.finish().await.check(&faulty.final_run_reports().await);
+        load.finish().await.check(&faulty).await;
     });
 }
