--- a/crates/cardamomwinch_coordination/src/traffic/handover_items.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/handover_items.rs
@@ -6,7 +6,7 @@
 use cardamomwinch_state::prelude::{BackendId, ShardId};
 use snafu::Snafu;
 
-use crate::traffic::pins::FlowPin;
+use crate::traffic::pins::{FlowPin, PinRole};
 use crate::traffic::requests::{
     HeldRequest, KEPT_PARTS_LIMIT, KeptPart, PARTS_LIMIT, PartTracker, RequestKey, RequestRecord,
     RequestState, RunningRequest,
@@ -132,7 +132,8 @@
             (NO_BACKEND, state)
         }
         RequestState::Refused { reason } => (NO_BACKEND, RecordState::Refused { reason: *reason }),
-        RequestState::Unknown => (NO_BACKEND, RecordState::Unknown),
+        // It did not run here, but a copy may have been passed on and run.
+        RequestState::Moved { .. } | RequestState::Unknown => (NO_BACKEND, RecordState::Unknown),
     };
     RecordItem {
         flow: key.flow,
@@ -216,14 +217,20 @@
     Ok(KeyedRecord { key, record })
 }
 
-impl From<&PinItem> for FlowPin {
-    fn from(item: &PinItem) -> Self {
-        Self {
-            claim: item.claim,
-            since: item.since,
-            last_seen: item.last_seen,
-            counted: item.counted,
-            echoes_token: item.echoes_token,
-        }
+/// The pin that `item` becomes at the next home of `shard`. One that is not to
+/// be counted there leads to the home of another server.
+pub(crate) const fn pin_of(item: &PinItem, shard: ShardId) -> FlowPin {
+    FlowPin {
+        claim: item.claim,
+        shard,
+        role: match item.counted {
+            true => PinRole::Placed,
+            false => PinRole::Redirect,
+        },
+        disputed: item.disputed,
+        since: item.since,
+        last_seen: item.last_seen,
+        counted: item.counted,
+        echoes_token: item.echoes_token,
     }
 }
--- a/crates/cardamomwinch_coordination/src/traffic/opening.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/opening.rs
@@ -1,53 +1,264 @@
-//! What the home of a backend server does with openings, closings and datagrams
-//! of flows that nobody knows.
+//! What the home of a backend server does with openings, closings and other
+//! datagrams of flows that it serves.
 
 use cardamomwinch_protocol::prelude::{
-    BackendKind, CallerKind, CallerReplyKind, RefusalReason, ResetReason, TokenClaim,
+    BackendKind, CallerDatagram, CallerKind, FlowSearch, RefusalReason, TokenClaim,
 };
-use cardamomwinch_state::prelude::{BackendEntry, BackendId};
+use cardamomwinch_state::prelude::{BackendEntry, BackendId, FlowHash, FlowKey, HostId};
 
 use crate::counter::Counter;
 use crate::decision::DecisionReason;
+use crate::routing::placement::PlacementOption;
 use crate::traffic::TrafficEngine;
-use crate::traffic::caller_datagrams::{self, RoutedDatagram};
+use crate::traffic::caller_datagrams::{self, RETRY_AFTER, RoutedDatagram};
 use crate::traffic::context::{DecisionSubject, EventContext};
 use crate::traffic::effect::TrafficSink;
-use crate::traffic::pins::FlowPin;
+use crate::traffic::pins::{FlowPin, PinRole};
 use crate::traffic::resolve;
 
+/// Positions of the lookup table that are tried where the flow's own is out.
+const PROBE_LIMIT: u64 = 16;
+/// Up to this many servers of a service are all looked at where probing failed.
+const SCAN_LIMIT: usize = 256;
+
 impl TrafficEngine {
-    /// Handles a datagram at the home of the server of `claim`. `decided` is
-    /// set where the flow is known to belong to that server.
+    /// Handles a datagram at the home of the server of `claim`, which its flow
+    /// is known to belong to.
     pub(crate) fn serve_at_home<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
         routed: &RoutedDatagram<'_, '_>,
         claim: TokenClaim,
-        decided: Option<BackendId>,
     ) {
         match routed.datagram.kind {
-            CallerKind::Open => self.open_at_home(context, routed, claim, decided),
-            CallerKind::Carry => self.carry_at_home(context, routed, claim, decided),
+            CallerKind::Open => {
+                let disputed = self.is_disputed(routed);
+                self.open_at(
+                    context,
+                    routed,
+                    claim,
+                    DecisionReason::RelayedDecision,
+                    disputed,
+                );
+            }
+            CallerKind::Carry => self.carry_at_home(context, routed, claim),
             CallerKind::Close => self.close_at_home(context, routed, claim),
         }
     }
 
-    fn open_at_home<S: TrafficSink>(
+    /// Decides at one home after the other where an opening goes.
+    ///
+    /// Guards against a second run of a request inside an opening: copies of it
+    /// meet hosts that have different versions in force, whose tables name
+    /// different servers, hence different homes. All of them ask the home of
+    /// the oldest generation's candidate first, and each home that passes the
+    /// opening on leaves a redirect, so that every copy goes the same way and
+    /// the home at its end recognises them.
+    pub(crate) fn search_opening<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
         routed: &RoutedDatagram<'_, '_>,
-        claim: TokenClaim,
-        decided: Option<BackendId>,
+        mut search: FlowSearch,
     ) {
-        let placed = match decided {
-            Some(_) => Some((claim, DecisionReason::RelayedDecision)),
-            None => self.place(context, routed, claim),
+        let snapshot = context.snapshot;
+        let list = snapshot.opening_candidates(routed.service.id, routed.hash);
+        // The sender started lately and knows no older generation, or this home
+        // is behind and does not know the newer candidate: the order starts
+        // anew. A home that itself started lately does not know the older
+        // candidate that it is asked for, and leaves the order alone.
+        let known = list.contains(search.candidate.backend);
+        let out_of_order = search.tried.is_empty() && (known || !snapshot.history_missing);
+        let first = list.iter().next().filter(|_| out_of_order);
+        let first = first.filter(|first| *first != search.candidate.backend);
+        if let Some(first) = first.and_then(|id| snapshot.backend(id)) {
+            search.candidate = TokenClaim::from(first);
+            return self.pursue(context, routed, search);
+        }
+        search.unsettled &= snapshot.history_missing;
+        let Some(next) = resolve::next_candidate(snapshot, CallerKind::Open, routed, &search)
+        else {
+            return self.place_opening(context, routed, search);
+        };
+        let request = routed.datagram.request.filter(|header| {
+            !header.idempotent && self.may_be_known_elsewhere(context, &search.candidate, header)
+        });
+        let Some(request) = request else {
+            return self.redirect(context, routed, search, next);
         };
-        let shard = resolve::shard_of(context.snapshot, &claim);
-        let Some((claim, reason)) = placed else {
-            return self.refuse_request(context, routed, shard, RefusalReason::Full);
+        // An earlier home may have placed the flow and run the request. The
+        // flow is opened all the same, without the request.
+        context.outcome_unknown(routed.datagram.flow, request.id, RETRY_AFTER);
+        let bare = bare_opening(routed.datagram);
+        let routed = RoutedDatagram {
+            datagram: &bare,
+            ..*routed
+        };
+        self.redirect(context, &routed, search, next);
+    }
+
+    /// Passes an opening on to the home of another server, and remembers it.
+    fn redirect<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        routed: &RoutedDatagram<'_, '_>,
+        search: FlowSearch,
+        next: TokenClaim,
+    ) {
+        if !self.is_home_of(context, &next) {
+            let pin = FlowPin {
+                claim: next,
+                shard: resolve::shard_of(context.snapshot, &search.candidate),
+                role: PinRole::Redirect,
+                disputed: search.skipped,
+                since: context.now,
+                last_seen: context.now,
+                counted: false,
+                echoes_token: routed.datagram.echoes_token,
+            };
+            if self
+                .pins
+                .insert(routed.hash, routed.datagram.flow, pin)
+                .is_err()
+            {
+                let shard = resolve::shard_of(context.snapshot, &search.candidate);
+                return self.refuse_request(context, routed, shard, RefusalReason::TableFull);
+            }
+            context.count(Counter::OpeningRedirected);
+        }
+        self.move_on(context, routed, search, next);
+    }
+
+    fn place_opening<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        routed: &RoutedDatagram<'_, '_>,
+        search: FlowSearch,
+    ) {
+        if search.unsettled && (routed.datagram.request.is_some() || !routed.datagram.echoes_token)
+        {
+            // Neither this home nor a host before it knows which homes hosts
+            // that are behind in their configuration would choose, so that one
+            // of those may place the flow as well and run the request. The
+            // caller sends again, and meets a host that does know, or time
+            // passes until all have caught up.
+            return context.count(Counter::OpeningHeld);
+        }
+        if let Some((claim, reason)) = self.place(context, routed, search.candidate) {
+            return self.open_at(context, routed, claim, reason, search.skipped);
+        }
+        if let Some(next) = self.overflow_candidate(context, routed, &search) {
+            return self.redirect(context, routed, search, next);
+        }
+        match routed.datagram.request {
+            // Another home may have placed the flow and run the request.
+            Some(request) if search.skipped => {
+                context.outcome_unknown(routed.datagram.flow, request.id, RETRY_AFTER);
+            }
+            _ => {
+                let shard = resolve::shard_of(context.snapshot, &search.candidate);
+                self.refuse_request(context, routed, shard, RefusalReason::Full);
+            }
+        }
+    }
+
+    /// A server of another home, for a flow that none of this home's servers
+    /// has room for. Which it is follows from the flow alone, unless homes are
+    /// out of reach; the redirect keeps copies together in any case.
+    fn overflow_candidate<S: TrafficSink>(
+        &self,
+        context: &EventContext<'_, S>,
+        routed: &RoutedDatagram<'_, '_>,
+        search: &FlowSearch,
+    ) -> Option<TokenClaim> {
+        let snapshot = context.snapshot;
+        let home = |claim: &TokenClaim| snapshot.shard(resolve::shard_of(snapshot, claim)).home;
+        let asked = |host: HostId| {
+            let mut servers = search.tried.iter().filter_map(|id| snapshot.backend(id));
+            Some(host) == home(&search.candidate)
+                || servers.any(|entry| home(&TokenClaim::from(entry)) == Some(host))
         };
-        if !self.pin(context, routed, claim) {
+        self.probe_table(context, routed, |claim| {
+            home(claim).is_some_and(|host| host != self.identity.host && !asked(host))
+        })
+    }
+
+    /// The home of the candidate of an opening cannot be reached. A home that
+    /// died is replaced within a lease, so the caller tries again; a domain
+    /// that is cut off may stay so for long, and its flows are placed elsewhere.
+    pub(crate) fn skip_home_of_opening<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        routed: &RoutedDatagram<'_, '_>,
+        search: FlowSearch,
+    ) {
+        let snapshot = context.snapshot;
+        if !snapshot.is_cut_off(search.candidate.domain) {
+            return Self::without_home(context, routed, None);
+        }
+        let newer = resolve::next_candidate(snapshot, CallerKind::Open, routed, &search);
+        let next = newer.or_else(|| {
+            self.probe_table(context, routed, |claim| {
+                !search.tried.contains(claim.backend) && !snapshot.is_cut_off(claim.domain)
+            })
+        });
+        match next {
+            Some(next) => {
+                context.decide(
+                    DecisionReason::PlacedAroundCut,
+                    DecisionSubject {
+                        backend: Some(next.backend),
+                        ..routed.subject()
+                    },
+                );
+                self.move_on(context, routed, search, next);
+            }
+            None => Self::without_home(context, routed, None),
+        }
+    }
+
+    /// The first server that `accept`s along a sequence that follows from the
+    /// flow alone.
+    fn probe_table<S: TrafficSink>(
+        &self,
+        context: &EventContext<'_, S>,
+        routed: &RoutedDatagram<'_, '_>,
+        accept: impl Fn(&TokenClaim) -> bool,
+    ) -> Option<TokenClaim> {
+        let snapshot = context.snapshot;
+        let table = snapshot
+            .generations
+            .first()?
+            .of_service(routed.service.id)?;
+        let probed = (1..=PROBE_LIMIT)
+            .map(|salt| FlowHash::new(routed.hash.mixed_with(salt)))
+            .filter_map(|hash| snapshot.backend(table.select(hash)?))
+            .map(TokenClaim::from)
+            .find(&accept);
+        if probed.is_some() || table.servers().len() > SCAN_LIMIT {
+            return probed;
+        }
+        let servers = table.servers().iter();
+        let claims = servers.filter_map(|id| snapshot.backend(*id).map(TokenClaim::from));
+        claims
+            .filter(accept)
+            .min_by_key(|claim| routed.hash.mixed_with(claim.backend.get()))
+    }
+
+    fn is_disputed(&self, routed: &RoutedDatagram<'_, '_>) -> bool {
+        let pin = self.pins.get(routed.hash, &routed.datagram.flow);
+        pin.is_some_and(|pin| pin.disputed)
+    }
+
+    fn open_at<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        routed: &RoutedDatagram<'_, '_>,
+        claim: TokenClaim,
+        reason: DecisionReason,
+        disputed: bool,
+    ) {
+        if !self.pin(context, routed, claim, disputed) {
+            let shard = resolve::shard_of(context.snapshot, &claim);
             return self.refuse_request(context, routed, shard, RefusalReason::TableFull);
         }
         let subject = DecisionSubject {
@@ -55,15 +266,18 @@
             ..routed.subject()
         };
         context.decide(reason, subject);
-        let token = self.tokens.issue(&routed.datagram.flow, claim);
-        context.reply(routed.datagram.flow, CallerReplyKind::Opened { token });
-        match routed.datagram.request {
-            Some(request) => {
-                self.serve_request(context, routed, claim, request);
-                self.open_without_request(context, routed, &claim, request.id);
-            }
-            None => caller_datagrams::forward(context, routed.datagram, &claim, BackendKind::Open),
+        let datagram = routed.datagram;
+        let Some(request) = datagram.request else {
+            return caller_datagrams::forward(context, datagram, &claim, BackendKind::Open);
+        };
+        if disputed {
+            // Another home may have placed the flow too, and have run the
+            // request or have promised that it never runs.
+            context.outcome_unknown(datagram.flow, request.id, RETRY_AFTER);
+        } else {
+            self.serve_request(context, routed, claim, request);
         }
+        self.open_without_request(context, routed, &claim, request.id);
     }
 
     fn carry_at_home<S: TrafficSink>(
@@ -71,16 +285,19 @@
         context: &mut EventContext<'_, S>,
         routed: &RoutedDatagram<'_, '_>,
         claim: TokenClaim,
-        decided: Option<BackendId>,
     ) {
-        if decided.is_none() {
-            // Neither token nor pin: the table that every host derives alike is
-            // all there is. The server says whether it knows the flow.
-            context.decide(DecisionReason::PlacedByTable, routed.subject());
+        let datagram = routed.datagram;
+        if let Some(pin) = self.pins.get_mut(routed.hash, &datagram.flow) {
+            pin.last_seen = context.now;
         }
-        match routed.datagram.request {
+        match datagram.request {
+            Some(request) if datagram.token.is_none() && self.is_disputed(routed) => {
+                // A copy without token may reach another home that placed the
+                // flow as well, and run there or be refused for good.
+                context.outcome_unknown(datagram.flow, request.id, RETRY_AFTER);
+            }
             Some(request) => self.serve_request(context, routed, claim, request),
-            None => caller_datagrams::forward(context, routed.datagram, &claim, BackendKind::Carry),
+            None => caller_datagrams::forward(context, datagram, &claim, BackendKind::Carry),
         }
     }
 
@@ -125,14 +342,16 @@
         preferred: TokenClaim,
     ) -> Option<(TokenClaim, DecisionReason)> {
         let first = context.snapshot.backend(preferred.backend);
-        let first = first.filter(|entry| self.has_room(context, entry));
-        if let Some(entry) = first {
-            let idle = self.load_of(context, entry) == 0;
-            if idle || !routed.datagram.echoes_token {
-                return Some((TokenClaim::from(entry), DecisionReason::PlacedByTable));
-            }
+        let first = first.filter(|entry| entry.takes_new_flows() && self.has_room(context, entry));
+        if let Some(entry) = first.filter(|_| !routed.datagram.echoes_token) {
+            return Some((TokenClaim::from(entry), DecisionReason::PlacedByTable));
         }
-        let best = self.least_loaded(context, routed)?;
+        let entries = self.servers_with_room(context, routed)?;
+        let options: Vec<PlacementOption> = entries
+            .iter()
+            .map(|entry| self.placement_option(context, entry, preferred.backend))
+            .collect();
+        let best = entries[self.placement.choose(routed.hash, &options)?];
         let reason = match best.id == preferred.backend {
             true => DecisionReason::PlacedByTable,
             false => DecisionReason::PlacedByLoad,
@@ -140,35 +359,37 @@
         Some((TokenClaim::from(best), reason))
     }
 
-    fn least_loaded<'c, S: TrafficSink>(
+    fn servers_with_room<'c, S: TrafficSink>(
         &self,
         context: &EventContext<'c, S>,
         routed: &RoutedDatagram<'_, '_>,
-    ) -> Option<&'c BackendEntry> {
+    ) -> Option<Vec<&'c BackendEntry>> {
         let snapshot = context.snapshot;
         let tables = snapshot.generations.first()?;
         let table = tables.of_service(routed.service.id)?;
-        table
-            .servers()
-            .iter()
+        let entries = table.servers().iter();
+        let entries = entries
             .filter_map(|id| snapshot.backend(*id))
-            .filter(|entry| self.is_home_of(context, entry))
-            .filter(|entry| self.has_room(context, entry))
-            .min_by_key(|entry| {
-                let load = self.load_of(context, entry);
-                (load, routed.hash.mixed_with(entry.id.get()))
-            })
+            .filter(|entry| self.is_home_of(context, &TokenClaim::from(*entry)))
+            .filter(|entry| self.has_room(context, entry));
+        Some(entries.collect())
     }
 
-    pub(crate) fn is_home_of<S: TrafficSink>(
+    fn placement_option<S: TrafficSink>(
         &self,
         context: &EventContext<'_, S>,
         entry: &BackendEntry,
-    ) -> bool {
-        let shard = context.snapshot.shard_of(entry);
-        self.place.owns(shard)
-            && context.snapshot.lease_at(shard, context.now).is_some()
-            && !self.frozen.is_frozen(shard, context.now)
+        preferred: BackendId,
+    ) -> PlacementOption {
+        let view = context.snapshot.view(entry.id);
+        let ledger = self.ledgers.get(entry.id);
+        let held = ledger.map_or(0, |ledger| u64::from(ledger.connections));
+        PlacementOption {
+            server: entry.id.get(),
+            by_table: entry.id == preferred,
+            load: ledger.map_or(0, |ledger| ledger.load(context.now, entry, view)),
+            flows: held * 1000 / u64::from(entry.weight.get().max(1)),
+        }
     }
 
     fn has_room<S: TrafficSink>(
@@ -181,10 +402,23 @@
         free && !context.snapshot.is_ejected(entry.id)
     }
 
-    fn load_of<S: TrafficSink>(&self, context: &EventContext<'_, S>, entry: &BackendEntry) -> u64 {
-        let view = context.snapshot.view(entry.id);
-        let ledger = self.ledgers.get(entry.id);
-        ledger.map_or(0, |ledger| ledger.load(context.now, entry, view))
+    /// Holds `pin`, in place of an older or dead one where room is short.
+    pub(crate) fn hold_pin<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        hash: FlowHash,
+        flow: FlowKey,
+        pin: FlowPin,
+    ) -> bool {
+        self.remove_pin(hash, &flow);
+        if self.pins.len() >= self.bounds.flows {
+            self.make_pin_room(context);
+        }
+        let held = self.pins.insert(hash, flow, pin).is_ok();
+        if !held {
+            context.count(Counter::TableFull);
+        }
+        held
     }
 
     /// Pins a flow to its server; `false` where no more flows can be held.
@@ -193,56 +427,43 @@
         context: &mut EventContext<'_, S>,
         routed: &RoutedDatagram<'_, '_>,
         claim: TokenClaim,
+        disputed: bool,
     ) -> bool {
         let flow = routed.datagram.flow;
-        if let Some(pin) = self.pins.get_mut(routed.hash, &flow) {
+        if let Some(pin) = self.pins.get_mut(routed.hash, &flow)
+            && pin.role == PinRole::Placed
+            && pin.claim == claim
+        {
             pin.last_seen = context.now;
             return true;
         }
         let pin = FlowPin {
             claim,
+            shard: resolve::shard_of(context.snapshot, &claim),
+            role: PinRole::Placed,
+            disputed,
             since: context.now,
             last_seen: context.now,
             counted: true,
             echoes_token: routed.datagram.echoes_token,
         };
-        if self.pins.insert(routed.hash, flow, pin).is_err() {
-            context.count(Counter::TableFull);
+        if !self.hold_pin(context, routed.hash, flow, pin) {
             return false;
         }
         context.count(Counter::FlowOpened);
         self.ledgers.of(claim.backend).connections += 1;
         true
     }
+}
 
-    /// Takes a server's word that it does not hold a flow.
-    pub(crate) fn forget_flow<S: TrafficSink>(
-        &mut self,
-        context: &mut EventContext<'_, S>,
-        flow: cardamomwinch_state::prelude::FlowKey,
-        reason: ResetReason,
-    ) {
-        let hash = Self::hasher(context.snapshot).hash(&flow);
-        if let Some(pin) = self.pins.remove(hash, &flow) {
-            self.uncount(&pin);
-        }
-        context.count(Counter::FlowUnknown);
-        context.decide(
-            DecisionReason::UnknownFlow,
-            DecisionSubject {
-                flow: Some(flow),
-                ..DecisionSubject::default()
-            },
-        );
-        context.reply(flow, CallerReplyKind::Reset { reason });
-    }
-
-    /// Whether the server of `claim` may be given something at all.
-    pub(crate) fn may_reach<S: TrafficSink>(
-        context: &EventContext<'_, S>,
-        routed: &RoutedDatagram<'_, '_>,
-        claim: &TokenClaim,
-    ) -> bool {
-        resolve::address_serves(context.snapshot, routed.service.id, claim)
+/// The opening of a flow without the request that came with it.
+const fn bare_opening(datagram: &CallerDatagram<'_>) -> CallerDatagram<'static> {
+    CallerDatagram {
+        flow: datagram.flow,
+        kind: CallerKind::Open,
+        echoes_token: datagram.echoes_token,
+        token: datagram.token,
+        request: None,
+        payload: &[],
     }
 }
--- a/crates/cardamomwinch_protocol/src/peer/hand_over.rs
+++ b/crates/cardamomwinch_protocol/src/peer/hand_over.rs
@@ -57,6 +57,8 @@
     pub last_seen: Timestamp,
     /// Whether the caller echoes the token of the flow.
     pub echoes_token: bool,
+    /// Whether another home may have placed the flow as well.
+    pub disputed: bool,
     /// Whether the receiver is to count it as a connection of the server.
     pub counted: bool,
 }
