--- a/crates/cardamomwinch_standin/tests/proxy.rs
+++ b/crates/cardamomwinch_standin/tests/proxy.rs
@@ -8,7 +8,7 @@
 use cardamomwinch_standin::fabric;
 use cardamomwinch_standin::faults::CutMode;
 use cardamomwinch_standin::prelude::*;
-use cardamomwinch_standin::proxy::{ProxyRules, RulesOrder};
+use cardamomwinch_standin::proxy::{BlockOrder, ProxyRules, RulesOrder};
 use cardamomwinch_standin::runtime;
 use support::any;
 
@@ -82,3 +82,29 @@
         through().await.unwrap_err();
     });
 }
+
+#[test]
+fn datagrams_of_a_blocked_client_are_dropped_and_those_of_others_pass() {
+    support::run(async |executor| {
+        let (server, to) = fabric::bind_datagrams(any()).await.unwrap();
+        let (blocked, address) = fabric::bind_datagrams(any()).await.unwrap();
+        let (other, _) = fabric::bind_datagrams(any()).await.unwrap();
+        let proxy = ProxyStandin::start(&executor, any(), 1).await.unwrap();
+        let pair = ProxyPair { listen: any(), to };
+        let listen = proxy.add(pair).await.unwrap().listen;
+        proxy.block(&BlockOrder {
+            listen: Some(listen),
+            clients: vec![address],
+            close_connections: false,
+        });
+        let mut buffer = [0; 16];
+        blocked.send_to(b"lost", listen).await.unwrap();
+        other.send_to(b"other", listen).await.unwrap();
+        let (length, _) = server.recv_from(&mut buffer).await.unwrap();
+        assert_eq!(&buffer[..length], b"other");
+        proxy.block(&BlockOrder::default());
+        blocked.send_to(b"again", listen).await.unwrap();
+        let (length, _) = server.recv_from(&mut buffer).await.unwrap();
+        assert_eq!(&buffer[..length], b"again");
+    });
+}
