--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -17,6 +17,8 @@
 const RELAY: &str = "relay_address";
 const TRAFFIC: &str = "traffic_address";
 
+/// Lines of a log that are printed.
+const LAST_LINES: usize = 40;
 /// The lease of a home host here, in milliseconds.
 pub(crate) const HOME_LEASE_MS: u64 = 1000;
 /// The longest time between a request's first sending and its deadline here.
@@ -38,6 +40,17 @@
     cuts: Vec<NetworkCut>,
 }
 
+/// Prints the end of the log of a process that did not end as it should.
+fn print_last_lines(process: &ChildProcess) {
+    let mut lines = Vec::new();
+    while let Some(line) = process.next_line(time::Duration::from_millis(100)) {
+        lines.push(line);
+    }
+    for line in lines.iter().rev().take(LAST_LINES).rev() {
+        println!("{line}");
+    }
+}
+
 /// Three failure domains of two hosts, six and three backend servers.
 pub(crate) fn small_plan() -> DeploymentPlan {
     let mut plan = DeploymentPlan::budapest(2);
@@ -202,8 +215,13 @@
         }
         self.spare_hosts(names).await;
         for name in names {
-            let ended = self.process(name).wait(LIMIT).unwrap();
-            assert_eq!(ended.and_then(|status| status.code()), Some(0), "{name}");
+            let process = self.process(name);
+            let ended = process.wait(LIMIT).unwrap();
+            let code = ended.and_then(|status| status.code());
+            if code != Some(0) {
+                print_last_lines(process);
+            }
+            assert_eq!(code, Some(0), "{name}");
         }
     }
 
