Say that nothing was cut where nothing was pending at the stop deadline

The last host of a failure domain has nobody to hand its homes to. It waited for ten seconds, which is the stop deadline as well, and by chance ended with exit 1 and "0 requests were cut off": 3 of 5 runs of the test of at most once with stopping hosts, whenever both homes were of one domain. A test of its own stops both hosts of a domain.

--- a/crates/cardamomwinch_daemon/src/stopping.rs
+++ b/crates/cardamomwinch_daemon/src/stopping.rs
@@ -115,11 +115,16 @@
             let now = clock.now();
             let done = pending_requests == 0 && homes.is_set();
             let begun = load.last_fabric.max(begun);
-            if done && (now.since(begun) >= QUIET_PERIOD || now >= latest) {
+            if done && now.since(begun) >= QUIET_PERIOD {
                 return StopStatus::Graceful;
             }
+            // The last host of a domain has nobody to hand its homes to, and
+            // has cut nothing where no request is pending.
             if now >= latest {
-                return StopStatus::Cut { pending_requests };
+                return match pending_requests {
+                    0 => StopStatus::Graceful,
+                    _ => StopStatus::Cut { pending_requests },
+                };
             }
         }
     };
--- a/tests/graceful_stop.rs
+++ b/tests/graceful_stop.rs
@@ -134,6 +134,19 @@
     });
 }
 
+/// Both hosts of a failure domain are stopped, one after the other. The second
+/// has nobody in its domain to hand its homes to; it must not wait for ever, nor
+/// say that it cut something where no request is pending.
+#[test]
+fn the_last_host_of_a_domain_stops_without_cutting_anything() {
+    support::run(async |_| {
+        let mut faulty = FaultyDeployment::start(network::small_plan()).await;
+        for name in faulty.hosts(Some("bud-csepel")) {
+            faulty.stop_hosts(&[name]).await;
+        }
+    });
+}
+
 /// The next line of the log that contains `text`.
 fn wait_for_line(process: &ChildProcess, text: &str) -> Option<String> {
     loop {
--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -107,6 +107,14 @@
         self.start_host_behind(domain, index, CutMode::None).await
     }
 
+    /// Starts one more host, publishes it, and waits until it serves.
+    pub(crate) async fn add_host(&mut self, domain: usize, index: usize) {
+        self.start_host(domain, index).await;
+        self.deployment.publish_hosts().await.unwrap();
+        self.deployment.wait_until_ready(LIMIT).await.unwrap();
+        self.deployment.tell_fabric().await.unwrap();
+    }
+
     /// Starts one more host, whose way to the platform is cut as `cut` says.
     pub(crate) async fn start_host_behind(
         &mut self,
