--- a/crates/cardamomwinch_daemon/src/administration/reports.rs
+++ b/crates/cardamomwinch_daemon/src/administration/reports.rs
@@ -128,7 +128,9 @@
     match known {
         BackendView { ejected: true, .. } => api::HealthState::Unhealthy,
         BackendView { report: None, .. } => api::HealthState::Unknown,
-        BackendView { warm_percent, .. } if warm_percent < WHOLE_PERCENT => api::HealthState::Warming,
+        BackendView { warm_percent, .. } if warm_percent < WHOLE_PERCENT => {
+            api::HealthState::Warming
+        }
         _ => api::HealthState::Healthy,
     }
 }
--- a/crates/cardamomwinch_standin/src/deployment.rs
+++ b/crates/cardamomwinch_standin/src/deployment.rs
@@ -132,6 +132,9 @@
     pub domain: &'static str,
     /// Where it takes datagrams and answers about its load.
     pub address: net::SocketAddr,
+    /// The address that its team publishes instead of its own, if any, so that
+    /// a proxy can stand between.
+    pub published: Option<net::SocketAddr>,
     /// What its team says of it besides: weight, phase, slots.
     pub definition: Value,
     /// The process.
@@ -232,7 +235,12 @@
         Ok(deployment)
     }
 
-    fn start_surroundings(
+    /// Starts the platform and the fabric of `plan` and nothing else, for
+    /// tests that start the rest step by step.
+    ///
+    /// # Errors
+    /// Fails where a program cannot be started or does not get ready.
+    pub fn start_surroundings(
         plan: DeploymentPlan,
         programs: ProgramDirectory,
     ) -> Result<Self, StandinError> {
@@ -288,6 +296,7 @@
             service: plan.name,
             domain: domain.name,
             address,
+            published: None,
             definition: json!({}),
             process,
         });
@@ -363,7 +372,7 @@
         for backend in backends {
             let mut definition = backend.definition.clone();
             definition["domain"] = json!(backend.domain);
-            definition["address"] = json!(backend.address);
+            definition["address"] = json!(backend.published.unwrap_or(backend.address));
             definitions.insert(backend.name.clone(), definition);
         }
         let address = self.plan.services.iter().find(|plan| plan.name == service);
@@ -386,12 +395,24 @@
     /// # Errors
     /// Fails where the platform does not take it.
     pub async fn publish_root(&mut self) -> Result<u64, StandinError> {
+        let root = self.root_document(&self.preset);
+        self.put("root", &root.to_string()).await
+    }
+
+    /// The root document that puts `preset` in force, with the latest fragment
+    /// of each team.
+    pub fn root_document(&self, preset: &str) -> Value {
         let mut teams = serde_json::Map::new();
         for (team, revision) in self.revisions.iter() {
             teams.insert(team.clone(), json!(revision));
         }
-        let root = json!({"preset": self.preset, "teams": teams, "limits": self.plan.limits});
-        self.put("root", &root.to_string()).await
+        json!({"preset": preset, "teams": teams, "limits": self.plan.limits})
+    }
+
+    /// Lets the next root document name `revision` of a team's fragment that
+    /// was put by other means.
+    pub fn set_revision(&mut self, team: &str, revision: u64) {
+        self.revisions.insert(team.to_owned(), revision);
     }
 
     /// Publishes the list of hosts.
