--- a/examples/capacity_slopes.rs
+++ b/examples/capacity_slopes.rs
@@ -11,11 +11,13 @@
 use std::fs;
 use std::hint;
 use std::net;
+use std::ops;
 use std::process;
 use std::time;
 
 use cardamomwinch::coordination::control::event::PlatformAnswer;
 use cardamomwinch::prelude::*;
+use rustix::time::{ClockId, clock_gettime};
 use serde_json::json;
 
 const SECOND: u64 = 1_000_000;
@@ -23,6 +25,11 @@
 /// Ticks of the control thread in one measured minute.
 const TICKS: u64 = 600;
 const PACKETS: u32 = 200_000;
+/// Backend servers at the size to design for.
+const TARGET_SERVERS: u64 = 26_000;
+/// Changes of one team's fragment that are measured: more than generations of
+/// tables are kept, so that making room for the newest is in the mean.
+const ONE_CHANGES: u64 = 20;
 
 /// What is made larger.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -30,24 +37,37 @@
     Servers,
     Hosts,
     Flows,
+    /// Published changes, each of every service, at the target's servers.
+    Generations,
+    /// Servers of a fleet in which one team's fragment changes.
+    OneChange,
 }
 
 impl Subject {
-    const ALL: [Self; 3] = [Self::Servers, Self::Hosts, Self::Flows];
+    const ALL: [Self; 5] = [
+        Self::Servers,
+        Self::Hosts,
+        Self::Flows,
+        Self::Generations,
+        Self::OneChange,
+    ];
 
     const fn name(self) -> &'static str {
         match self {
             Self::Servers => "backend servers",
             Self::Hosts => "listed hosts",
             Self::Flows => "pinned flows",
+            Self::Generations => "changes of all",
+            Self::OneChange => "change of one",
         }
     }
 
     const fn sizes(self) -> [u64; 3] {
         match self {
-            Self::Servers => [2_600, 10_400, 26_000],
+            Self::Servers | Self::OneChange => [2_600, 10_400, 26_000],
             Self::Hosts => [320, 1_280, 3_200],
             Self::Flows => [10_000, 70_000, 500_000],
+            Self::Generations => [1, 3, 7],
         }
     }
 }
@@ -101,10 +121,14 @@
 
 fn measure(subject: Subject, size: u64) {
     let plan = match subject {
-        Subject::Servers => FleetPlan {
+        Subject::Servers | Subject::OneChange => FleetPlan {
             servers: size,
             hosts: 9,
         },
+        Subject::Generations => FleetPlan {
+            servers: TARGET_SERVERS,
+            hosts: 9,
+        },
         Subject::Hosts => FleetPlan {
             servers: 18,
             hosts: size,
@@ -116,12 +140,24 @@
     };
     let documents = plan.documents();
     let before = resident_kib();
-    let started = time::Instant::now();
+    let started = thread_time();
     let mut fleet = DrivenHost::start(&documents);
-    let adoption = started.elapsed();
+    let adoption = thread_time() - started;
     let unit = match subject {
         Subject::Servers | Subject::Hosts => fleet.measure_ticks(),
         Subject::Flows => fleet.measure_flows(size),
+        Subject::Generations => {
+            let all = 0..documents.teams.len();
+            let changes = (1..=size).map(|change| fleet.change(&plan, all.clone(), change));
+            let spent: time::Duration = changes.sum();
+            format!("{} ms a change", spent.as_millis() as u64 / size)
+        }
+        Subject::OneChange => {
+            let changes = (1..=ONE_CHANGES).map(|change| fleet.change(&plan, 0..1, change));
+            let spent: time::Duration = changes.sum();
+            let each = spent.as_millis() as u64 / ONE_CHANGES;
+            format!("{each} ms a change")
+        }
     };
     let value = json!({
         "grows": subject.name(),
@@ -134,6 +170,12 @@
     hint::black_box(&fleet);
 }
 
+/// Processor time of this thread, in which other programs do not count.
+fn thread_time() -> time::Duration {
+    let spent = clock_gettime(ClockId::ThreadCPUTime);
+    time::Duration::new(spent.tv_sec as u64, spent.tv_nsec as u32)
+}
+
 fn resident_kib() -> u64 {
     let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
     let pages = text.split_whitespace().nth(1);
@@ -166,16 +208,23 @@
     fn documents(&self) -> FleetDocuments {
         let services = self.servers.div_ceil(SERVERS_PER_SERVICE);
         let teams = services.div_ceil(SERVICES_PER_TEAM);
-        let mut listed = serde_json::Map::new();
-        for team in 0..teams {
-            listed.insert(format!("team-{team}"), json!(1));
-        }
-        let limits = json!({"request_lifetime_ms": 5000});
         FleetDocuments {
-            root: json!({"preset": "ordinary", "teams": listed, "limits": limits}).to_string(),
+            root: self.root(1, teams),
             hosts: self.hosts(),
-            teams: (0..teams).map(|team| self.fragment(team)).collect(),
+            teams: (0..teams).map(|team| self.fragment(team, 0)).collect(),
+        }
+    }
+
+    /// The root document that lists the first `changed` teams at `revision`.
+    fn root(&self, revision: u64, changed: u64) -> String {
+        let services = self.servers.div_ceil(SERVERS_PER_SERVICE);
+        let mut listed = serde_json::Map::new();
+        for team in 0..services.div_ceil(SERVICES_PER_TEAM) {
+            let published = if team < changed { revision } else { 1 };
+            listed.insert(format!("team-{team}"), json!(published));
         }
+        let limits = json!({"request_lifetime_ms": 5000});
+        json!({"preset": "ordinary", "teams": listed, "limits": limits}).to_string()
     }
 
     fn hosts(&self) -> String {
@@ -199,7 +248,9 @@
         text
     }
 
-    fn fragment(&self, team: u64) -> String {
+    /// The fragment of a team after so many changes, of which each lowers the
+    /// weight of another server of every service.
+    fn fragment(&self, team: u64, changes: u64) -> String {
         let mut services = serde_json::Map::new();
         let first = team * SERVICES_PER_TEAM;
         for service in first..first + SERVICES_PER_TEAM {
@@ -211,6 +262,7 @@
                     "domain": format!("domain-{domain}"),
                     "address": address(2, server, 9000).to_string(),
                     "connections": CONNECTIONS,
+                    "weight": if server - begin == changes % SERVERS_PER_SERVICE { 50 } else { 100 },
                 });
                 backends.insert(format!("server-{server}"), definition);
             }
@@ -298,13 +350,45 @@
         self.control(ControlEvent::Tick)
     }
 
+    /// Lets these teams publish their next change; returns how long the control
+    /// thread took to bring all of them into force.
+    fn change(
+        &mut self,
+        plan: &FleetPlan,
+        teams: ops::Range<usize>,
+        changes: u64,
+    ) -> time::Duration {
+        let revision = changes + 1;
+        let texts: Vec<(String, String)> = teams
+            .map(|team| (format!("team-{team}"), plan.fragment(team as u64, changes)))
+            .collect();
+        let root = plan.root(revision, texts.len() as u64);
+        let started = thread_time();
+        self.learn(PlatformKey::Root, revision, root);
+        for (name, text) in texts {
+            self.learn(PlatformKey::Team(name), revision, text);
+        }
+        self.step();
+        thread_time() - started
+    }
+
+    fn learn(&mut self, key: PlatformKey, revision: u64, text: String) -> Vec<PlatformRequest> {
+        let request = PlatformRequest {
+            key,
+            after: None,
+            wait: time::Duration::ZERO,
+        };
+        let result = Ok(PlatformAnswer::Value { revision, text });
+        self.control(ControlEvent::Platform(PlatformOutcome { request, result }))
+    }
+
     /// Processor time of the control thread with nothing happening.
     fn measure_ticks(&mut self) -> String {
-        let started = time::Instant::now();
+        let started = thread_time();
         for _ in 0..TICKS {
             hint::black_box(self.step());
         }
-        let spent = started.elapsed();
+        let spent = thread_time() - started;
         let share = spent.as_secs_f64() / 60.0 * 100.0;
         format!("{share:.2} % of a core")
     }
@@ -319,7 +403,7 @@
             }
         }
         let bytes = resident_kib().saturating_sub(before) * 1024 / count;
-        let started = time::Instant::now();
+        let started = thread_time();
         for index in 0..u64::from(PACKETS) {
             if index % 2000 == 0 {
                 self.step();
@@ -327,7 +411,7 @@
             let datagram = CallerDatagram::carry(flow(index * 7919 % count), None, b"");
             self.send(datagram);
         }
-        let each = started.elapsed().as_nanos() as u64 / u64::from(PACKETS);
+        let each = (thread_time() - started).as_nanos() as u64 / u64::from(PACKETS);
         format!("{bytes} B, {each} ns")
     }
 
