--- a/crates/cardamomwinch_coordination/src/control/homes/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/homes/mod.rs
@@ -16,7 +16,7 @@
 use std::time;
 
 use cardamomwinch_protocol::peer::hand_over::HandOverChunk;
-use cardamomwinch_protocol::peer::homes::{HandOverId, HomeMessage};
+use cardamomwinch_protocol::peer::homes::{HandOverId, HomeMessage, LeaseSuccessor};
 use cardamomwinch_state::prelude::{
     ConfigurationLimits, HostId, HostListVersion, HostTable, Incarnation, ShardId, SortedVector,
     Timestamp,
@@ -131,6 +131,13 @@
     heard: Timestamp,
 }
 
+/// A lease that this host has given up.
+#[derive(Debug, Clone, Copy)]
+struct SentRelease {
+    released: Timestamp,
+    successor: LeaseSuccessor,
+}
+
 /// The homes of all shards as this host sees them, and its part in choosing them.
 #[derive(Debug, Default)]
 pub struct HomeTable {
@@ -141,7 +148,7 @@
     outgoing: OutgoingTable,
     incoming: IncomingTable,
     claims: SortedVector<ShardId, ShardClaim>,
-    releases: SortedVector<ShardId, Timestamp>,
+    releases: SortedVector<ShardId, SentRelease>,
     next_release: Timestamp,
     host_list: HostListVersion,
     shard_count: u16,
@@ -242,7 +249,7 @@
             self.begin_hand_overs(now, world, out);
             self.send_notice(now, world, out);
         }
-        self.finish_stop(now, out);
+        self.finish_stop(now, world, out);
     }
 
     /// Takes a message of another host.
@@ -262,18 +269,27 @@
             HomeMessage::Request(request) => self.take_request(now, world, sender, request, out),
             HomeMessage::Grant(grant) => self.take_grant(now, world, host, grant, out),
             HomeMessage::Release(release) => self.voters.release(world, sender, release),
-            HomeMessage::Holders(notice) => self.holders.take_notice(now, world, host, notice),
+            HomeMessage::Holders(notice) => {
+                if self.holders.take_notice(now, world, host, notice) && notice.stopped {
+                    out.push(HomeAction::Publish);
+                }
+            }
             HomeMessage::HandOver(chunk) => {
                 let own = chunk.hand_over.shard.domain == world.identity.domain;
                 if own && world.is_serving() && world.may_hold() {
                     // The sender has been home since, so that what an earlier
                     // hand-over left is not all that is known any more.
                     self.leases.forget_inherited_before(chunk.hand_over);
-                    self.incoming.take_chunk(now, host, chunk.clone(), out);
+                    // No release of this host is sent after the round that it
+                    // names to the holder.
+                    self.releases.remove(&chunk.hand_over.shard);
+                    let round = self.leases.last_round();
+                    self.incoming
+                        .take_chunk(now, host, chunk.clone(), round, out);
                 }
             }
             HomeMessage::Received(receipt) => {
-                if let Some(ready) = self.outgoing.take_receipt(now, host, *receipt) {
+                if let Some(ready) = self.outgoing.take_receipt(now, sender, *receipt) {
                     self.commit(now, world, ready, out);
                 }
             }
