Report at the end of a process how many decisions were left out last

Cause: the number left out is told in a later second; a process that ends in the middle of a rush has none. Change: a logger that is dropped writes the number, as of its last second.

--- a/crates/cardamomwinch_transport/src/decision_logger.rs
+++ b/crates/cardamomwinch_transport/src/decision_logger.rs
@@ -95,7 +95,9 @@
             self.written = 0;
         }
     }
+}
 
+impl<R> DecisionLogger<R> {
     fn write<F: Serialize>(&mut self, now: Timestamp, event: &'static str, fields: &F) -> bool {
         let line = LogLine {
             time: now.get(),
@@ -113,3 +115,14 @@
         sent
     }
 }
+
+impl<R> Drop for DecisionLogger<R> {
+    /// Logs how many records were left out in the last second: whoever reads why
+    /// a process ended must see that lines are missing.
+    fn drop(&mut self) {
+        if self.left_out > 0 {
+            let now = Timestamp::new(self.second * MICROSECONDS_PER_SECOND);
+            self.write(now, LEFT_OUT_EVENT, &NoFields {});
+        }
+    }
+}
--- a/crates/cardamomwinch_transport/tests/log_sink.rs
+++ b/crates/cardamomwinch_transport/tests/log_sink.rs
@@ -151,6 +151,27 @@
     assert_eq!(lines[2]["left_out"], 3);
 }
 
+// A host is told to stop in the middle of a rush. No later second comes in which
+// the number left out could be told.
+#[test]
+fn what_was_left_out_last_is_reported_at_the_end() {
+    let output = SharedOutput::default();
+    let sink = LogSink::start(output.clone(), 64, HostClock::start()).unwrap();
+    let mut logger = DecisionLogger::new(&sink, 2);
+    for _ in 0..5 {
+        logger.log(seconds(5), &PLACEMENT);
+    }
+    drop(logger);
+    drop(sink);
+    let lines = output.lines();
+    assert_eq!(lines.len(), 3);
+    assert_eq!(lines[2]["event"], "decisions_left_out");
+    assert_eq!(
+        (&lines[2]["left_out"], &lines[2]["time"]),
+        (&3.into(), &5_000_000.into())
+    );
+}
+
 // An operator sets the level to warn, and the log is still full of decisions:
 // they are lines of the level info.
 #[test]
