--- a/crates/cardamomwinch_standin/src/deployment.rs
+++ b/crates/cardamomwinch_standin/src/deployment.rs
@@ -91,6 +91,8 @@
     pub fabric: Vec<String>,
     /// Traffic threads of each host.
     pub traffic_threads: usize,
+    /// What the settings of each host say of the log.
+    pub log: Value,
 }
 
 impl DeploymentPlan {
@@ -117,6 +119,7 @@
             limits: json!({"request_lifetime_ms": 5000, "flow_hash_seed": 7}),
             fabric: vec!["--spray".to_owned(), "rotate".to_owned()],
             traffic_threads: 1,
+            log: json!({}),
         }
     }
 }
@@ -312,6 +315,7 @@
             "platform": {"addresses": [self.platform_address.to_string()]},
             "keys": self.keys,
             "traffic_threads": self.plan.traffic_threads,
+            "log": self.plan.log,
         });
         let file = self.directory.join(format!("{name}.jsonc"));
         let action = "write the settings of a host";
--- a/tests/operating_steps.rs
+++ b/tests/operating_steps.rs
@@ -20,7 +20,12 @@
 }
 
 async fn deployment() -> Deployment {
+    deployment_with_log(json!({})).await
+}
+
+async fn deployment_with_log(log: Value) -> Deployment {
     let mut plan = DeploymentPlan::budapest(2);
+    plan.log = log;
     plan.services.truncate(1);
     plan.services[0].backends = 3;
     let programs = ProgramDirectory::of_this_build().unwrap();
@@ -273,3 +278,28 @@
         assert!(reason.starts_with("placed_by_"), "{placement}");
     });
 }
+
+/// An operator sets the level to warn. The log then holds no line of a decision,
+/// but still says which document is refused.
+#[test]
+fn a_log_of_the_level_warn_holds_warnings_and_no_decisions() {
+    run(async |executor| {
+        let deployment = deployment_with_log(json!({"level": "warn"})).await;
+        let sessions = open_sessions(executor, &deployment, 4).await;
+        ask_all(&sessions).await;
+        deployment.put("root", "{").await.unwrap();
+        let limit = time::Instant::now() + LIMIT;
+        let mut refused = 0;
+        while refused < deployment.hosts.len() {
+            assert!(time::Instant::now() < limit, "{refused} hosts warned");
+            for host in &deployment.hosts {
+                while let Some(line) = host.process.next_line(POLL_INTERVAL) {
+                    let line: Value = serde_json::from_str(&line).unwrap();
+                    assert_eq!(line["level"], json!("WARN"), "{line}");
+                    let message = line["message"].as_str().unwrap();
+                    refused += usize::from(message.starts_with("refused root"));
+                }
+            }
+        }
+    });
+}
