--- a/crates/cardamomwinch_coordination/src/traffic/mod.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/mod.rs
@@ -1,6 +1,7 @@
 //! Decides about each datagram: which backend server its flow belongs to,
 //! which host is its home, and whether the request that it carries runs.
 
+pub(crate) mod announcing;
 pub(crate) mod caller_datagrams;
 pub(crate) mod context;
 pub(crate) mod dispatching;
@@ -15,6 +16,7 @@
 pub(crate) mod packing;
 pub(crate) mod pin_sweeping;
 pub mod pins;
+pub(crate) mod repeating;
 pub(crate) mod replies;
 pub mod requests;
 pub(crate) mod resolve;
@@ -215,6 +217,9 @@
                 claim,
                 thread,
             } => self.learn(context, frame, flow, claim, thread),
+            RelayFrame::Announced { flow, claim, shard } => {
+                self.take_announced(context, flow, claim, shard);
+            }
         }
     }
 
--- a/crates/cardamomwinch_daemon/tests/decision_line.rs
+++ b/crates/cardamomwinch_daemon/tests/decision_line.rs
@@ -1,14 +1,19 @@
-//! Decisions as log lines, and what `explain` says of a flow.
+//! Decisions as log lines, what `explain` says of a flow, and what `backends` says
+//! of a server.
 #![allow(clippy::unwrap_used, missing_docs)]
 
 use std::sync;
 
 use cardamomwinch_coordination::control::membership::Reachability;
 use cardamomwinch_coordination::prelude::{DecisionReason, DecisionRecord, RoutingSnapshot};
+use cardamomwinch_coordination::snapshot::{BackendView, ReportedLoad};
 use cardamomwinch_daemon::administration::explain::FlowQuestion;
+use cardamomwinch_daemon::administration::reports;
 use cardamomwinch_daemon::decision_line::DecisionLine;
-use cardamomwinch_protocol::administration::ExplainParameters;
-use cardamomwinch_protocol::prelude::{AuthenticationKeys, SecretKey, TokenIssuer};
+use cardamomwinch_daemon::messages::TrafficLoad;
+use cardamomwinch_protocol::administration::{ExplainParameters, HealthState};
+use cardamomwinch_protocol::codec;
+use cardamomwinch_protocol::prelude::{AuthenticationKeys, SecretKey, TokenClaim, TokenIssuer};
 use cardamomwinch_state::prelude::*;
 use serde_json::{Value, json};
 use yare::parameterized;
@@ -113,3 +118,49 @@
         ("pin", Some("dv-1"))
     );
 }
+
+/// A caller echoes a token that was signed for another flow. `explain` must not
+/// believe it any more than traffic does.
+#[test]
+fn a_token_of_another_flow_explains_nothing() {
+    let snapshot = snapshot();
+    let entry = snapshot.backend(backend(&snapshot)).unwrap();
+    let issuer = TokenIssuer::new(AuthenticationKeys::new(SecretKey::new([1; 32]), None));
+    for (signed_for, reason) in [
+        ("127.0.0.1:4->127.0.0.1:7002", "token"),
+        ("127.0.0.1:5->127.0.0.1:7002", "home_decides"),
+    ] {
+        let token = issuer.issue(&signed_for.parse().unwrap(), TokenClaim::from(entry));
+        let mut buffer = [0; 256];
+        let bytes = codec::encode(&token, &mut buffer).unwrap();
+        let asked = ExplainParameters {
+            flow: "127.0.0.1:4->127.0.0.1:7002".to_owned(),
+            token: Some(bytes.iter().map(|byte| format!("{byte:02x}")).collect()),
+        };
+        let question = FlowQuestion::parse(&asked, &issuer).unwrap();
+        assert_eq!(question.explain(&snapshot, None).reason, reason);
+    }
+}
+
+fn reported() -> BackendView {
+    BackendView {
+        report: Some(ReportedLoad {
+            made: Timestamp::ZERO,
+            busy_slots: 0,
+        }),
+        ..BackendView::default()
+    }
+}
+
+#[parameterized(
+    unknown = { BackendView::default(), HealthState::Unknown },
+    healthy = { reported(), HealthState::Healthy },
+    warming = { BackendView { warm_percent: 10, ..reported() }, HealthState::Warming },
+    ejected = { BackendView { ejected: true, ..reported() }, HealthState::Unhealthy },
+)]
+fn the_health_of_a_server_is_reported(view: BackendView, expected: HealthState) {
+    let mut snapshot = snapshot();
+    snapshot.backends.insert(backend(&snapshot), view);
+    let reports = reports::backends(&snapshot, &TrafficLoad::default());
+    assert_eq!(reports[0].health, expected);
+}
