--- a/crates/cardamomwinch_daemon/src/administration/reports.rs
+++ b/crates/cardamomwinch_daemon/src/administration/reports.rs
@@ -14,9 +14,6 @@
 
 use crate::messages::TrafficLoad;
 
-/// The share of its slots that a warm server is given, in percent.
-const WHOLE_PERCENT: u8 = 100;
-
 /// How the host is doing; what traffic holds is left at zero.
 pub fn status(
     engine: &ControlEngine,
