--- a/examples/capacity_slopes.rs
+++ b/examples/capacity_slopes.rs
@@ -41,15 +41,18 @@
     Generations,
     /// Servers of a fleet in which one team's fragment changes.
     OneChange,
+    /// Servers, as seen by a host that cannot become home of any.
+    Unhomed,
 }
 
 impl Subject {
-    const ALL: [Self; 5] = [
+    const ALL: [Self; 6] = [
         Self::Servers,
         Self::Hosts,
         Self::Flows,
         Self::Generations,
         Self::OneChange,
+        Self::Unhomed,
     ];
 
     const fn name(self) -> &'static str {
@@ -59,12 +62,13 @@
             Self::Flows => "pinned flows",
             Self::Generations => "changes of all",
             Self::OneChange => "change of one",
+            Self::Unhomed => "none homed",
         }
     }
 
     const fn sizes(self) -> [u64; 3] {
         match self {
-            Self::Servers | Self::OneChange => [2_600, 10_400, 26_000],
+            Self::Servers | Self::OneChange | Self::Unhomed => [2_600, 10_400, 26_000],
             Self::Hosts => [320, 1_280, 3_200],
             Self::Flows => [10_000, 70_000, 500_000],
             Self::Generations => [1, 3, 7],
@@ -125,6 +129,10 @@
             servers: size,
             hosts: 9,
         },
+        Subject::Unhomed => FleetPlan {
+            servers: size,
+            hosts: 90,
+        },
         Subject::Generations => FleetPlan {
             servers: TARGET_SERVERS,
             hosts: 9,
@@ -142,7 +150,7 @@
     let before = resident_kib();
     let (mut fleet, adoption) = DrivenHost::start(&documents, plan.servers);
     let unit = match subject {
-        Subject::Servers | Subject::Hosts => fleet.measure_ticks(),
+        Subject::Servers | Subject::Hosts | Subject::Unhomed => fleet.measure_ticks(),
         Subject::Flows => fleet.measure_flows(size),
         Subject::Generations => {
             let all = 0..documents.teams.len();
