--- a/examples/capacity_slopes.rs
+++ b/examples/capacity_slopes.rs
@@ -41,15 +41,18 @@
     Generations,
     /// Servers of a fleet in which one team's fragment changes.
     OneChange,
+    /// Servers, as seen by a host that cannot become home of any.
+    Unhomed,
 }
 
 impl Subject {
-    const ALL: [Self; 5] = [
+    const ALL: [Self; 6] = [
         Self::Servers,
         Self::Hosts,
         Self::Flows,
         Self::Generations,
         Self::OneChange,
+        Self::Unhomed,
     ];
 
     const fn name(self) -> &'static str {
@@ -59,12 +62,13 @@
             Self::Flows => "pinned flows",
             Self::Generations => "changes of all",
             Self::OneChange => "change of one",
+            Self::Unhomed => "none homed",
         }
     }
 
     const fn sizes(self) -> [u64; 3] {
         match self {
-            Self::Servers | Self::OneChange => [2_600, 10_400, 26_000],
+            Self::Servers | Self::OneChange | Self::Unhomed => [2_600, 10_400, 26_000],
             Self::Hosts => [320, 1_280, 3_200],
             Self::Flows => [10_000, 70_000, 500_000],
             Self::Generations => [1, 3, 7],
@@ -125,6 +129,10 @@
             servers: size,
             hosts: 9,
         },
+        Subject::Unhomed => FleetPlan {
+            servers: size,
+            hosts: 90,
+        },
         Subject::Generations => FleetPlan {
             servers: TARGET_SERVERS,
             hosts: 9,
@@ -140,11 +148,9 @@
     };
     let documents = plan.documents();
     let before = resident_kib();
-    let started = thread_time();
-    let mut fleet = DrivenHost::start(&documents);
-    let adoption = thread_time() - started;
+    let (mut fleet, adoption) = DrivenHost::start(&documents, plan.servers);
     let unit = match subject {
-        Subject::Servers | Subject::Hosts => fleet.measure_ticks(),
+        Subject::Servers | Subject::Hosts | Subject::Unhomed => fleet.measure_ticks(),
         Subject::Flows => fleet.measure_flows(size),
         Subject::Generations => {
             let all = 0..documents.teams.len();
@@ -290,7 +296,11 @@
 }
 
 impl DrivenHost {
-    fn start(documents: &FleetDocuments) -> Self {
+    /// Starts the host and lets it settle; returns besides how long the control
+    /// thread took until so many servers were in force.
+    fn start(documents: &FleetDocuments, servers: u64) -> (Self, time::Duration) {
+        let started = thread_time();
+        let mut adoption = None;
         let identity = HostIdentity {
             host: HostId::from_name("host-0"),
             domain: DomainId::from_name("domain-0"),
@@ -308,8 +318,13 @@
             }
             next.extend(host.step());
             calls = next;
+            let in_force = &host.engine.snapshot().configuration.backends;
+            if adoption.is_none() && in_force.len() as u64 == servers {
+                adoption = Some(thread_time() - started);
+            }
         }
-        host
+        let adoption = adoption.expect("a host adopts whatever its documents list");
+        (host, adoption)
     }
 
     fn answer(
@@ -335,13 +350,27 @@
 
     fn control(&mut self, event: ControlEvent) -> Vec<PlatformRequest> {
         let mut calls = Vec::new();
+        let mut asked = Vec::new();
         let event = HostEvent::Control(event);
-        self.engine
-            .handle(self.now, event, &mut |effect: HostEffect<'_>| {
-                if let HostEffect::Control(ControlEffect::Platform(request)) = effect {
-                    calls.push(request);
-                }
+        self.engine.handle(
+            self.now,
+            event,
+            &mut |effect: HostEffect<'_>| match effect {
+                HostEffect::Control(ControlEffect::Platform(request)) => calls.push(request),
+                HostEffect::Control(ControlEffect::AskLoad { backend, .. }) => asked.push(backend),
+                _ => {}
+            },
+        );
+        // Servers that never answer would be judged anew in each tick.
+        for backend in asked {
+            let result = Ok(LoadReport {
+                busy_slots: 1,
+                connections: 100,
+                healthy: true,
+                draining: false,
             });
+            calls.extend(self.control(ControlEvent::Load { backend, result }));
+        }
         calls
     }
 
