--- a/crates/cardamomwinch_daemon/src/administration/reports.rs
+++ b/crates/cardamomwinch_daemon/src/administration/reports.rs
@@ -14,6 +14,9 @@
 
 use crate::messages::TrafficLoad;
 
+/// The whole of a server's slots, in percent.
+const WHOLE_PERCENT: u8 = 100;
+
 /// How the host is doing; what traffic holds is left at zero.
 pub fn status(
     engine: &ControlEngine,
