Give a host that starts the earlier lookup tables

Cause: a host that starts holds only the tables of the version in force. After a rolling restart no host keeps an earlier generation, so that a flow without token that lies off the newest table is found only where the home of the newest candidate was told (`Announced`) and still holds that word. Where it does not, the search ends with UnknownFlow and the caller is reset, although home and server still hold the flow.

Ruled out: more pins in the hand-over. Off-table pins without token, and redirects, go first and fit; a hand-over helps neither the other hosts, nor after a death. Merging generations into the accepted state: digests of hosts that kept different ones would never agree.

Change: `Want` says whether the sender started and still lacks earlier tables. A peer that has compared its state answers with `Earlier`: per kept generation servers and weights as differences, and the servers that have left the configuration. Tables are filled from servers and weights alone, which is what they depended on before, so that they come out alike.

adoption_starting::a_rolling_restart_forgets_no_earlier_tables fails in both cases without the change (1 generation instead of 3).

Not covered: a running host that misses versions, as one that was paused.

--- a/crates/cardamomwinch_coordination/src/control/adoption/effect.rs
+++ b/crates/cardamomwinch_coordination/src/control/adoption/effect.rs
@@ -4,6 +4,7 @@
 
 use cardamomwinch_configuration::resolve::Resolution;
 use cardamomwinch_protocol::peer::configuration::ConfigurationMessage;
+use cardamomwinch_protocol::peer::earlier_tables::EarlierTables;
 use cardamomwinch_state::prelude::HostId;
 
 use crate::control::adoption::refusal::RefusedDocument;
@@ -24,6 +25,13 @@
         /// The message.
         message: ConfigurationMessage,
     },
+    /// Send the earlier lookup tables to a host that started.
+    TellEarlier {
+        /// The host.
+        host: HostId,
+    },
+    /// Take earlier lookup tables in.
+    Earlier(EarlierTables),
     /// Count something.
     Count(Counter),
     /// Log that a document was refused.
--- a/crates/cardamomwinch_coordination/src/control/adoption/exchange.rs
+++ b/crates/cardamomwinch_coordination/src/control/adoption/exchange.rs
@@ -200,7 +200,12 @@
         told
     }
 
-    fn random_host(&mut self, identity: HostIdentity, hosts: &HostTable) -> Option<HostId> {
+    /// Some other host that is listed.
+    pub(crate) fn random_host(
+        &mut self,
+        identity: HostIdentity,
+        hosts: &HostTable,
+    ) -> Option<HostId> {
         let count = hosts.hosts.len();
         if count < 2 {
             return None;
--- a/crates/cardamomwinch_coordination/src/control/adoption/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/adoption/mod.rs
@@ -13,6 +13,7 @@
 mod calls;
 mod confirmation;
 pub mod document;
+mod earlier;
 pub mod effect;
 mod exchange;
 pub mod host_lists;
@@ -34,6 +35,7 @@
 use crate::control::adoption::calls::PlatformCalls;
 use crate::control::adoption::confirmation::StateConfirmation;
 use crate::control::adoption::document::{HeldFragment, HeldRoot};
+use crate::control::adoption::earlier::EarlierWish;
 use crate::control::adoption::effect::AdoptionEffect;
 use crate::control::adoption::exchange::PeerExchange;
 use crate::control::adoption::pending::PendingRoot;
@@ -86,6 +88,7 @@
     ranking: ReaderRanking,
     exchange: PeerExchange,
     confirmation: StateConfirmation,
+    earlier: EarlierWish,
 }
 
 impl ConfigurationAdoption {
@@ -108,6 +111,7 @@
             ranking: ReaderRanking::default(),
             exchange: PeerExchange::new(flow::mix(seed)),
             confirmation: StateConfirmation::starting(),
+            earlier: EarlierWish::default(),
         }
     }
 
@@ -169,6 +173,7 @@
     /// The process has started.
     pub fn start(&mut self, now: Timestamp, effects: &mut Vec<AdoptionEffect>) {
         self.confirmation.note_start(now);
+        self.earlier.note_start(now);
         self.call_both(now, effects);
     }
 
@@ -188,6 +193,7 @@
         self.decide_confirmation(now);
         self.call_platform(now, peers, effects);
         self.ask_peers(now, effects);
+        self.ask_for_earlier(now, effects);
         self.announce(now, effects);
         let hosts = self.state.hosts.table();
         let greeted = self.exchange.due_greeting(now, self.identity, hosts, peers);
@@ -220,6 +226,17 @@
         }
     }
 
+    fn ask_for_earlier(&mut self, now: Timestamp, effects: &mut Vec<AdoptionEffect>) {
+        if !self.confirmation.is_done() || !self.earlier.try_ask(now) {
+            return;
+        }
+        let hosts = self.state.hosts.table();
+        let asked = self.exchange.random_host(self.identity, hosts);
+        if let Some(host) = asked.filter(|host| self.exchange.try_ask(now, *host)) {
+            effects.push(self.want(now, host, None));
+        }
+    }
+
     fn want(
         &self,
         asked: Timestamp,
@@ -229,7 +246,11 @@
         let mut held = self.state.clone();
         held.merge(&self.staged);
         let known = held.known();
-        let message = ConfigurationMessage::Want { asked, known };
+        let message = ConfigurationMessage::Want {
+            asked,
+            known,
+            wants_earlier: self.earlier.is_open(asked),
+        };
         AdoptionEffect::Tell {
             host,
             address,
@@ -294,9 +315,23 @@
                     effects.push(self.want(now, sender, Some(*reply_to)));
                 }
             }
-            ConfigurationMessage::Want { asked, known } => {
+            ConfigurationMessage::Want {
+                asked,
+                known,
+                wants_earlier,
+            } => {
+                // A host that has compared nothing itself may lack them too.
+                if *wants_earlier && self.confirmation.is_done() {
+                    effects.push(AdoptionEffect::TellEarlier { host: sender });
+                }
                 self.take_want(now, sender, *asked, known, effects);
             }
+            ConfigurationMessage::Earlier(tables) => {
+                if self.earlier.is_open(now) {
+                    self.earlier.note(self.state.version(), tables);
+                    effects.push(AdoptionEffect::Earlier(tables.clone()));
+                }
+            }
             ConfigurationMessage::Offer(offer) => self.take_offer(now, sender, offer, effects),
         }
     }
--- a/crates/cardamomwinch_coordination/src/control/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/mod.rs
@@ -369,6 +369,15 @@
                         None => self.send(host, message, sink),
                     }
                 }
+                AdoptionEffect::TellEarlier { host } => {
+                    let tables = self.publisher.earlier_tables();
+                    let message = ConfigurationMessage::Earlier(tables);
+                    self.send(host, PeerMessage::Configuration(message), sink);
+                }
+                AdoptionEffect::Earlier(tables) => {
+                    self.publisher.learn(tables);
+                    changed = true;
+                }
                 AdoptionEffect::Count(counter) => {
                     let stale = u64::from(counter == Counter::PlatformStale);
                     self.platform.stale_answers += stale;
--- a/crates/cardamomwinch_coordination/src/control/publication.rs
+++ b/crates/cardamomwinch_coordination/src/control/publication.rs
@@ -4,9 +4,10 @@
 use std::sync;
 use std::time;
 
+use cardamomwinch_protocol::peer::earlier_tables::EarlierTables;
 use cardamomwinch_state::prelude::{
-    BackendEntry, BackendId, DomainId, HostId, HostTable, InForceConfiguration, ServiceId,
-    SortedVector, Timestamp,
+    BackendEntry, BackendId, ConfigurationVersion, DomainId, HostId, HostTable,
+    InForceConfiguration, ServiceId, SortedVector, Timestamp,
 };
 
 use crate::control::homes::HomeTable;
@@ -23,6 +24,8 @@
 pub(crate) struct SnapshotPublisher {
     configuration: sync::Arc<InForceConfiguration>,
     history: GenerationHistory,
+    /// Earlier tables that came before the first configuration.
+    awaiting: Option<EarlierTables>,
     retained: SortedVector<BackendId, BackendEntry>,
     server_addresses: sync::Arc<SortedVector<net::SocketAddr, ServiceId>>,
     domain_names: sync::Arc<SortedVector<DomainId, String>>,
@@ -50,14 +53,45 @@
             }
         }
         let in_force = &configuration.backends;
-        let history = &self.history;
-        self.retained
-            .retain(|id, entry| !in_force.contains_key(id) && history.names(entry.service, *id));
         let addresses = in_force
             .values()
             .map(|entry| (entry.address, entry.service));
         self.server_addresses = sync::Arc::new(addresses.collect());
         self.configuration = sync::Arc::new(configuration);
+        self.drop_unnamed();
+        if let Some(tables) = self.awaiting.take() {
+            self.learn(tables);
+        }
+    }
+
+    /// Takes in what a peer keeps of earlier versions. Guards against a fleet
+    /// that forgets, host by host as it is restarted, where earlier tables
+    /// placed flows without token: those flows would be reset.
+    pub(crate) fn learn(&mut self, tables: EarlierTables) {
+        if self.configuration.version == ConfigurationVersion::ZERO {
+            self.awaiting = Some(tables);
+            return;
+        }
+        self.history.learn(&tables.generations);
+        for entry in tables.retained {
+            self.retained.insert(entry.id, entry);
+        }
+        self.drop_unnamed();
+    }
+
+    /// What a host that starts lacks of earlier versions.
+    pub(crate) fn earlier_tables(&self) -> EarlierTables {
+        EarlierTables {
+            generations: self.history.listed(),
+            retained: self.retained.values().cloned().collect(),
+        }
+    }
+
+    fn drop_unnamed(&mut self) {
+        let in_force = &self.configuration.backends;
+        let history = &self.history;
+        self.retained
+            .retain(|id, entry| !in_force.contains_key(id) && history.names(entry.service, *id));
     }
 
     pub(crate) fn make(
--- a/crates/cardamomwinch_coordination/src/routing/generations.rs
+++ b/crates/cardamomwinch_coordination/src/routing/generations.rs
@@ -4,6 +4,9 @@
 use std::sync;
 use std::time;
 
+use cardamomwinch_protocol::peer::earlier_tables::{
+    EarlierGeneration, LISTED_LIMIT, ListedServer, ListedService,
+};
 use cardamomwinch_protocol::prelude::SEARCH_LIMIT;
 use cardamomwinch_state::prelude::{
     BackendId, InForceConfiguration, ServiceId, SortedVector, Timestamp,
@@ -73,6 +76,94 @@
         }
     }
 
+    /// What the kept generations derive from, newest first. Where that is more
+    /// than one message takes, the oldest are left out.
+    pub fn listed(&self) -> Vec<EarlierGeneration> {
+        let mut listed = Vec::new();
+        let mut room = LISTED_LIMIT;
+        let mut newer = None;
+        for held in &self.generations {
+            let services = difference(newer, &held.tables);
+            let servers = services.iter().flat_map(|service| &service.servers);
+            let size = servers.map(Vec::len).sum::<usize>() + services.len();
+            if size > room {
+                break;
+            }
+            room -= size;
+            listed.push(EarlierGeneration {
+                version: held.tables.version,
+                superseded: held.superseded,
+                settled: held.settled,
+                services,
+            });
+            newer = Some(held.tables.as_ref());
+        }
+        listed
+    }
+
+    /// Takes generations in that a peer keeps, newest first, and that this host
+    /// missed. The one in force here stays the newest.
+    pub fn learn(&mut self, listed: &[EarlierGeneration]) {
+        let mut newer: SortedVector<ServiceId, sync::Arc<LookupTable>> = SortedVector::new();
+        for generation in listed.iter().take(GENERATION_LIMIT) {
+            for service in &generation.services {
+                match &service.servers {
+                    Some(servers) => {
+                        let table = self.table_of(service.service, servers);
+                        newer.insert(service.service, table);
+                    }
+                    None => {
+                        newer.remove(&service.service);
+                    }
+                }
+            }
+            let tables = newer
+                .iter()
+                .map(|(id, table)| (*id, sync::Arc::clone(table)));
+            let tables = LookupTables::assemble(generation.version, tables);
+            self.learn_one(generation, tables);
+        }
+        if self.generations.len() > GENERATION_LIMIT {
+            self.compact();
+        }
+    }
+
+    /// The table that derives from `listed`, shared with a kept generation where
+    /// one has it: filling all tables of a large fleet takes most of a second.
+    fn table_of(&self, service: ServiceId, listed: &[ListedServer]) -> sync::Arc<LookupTable> {
+        let mut held = self
+            .generations
+            .iter()
+            .filter_map(|held| held.tables.shared(service));
+        held.find(|table| table.is_filled_for(listed))
+            .cloned()
+            .unwrap_or_else(|| sync::Arc::new(LookupTable::refill(listed)))
+    }
+
+    /// Puts one generation where its version belongs, unless its neighbours
+    /// place flows like it.
+    fn learn_one(&mut self, generation: &EarlierGeneration, tables: LookupTables) {
+        let versions = self.generations.iter().map(|held| held.tables.version);
+        let position = versions
+            .filter(|version| *version >= tables.version)
+            .count();
+        let Some(above) = position.checked_sub(1) else {
+            return;
+        };
+        let mut neighbours = self.generations[above..].iter().take(2);
+        if self.generations[above].tables.version == tables.version
+            || neighbours.any(|held| held.tables.places_like(&tables))
+        {
+            return;
+        }
+        let held = Generation {
+            tables: sync::Arc::new(tables),
+            superseded: generation.superseded.or(self.first_adopted),
+            settled: generation.settled,
+        };
+        self.generations.insert(position, held);
+    }
+
     /// Settles generations that no host places new flows by any more. None is
     /// settled while a domain is `cut_off`, since what is in force there is not
     /// known.
@@ -136,3 +227,22 @@
         }
     }
 }
+
+/// The services whose table in `tables` is not the one in `newer`.
+fn difference(newer: Option<&LookupTables>, tables: &LookupTables) -> Vec<ListedService> {
+    let changed = tables.iter().filter(|(service, table)| {
+        let held = newer.and_then(|newer| newer.of_service(**service));
+        held != Some(table.as_ref())
+    });
+    let changed = changed.map(|(service, table)| ListedService {
+        service: *service,
+        servers: Some(table.listed()),
+    });
+    let earlier = newer.into_iter().flat_map(LookupTables::iter);
+    let gone = earlier.filter(|(service, _)| tables.of_service(**service).is_none());
+    let gone = gone.map(|(service, _)| ListedService {
+        service: *service,
+        servers: None,
+    });
+    changed.chain(gone).collect()
+}
--- a/crates/cardamomwinch_coordination/src/routing/lookup_table.rs
+++ b/crates/cardamomwinch_coordination/src/routing/lookup_table.rs
@@ -3,6 +3,7 @@
 
 use std::sync;
 
+use cardamomwinch_protocol::peer::earlier_tables::ListedServer;
 use cardamomwinch_state::prelude::{
     BackendEntry, BackendId, ConfigurationVersion, FlowHash, InForceConfiguration, ServiceId,
     SortedVector, Weight,
@@ -26,16 +27,12 @@
 
     /// The same in a way of the caller's choice, to compare.
     pub fn fill_by<'e, F: TableFill>(servers: impl Iterator<Item = &'e BackendEntry>) -> Self {
-        let takers: Vec<&BackendEntry> = servers.filter(|entry| entry.takes_new_flows()).collect();
-        let positions = match takers.is_empty() {
-            true => Vec::new(),
-            false => F::fill(&takers),
-        };
-        Self {
-            servers: takers.iter().map(|entry| entry.id).collect(),
-            weights: takers.iter().map(|entry| entry.weight).collect(),
-            positions,
-        }
+        let takers = servers.filter(|entry| entry.takes_new_flows());
+        let listed = takers.map(|entry| ListedServer {
+            backend: entry.id,
+            weight: entry.weight,
+        });
+        Self::fill_sorted::<F>(&listed.collect::<Vec<_>>())
     }
 
     /// The server for a flow, unless no server takes new flows.
@@ -72,6 +69,46 @@
         shares
     }
 
+    /// What the table derives from.
+    pub fn listed(&self) -> Vec<ListedServer> {
+        let pairs = self.servers.iter().zip(&self.weights);
+        pairs
+            .map(|(backend, weight)| ListedServer {
+                backend: *backend,
+                weight: *weight,
+            })
+            .collect()
+    }
+
+    /// Fills the table that `listed` describes. The order of a message is not
+    /// relied on: tables are equal only where their servers are sorted alike.
+    pub fn refill(listed: &[ListedServer]) -> Self {
+        let mut takers = listed.to_vec();
+        takers.retain(|taker| taker.weight > Weight::ZERO);
+        takers.sort_unstable_by_key(|taker| taker.backend);
+        takers.dedup_by_key(|taker| taker.backend);
+        Self::fill_sorted::<PermutationFill>(&takers)
+    }
+
+    fn fill_sorted<F: TableFill>(takers: &[ListedServer]) -> Self {
+        let positions = match takers.is_empty() {
+            true => Vec::new(),
+            false => F::fill(takers),
+        };
+        Self {
+            servers: takers.iter().map(|taker| taker.backend).collect(),
+            weights: takers.iter().map(|taker| taker.weight).collect(),
+            positions,
+        }
+    }
+
+    /// Whether the table derives from `listed`.
+    pub fn is_filled_for(&self, listed: &[ListedServer]) -> bool {
+        let held = self.servers.iter().zip(&self.weights);
+        let wanted = listed.iter().map(|taker| (&taker.backend, &taker.weight));
+        self.servers.len() == listed.len() && held.eq(wanted)
+    }
+
     fn is_for(&self, takers: &[&BackendEntry]) -> bool {
         let held = self.servers.iter().zip(&self.weights);
         let wanted = takers.iter().map(|entry| (&entry.id, &entry.weight));
@@ -143,6 +180,11 @@
         self.tables.get(&service).map(sync::Arc::as_ref)
     }
 
+    /// The table of `service`, to be shared.
+    pub fn shared(&self, service: ServiceId) -> Option<&sync::Arc<LookupTable>> {
+        self.tables.get(&service)
+    }
+
     /// The server that `service` gives to a flow.
     pub fn select(&self, service: ServiceId, hash: FlowHash) -> Option<BackendId> {
         self.of_service(service)?.select(hash)
--- a/crates/cardamomwinch_coordination/src/routing/table_fill.rs
+++ b/crates/cardamomwinch_coordination/src/routing/table_fill.rs
@@ -3,7 +3,7 @@
 use std::cmp;
 use std::collections;
 
-use cardamomwinch_state::prelude::BackendEntry;
+use cardamomwinch_protocol::peer::earlier_tables::ListedServer;
 
 use crate::routing::rendezvous;
 
@@ -18,7 +18,7 @@
 pub trait TableFill {
     /// For each position the place of its server in `takers`, which are sorted
     /// by identifier, not empty, and of positive weight.
-    fn fill(takers: &[&BackendEntry]) -> Vec<u32>;
+    fn fill(takers: &[ListedServer]) -> Vec<u32>;
 }
 
 /// The number of positions of a table of `servers`.
@@ -39,11 +39,11 @@
 pub struct RendezvousFill;
 
 impl TableFill for RendezvousFill {
-    fn fill(takers: &[&BackendEntry]) -> Vec<u32> {
+    fn fill(takers: &[ListedServer]) -> Vec<u32> {
         let best = |position: u32| {
             let costs = takers.iter().enumerate().map(|(index, entry)| {
                 let subject = u64::from(position);
-                let cost = rendezvous::weighted_cost(entry.id.get(), subject, entry.weight);
+                let cost = rendezvous::weighted_cost(entry.backend.get(), subject, entry.weight);
                 (cost, index as u32)
             });
             let best = costs.min_by(|left, right| left.0.total_cmp(&right.0));
@@ -60,12 +60,12 @@
 pub struct PermutationFill;
 
 impl TableFill for PermutationFill {
-    fn fill(takers: &[&BackendEntry]) -> Vec<u32> {
+    fn fill(takers: &[ListedServer]) -> Vec<u32> {
         let count = position_count(takers.len());
         let mut positions = vec![FREE; count as usize];
         let mut walks: Vec<PositionWalk> = takers
             .iter()
-            .map(|entry| PositionWalk::new(entry.id.get(), count))
+            .map(|entry| PositionWalk::new(entry.backend.get(), count))
             .collect();
         let mut turns: collections::BinaryHeap<cmp::Reverse<(u64, u32)>> = takers
             .iter()
@@ -79,7 +79,7 @@
             let cmp::Reverse((time, index)) = *first;
             let position = walks[index as usize].next_free(&positions, count);
             positions[position as usize] = index;
-            *first = cmp::Reverse((time + turn_length(takers[index as usize]), index));
+            *first = cmp::Reverse((time + turn_length(&takers[index as usize]), index));
         }
         positions
     }
@@ -89,8 +89,8 @@
 
 /// The time between two turns of a server, inverse to its weight. Even the sum
 /// over all positions of the longest one fits into 64 bits.
-fn turn_length(entry: &BackendEntry) -> u64 {
-    (1 << 40) / u64::from(entry.weight.get().max(1))
+fn turn_length(taker: &ListedServer) -> u64 {
+    (1 << 40) / u64::from(taker.weight.get().max(1))
 }
 
 /// A permutation of the positions: from a start in steps of a width, which
--- a/crates/cardamomwinch_coordination/tests/adoption_starting.rs
+++ b/crates/cardamomwinch_coordination/tests/adoption_starting.rs
@@ -76,6 +76,37 @@
     }
 }
 
+/// Every host is restarted after a change of servers. A fleet that holds only
+/// the version in force then looks for no flow where the earlier tables placed
+/// it, and callers without token, whose servers still hold them, are cut off.
+#[parameterized(calm = { 21, 0.0 }, lossy = { 22, 0.1 })]
+fn a_rolling_restart_forgets_no_earlier_tables(seed: u64, loss: f64) {
+    let mut fleet = TestFleet::settled(NINE, seed);
+    let old = fleet.hosts[0].snapshot.configuration.backends.clone();
+    for port in [9101, 9102] {
+        fleet.publish_team("search", &documents::fragment("search", "desk", 7001, port));
+        fleet.publish_root("peak");
+        fleet.run_for(seconds(3));
+    }
+    fleet.loss = loss;
+    let kept: Vec<_> = fleet.hosts[0].snapshot.generations.clone();
+    assert_eq!(kept.len(), 3);
+    for host in 0..9 {
+        restart(&mut fleet, host);
+        serves_only(&mut fleet, host, "peak", seconds(6));
+    }
+    for (_, host) in fleet.running() {
+        let generations = &host.snapshot.generations;
+        assert_eq!(generations.len(), kept.len());
+        for (held, wanted) in generations.iter().zip(&kept) {
+            assert!(held.places_like(wanted));
+        }
+        for server in old.keys() {
+            assert!(host.snapshot.backend(*server).is_some());
+        }
+    }
+}
+
 /// No peer answers: the host starts from the platform alone, after it has
 /// given peers a moment to answer.
 #[test]
--- a/crates/cardamomwinch_coordination/tests/routing_generations.rs
+++ b/crates/cardamomwinch_coordination/tests/routing_generations.rs
@@ -82,3 +82,78 @@
     assert_eq!(history.tables().len(), 2);
     assert!(!history.names(service_id(), server(1, "a").id));
 }
+
+fn history_of(versions: &[(u64, std::ops::RangeInclusive<u8>)]) -> GenerationHistory {
+    let mut history = GenerationHistory::default();
+    for (version, numbers) in versions {
+        let now = START.after(SECOND * (*version as u32));
+        history.adopt(now, &configuration(*version, &servers(numbers.clone())));
+    }
+    history
+}
+
+fn kept_versions(history: &GenerationHistory) -> Vec<u64> {
+    let tables = history.tables();
+    tables.iter().map(|held| held.version.get()).collect()
+}
+
+// A host restarts while its peers are ahead of it, behind it, or neither. What
+// a peer keeps goes where its version belongs, and the table in force here
+// stays the newest, so that new flows lie where every host looks for them.
+#[yare::parameterized(
+    level = { 4, &[4, 3, 2, 1] },
+    ahead = { 3, &[3, 2, 1] },
+    between = { 2, &[2, 1] },
+)]
+fn a_started_host_learns_what_came_before(own: u64, expected: &[u64]) {
+    let known = [(1, 1..=4), (2, 2..=5), (3, 3..=6), (4, 4..=7)];
+    let peer = history_of(&known);
+    let position = own as usize - 1;
+    let mut started = history_of(&known[position..=position]);
+    started.learn(&peer.listed());
+    started.learn(&peer.listed());
+    assert_eq!(kept_versions(&started), expected);
+    let peer_tables = peer.tables();
+    for (held, wanted) in started
+        .tables()
+        .iter()
+        .zip(&peer_tables[4 - own as usize..])
+    {
+        assert!(held.places_like(wanted));
+    }
+}
+
+#[test]
+fn a_started_host_learns_from_a_peer_that_is_behind() {
+    let peer = history_of(&[(1, 1..=4), (2, 2..=5)]);
+    let mut started = history_of(&[(3, 3..=6)]);
+    started.learn(&peer.listed());
+    assert_eq!(kept_versions(&started), [3, 2, 1]);
+    assert_eq!(
+        started.opening_count(),
+        3,
+        "the peer still opens by its own"
+    );
+}
+
+// Every change of a service that a peer keeps is learned, also where it has
+// been given up and taken up again.
+#[test]
+fn a_started_host_learns_of_services_that_were_gone_for_a_while() {
+    let other = ServiceId::from_name("archive");
+    let with = |version, present: bool| {
+        let mut entries = servers(1..=4);
+        entries.extend(present.then(|| server_of(other, 100, "a")));
+        configuration(version, &entries)
+    };
+    let mut peer = GenerationHistory::default();
+    for (version, present) in [(1, true), (2, false), (3, true)] {
+        peer.adopt(START, &with(version, present));
+    }
+    let mut started = GenerationHistory::default();
+    started.adopt(START, &with(3, true));
+    started.learn(&peer.listed());
+    let tables = started.tables();
+    let present = tables.iter().map(|held| held.of_service(other).is_some());
+    assert_eq!(present.collect::<Vec<_>>(), [true, false, true]);
+}
--- a/crates/cardamomwinch_protocol/src/peer/configuration.rs
+++ b/crates/cardamomwinch_protocol/src/peer/configuration.rs
@@ -9,6 +9,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::peer::earlier_tables::EarlierTables;
+
 /// What a host says of the configuration it has accepted. Equal digests mean
 /// equal accepted state.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash)]
@@ -136,7 +138,11 @@
         asked: Timestamp,
         /// What the sender holds.
         known: KnownDocuments,
+        /// Whether the sender started and has no earlier lookup tables yet.
+        wants_earlier: bool,
     },
     /// Hands over what the asker lacks.
     Offer(ConfigurationOffer),
+    /// Hands over what earlier lookup tables derive from, to a host that started.
+    Earlier(EarlierTables),
 }
--- a/crates/cardamomwinch_protocol/src/peer/mod.rs
+++ b/crates/cardamomwinch_protocol/src/peer/mod.rs
@@ -3,6 +3,7 @@
 //! those that do not fit into one by an authenticated call over TCP.
 
 pub mod configuration;
+pub mod earlier_tables;
 pub mod hand_over;
 pub mod homes;
 pub mod membership;
