Follow no redirect to a home that a search has asked already

Cause: the home of a drained server dies with its pins. Its next home knows nothing and asks the home of the newest candidate, where `Announced` left a redirect back to the drained server. That one was tried, so the datagram was dropped as over the hop limit, each time; the search never came to its second stage, which asks the servers, and the caller heard nothing.

Ruled out: dropping the redirect. It is of use to every datagram that has not asked there yet, and the home that it leads to may get its pin back.

Change: a redirect to a candidate that was tried is passed over, but for openings, whose copies must all go one way. What follows is the search as it is without a redirect: a server that does not hold a flow runs none of its requests.

routing_changes::flow_without_token_survives_the_loss_of_its_home_after_others_were_told fails in all three cases without the change.

--- a/crates/cardamomwinch_coordination/src/traffic/searching.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/searching.rs
@@ -64,7 +64,14 @@
         routed: &RoutedDatagram<'_, '_>,
         search: FlowSearch,
     ) {
-        if let Some(next) = self.redirect_of(routed) {
+        // Guards against a circle: the redirect leads to a home that was asked
+        // and holds no pin any more, as after a death. The datagram would be
+        // dropped each time, and the caller hear nothing. A copy of an opening
+        // must follow its redirect nevertheless, or not be placed at all.
+        let opens = routed.datagram.kind == CallerKind::Open;
+        let redirect = self.redirect_of(routed);
+        let redirect = redirect.filter(|next| opens || !search.tried.contains(next.backend));
+        if let Some(next) = redirect {
             return self.move_on(context, routed, search, next);
         }
         match (routed.datagram.kind, search.stage) {
--- a/crates/cardamomwinch_coordination/tests/routing_changes.rs
+++ b/crates/cardamomwinch_coordination/tests/routing_changes.rs
@@ -120,6 +120,48 @@
     check_all(&mut fleet);
 }
 
+// After a change every flow has sent data, so that the homes of the newest
+// candidates were told where the flows off their table lie. Then the home of
+// the drained server dies with its pins. Its next home knows nothing and asks
+// the home of the newest candidate, which leads back to it: the datagram went
+// in a circle and was dropped, and the caller heard nothing any more.
+#[parameterized(drain = { drained }, add = { added }, preset = { swapped })]
+fn flow_without_token_survives_the_loss_of_its_home_after_others_were_told(
+    change: fn(Vec<BackendEntry>) -> Vec<BackendEntry>,
+) {
+    for lost in 0..HOSTS.len() {
+        let mut fleet = Fleet::new(HOSTS, &routing_support::configuration(1, &servers()));
+        open_all(&mut fleet);
+        fleet.adopt_everywhere(&routing_support::configuration(2, &change(servers())));
+        check_all(&mut fleet);
+        // The sweep of the pins tells the others.
+        fleet.pass(time::Duration::from_secs(30));
+        fleet.members[lost].reachable = false;
+        fleet.choose_homes();
+        for number in 0..FLOWS {
+            let key = flow(number);
+            let holders = fleet.holders(key);
+            for member in (0..HOSTS.len()).filter(|member| *member != lost) {
+                let payload = [50 + member as u8];
+                fleet.hand(member, &CallerDatagram::carry(key, None, &payload));
+                let server = &fleet.servers[&holders[0]];
+                assert!(
+                    server.plain.contains(&(key, payload.to_vec())),
+                    "{key} through host {member} after the loss of {lost}"
+                );
+                let request = fleet.request(200 + member as u64);
+                let datagram = CallerDatagram::carry(key, None, b"ask").with_request(request);
+                fleet.hand(member, &datagram);
+                assert_eq!(
+                    fleet.runs(key, request.id),
+                    1,
+                    "request of {key} through host {member} after the loss of {lost}"
+                );
+            }
+        }
+    }
+}
+
 // A home host dies without a hand-over just after a change, and with it the
 // pins of its flows. The next packet's home knows nothing of the flow: the
 // servers that it may belong to are asked in turn, and the one that holds it
