Give each request its last word before its deadline

About 0.1 % of requests ended at their deadline without any word: the one datagram to the server, or its answer, was lost; copies were ignored, since the request counted as running; and the word said at the deadline came after it.

Change: a running request is given up, and its caller told "outcome unknown" with a time to come back, - when a load report shows that the server works on fewer requests than were sent to it (the oldest overdue ones, none while all slots are busy, since the server may have a queue of its own); - when its slot stops counting (overdue for twice the mean and four deviations, the server answered others since), unless a load report vouches for it: then after four times as long at the latest; - 200 ms (at most a quarter of its time) before its deadline, as the last resort. Copies get the same word. A late answer still reaches the caller, frees the slot and is measured, and is what later copies get. A given up request is not sent again after a shed, and is handed over as unknown.

--- a/crates/cardamomwinch_coordination/examples/admission_cost.rs
+++ b/crates/cardamomwinch_coordination/examples/admission_cost.rs
@@ -18,7 +18,7 @@
 
 use cardamomwinch_coordination::prelude::*;
 use cardamomwinch_coordination::routing::lookup_table::LookupTables;
-use cardamomwinch_coordination::snapshot::ShardView;
+use cardamomwinch_coordination::snapshot::{BackendView, ReportedLoad, ShardView};
 use cardamomwinch_protocol::prelude::*;
 use cardamomwinch_state::prelude::*;
 use rand::rngs::SmallRng;
@@ -34,6 +34,8 @@
 const LONGEST_SERVICE: f64 = 40.0;
 const PATIENCE: u64 = 2_000_000;
 const HOP: u64 = 1_000;
+/// How often a home asks its servers for their load.
+const REPORT_INTERVAL: u64 = 1_000_000;
 const TICK: u64 = 50_000;
 const DURATION: u64 = 120_000_000;
 const START: u64 = 1_000_000_000_000;
@@ -109,6 +111,8 @@
     policy: AdmissionPolicy,
     random: SmallRng,
     now: u64,
+    /// When the servers last reported their load.
+    reported: u64,
     queue: collections::BinaryHeap<cmp::Reverse<(u64, u64, SimulationEvent)>>,
     sequence: u64,
     engine: TrafficEngine,
@@ -124,6 +128,7 @@
 /// What the engine wanted, in the terms of the simulation.
 #[derive(Debug, Default)]
 struct WantedSends {
+    openings: Vec<BackendId>,
     sent: Vec<(BackendId, RequestId, AttemptNumber)>,
     refused: Vec<RequestId>,
     unknown: Vec<RequestId>,
@@ -153,6 +158,7 @@
             policy,
             random: SmallRng::seed_from_u64(SEED),
             now: START,
+            reported: START,
             queue: collections::BinaryHeap::new(),
             sequence: 0,
             engine: builder.build_traffic(ThreadPlace::ONLY),
@@ -173,6 +179,17 @@
         for number in 0..FLOWS {
             let datagram = CallerDatagram::open(flow(number), b"");
             let wanted = self.drive(TrafficEvent::Fabric(FabricDatagram::Caller(datagram)));
+            let Some(backend) = wanted.openings.first().copied() else {
+                continue;
+            };
+            // A flow is open, and has its token, once its server says so.
+            let reply = BackendReply {
+                flow: flow(number),
+                backend,
+                via: HostId::from_name("muc-nord-1"),
+                kind: BackendReplyKind::Opened,
+            };
+            let wanted = self.drive(TrafficEvent::Fabric(FabricDatagram::Backend(reply)));
             self.tokens[usize::from(number)] = wanted.opened.first().copied();
         }
     }
@@ -181,6 +198,9 @@
         let mut wanted = WantedSends::default();
         let mut sink = |effect: TrafficEffect<'_>| match effect {
             TrafficEffect::ToBackend { datagram, .. } if datagram.kind != BackendKind::Cancel => {
+                if datagram.kind == BackendKind::Open {
+                    wanted.openings.push(datagram.backend);
+                }
                 if let Some(request) = datagram.request {
                     wanted
                         .sent
@@ -462,6 +482,20 @@
             }),
         };
         self.snapshot.shards.insert(shard, view);
+        if self.now >= self.reported + REPORT_INTERVAL {
+            self.reported = self.now;
+            for (server, entry) in self.servers.iter().zip(&self.entries) {
+                let report = ReportedLoad {
+                    made: now,
+                    busy_slots: server.busy,
+                };
+                let view = BackendView {
+                    report: Some(report),
+                    ..BackendView::default()
+                };
+                self.snapshot.backends.insert(entry.id, view);
+            }
+        }
         let wanted = self.drive(TrafficEvent::Tick);
         self.carry_out(wanted);
         self.schedule(TICK, SimulationEvent::Tick);
--- a/crates/cardamomwinch_coordination/src/counter.rs
+++ b/crates/cardamomwinch_coordination/src/counter.rs
@@ -67,6 +67,11 @@
     RequestAnswered => "requests_answered",
     /// Requests whose deadline passed while they ran.
     RequestExpired => "requests_expired",
+    /// Requests whose caller was told that the outcome is unknown while they
+    /// ran, or were lost.
+    RequestGivenUp => "requests_given_up",
+    /// Requests answered whole after they were given up.
+    RequestAnsweredLate => "requests_answered_late",
     /// Copies of requests that came after their deadline.
     RequestLate => "requests_late",
     /// Requests and openings shed by a backend server.
--- a/crates/cardamomwinch_coordination/src/traffic/dispatching.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/dispatching.rs
@@ -97,6 +97,7 @@
                 tracker: PartTracker::default(),
                 kept: Vec::new(),
                 complete: true,
+                given_up: false,
             }));
             Some((attempt, deadline))
         });
--- a/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
@@ -38,6 +38,15 @@
             ledger.estimate.take_report(context.now, view, busy);
             self.end_running(context, backend);
             self.retry_overdue(context, backend);
+            // Nothing is known of the slots of a server that is not listed.
+            let slots = entry.map_or(0, |entry| entry.slots.get());
+            let ledger = self.ledgers.of(backend);
+            let mut doubted = ledger.take_report(context.now, slots, view);
+            ledger.release_overdue(context.now);
+            doubted.extend(ledger.due_words(context.now));
+            for slot in doubted {
+                self.give_up_running(context, backend, slot.entry);
+            }
             self.release_strayed(context, backend);
             self.refuse_waiting(context, backend);
             self.start_next(context, backend);
@@ -67,12 +76,39 @@
             if let Some(RequestState::Running(running)) = state {
                 let attempt = running.attempt;
                 dispatching::cancel(context, &key, backend, attempt, slot.deadline);
-                let wait = self.ledgers.of(backend).service_times.mean();
-                context.outcome_unknown(key.flow, key.id, wait.max(RETRY_AFTER));
+                if !running.given_up {
+                    let wait = self.ledgers.of(backend).service_times.mean();
+                    context.outcome_unknown(key.flow, key.id, wait.max(RETRY_AFTER));
+                }
             }
         }
     }
 
+    /// Tells the caller of a request that runs, or was lost, that its outcome is
+    /// unknown. Guards against a caller that hears nothing until its deadline:
+    /// where one datagram to or from the server was lost, the home ignores the
+    /// copies of the request, since it must not run twice. An answer that comes
+    /// later still reaches the caller through whichever host gets it.
+    fn give_up_running<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        backend: BackendId,
+        entry: QueueEntry,
+    ) {
+        let QueueEntry { hash, key } = entry;
+        let given_up = self.requests.change(hash, &key, |record| {
+            let RequestState::Running(running) = &mut record.state else {
+                return false;
+            };
+            !std::mem::replace(&mut running.given_up, true)
+        });
+        if given_up == Some(true) {
+            context.count(Counter::RequestGivenUp);
+            let wait = self.ledgers.of(backend).service_times.attempt_timeout();
+            context.outcome_unknown(key.flow, key.id, wait.max(RETRY_AFTER));
+        }
+    }
+
     /// Frees the slot of a request that may still run on. How long is not known;
     /// with heavy-tailed times the best guess is as long again as it has run.
     fn free_lingering<S: TrafficSink>(
@@ -105,7 +141,7 @@
             };
             // Parts that came have reached the caller too; a second run would
             // only begin from the start.
-            if !record.idempotent || !running.tracker.is_empty() {
+            if !record.idempotent || running.given_up || !running.tracker.is_empty() {
                 continue;
             }
             let attempt = running.attempt;
@@ -253,8 +289,10 @@
         retry_after: time::Duration,
     ) {
         let QueueEntry { hash, key } = entry;
-        self.requests.put(hash, &key, RequestState::Unknown);
-        context.outcome_unknown(key.flow, key.id, retry_after);
+        let before = self.requests.put(hash, &key, RequestState::Unknown);
+        if !before.is_some_and(|state| state.is_given_up()) {
+            context.outcome_unknown(key.flow, key.id, retry_after);
+        }
     }
 
     /// Requests cannot wait for a server that is not known any more.
--- a/crates/cardamomwinch_coordination/src/traffic/handover_items.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/handover_items.rs
@@ -123,6 +123,8 @@
             };
             (*backend, state)
         }
+        // Its caller has been told so, and the next home must not say otherwise.
+        RequestState::Running(running) if running.given_up => (NO_BACKEND, RecordState::Unknown),
         RequestState::Running(running) => (running.backend, running_state(running)),
         RequestState::Answered { attempt, kept } => {
             let state = RecordState::Answered {
@@ -195,6 +197,7 @@
             held: held.into(),
             tracker: seen.try_into()?,
             complete: kept.is_some(),
+            given_up: false,
             kept: kept_parts(kept.unwrap_or_default())?,
         })),
         RecordState::Answered { attempt, kept } => RequestState::Answered {
--- a/crates/cardamomwinch_coordination/src/traffic/ledger.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/ledger.rs
@@ -19,6 +19,21 @@
 /// that has become fast again is found out.
 const LONGEST_RETRY: time::Duration = time::Duration::from_secs(5);
 
+/// A load report vouches for the requests that it counts for this long: until the
+/// next one is due, and some more.
+const VOUCHED_FOR: time::Duration = time::Duration::from_millis(1500);
+/// A request that a load report vouches for is given up after this many times as
+/// long as another.
+const VOUCHED_FACTOR: u32 = 4;
+/// A datagram is taken to have arrived, or to be lost, after this long.
+const NETWORK_ALLOWANCE: time::Duration = time::Duration::from_millis(50);
+/// A caller that has no word this long before its deadline gets one: a tick may
+/// come 100 ms late, and the word must reach the caller.
+const LAST_WORD_MARGIN: time::Duration = time::Duration::from_millis(200);
+/// Of the time that a request had when it was sent, the margin takes at most one
+/// part in this many, so that a short deadline is not spent on it.
+const LAST_WORD_SHARE: u32 = 4;
+
 /// A request in a queue or in a slot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QueueEntry {
@@ -58,6 +73,20 @@
     pub counted_until: Timestamp,
 }
 
+impl RunningSlot {
+    /// When its caller must have got the last word, so that it arrives in time.
+    pub fn last_word(&self) -> Timestamp {
+        last_word(self.sent, self.deadline)
+    }
+}
+
+/// When the caller of a request that was taken up at `begun` must have got its
+/// last word.
+pub fn last_word(begun: Timestamp, deadline: Timestamp) -> Timestamp {
+    let share = deadline.since(begun) / LAST_WORD_SHARE;
+    deadline.before(LAST_WORD_MARGIN.min(share))
+}
+
 /// Slots, connections and waiting requests of one backend server.
 #[derive(Debug, Default)]
 pub struct ServerLedger {
@@ -76,6 +105,11 @@
     pub last_heard: Timestamp,
     /// What happened since control was last told.
     pub unreported: LedgerCounts,
+    /// When the load report was made that was last compared with the count.
+    pub reconciled: Timestamp,
+    /// What was sent before this point is vouched for by a load report: the
+    /// server is busy with as many requests as this home counts.
+    pub vouched: Timestamp,
     /// When an earlier home handed requests over, until the lease has followed.
     pub taken_over: Option<Timestamp>,
     running: Vec<RunningSlot>,
@@ -240,16 +274,57 @@
         self.uncounted = 0;
     }
 
-    /// Marks the requests that have become overdue and returns them.
-    pub fn mark_overdue(&mut self, now: Timestamp) -> Vec<RunningSlot> {
-        let timeout = self.service_times.attempt_timeout();
+    /// Takes in a load report and returns the requests that the server cannot be
+    /// working on: of those sent well before the report, as many of the oldest
+    /// overdue ones as exceed what it said to be busy with.
+    ///
+    /// Guards against a request, an answer, or the copy of it for this home that
+    /// was lost: the slot would stay taken, and the caller without a word. Only
+    /// overdue ones are doubted, and none for a datagram that is still under way
+    /// in either direction, so that a long request is not taken for a lost one
+    /// while the server counts it. Nor is one doubted while all `slots` are busy:
+    /// the server may have it in a queue of its own, which it does not report.
+    pub fn take_report(
+        &mut self,
+        now: Timestamp,
+        slots: u32,
+        view: BackendView,
+    ) -> Vec<RunningSlot> {
+        let Some(report) = view.report.filter(|report| {
+            report.made > self.reconciled && now.since(report.made) >= NETWORK_ALLOWANCE
+        }) else {
+            return Vec::new();
+        };
+        self.reconciled = report.made;
+        if report.busy_slots >= slots {
+            self.vouched = report.made.before(NETWORK_ALLOWANCE);
+            return Vec::new();
+        }
+        let reached = report.made.before(NETWORK_ALLOWANCE);
+        let counted = self.running.iter().filter(|slot| slot.counted);
+        let counted = counted.filter(|slot| slot.sent < reached);
+        let mut slots: Vec<RunningSlot> = counted.copied().collect();
+        if report.busy_slots > 0 && slots.len() <= report.busy_slots as usize {
+            self.vouched = reached;
+        }
+        let excess = slots.len().saturating_sub(report.busy_slots as usize);
+        slots.retain(|slot| slot.overdue && slot.progress < reached);
+        slots.sort_by_key(|slot| slot.sent);
+        slots.truncate(excess);
         let heard = self.last_heard;
-        let mut late = Vec::new();
-        for slot in &mut self.running {
-            if !slot.overdue && now.since(slot.progress) > timeout {
-                slot.overdue = true;
-                late.push(*slot);
+        for lost in slots.iter().filter(|lost| heard > lost.sent) {
+            if let Ok(position) = self.slot_position(&lost.entry.key) {
+                self.running[position].counted = false;
+                self.uncounted += 1;
             }
+        }
+        slots
+    }
+
+    /// Stops counting the requests that have been overdue for long.
+    pub fn release_overdue(&mut self, now: Timestamp) {
+        let heard = self.last_heard;
+        for slot in &mut self.running {
             // A server that says nothing at all may be stuck with everything it
             // was sent; more must not be piled on it.
             let over = now >= slot.counted_until;
@@ -258,6 +333,38 @@
                 self.uncounted += 1;
             }
         }
+    }
+
+    /// The requests whose callers must get their last word now: those that do
+    /// not count any more, unless a load report vouches for them, and those whose
+    /// deadline is near.
+    pub fn due_words(&self, now: Timestamp) -> Vec<RunningSlot> {
+        let due = self.running.iter().filter(|slot| {
+            let released = !slot.counted && !self.is_vouched(now, slot);
+            released || slot.last_word() <= now
+        });
+        due.copied().collect()
+    }
+
+    /// Whether the server says that it is busy with all that was sent to it when
+    /// this was, and that is plausible: a report counts requests, not which.
+    fn is_vouched(&self, now: Timestamp, slot: &RunningSlot) -> bool {
+        let patience = slot.counted_until.since(slot.sent) * VOUCHED_FACTOR;
+        slot.sent < self.vouched
+            && now.since(self.vouched) < VOUCHED_FOR
+            && now < slot.sent.after(patience)
+    }
+
+    /// Marks the requests that have become overdue and returns them.
+    pub fn mark_overdue(&mut self, now: Timestamp) -> Vec<RunningSlot> {
+        let timeout = self.service_times.attempt_timeout();
+        let mut late = Vec::new();
+        for slot in &mut self.running {
+            if !slot.overdue && now.since(slot.progress) > timeout {
+                slot.overdue = true;
+                late.push(*slot);
+            }
+        }
         late
     }
 
--- a/crates/cardamomwinch_coordination/src/traffic/repeating.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/repeating.rs
@@ -80,6 +80,9 @@
         };
         match &record.state {
             RequestState::Queued { .. } | RequestState::Moved { .. } => {}
+            RequestState::Running(running) if running.given_up => {
+                context.outcome_unknown(key.flow, key.id, retry_after);
+            }
             RequestState::Running(running) => {
                 for kept in &running.kept {
                     let (attempt, part) = (running.attempt, kept.part);
--- a/crates/cardamomwinch_coordination/src/traffic/replies.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/replies.rs
@@ -191,7 +191,9 @@
         let limit = self.bounds.held_bytes;
         let held_bytes = self.requests.held_bytes();
         let room = limit.saturating_sub(held_bytes);
+        let mut given_up = false;
         let noted = self.requests.change(hash, key, |record| {
+            given_up = record.state.is_given_up();
             note_in_state(&mut record.state, answered, room)
         });
         match noted.unwrap_or(PartOutcome::Ignored) {
@@ -199,6 +201,9 @@
             PartOutcome::Progress => self.ledgers.of(backend).note_progress(context.now, key),
             PartOutcome::Whole => {
                 context.count(Counter::RequestAnswered);
+                if given_up {
+                    context.count(Counter::RequestAnsweredLate);
+                }
                 let ledger = self.ledgers.of(backend);
                 if let Some(slot) = ledger.finish(key) {
                     ledger.note_answer(context.now, context.now.since(slot.sent));
@@ -238,6 +243,7 @@
             return;
         }
         let opens = running.held.kind == CallerKind::Open;
+        let given_up = running.given_up;
         let ledger = self.ledgers.of(backend);
         ledger.last_heard = context.now;
         ledger.unreported.sheds += 1;
@@ -250,7 +256,10 @@
         ledger.count_overdue(context.now);
         let busy = ledger.busy();
         ledger.estimate.note_shed(context.now, slots, busy);
-        if entry.is_some() && self.may_retry(context, &slot, attempt, pause) {
+        if given_up {
+            // Its caller reckons with a run that has been, not with one to come.
+            self.requests.put(hash, key, RequestState::Unknown);
+        } else if entry.is_some() && self.may_retry(context, &slot, attempt, pause) {
             self.queue_again(context, backend, &slot, pause);
         } else {
             let wait = pause.max(self.retry_after(context, backend, hash));
--- a/crates/cardamomwinch_coordination/src/traffic/requests.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/requests.rs
@@ -99,6 +99,10 @@
     pub kept: Vec<KeptPart>,
     /// Whether every part that came was kept.
     pub complete: bool,
+    /// Whether the caller was told that the outcome is unknown. An answer that
+    /// comes all the same is still taken in: it frees the slot and tells how long
+    /// the server takes, without which long requests would never be measured.
+    pub given_up: bool,
 }
 
 /// Where a request stands.
@@ -164,6 +168,14 @@
         }
     }
 
+    /// Whether it was sent, and its caller told that the outcome is unknown.
+    pub const fn is_given_up(&self) -> bool {
+        match self {
+            Self::Running(running) => running.given_up,
+            _ => false,
+        }
+    }
+
     /// Whether the request waits or runs, so that its last word is still to come.
     pub const fn is_live(&self) -> bool {
         matches!(self, Self::Queued { .. } | Self::Running(_))
