--- a/crates/cardamomwinch_coordination/examples/admission_cost.rs
+++ b/crates/cardamomwinch_coordination/examples/admission_cost.rs
@@ -613,6 +613,7 @@
         ("home, queue of 8 a slot", home(8, 0)),
         ("home, queue of 16 a slot", home(16, 0)),
         ("home, queue of 4, 1 % of copies lost", home(4, 10)),
+        ("home, queue of 4, 0.1 % of copies lost", home(4, 1)),
         ("home, no queue", home(0, 0)),
         ("fixed share of each host", AdmissionPolicy::FixedShare),
         ("send all, server sheds", AdmissionPolicy::SendAll),
