Wait, after a pause, for what is known to be newer to come into force

Cause: a read of the platform confirmed a host that had been cut off although the newer root document that it brought still waited for its fragments; until they came the host acted by its old address table (one datagram, in one of six runs of tests/wrong_service.rs, under load). Ruled out: the host before the cut healed (silent for its last second of it). Change: such a host is confirmed once nothing newer waits, or after three seconds.

--- a/crates/cardamomwinch_coordination/src/control/adoption/confirmation.rs
+++ b/crates/cardamomwinch_coordination/src/control/adoption/confirmation.rs
@@ -143,19 +143,24 @@
     }
 
     /// Decides anew, where `peers` other hosts are listed; `None` before any
-    /// list is held.
-    pub(crate) fn decide(&mut self, now: Timestamp, peers: Option<usize>) {
+    /// list is held. `behind` tells that something newer is known and not yet in
+    /// force; a host that wakes waits for it, unless it never comes.
+    pub(crate) fn decide(&mut self, now: Timestamp, peers: Option<usize>, behind: bool) {
         if let Some(peers) = peers.filter(|_| !self.done) {
             self.peers_known.get_or_insert(now);
             self.done = match self.occasion {
                 Occasion::Start => self.has_support(now) && self.has_waited(now, peers),
-                Occasion::Wake => self.has_support(now),
+                Occasion::Wake => self.has_support(now) && (!behind || self.is_late(now)),
             };
         }
     }
 
+    fn is_late(&self, now: Timestamp) -> bool {
+        now >= self.begun.after(UNCONFIRMED_WAIT)
+    }
+
     fn has_support(&self, now: Timestamp) -> bool {
-        let late = now >= self.begun.after(UNCONFIRMED_WAIT);
+        let late = self.is_late(now);
         let counts = |answer: &PeerAnswer| answer.confirmed || late;
         self.platform_answered() || self.answers.iter().any(counts)
     }
--- a/crates/cardamomwinch_coordination/src/control/adoption/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/adoption/mod.rs
@@ -209,7 +209,10 @@
             listed - usize::from(own)
         });
         let confirmed = self.confirmation.is_done();
-        self.confirmation.decide(now, peers);
+        // A newer root document that waits for its fragments is known but not in
+        // force: what is in force is old until then.
+        let behind = self.pending.is_some();
+        self.confirmation.decide(now, peers, behind);
         if self.confirmation.is_done() && !confirmed {
             self.exchange.begin_spread(now);
         }
--- a/crates/cardamomwinch_coordination/src/control/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/mod.rs
@@ -458,12 +458,14 @@
     /// silence of all of them, and once one is heard again what is accepted is
     /// compared first, as after a sleep. The hosts of a domain that is cut off as a whole
     /// still hear each other and serve on; so does the only host of a domain,
-    /// since nobody else could.
+    /// since nobody else could. A host that is not listed any more is heard by
+    /// nobody, and its silence tells nothing.
     fn trusted_until(&self) -> Timestamp {
-        let own = self.adoption.hosts().in_domain(self.identity.domain);
-        match own.count() {
-            0 | 1 => Timestamp::MAX,
-            _ => self.last_contact.after(CONTACT_LIMIT),
+        let hosts = self.adoption.hosts();
+        let listed = hosts.get(self.identity.host).is_some();
+        match hosts.in_domain(self.identity.domain).count() {
+            2.. if listed => self.last_contact.after(CONTACT_LIMIT),
+            _ => Timestamp::MAX,
         }
     }
 
