--- a/crates/cardamomwinch_coordination/src/traffic/handover_items.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/handover_items.rs
@@ -3,7 +3,7 @@
 use cardamomwinch_protocol::peer::hand_over::{
     HeldItem, PartItem, PartsItem, PinItem, RecordItem, RecordState,
 };
-use cardamomwinch_state::prelude::{BackendId, ShardId};
+use cardamomwinch_state::prelude::{BackendId, ConfigurationVersion, ShardId};
 use snafu::Snafu;
 
 use crate::traffic::pins::{FlowPin, PinRole};
@@ -141,6 +141,7 @@
         backend,
         expires: record.expires,
         idempotent: record.idempotent,
+        may_have_run: record.may_have_run,
         state,
     }
 }
@@ -211,7 +212,7 @@
         shard,
         expires: item.expires,
         idempotent: item.idempotent,
-        may_have_run: state.may_have_run_before(),
+        may_have_run: item.may_have_run || state.may_have_run_before(),
         state,
     };
     Ok(KeyedRecord { key, record })
@@ -231,6 +232,7 @@
         since: item.since,
         last_seen: item.last_seen,
         counted: item.counted,
+        announced: ConfigurationVersion::ZERO,
         echoes_token: item.echoes_token,
     }
 }
