--- a/tests/support/requests.rs
+++ b/tests/support/requests.rs
@@ -124,10 +124,14 @@
     shared: sync::Arc<SharedLoad>,
 ) {
     let mut number = 0_u64;
+    // Kept until the end: a later caller that got the same port would be the
+    // same flow and number its requests anew, which looks like second runs.
+    let mut clients = Vec::new();
     while !shared.stop.load(atomic::Ordering::Relaxed) {
         let client = CallerClient::bind(&executor, settings).await.unwrap();
         if client.open(b"", OPEN_WAIT).await.unwrap() != OpenOutcome::Opened {
             async_io::Timer::after(PAUSE).await;
+            clients.push(client);
             continue;
         }
         for _ in 0..REQUESTS_PER_FLOW {
@@ -159,6 +163,8 @@
         book.contradictions += counters.contradictions;
         book.conflicting_parts += counters.conflicting_parts;
         book.malformed += counters.malformed;
+        drop(book);
+        clients.push(client);
     }
 }
 
