Ask the next peer after 100 ms instead of 250

Cause: the last host of a fleet is the one that loses several questions or answers in a row, and each loss cost it a quarter of a second.

--- a/crates/cardamomwinch_coordination/src/control/adoption/exchange.rs
+++ b/crates/cardamomwinch_coordination/src/control/adoption/exchange.rs
@@ -11,11 +11,10 @@
 use crate::control::adoption::confirmation::StateConfirmation;
 use crate::identity::HostIdentity;
 
-/// Another peer is asked where one does not answer within this time.
-const ASK_TIMEOUT: time::Duration = time::Duration::from_millis(250);
-/// The same while this host compares its state before it serves: it has little
-/// time, and an answer that comes later counts as well.
-const COMPARE_TIMEOUT: time::Duration = time::Duration::from_millis(100);
+/// Another peer is asked where one does not answer within this time. Questions
+/// and answers get lost, and the last host of a fleet is the one that loses
+/// several in a row; a difference that takes longer to send may come twice.
+const ASK_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 /// Peers kept that seem to hold something newer.
 const AHEAD_LIMIT: usize = 4;
 /// Random hosts told in each round, besides the successors in the first.
@@ -108,12 +107,7 @@
             None if confirmation.is_done() => None,
             None => self.unanswered(identity, hosts, confirmation),
         };
-        let timeout = if confirmation.is_done() {
-            ASK_TIMEOUT
-        } else {
-            COMPARE_TIMEOUT
-        };
-        let until = now.after(timeout);
+        let until = now.after(ASK_TIMEOUT);
         self.asked = host.map(|host| AskedPeer { host, until });
         host
     }
