Let a host that is taken for a home too early ask its peers

Cause: a host that has just been added is predicted as home by itself and by hosts of other domains before it holds the lease; requests that met it in that second were answered 'outcome unknown' although the home was there (tests/operating_steps.rs, a_host_is_added_while_sessions_go_on, once in two runs of the whole suite). Ruled out: dropping them, which would leave a request without a word where nobody is home at all. Change: such a host passes the datagram to a peer of the shard's domain, another one at each hop; the limit of hops ends it.

--- a/crates/cardamomwinch_coordination/src/traffic/caller_datagrams.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/caller_datagrams.rs
@@ -7,7 +7,7 @@
     BackendKind, CallerDatagram, CallerKind, CallerReplyKind, FlowSearch, RefusalReason,
     RelayFrame, ResetReason, TokenClaim,
 };
-use cardamomwinch_state::prelude::{FlowHash, ServiceEntry, ShardId};
+use cardamomwinch_state::prelude::{FlowHash, HostId, ServiceEntry, ShardId};
 
 use crate::counter::Counter;
 use crate::decision::DecisionReason;
@@ -163,6 +163,26 @@
         }
     }
 
+    /// A peer of the shard's failure domain that may know its home. A host that
+    /// has just been added is taken for the home by itself and by hosts of other
+    /// domains before it holds the lease; its peers know who does. Each hop asks
+    /// another one, and the limit of hops ends it where nobody is home.
+    fn nearby_peer<S: TrafficSink>(
+        &self,
+        context: &EventContext<'_, S>,
+        routed: &RoutedDatagram<'_, '_>,
+        shard: ShardId,
+    ) -> Option<HostId> {
+        let near = |host: &&HostId| {
+            let entry = context.snapshot.hosts.get(**host);
+            entry.is_some_and(|entry| entry.domain == shard.domain)
+        };
+        let helpers = &context.snapshot.helpers;
+        let count = helpers.iter().filter(near).count();
+        let turn = usize::from(routed.passage.hops).checked_rem(count)?;
+        helpers.iter().filter(near).nth(turn).copied()
+    }
+
     /// Passes `frame` to the thread, of this host or another, that is home of
     /// `shard`, unless that is this very thread.
     pub(crate) fn pass_to_home<S: TrafficSink>(
@@ -193,6 +213,7 @@
         }
         let home = context.snapshot.shard(shard).home;
         let other = home.filter(|host| *host != self.identity.host);
+        let other = other.or_else(|| self.nearby_peer(context, routed, shard));
         let relayed = other
             .filter(|_| routed.passage.hops < HOP_LIMIT)
             .filter(|host| context.relay(*host, frame));
