--- a/tests/operating_steps.rs
+++ b/tests/operating_steps.rs
@@ -52,13 +52,23 @@
     sessions
 }
 
-async fn ask_all(sessions: &[CallerClient]) {
+/// Lets every session ask once. Where one is not answered, all that the hosts have
+/// logged is printed: a failure that shows once must explain itself.
+async fn ask_all(deployment: &Deployment, sessions: &[CallerClient]) {
     for session in sessions {
         let outcome = session.request(b"query", false, DEADLINE).await.unwrap();
-        assert!(
-            matches!(outcome, RequestOutcome::Answered { .. }),
-            "{outcome:?}"
-        );
+        if !matches!(outcome, RequestOutcome::Answered { .. }) {
+            print_logs(deployment);
+            panic!("{} got {outcome:?}", session.flow());
+        }
+    }
+}
+
+fn print_logs(deployment: &Deployment) {
+    for host in &deployment.hosts {
+        while let Some(line) = host.process.next_line(POLL_INTERVAL) {
+            println!("{line}");
+        }
     }
 }
 
@@ -90,7 +100,7 @@
         deployment.publish_team(SERVICE).await.unwrap();
         let before = switch(&mut deployment, "ordinary").await;
         let sessions = open_sessions(executor, &deployment, 12).await;
-        ask_all(&sessions).await;
+        ask_all(&deployment, &sessions).await;
 
         let during = switch(&mut deployment, "deadline-peak").await;
         for position in 0..deployment.hosts.len() {
@@ -104,11 +114,11 @@
         let held = open_flows(&deployment, 0).await;
         open_sessions(executor, &deployment, 12).await;
         assert_eq!(open_flows(&deployment, 0).await, held);
-        ask_all(&sessions).await;
+        ask_all(&deployment, &sessions).await;
 
         let after = switch(&mut deployment, "ordinary").await;
         assert!(before < during && during < after);
-        ask_all(&sessions).await;
+        ask_all(&deployment, &sessions).await;
         let reports = deployment.run_reports().await.unwrap();
         assert!(reports.iter().all(|report| report["repeated"] == json!([])));
     });
@@ -140,7 +150,7 @@
         deployment.backends[0].definition = json!({"phase": "draining"});
         deployment.publish_team(SERVICE).await.unwrap();
         switch(&mut deployment, "ordinary").await;
-        ask_all(&sessions).await;
+        ask_all(&deployment, &sessions).await;
         let limit = time::Instant::now() + LIMIT;
         while counted_flows(&deployment, &drained).await > 0 {
             assert!(time::Instant::now() < limit, "{drained} keeps flows");
@@ -155,7 +165,7 @@
         drop(removed);
         deployment.wait_until_homes_agree(LIMIT).await.unwrap();
         let later = open_sessions(executor, &deployment, 6).await;
-        ask_all(&later).await;
+        ask_all(&deployment, &later).await;
     });
 }
 
@@ -170,9 +180,9 @@
         deployment.publish_hosts().await.unwrap();
         deployment.tell_fabric().await.unwrap();
         deployment.wait_until_ready(LIMIT).await.unwrap();
-        ask_all(&sessions).await;
+        ask_all(&deployment, &sessions).await;
         deployment.wait_until_homes_agree(LIMIT).await.unwrap();
-        ask_all(&sessions).await;
+        ask_all(&deployment, &sessions).await;
     });
 }
 
@@ -184,13 +194,13 @@
     run(async |executor| {
         let mut deployment = deployment().await;
         let sessions = open_sessions(executor, &deployment, 12).await;
-        ask_all(&sessions).await;
+        ask_all(&deployment, &sessions).await;
         let mut dead = deployment.hosts.remove(0);
         dead.process.kill().unwrap();
         deployment.publish_hosts().await.unwrap();
         deployment.tell_fabric().await.unwrap();
         deployment.wait_until_homes_agree(LIMIT).await.unwrap();
-        ask_all(&sessions).await;
+        ask_all(&deployment, &sessions).await;
         let reports = deployment.run_reports().await.unwrap();
         assert!(reports.iter().all(|report| report["repeated"] == json!([])));
     });
@@ -214,9 +224,9 @@
                 told |= status.unwrap()["platform"]["reachable"] == json!(false);
             }
         }
-        ask_all(&sessions).await;
+        ask_all(&deployment, &sessions).await;
         let later = open_sessions(executor, &deployment, 4).await;
-        ask_all(&later).await;
+        ask_all(&deployment, &later).await;
         deployment.platform.resume().unwrap();
         switch(&mut deployment, "ordinary").await;
         let answered = |status: &Value| status["platform"]["reachable"] == json!(true);
@@ -286,7 +296,7 @@
     run(async |executor| {
         let deployment = deployment_with_log(json!({"level": "warn"})).await;
         let sessions = open_sessions(executor, &deployment, 4).await;
-        ask_all(&sessions).await;
+        ask_all(&deployment, &sessions).await;
         deployment.put("root", "{").await.unwrap();
         let limit = time::Instant::now() + LIMIT;
         let mut refused = 0;
