--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
@@ -33,6 +33,13 @@
 /// store itself. It may have become a reader, on which others wait.
 const SOURCE_PERIOD: time::Duration = time::Duration::from_millis(300);
 
+/// More than this part of the listed servers, in per cent, must vanish with one
+/// answer of the store to show an outage that nobody noticed. Servers that fail by
+/// themselves, or by the host, are fewer.
+const OUTAGE_PART: usize = 25;
+/// And at least so many, lest one of three servers count.
+const OUTAGE_SERVERS: usize = 3;
+
 /// What a host starts with.
 #[derive(Debug, Clone)]
 pub struct BeliefSettings {
@@ -70,6 +77,12 @@
         /// How many servers it holds.
         servers: usize,
     },
+    /// So many servers vanished together that the store must have been away, unnoticed
+    /// by this host.
+    ManyVanished {
+        /// How many.
+        servers: usize,
+    },
     /// The store cannot be read.
     StoreLost,
     /// The store can be read again.
@@ -238,6 +251,25 @@
                 self.advance(now, revision);
             }
         }
+        self.doubt_vanished(now);
+    }
+
+    /// Takes it for an outage of the store where many servers have just vanished.
+    ///
+    /// Guards against an outage that is shorter than the calls of this host, while
+    /// entries of servers that live lapse. It shows as flows that are ended on many
+    /// servers at once. What is missing then says nothing until the entries are back,
+    /// as after an outage that was noticed. A whole failure domain that loses power
+    /// looks the same; what rests on its servers is ended that much later.
+    fn doubt_vanished(&mut self, now: Timestamp) {
+        let vanished =
+            |server: &&ServerRecord| server.phase == ServerPhase::Vanished { since: now };
+        let servers = self.directory.iter().filter(vanished).count();
+        let listed = self.directory.listed_count() + servers;
+        if servers >= OUTAGE_SERVERS && servers * 100 > listed * OUTAGE_PART {
+            self.silent_at = Some(now);
+            self.changes.push(BeliefChange::ManyVanished { servers });
+        }
     }
 
     fn take_listing(&mut self, now: Timestamp, items: Vec<StoreChange>, revision: StoreRevision) {
--- a/crates/cardamomwinch_coordination/tests/forwarding_beliefs.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_beliefs.rs
@@ -363,3 +363,38 @@
     assert!(host.view().is_usable());
     assert_eq!(host.view().directory.len(), 2_000);
 }
+
+/// The store is away for two and a half seconds, which no call of this host notices,
+/// and entries of servers that live lapse meanwhile. Their flows were ended where
+/// they rested, on half of all servers at once.
+#[test]
+fn entries_that_vanish_together_are_taken_for_an_outage() {
+    let mut engine = engine(1);
+    let servers = (1..=8).map(|number| server_entry(number, number, false));
+    engine.handle_store(at(0), page(servers.chain([routes(1)]).collect(), 10));
+    engine.take_changes();
+    let removed = |number| StoreChange::ServerRemoved {
+        id: near_server(number).id,
+        revision: revision(10 + number),
+    };
+    engine.handle_store(at(2_500), changes((1..=4).map(removed).collect(), 14));
+    assert!(!engine.view().is_complete(at(2_600)));
+    let told = engine.take_changes();
+    let noted = BeliefChange::ManyVanished { servers: 4 };
+    assert!(told.contains(&noted), "{told:?}");
+    assert!(engine.view().is_complete(at(6_000)), "it does not last");
+}
+
+/// Two of eight servers lose power. What rests on them is to be ended at once.
+#[test]
+fn few_entries_that_vanish_say_that_their_servers_have_gone() {
+    let mut engine = engine(1);
+    let servers = (1..=8).map(|number| server_entry(number, number, false));
+    engine.handle_store(at(0), page(servers.chain([routes(1)]).collect(), 10));
+    let removed = |number| StoreChange::ServerRemoved {
+        id: near_server(number).id,
+        revision: revision(10 + number),
+    };
+    engine.handle_store(at(2_500), changes((1..=2).map(removed).collect(), 12));
+    assert!(engine.view().is_complete(at(2_600)));
+}
--- a/crates/cardamomwinch_forwarder/src/belief_lines.rs
+++ b/crates/cardamomwinch_forwarder/src/belief_lines.rs
@@ -39,6 +39,11 @@
         /// How many servers it has.
         servers: usize,
     },
+    /// Many servers vanished together.
+    ManyVanished {
+        /// How many.
+        servers: usize,
+    },
     /// The store cannot be read.
     StoreLost {},
     /// The store can be read again.
@@ -96,6 +101,7 @@
                 revision: revision.get(),
                 servers: *servers,
             },
+            BeliefChange::ManyVanished { servers } => Self::ManyVanished { servers: *servers },
             BeliefChange::StoreLost => Self::StoreLost {},
             BeliefChange::StoreRegained { silence } => Self::StoreRegained {
                 silence_ms: silence.as_millis() as u64,
@@ -122,6 +128,7 @@
             Self::Configuration { .. } => "configuration_in_force",
             Self::Server { .. } => "server_changed",
             Self::Listing { .. } => "servers_listed",
+            Self::ManyVanished { .. } => "many_vanished",
             Self::StoreLost {} => "store_lost",
             Self::StoreRegained { .. } => "store_regained",
             Self::Source { .. } => "source_changed",
--- /dev/null
+++ b/crates/cardamomwinch_forwarder/tests/soak/server.rs
@@ -0,0 +1,319 @@
+//! A backend server's end of flows.
+
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+use std::time;
+
+use cardamomwinch_platform::packet::SERVER_PREFIX_LENGTH;
+use cardamomwinch_state::prelude::SortedVector;
+use rand::Rng;
+
+use crate::book::{FlowEnd, Promise, ServerNumber, SoakBook};
+use crate::flow_packet::{ACK, EndPacket, FIN, RST, SYN};
+use crate::network::SoakNetwork;
+use crate::planted::PlantedMistake;
+
+/// How long the thread waits for a packet before it looks at what is due.
+const PATIENCE: time::Duration = time::Duration::from_millis(5);
+/// How long a request takes, in milliseconds.
+const WORK_MS: std::ops::Range<u64> = 3..25;
+/// The first pause before an answer is sent again; it doubles.
+const RESEND_PAUSE: time::Duration = time::Duration::from_millis(200);
+const RESEND_LIMIT: u32 = 8;
+/// Requests whose name begins so may run more than once.
+pub(crate) const IDEMPOTENT_PREFIX: &str = "any-";
+
+/// What is fixed of a server.
+#[derive(Debug, Clone)]
+pub(crate) struct ServerIdentity {
+    pub(crate) number: ServerNumber,
+    pub(crate) service: &'static str,
+    pub(crate) domain: usize,
+    pub(crate) address: net::SocketAddrV4,
+    /// The port at which callers take packets.
+    pub(crate) caller_port: u16,
+}
+
+/// A running server. Its thread ends when this is dropped.
+#[derive(Debug)]
+pub(crate) struct SoakServer {
+    pub(crate) identity: ServerIdentity,
+    dark: sync::Arc<atomic::AtomicBool>,
+    ended: sync::Arc<atomic::AtomicBool>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl SoakServer {
+    pub(crate) fn start(
+        identity: ServerIdentity,
+        book: SoakBook,
+        network: sync::Arc<SoakNetwork>,
+    ) -> Self {
+        let socket = net::UdpSocket::bind(identity.address).expect("the address is the soak's own");
+        socket
+            .set_read_timeout(Some(PATIENCE))
+            .expect("the pause is not zero");
+        let dark = sync::Arc::<atomic::AtomicBool>::default();
+        let ended = sync::Arc::<atomic::AtomicBool>::default();
+        let end = ServerEnd {
+            identity: identity.clone(),
+            socket,
+            book,
+            network,
+            flows: SortedVector::new(),
+            due: Vec::new(),
+        };
+        let (is_dark, is_ended) = (dark.clone(), ended.clone());
+        let thread = thread::spawn(move || end.run(&is_dark, &is_ended));
+        Self {
+            identity,
+            dark,
+            ended,
+            thread: Some(thread),
+        }
+    }
+
+    /// From now on the server takes and sends nothing, and its flows are gone.
+    pub(crate) fn fall_silent(&self) {
+        self.dark.store(true, atomic::Ordering::Relaxed);
+    }
+}
+
+impl Drop for SoakServer {
+    fn drop(&mut self) {
+        self.ended.store(true, atomic::Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            // A thread that panicked has printed why.
+            drop(thread.join());
+        }
+    }
+}
+
+#[derive(Debug)]
+struct ServedFlow {
+    route: net::SocketAddrV4,
+    /// The position of the caller's next byte.
+    expected: u32,
+    /// The position of the next byte to the caller.
+    sequence: u32,
+    /// What the caller has acknowledged.
+    acknowledged: u32,
+    /// Whether the caller has chosen this server's answer to its opening.
+    opened: bool,
+    token: u32,
+}
+
+/// An answer that is to be sent, until it is acknowledged.
+#[derive(Debug)]
+struct DueAnswer {
+    flow: FlowEnd,
+    at: time::Instant,
+    tries: u32,
+    /// Absent until the request is done.
+    sequence: Option<u32>,
+    data: Vec<u8>,
+}
+
+struct ServerEnd {
+    identity: ServerIdentity,
+    socket: net::UdpSocket,
+    book: SoakBook,
+    network: sync::Arc<SoakNetwork>,
+    flows: SortedVector<FlowEnd, ServedFlow>,
+    due: Vec<DueAnswer>,
+}
+
+impl ServerEnd {
+    fn run(mut self, dark: &atomic::AtomicBool, ended: &atomic::AtomicBool) {
+        let mut buffer = [0; 2_048];
+        while !ended.load(atomic::Ordering::Relaxed) {
+            let received = self.socket.recv_from(&mut buffer);
+            if dark.load(atomic::Ordering::Relaxed) {
+                self.flows.clear();
+                self.due.clear();
+                continue;
+            }
+            if let Ok((length, host)) = received
+                && !self.network.is_cut(host)
+            {
+                self.take(&buffer[..length], host);
+            }
+            self.send_due();
+        }
+    }
+
+    fn take(&mut self, datagram: &[u8], host: net::SocketAddr) {
+        let Some((prefix, packet)) = datagram.split_at_checked(SERVER_PREFIX_LENGTH) else {
+            return;
+        };
+        let meant = u64::from_be_bytes(prefix.try_into().expect("eight bytes"));
+        if meant != 0 && meant != self.identity.number {
+            return;
+        }
+        let Some((packet, intact)) = EndPacket::decode(packet) else {
+            return;
+        };
+        if !intact {
+            let what = format!("{packet:?} at {:x} from {host}", self.identity.number);
+            return self.book.break_promise(Promise::Unchanged, what);
+        }
+        if packet.is(SYN) {
+            self.open(&packet, host);
+        } else {
+            self.continue_flow(packet);
+        }
+    }
+
+    fn open(&mut self, packet: &EndPacket, host: net::SocketAddr) {
+        let identity = &self.identity;
+        let (flow, route) = (packet.from, packet.to.port());
+        self.book
+            .note_opening(flow, route, identity.number, identity.service, host);
+        let sequence: u32 = rand::rng().random();
+        let fresh = || ServedFlow {
+            route: packet.to,
+            expected: packet.sequence.wrapping_add(1),
+            sequence: sequence.wrapping_add(1),
+            acknowledged: sequence.wrapping_add(1),
+            opened: false,
+            token: packet.token,
+        };
+        let served = self.flows.get_or_insert_with(flow, fresh);
+        let sequence = served.sequence.wrapping_sub(1);
+        self.reply(
+            flow,
+            packet.to,
+            SYN | ACK,
+            sequence,
+            packet.token,
+            Vec::new(),
+        );
+    }
+
+    fn continue_flow(&mut self, packet: EndPacket) {
+        let (flow, number) = (packet.from, self.identity.number);
+        let held = self.flows.get_mut(&flow).and_then(|served| {
+            served.opened |= packet.acknowledged == served.sequence;
+            served.opened.then_some(served)
+        });
+        self.book.note_packet(flow, number, held.is_some());
+        let Some(served) = held else {
+            // What was sent after an end that this server forgot is told so.
+            if !packet.is(FIN) && !packet.is(RST) {
+                self.reply(
+                    flow,
+                    packet.to,
+                    RST,
+                    packet.acknowledged,
+                    packet.token,
+                    Vec::new(),
+                );
+            }
+            return;
+        };
+        served.token = packet.token;
+        served.acknowledged = packet.acknowledged;
+        if packet.is(FIN) || packet.is(RST) {
+            self.flows.remove(&flow);
+            self.due.retain(|one| one.flow != flow);
+            return;
+        }
+        if packet.data.is_empty() {
+            return;
+        }
+        let is_next = packet.sequence == served.expected;
+        if is_next {
+            served.expected = served.expected.wrapping_add(packet.data.len() as u32);
+        }
+        let (route, sequence, token) = (served.route, served.sequence, served.token);
+        self.reply(flow, route, ACK, sequence, token, Vec::new());
+        if is_next {
+            self.run_request(flow, packet.data);
+        }
+    }
+
+    fn run_request(&mut self, flow: FlowEnd, data: Vec<u8>) {
+        let request = String::from_utf8_lossy(&data).into_owned();
+        let once = !request.starts_with(IDEMPOTENT_PREFIX);
+        self.book.note_run(&request, once);
+        if self
+            .network
+            .mistaken()
+            .is_some_and(|host| host.mistake == PlantedMistake::RunTwice)
+        {
+            self.book.note_run(&request, once);
+        }
+        let work = time::Duration::from_millis(rand::rng().random_range(WORK_MS));
+        self.due.push(DueAnswer {
+            flow,
+            at: time::Instant::now() + work,
+            tries: 0,
+            sequence: None,
+            data: format!("done {request}").into_bytes(),
+        });
+    }
+
+    fn send_due(&mut self) {
+        let now = time::Instant::now();
+        let mut due = std::mem::take(&mut self.due);
+        due.retain_mut(|answer| {
+            let Some(served) = self.flows.get_mut(&answer.flow) else {
+                return false;
+            };
+            let sent_at = answer.sequence;
+            let end = sent_at.map(|at| at.wrapping_add(answer.data.len() as u32));
+            let confirmed =
+                end.is_some_and(|end| served.acknowledged.wrapping_sub(end) < u32::MAX / 2);
+            if confirmed || answer.tries > RESEND_LIMIT {
+                return false;
+            }
+            if answer.at > now {
+                return true;
+            }
+            let sequence = *answer.sequence.get_or_insert_with(|| {
+                let sequence = served.sequence;
+                served.sequence = sequence.wrapping_add(answer.data.len() as u32);
+                sequence
+            });
+            let (route, token) = (served.route, served.token);
+            answer.at = now + RESEND_PAUSE * 2_u32.pow(answer.tries.min(3));
+            answer.tries += 1;
+            self.reply(
+                answer.flow,
+                route,
+                ACK,
+                sequence,
+                token,
+                answer.data.clone(),
+            );
+            true
+        });
+        self.due.append(&mut due);
+    }
+
+    fn reply(
+        &self,
+        flow: FlowEnd,
+        route: net::SocketAddrV4,
+        flags: u8,
+        sequence: u32,
+        token: u32,
+        data: Vec<u8>,
+    ) {
+        let acknowledged = self.flows.get(&flow).map_or(0, |served| served.expected);
+        let packet = EndPacket {
+            from: route,
+            to: flow,
+            flags,
+            sequence,
+            acknowledged,
+            token,
+            data,
+        };
+        let caller = net::SocketAddrV4::new(*flow.ip(), self.identity.caller_port);
+        // A caller that is gone loses the packet, as on a network.
+        drop(self.socket.send_to(&packet.encode(), caller));
+    }
+}
--- /dev/null
+++ b/crates/cardamomwinch_forwarder/tests/soak/world.rs
@@ -0,0 +1,633 @@
+//! Everything around the hosts of one run, and what its disruptions do to it.
+
+use std::fs;
+use std::net;
+use std::path;
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+use std::time;
+
+use async_executor::Executor;
+use cardamomwinch_standin::faults::{CutMode, DatagramFaults};
+use cardamomwinch_standin::proxy::ProxyStandin;
+
+use crate::book::{DisturbanceGuard, DisturbedPart, Promise, RequestCounts, SoakBook, Violation};
+use crate::caller::{CallerHabit, SoakCaller};
+use crate::fleet::HostFleet;
+use crate::network::SoakNetwork;
+use crate::plan::{DisruptionKind, PlannedDisruption, SoakPlan};
+use crate::planted::{MistakenHost, PlantedMistake};
+use crate::server::{IDEMPOTENT_PREFIX, ServerIdentity, SoakServer};
+use crate::support::store::StoreFault;
+use crate::support::{HostOrder, StandInStore};
+
+const DOMAINS: [&str; 3] = ["north", "south", "west"];
+const HOSTS_PER_DOMAIN: usize = 2;
+/// Added at most, beside those of the start.
+const ADDED_HOSTS: usize = 3;
+const CALLERS_PER_DOMAIN: usize = 4;
+const SERVERS_PER_SERVICE: usize = 6;
+const SERVICES: [&str; 2] = ["desk", "vault"];
+/// The public address, and the ports of routes that stay.
+const PUBLIC: net::Ipv4Addr = net::Ipv4Addr::new(198, 18, 0, 1);
+const SAFE_PORT: u16 = 443;
+const ONCE_PORT: u16 = 444;
+const VAULT_PORT: u16 = 445;
+/// Routes that come and go, one for the callers of each failure domain.
+const EXTRA_PORTS: [u16; DOMAINS.len()] = [501, 502, 503];
+/// The idle timeout of the configuration, in milliseconds.
+const IDLE_TIMEOUT_MS: u32 = 15_000;
+/// After a server fell silent its entry lapses, after three heartbeats of the
+/// platform.
+const LAPSE: time::Duration = time::Duration::from_millis(3_600);
+/// Servers that cannot tell the store that they live lapse after so long of an
+/// outage: two heartbeats, where the last one came just before it.
+const LAPSE_IN_OUTAGE: time::Duration = time::Duration::from_millis(2_400);
+/// For so long a server that announced its end goes on.
+const DRAIN: time::Duration = time::Duration::from_millis(4_000);
+/// An address is used again after so long.
+const REUSE: time::Duration = time::Duration::from_secs(2);
+/// Entries that lapsed in an outage are back so long after it.
+const RETURN: time::Duration = time::Duration::from_millis(1_500);
+/// How often the run looks at its processes and at what is due.
+const STEP: time::Duration = time::Duration::from_millis(20);
+/// A step that takes longer shows that this process did not run.
+const STALL: time::Duration = time::Duration::from_millis(150);
+/// The time to serve again after the last disruption, where time is judged.
+const RECOVERY: time::Duration = time::Duration::from_secs(12);
+/// The same where it is not.
+const PATIENCE: time::Duration = time::Duration::from_secs(90);
+/// So many answers in a row, without a request that fails, show the recovery.
+const GOOD_ANSWERS: u64 = 60;
+
+static BLOCKS: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+
+/// Addresses of the loopback network that only this run uses.
+#[derive(Debug, Clone, Copy)]
+struct AddressBlock {
+    first: [u8; 3],
+    /// The port of packets, alike for hosts, servers and callers.
+    port: u16,
+}
+
+impl AddressBlock {
+    const HOSTS: u8 = 1;
+    const MISTAKEN: u8 = 50;
+    const SERVERS: u8 = 60;
+    const CALLERS: u8 = 200;
+
+    fn choose() -> Self {
+        let process = std::process::id();
+        let block = BLOCKS.fetch_add(1, atomic::Ordering::Relaxed);
+        let second = 64 + (process / 251 % 150) as u8;
+        let third = ((process % 251) + block) as u8;
+        let first = [127, second, third];
+        let probe = net::SocketAddr::from(([first[0], first[1], first[2], 254], 0));
+        let probe = net::UdpSocket::bind(probe).expect("the whole loopback network is there");
+        let port = probe.local_addr().expect("the socket is bound").port();
+        Self { first, port }
+    }
+
+    fn address(&self, number: u8, offset: u16) -> net::SocketAddrV4 {
+        let [a, b, c] = self.first;
+        // Three ports follow that of packets.
+        net::SocketAddrV4::new([a, b, c, number].into(), self.port.min(65_000) + offset)
+    }
+}
+
+/// What happens later, in the order of its making.
+enum DueAction {
+    /// The guard ends with it.
+    EndDisruption(PlannedDisruption, Option<DisturbanceGuard>),
+    RemoveEntry(u64),
+    /// The address of a server that has gone is used by one of another service.
+    Reuse(net::SocketAddrV4, usize),
+    EndServer(u64),
+    StartServer(&'static str),
+    /// Entries of servers that live lapse while the store is away.
+    LapseEntries,
+    RestoreEntries,
+}
+
+/// One run of the soak.
+pub(crate) struct SoakWorld {
+    plan: SoakPlan,
+    book: SoakBook,
+    store: StandInStore,
+    network: sync::Arc<SoakNetwork>,
+    fleet: HostFleet,
+    block: AddressBlock,
+    servers: Vec<SoakServer>,
+    /// Servers whose entries are not to be written any more.
+    gone: Vec<u64>,
+    next_server: u64,
+    next_address: u8,
+    next_host: u8,
+    version: u64,
+    extra: Vec<u16>,
+    due: Vec<(time::Instant, DueAction)>,
+    callers: Vec<thread::JoinHandle<()>>,
+}
+
+/// What a run showed.
+pub(crate) struct SoakReport {
+    pub(crate) violations: Vec<Violation>,
+    pub(crate) counts: RequestCounts,
+    pub(crate) recovered: Option<time::Duration>,
+    pub(crate) calls: u64,
+}
+
+impl SoakWorld {
+    /// Starts everything; returns once all hosts are ready.
+    pub(crate) fn start(
+        plan: SoakPlan,
+        timed: bool,
+        mistake: Option<PlantedMistake>,
+        log: &path::Path,
+    ) -> Self {
+        fs::create_dir_all(log).expect("logs can be written");
+        let book = SoakBook::new(timed);
+        let block = AddressBlock::choose();
+        let mistaken_address = block.address(AddressBlock::MISTAKEN, 0);
+        let mistaken = mistake.map(|mistake| MistakenHost::new(mistake, mistaken_address));
+        let network = SoakNetwork::start(plan.seed, mistaken);
+        let executor = sync::Arc::new(Executor::new());
+        let any = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+        let started = ProxyStandin::start(&executor, any, plan.seed);
+        let proxies = async_io::block_on(executor.run(started)).expect("any port is free");
+        let (running, ended) = (executor.clone(), network.clone());
+        thread::spawn(move || {
+            async_io::block_on(running.run(async {
+                while !ended.is_ended() {
+                    async_io::Timer::after(STEP).await;
+                }
+            }));
+        });
+        let fleet = HostFleet::new(
+            book.clone(),
+            network.clone(),
+            proxies,
+            executor,
+            log.to_owned(),
+        );
+        let mut world = Self {
+            plan,
+            book,
+            store: StandInStore::start(),
+            network,
+            fleet,
+            block,
+            servers: Vec::new(),
+            gone: Vec::new(),
+            next_server: 1,
+            next_address: AddressBlock::SERVERS,
+            next_host: AddressBlock::HOSTS,
+            version: 0,
+            extra: Vec::new(),
+            due: Vec::new(),
+            callers: Vec::new(),
+        };
+        for service in SERVICES {
+            for _ in 0..SERVERS_PER_SERVICE {
+                world.add_server(service);
+            }
+        }
+        for (port, service) in [
+            (SAFE_PORT, "desk"),
+            (ONCE_PORT, "desk"),
+            (VAULT_PORT, "vault"),
+        ] {
+            world.book.note_route(port, Some(service));
+        }
+        world.publish();
+        for _ in 0..DOMAINS.len() * HOSTS_PER_DOMAIN {
+            world.add_host();
+        }
+        world.start_callers();
+        world
+    }
+
+    /// Plays the plan, ends all disruptions, and waits for the recovery. It ends
+    /// early where `until` is broken.
+    pub(crate) fn play(mut self, until: Option<Promise>) -> SoakReport {
+        let start = time::Instant::now();
+        let disruptions = self.plan.disruptions.clone();
+        let mut disruptions = disruptions.into_iter().peekable();
+        while start.elapsed() < self.plan.length && !until.is_some_and(|one| self.is_broken(one)) {
+            while let Some(next) = disruptions.next_if(|next| next.at <= start.elapsed()) {
+                println!("  {:?}: {next}", self.book.now());
+                self.begin(next);
+            }
+            self.step();
+        }
+        self.end_disruptions();
+        let recovered = self.wait_for_recovery();
+        for written in self.store.writes() {
+            self.book.break_promise(Promise::StoreOnlyRead, written);
+        }
+        self.network.end();
+        for caller in self.callers.drain(..) {
+            if caller.join().is_err() {
+                let what = "a caller's thread panicked".to_owned();
+                self.book.break_promise(Promise::Recovery, what);
+            }
+        }
+        SoakReport {
+            violations: self.book.violations(),
+            counts: self.book.counts(),
+            recovered,
+            calls: self.store.calls(),
+        }
+    }
+
+    fn is_broken(&self, promise: Promise) -> bool {
+        let violations = self.book.violations();
+        violations.iter().any(|one| one.promise == promise)
+    }
+
+    /// Makes the planted mistake that no packet shows.
+    pub(crate) fn misbehave(&mut self) {
+        match self.network.mistaken().map(|host| host.mistake) {
+            Some(PlantedMistake::SuddenEnd) => self.fleet.end_suddenly(0),
+            Some(PlantedMistake::StoreWrite) => self.store.note_write("POST /x"),
+            _ => {}
+        }
+    }
+
+    fn step(&mut self) {
+        let from = self.book.now();
+        thread::sleep(STEP);
+        if self.book.now() - from > STEP + STALL {
+            self.book.note_stall(from);
+        }
+        self.fleet.look_after();
+        let now = time::Instant::now();
+        let (due, later) = std::mem::take(&mut self.due)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.due = later;
+        let due: Vec<_> = due;
+        for (_, action) in due {
+            self.act(action);
+        }
+    }
+
+    fn after(&mut self, delay: time::Duration, action: DueAction) {
+        self.due.push((time::Instant::now() + delay, action));
+    }
+
+    fn add_host(&mut self) {
+        let index = usize::from(self.next_host - AddressBlock::HOSTS);
+        let domain = index % DOMAINS.len();
+        let at = |offset| net::SocketAddr::from(self.block.address(self.next_host, offset));
+        let first = net::SocketAddr::from(self.block.address(AddressBlock::HOSTS, 1));
+        let second = net::SocketAddr::from(self.block.address(AddressBlock::HOSTS + 1, 1));
+        let order = HostOrder {
+            name: format!("host-{}-{index}", self.block.first[2]),
+            domain: DOMAINS[domain].to_owned(),
+            traffic: at(0),
+            readiness: at(3),
+            peer: at(1),
+            admin: at(2),
+            store: self.store.address,
+            seeds: vec![first, second],
+        };
+        self.next_host += 1;
+        self.fleet.add(order, domain);
+    }
+
+    fn add_server(&mut self, service: &'static str) {
+        let address = self.block.address(self.next_address, 0);
+        self.next_address += 1;
+        self.add_server_at(service, address);
+    }
+
+    fn add_server_at(&mut self, service: &'static str, address: net::SocketAddrV4) {
+        let index = self.next_server;
+        self.next_server += 1;
+        let identity = ServerIdentity {
+            // The low half is the token; both halves differ from server to server.
+            number: index << 32 | (0x1000 + index),
+            service,
+            domain: index as usize % DOMAINS.len(),
+            address,
+            caller_port: self.block.address(0, 0).port(),
+        };
+        let server = SoakServer::start(identity, self.book.clone(), self.network.clone());
+        self.write_entry(&server.identity, "ready");
+        if let Some(mistaken) = self.network.mistaken() {
+            mistaken.add_server(server.identity.clone());
+        }
+        self.servers.push(server);
+    }
+
+    fn write_entry(&self, identity: &ServerIdentity, state: &str) {
+        let ServerIdentity {
+            number,
+            service,
+            domain,
+            address,
+            ..
+        } = identity;
+        let zone = DOMAINS[*domain];
+        let entry = format!(
+            r#"{{"service":"{service}","address":"{address}","zone":"{zone}","concurrency":2,
+               "state":"{state}","cold-left-ms":0,"sequence":1}}"#
+        );
+        self.store
+            .write(&format!("servers/i-{number:x}"), Some(&entry));
+    }
+
+    fn remove_entry(&self, number: u64) {
+        self.store.write(&format!("servers/i-{number:x}"), None);
+    }
+
+    fn publish(&mut self) {
+        self.version += 1;
+        let extra = self.extra.iter().map(|port| (*port, "desk", "safe"));
+        let fixed = [
+            (SAFE_PORT, "desk", "safe"),
+            (ONCE_PORT, "desk", "unsafe"),
+            (VAULT_PORT, "vault", "download"),
+        ];
+        let routes = fixed.into_iter().chain(extra).map(|(port, service, kind)| {
+            format!(
+                r#"{{"name":"r-{port}","host":"{PUBLIC}","prefix":"/{port}/","type":"{kind}",
+                   "latency-goal-ms":150,"service":"{service}"}}"#
+            )
+        });
+        let routes: Vec<_> = routes.collect();
+        let (version, routes) = (self.version, routes.join(","));
+        let text = format!(
+            r#"{{"version":{version},"routes":[{routes}],
+               "limits":{{"idle-timeout-ms":{IDLE_TIMEOUT_MS}}}}}"#
+        );
+        self.store.write("op/config", Some(&text));
+    }
+
+    fn start_callers(&mut self) {
+        let mut number = AddressBlock::CALLERS;
+        for (domain, extra_port) in EXTRA_PORTS.into_iter().enumerate() {
+            for index in 0..CALLERS_PER_DOMAIN {
+                let (prefix, port, requests) = match index % CALLERS_PER_DOMAIN {
+                    0 => (IDEMPOTENT_PREFIX, SAFE_PORT, 40),
+                    1 => ("once-", ONCE_PORT, 40),
+                    2 => (IDEMPOTENT_PREFIX, VAULT_PORT, 1),
+                    _ => (IDEMPOTENT_PREFIX, extra_port, 3),
+                };
+                let habit = CallerHabit {
+                    name: prefix.to_owned(),
+                    service: net::SocketAddrV4::new(PUBLIC, port),
+                    domain,
+                    requests,
+                    counts: !EXTRA_PORTS.contains(&port),
+                };
+                let address = self.block.address(number, 0);
+                number += 1;
+                let (book, network) = (self.book.clone(), self.network.clone());
+                let caller = SoakCaller::new(habit, address, book, network);
+                self.callers.push(thread::spawn(move || caller.run()));
+            }
+        }
+    }
+
+    /// A server that serves, by `pick`, where its service can spare one.
+    fn spare_server(&self, pick: usize) -> Option<ServerIdentity> {
+        let mut serving: Vec<_> = self.servers.iter().map(|server| &server.identity).collect();
+        serving.retain(|identity| !self.gone.contains(&identity.number));
+        let chosen = *serving.get(pick % serving.len().max(1))?;
+        let left = serving.iter().filter(|one| one.service == chosen.service);
+        (left.count() > SERVERS_PER_SERVICE / 2).then(|| chosen.clone())
+    }
+
+    /// Notes what `disruption` disturbs for as long as it lasts.
+    fn disturb(&mut self, disruption: PlannedDisruption) -> Option<DisturbanceGuard> {
+        let part = match disruption.kind {
+            DisruptionKind::StoreDown | DisruptionKind::StoreSlow => DisturbedPart::Store,
+            DisruptionKind::FabricPoor => DisturbedPart::Everything,
+            kind if kind.concerns_host() => {
+                DisturbedPart::Host(self.fleet.traffic(disruption.pick))
+            }
+            _ => return None,
+        };
+        Some(self.book.disturb(part))
+    }
+
+    fn begin(&mut self, mut disruption: PlannedDisruption) {
+        if disruption.kind.concerns_host() {
+            disruption.pick = self.fleet.position(disruption.pick);
+        }
+        let guard = self.disturb(disruption);
+        let PlannedDisruption {
+            kind, pick, lasts, ..
+        } = disruption;
+        match kind {
+            DisruptionKind::HostKilled => self.fleet.kill(pick),
+            DisruptionKind::AllHostsKilled => self.fleet.kill_all(),
+            DisruptionKind::HostPaused => self.fleet.pause(pick),
+            DisruptionKind::HostStopped => self.fleet.terminate(pick),
+            DisruptionKind::HostReloaded => self.fleet.reload(pick),
+            DisruptionKind::HostAdded => {
+                let limit = DOMAINS.len() * HOSTS_PER_DOMAIN + ADDED_HOSTS;
+                if self.fleet.hosts.len() < limit {
+                    self.add_host();
+                }
+            }
+            DisruptionKind::StoreDown => {
+                let faults = [StoreFault::Reset, StoreFault::Busy, StoreFault::Silent];
+                self.store.set_fault(faults[pick % faults.len()]);
+                if pick % 2 == 0 && lasts > LAPSE_IN_OUTAGE {
+                    self.after(LAPSE_IN_OUTAGE, DueAction::LapseEntries);
+                    self.after(lasts + RETURN, DueAction::RestoreEntries);
+                }
+            }
+            DisruptionKind::StoreSlow => {
+                let delay = time::Duration::from_millis(50 + pick as u64 % 400);
+                self.store.set_fault(StoreFault::Slow(delay));
+            }
+            DisruptionKind::HistoryDropped => self.store.drop_history(),
+            DisruptionKind::StoreRefusesHost => {
+                self.fleet.cut_store(pick, CutMode::Close, CutMode::Close);
+            }
+            DisruptionKind::StoreSilentForHost => {
+                self.fleet.cut_store(pick, CutMode::Hold, CutMode::Hold);
+            }
+            DisruptionKind::StoreOneWayForHost => {
+                self.fleet.cut_store(pick, CutMode::None, CutMode::Hold);
+            }
+            DisruptionKind::FabricPoor => self.network.set_faults(DatagramFaults {
+                loss: 0.03,
+                double: 0.05,
+                reorder: 0.05,
+                delay_ms_max: 8,
+                ..DatagramFaults::default()
+            }),
+            DisruptionKind::HostCutFromServers => {
+                let host = self.fleet.traffic(pick);
+                self.network.cut(host, true);
+            }
+            DisruptionKind::ServerCrashed => self.crash_server(pick, false),
+            DisruptionKind::AddressReused => self.crash_server(pick, true),
+            DisruptionKind::ServerDrained => self.drain_server(pick),
+            DisruptionKind::ServerAdded => self.add_server(SERVICES[pick % SERVICES.len()]),
+            DisruptionKind::RouteAdded => self.add_route(pick),
+            DisruptionKind::RouteDropped => self.drop_route(pick),
+            DisruptionKind::ConfigurationStorm => {
+                for _ in 0..3 + pick % 10 {
+                    self.publish();
+                }
+            }
+        }
+        self.after(lasts, DueAction::EndDisruption(disruption, guard));
+    }
+
+    /// Removes or restores the entries of every second server that lives.
+    fn lapse_entries(&self, lapse: bool) {
+        let living = self.servers.iter().map(|one| &one.identity);
+        let living = living.filter(|one| !self.gone.contains(&one.number));
+        for identity in living.step_by(2) {
+            if lapse {
+                self.remove_entry(identity.number);
+            } else {
+                self.write_entry(identity, "ready");
+            }
+        }
+    }
+
+    fn crash_server(&mut self, pick: usize, reuse: bool) {
+        let Some(identity) = self.spare_server(pick) else {
+            return;
+        };
+        self.gone.push(identity.number);
+        self.book.note_ended(identity.number);
+        let crashed = self
+            .servers
+            .iter()
+            .find(|one| one.identity.number == identity.number);
+        if let Some(server) = crashed {
+            server.fall_silent();
+        }
+        self.after(LAPSE, DueAction::RemoveEntry(identity.number));
+        self.after(LAPSE, DueAction::EndServer(identity.number));
+        if reuse {
+            let other = SERVICES
+                .iter()
+                .position(|service| *service != identity.service);
+            let action = DueAction::Reuse(identity.address, other.unwrap_or_default());
+            self.after(LAPSE + REUSE, action);
+        }
+        self.after(LAPSE, DueAction::StartServer(identity.service));
+    }
+
+    fn drain_server(&mut self, pick: usize) {
+        let Some(identity) = self.spare_server(pick) else {
+            return;
+        };
+        self.gone.push(identity.number);
+        self.write_entry(&identity, "draining");
+        self.book.note_draining(identity.number);
+        if let Some(mistaken) = self.network.mistaken() {
+            mistaken.note_leaving(identity.number);
+        }
+        self.after(DRAIN, DueAction::RemoveEntry(identity.number));
+        self.after(DRAIN, DueAction::EndServer(identity.number));
+        self.after(
+            time::Duration::ZERO,
+            DueAction::StartServer(identity.service),
+        );
+    }
+
+    fn add_route(&mut self, pick: usize) {
+        let port = EXTRA_PORTS[pick % EXTRA_PORTS.len()];
+        if !self.extra.contains(&port) {
+            self.extra.push(port);
+            self.book.note_route(port, Some("desk"));
+        }
+        self.publish();
+    }
+
+    fn drop_route(&mut self, pick: usize) {
+        let port = EXTRA_PORTS[pick % EXTRA_PORTS.len()];
+        let before = self.extra.len();
+        self.extra.retain(|held| *held != port);
+        self.publish();
+        if self.extra.len() < before {
+            self.book.note_route(port, None);
+        }
+    }
+
+    fn act(&mut self, action: DueAction) {
+        match action {
+            DueAction::EndDisruption(disruption, guard) => {
+                self.end(disruption);
+                drop(guard);
+            }
+            DueAction::RemoveEntry(number) => self.remove_entry(number),
+            DueAction::Reuse(address, service) => self.add_server_at(SERVICES[service], address),
+            DueAction::EndServer(number) => {
+                self.book.note_ended(number);
+                self.servers.retain(|one| one.identity.number != number);
+            }
+            DueAction::StartServer(service) => self.add_server(service),
+            DueAction::LapseEntries => self.lapse_entries(true),
+            DueAction::RestoreEntries => self.lapse_entries(false),
+        }
+    }
+
+    fn end(&mut self, disruption: PlannedDisruption) {
+        let pick = disruption.pick;
+        match disruption.kind {
+            DisruptionKind::HostPaused => self.fleet.resume(pick),
+            DisruptionKind::StoreDown | DisruptionKind::StoreSlow => {
+                self.store.set_fault(StoreFault::None);
+            }
+            DisruptionKind::StoreRefusesHost
+            | DisruptionKind::StoreSilentForHost
+            | DisruptionKind::StoreOneWayForHost => {
+                self.fleet.cut_store(pick, CutMode::None, CutMode::None);
+            }
+            DisruptionKind::FabricPoor => self.network.set_faults(DatagramFaults::default()),
+            DisruptionKind::HostCutFromServers => {
+                let host = self.fleet.traffic(pick);
+                self.network.cut(host, false);
+            }
+            _ => {}
+        }
+    }
+
+    fn end_disruptions(&mut self) {
+        self.store.set_fault(StoreFault::None);
+        self.network.set_faults(DatagramFaults::default());
+        self.fleet.heal();
+    }
+
+    /// How long it took until all was served again.
+    fn wait_for_recovery(&mut self) -> Option<time::Duration> {
+        let start = time::Instant::now();
+        let limit = if self.book.is_timed() {
+            RECOVERY
+        } else {
+            PATIENCE
+        };
+        let mut counts = self.book.counts();
+        let mut good_since = start;
+        while start.elapsed() < limit + time::Duration::from_secs(3) {
+            self.step();
+            let now = self.book.counts();
+            if now.unanswered > counts.unanswered {
+                counts = now;
+                good_since = time::Instant::now();
+            }
+            if now.answered >= counts.answered + GOOD_ANSWERS {
+                let took = good_since - start;
+                if took <= limit {
+                    return Some(took);
+                }
+            }
+        }
+        let what = format!("requests still fail {limit:?} after the last disruption");
+        self.book.break_promise(Promise::Recovery, what);
+        None
+    }
+}
--- a/crates/cardamomwinch_forwarder/tests/support/mod.rs
+++ b/crates/cardamomwinch_forwarder/tests/support/mod.rs
@@ -2,140 +2,80 @@
 //! memory, and the process itself.
 #![allow(clippy::unwrap_used, missing_docs, dead_code, unreachable_pub)]
 
+pub mod store;
+
 use std::fs;
 use std::io::{Read, Write};
 use std::net;
 use std::path;
 use std::process;
-use std::sync;
 use std::thread;
 use std::time;
 
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
 use cardamomwinch_standin::process::ChildProcess;
 
+pub use store::StandInStore;
+
 /// How long a test waits for something that must come.
 pub const PATIENCE: time::Duration = time::Duration::from_secs(20);
 
-#[derive(Default)]
-struct StoreState {
-    /// Key, value and revision of the last change; no value where deleted.
-    items: Vec<(String, Option<String>, u64)>,
-    revision: u64,
-    down: bool,
-}
-
-/// A store that can be written by the test.
-#[derive(Clone)]
-pub struct StandInStore {
-    pub address: net::SocketAddr,
-    state: sync::Arc<(sync::Mutex<StoreState>, sync::Condvar)>,
+/// Where a host listens and what it is told of the rest.
+#[derive(Debug, Clone)]
+pub struct HostOrder {
+    pub name: String,
+    pub domain: String,
+    pub traffic: net::SocketAddr,
+    pub readiness: net::SocketAddr,
+    pub peer: net::SocketAddr,
+    pub admin: net::SocketAddr,
+    pub store: net::SocketAddr,
+    pub seeds: Vec<net::SocketAddr>,
 }
 
-impl StandInStore {
-    pub fn start() -> Self {
-        let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let store = Self {
-            address: listener.local_addr().unwrap(),
-            state: sync::Arc::default(),
-        };
-        let serving = store.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let store = serving.clone();
-                thread::spawn(move || store.serve(stream));
-            }
-        });
-        store
-    }
-
-    /// Writes `value` under `key`, or deletes it.
-    pub fn write(&self, key: &str, value: Option<&str>) {
-        let (state, changed) = &*self.state;
-        let mut state = state.lock().unwrap();
-        state.revision += 1;
-        let revision = state.revision;
-        state.items.retain(|(held, _, _)| held != key);
-        let value = value.map(str::to_owned);
-        state.items.push((key.to_owned(), value, revision));
-        changed.notify_all();
-    }
-
-    /// From now on connections are closed without an answer, or no longer.
-    pub fn set_down(&self, down: bool) {
-        let (state, changed) = &*self.state;
-        state.lock().unwrap().down = down;
-        changed.notify_all();
-    }
-
-    fn serve(&self, mut stream: net::TcpStream) -> Option<()> {
-        loop {
-            let mut request = Vec::new();
-            while !request.ends_with(b"\r\n\r\n") {
-                let mut byte = [0];
-                stream.read_exact(&mut byte).ok()?;
-                request.push(byte[0]);
-            }
-            let request = String::from_utf8(request).ok()?;
-            let path = request.split(' ').nth(1)?.to_owned();
-            let body = self.answer(&path)?;
-            let length = body.len();
-            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
-            stream.write_all(head.as_bytes()).ok()?;
-            stream.write_all(body.as_bytes()).ok()?;
-        }
-    }
-
-    fn answer(&self, path: &str) -> Option<String> {
-        let (state, changed) = &*self.state;
-        let mut state = state.lock().unwrap();
-        if path.starts_with("/-/kv-range") {
-            let listed = state.items.iter().filter(|(_, value, _)| value.is_some());
-            let items: Vec<_> = listed.map(item).collect();
-            let revision = state.revision;
-            let items = items.join(",");
-            return (!state.down)
-                .then(|| format!(r#"{{"items":[{items}],"has-more":false,"as-of":{revision}}}"#));
-        }
-        let after: u64 = path
-            .split("after=")
-            .nth(1)?
-            .split('&')
-            .next()?
-            .parse()
-            .ok()?;
-        let deadline = time::Instant::now() + time::Duration::from_millis(500);
-        while state.revision <= after && !state.down {
-            let left = deadline.saturating_duration_since(time::Instant::now());
-            if left.is_zero() {
-                break;
-            }
-            state = changed.wait_timeout(state, left).unwrap().0;
+impl HostOrder {
+    /// A host at ports that the system chooses. A port that a test finds free may
+    /// be taken before the host listens there, and the host would end.
+    pub fn anywhere(name: &str, store: net::SocketAddr, seeds: &[net::SocketAddr]) -> Self {
+        let any = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+        Self {
+            name: name.to_owned(),
+            domain: "near".to_owned(),
+            traffic: any,
+            readiness: any,
+            peer: any,
+            admin: any,
+            store,
+            seeds: seeds.to_vec(),
         }
-        let changed = state
-            .items
-            .iter()
-            .filter(|(_, _, revision)| *revision > after);
-        let events: Vec<_> = changed.map(item).collect();
-        let (events, revision) = (events.join(","), state.revision);
-        (!state.down).then(|| format!(r#"{{"events":[{events}],"as-of":{revision}}}"#))
     }
-}
 
-fn item((key, value, revision): &(String, Option<String>, u64)) -> String {
-    match value {
-        Some(value) => {
-            let value = STANDARD.encode(value);
-            format!(r#"{{"key":"{key}","value":"{value}","rev":{revision}}}"#)
-        }
-        None => format!(r#"{{"key":"{key}","rev":{revision},"deleted":true}}"#),
+    fn text(&self) -> String {
+        let Self {
+            name,
+            domain,
+            traffic,
+            readiness,
+            peer,
+            admin,
+            store,
+            ..
+        } = self;
+        let seeds: Vec<_> = self.seeds.iter().map(|one| format!("\"{one}\"")).collect();
+        let seeds = seeds.join(",");
+        let key = "1".repeat(64);
+        format!(
+            r#"{{ "host": "{name}", "domain": "{domain}", "traffic_address": "{traffic}",
+              "readiness_address": "{readiness}", "peer_address": "{peer}",
+              "admin_address": "{admin}", "seeds": [{seeds}],
+              "platform": {{"addresses": ["{store}"], "timeout_ms": 500, "watch_ms": 1000}},
+              "keys": {{"signing": "{key}"}}, "stop_within_s": 3 }}"#
+        )
     }
 }
 
 /// The process of a forwarding host. Dropping it ends it.
 pub struct HostProcess {
-    child: ChildProcess,
+    pub child: ChildProcess,
     pub settings: path::PathBuf,
     pub traffic: net::SocketAddr,
     pub readiness: net::SocketAddr,
@@ -144,23 +84,15 @@
 }
 
 impl HostProcess {
-    /// Starts a host at ports that the system chooses. A port that a test finds
-    /// free may be taken before the host listens there, and the host would end.
+    /// Starts a host of the domain `near` at ports that the system chooses.
     pub fn start(name: &str, store: net::SocketAddr, seeds: &[net::SocketAddr]) -> Self {
-        let seeds: Vec<_> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
-        let seeds = seeds.join(",");
-        let key = "1".repeat(64);
-        let any = "127.0.0.1:0";
-        let text = format!(
-            r#"{{ "host": "{name}", "domain": "near", "traffic_address": "{any}",
-              "readiness_address": "{any}", "peer_address": "{any}",
-              "admin_address": "{any}", "seeds": [{seeds}],
-              "platform": {{"addresses": ["{store}"], "timeout_ms": 500, "watch_ms": 1000}},
-              "keys": {{"signing": "{key}"}}, "stop_within_s": 3 }}"#
-        );
-        let file = format!("forwarder-{}-{name}.jsonc", process::id());
+        Self::start_as(&HostOrder::anywhere(name, store, seeds))
+    }
+
+    pub fn start_as(order: &HostOrder) -> Self {
+        let file = format!("forwarder-{}-{}.jsonc", process::id(), order.name);
         let settings = std::env::temp_dir().join(file);
-        fs::write(&settings, text).unwrap();
+        fs::write(&settings, order.text()).unwrap();
         let binary = env!("CARGO_BIN_EXE_cardamomwinch-forwarder");
         let arguments = ["--settings".as_ref(), settings.as_os_str()];
         let child = ChildProcess::start(binary, arguments).unwrap();
@@ -186,6 +118,19 @@
         Some((status, answer))
     }
 
+    /// Whether the host at `readiness` says within `limit` that it is ready.
+    pub fn is_ready_within(readiness: net::SocketAddr, limit: time::Duration) -> bool {
+        let ask = || -> std::io::Result<bool> {
+            let mut stream = net::TcpStream::connect_timeout(&readiness, limit)?;
+            stream.set_read_timeout(Some(limit))?;
+            stream.write_all(b"GET /readyz HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")?;
+            let mut status = [0; 12];
+            stream.read_exact(&mut status)?;
+            Ok(status.ends_with(b" 200"))
+        };
+        ask().unwrap_or(false)
+    }
+
     /// Waits until the host tells `ready`.
     pub fn wait_until_ready(&self, ready: bool) {
         let expected = if ready { 200 } else { 503 };
--- /dev/null
+++ b/crates/cardamomwinch_forwarder/tests/support/store.rs
@@ -0,0 +1,249 @@
+//! A store that answers from memory and misbehaves on demand.
+
+use std::io::{Read, Write};
+use std::net;
+use std::sync;
+use std::thread;
+use std::time;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+
+/// Items of a page; small, so that tests see several pages.
+const PAGE_ITEMS: usize = 12;
+/// How long a watch waits at most.
+const LONGEST_WAIT: time::Duration = time::Duration::from_millis(500);
+
+/// How the store misbehaves.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub enum StoreFault {
+    /// It serves.
+    #[default]
+    None,
+    /// It closes connections without an answer.
+    Reset,
+    /// It refuses with 503.
+    Busy,
+    /// It never answers.
+    Silent,
+    /// Each answer takes so long.
+    Slow(time::Duration),
+}
+
+impl StoreFault {
+    const fn is_outage(self) -> bool {
+        matches!(self, Self::Reset | Self::Busy | Self::Silent)
+    }
+}
+
+#[derive(Debug, Clone)]
+struct StoredItem {
+    key: String,
+    /// Absent where the item was deleted.
+    value: Option<String>,
+    revision: u64,
+}
+
+impl StoredItem {
+    fn json(&self) -> String {
+        let Self { key, revision, .. } = self;
+        match &self.value {
+            Some(value) => {
+                let value = STANDARD.encode(value);
+                format!(r#"{{"key":"{key}","value":"{value}","rev":{revision}}}"#)
+            }
+            None => format!(r#"{{"key":"{key}","rev":{revision},"deleted":true}}"#),
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct StoreState {
+    items: Vec<StoredItem>,
+    revision: u64,
+    /// Changes up to this one are no longer told.
+    forgotten: u64,
+    fault: StoreFault,
+    /// Requests that would have changed something.
+    writes: Vec<String>,
+    calls: u64,
+}
+
+/// A store that can be written by the test.
+#[derive(Debug, Clone)]
+pub struct StandInStore {
+    pub address: net::SocketAddr,
+    state: sync::Arc<(sync::Mutex<StoreState>, sync::Condvar)>,
+}
+
+fn query<'a>(path: &'a str, name: &str) -> Option<&'a str> {
+    let (_, query) = path.split_once('?')?;
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
+
+fn respond(status: &str, body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\n\r\n{body}")
+}
+
+impl StandInStore {
+    pub fn start() -> Self {
+        let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let store = Self {
+            address: listener.local_addr().unwrap(),
+            state: sync::Arc::default(),
+        };
+        let serving = store.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let store = serving.clone();
+                thread::spawn(move || store.serve(stream));
+            }
+        });
+        store
+    }
+
+    fn change<T>(&self, change: impl FnOnce(&mut StoreState) -> T) -> T {
+        let (state, changed) = &*self.state;
+        let outcome = change(&mut state.lock().unwrap());
+        changed.notify_all();
+        outcome
+    }
+
+    /// Writes `value` under `key`, or deletes it. Returns the revision.
+    pub fn write(&self, key: &str, value: Option<&str>) -> u64 {
+        self.change(|state| {
+            state.revision += 1;
+            state.items.retain(|held| held.key != key);
+            state.items.push(StoredItem {
+                key: key.to_owned(),
+                value: value.map(str::to_owned),
+                revision: state.revision,
+            });
+            state.revision
+        })
+    }
+
+    /// From now on connections are closed without an answer, or no longer.
+    pub fn set_down(&self, down: bool) {
+        self.set_fault(if down {
+            StoreFault::Reset
+        } else {
+            StoreFault::None
+        });
+    }
+
+    /// Misbehaves so from now on.
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.change(|state| state.fault = fault);
+    }
+
+    /// Forgets all changes up to now; what is stored stays.
+    pub fn drop_history(&self) {
+        self.change(|state| state.forgotten = state.revision);
+    }
+
+    /// Requests that would have changed something. A host must make none.
+    pub fn writes(&self) -> Vec<String> {
+        self.change(|state| state.writes.clone())
+    }
+
+    /// Notes `request` as one that would have changed something.
+    pub fn note_write(&self, request: &str) {
+        self.change(|state| state.writes.push(request.to_owned()));
+    }
+
+    /// How many calls came.
+    pub fn calls(&self) -> u64 {
+        self.change(|state| state.calls)
+    }
+
+    fn serve(&self, mut stream: net::TcpStream) -> Option<()> {
+        loop {
+            let mut request = Vec::new();
+            while !request.ends_with(b"\r\n\r\n") {
+                let mut byte = [0];
+                stream.read_exact(&mut byte).ok()?;
+                request.push(byte[0]);
+            }
+            let request = String::from_utf8(request).ok()?;
+            let answer = self.answer(&request)?;
+            stream.write_all(answer.as_bytes()).ok()?;
+        }
+    }
+
+    /// The answer; `None` closes the connection.
+    fn answer(&self, request: &str) -> Option<String> {
+        let path = request.split(' ').nth(1)?;
+        let fault = self.change(|state| {
+            state.calls += 1;
+            if !request.starts_with("GET ") {
+                state.writes.push(request.to_owned());
+            }
+            state.fault
+        });
+        match fault {
+            StoreFault::None => {}
+            StoreFault::Reset => return None,
+            StoreFault::Busy => return Some(respond("503 Service Unavailable", "")),
+            StoreFault::Silent => {
+                self.wait_while(|state| state.fault == StoreFault::Silent);
+                return None;
+            }
+            StoreFault::Slow(delay) => thread::sleep(delay),
+        }
+        if path.starts_with("/-/kv-range") {
+            Some(self.list(query(path, "after").unwrap_or_default()))
+        } else {
+            self.watch(query(path, "after")?.parse().ok()?)
+        }
+    }
+
+    fn wait_while(&self, mut holds: impl FnMut(&StoreState) -> bool) {
+        let (state, changed) = &*self.state;
+        let held = state.lock().unwrap();
+        drop(changed.wait_while(held, |state| holds(state)).unwrap());
+    }
+
+    fn list(&self, after: &str) -> String {
+        let (state, _) = &*self.state;
+        let state = state.lock().unwrap();
+        let mut listed: Vec<_> = state.items.iter().collect();
+        listed.retain(|item| item.value.is_some() && item.key.as_str() > after);
+        listed.sort_by(|one, other| one.key.cmp(&other.key));
+        let more = listed.len() > PAGE_ITEMS;
+        let items: Vec<_> = listed
+            .iter()
+            .take(PAGE_ITEMS)
+            .map(|one| one.json())
+            .collect();
+        let (items, revision) = (items.join(","), state.revision);
+        let body = format!(r#"{{"items":[{items}],"has-more":{more},"as-of":{revision}}}"#);
+        respond("200 OK", &body)
+    }
+
+    fn watch(&self, after: u64) -> Option<String> {
+        let (state, changed) = &*self.state;
+        let mut state = state.lock().unwrap();
+        let deadline = time::Instant::now() + LONGEST_WAIT;
+        while state.revision <= after && !state.fault.is_outage() {
+            let left = deadline.saturating_duration_since(time::Instant::now());
+            if left.is_zero() {
+                break;
+            }
+            state = changed.wait_timeout(state, left).unwrap().0;
+        }
+        if state.fault.is_outage() {
+            return None;
+        }
+        if after < state.forgotten {
+            return Some(respond("410 Gone", ""));
+        }
+        let news = state.items.iter().filter(|item| item.revision > after);
+        let events: Vec<_> = news.map(StoredItem::json).collect();
+        let (events, revision) = (events.join(","), state.revision);
+        let body = format!(r#"{{"events":[{events}],"as-of":{revision}}}"#);
+        Some(respond("200 OK", &body))
+    }
+}
