Soak the product's own interface with overlapping faults

Real processes behind proxies, ten kinds of faults drawn from a seed, in series and overlapping; requests at most once, 'not run' true, versions never falling, stopping hosts that end, and answers again at the end.

--- /dev/null
+++ b/tests/soak.rs
@@ -0,0 +1,307 @@
+//! A randomized soak of the product's own interface: real processes on loopback
+//! behind proxies, with faults that are drawn from a seed, come in series and
+//! overlap. Whatever happens, no request that may run once runs twice, none runs of
+//! which a caller was told that it had not, answers are whole and their caller's own,
+//! versions never fall, and all is served again once the faults are over.
+//!
+//! Further seeds by hand:
+//!
+//! ```sh
+//! cargo build --release --workspace
+//! SOAK_SEEDS=1..50 SOAK_STEPS=20 cargo test --release --test soak by_hand -- --nocapture
+//! ```
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod support;
+
+use std::ops;
+use std::time;
+
+use cardamomwinch_standin::faults::CutMode;
+use cardamomwinch_standin::platform::FaultMode;
+use cardamomwinch_standin::prelude::*;
+use cardamomwinch_state::prelude::SortedVector;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use support::network::{self, FaultyDeployment};
+use support::requests::RequestLoad;
+
+const CALLERS: usize = 4;
+const PROGRESS: usize = 20;
+const SHORT_STEPS: u32 = 6;
+const LONG_STEPS: u32 = 20;
+/// The pause after a step, in milliseconds; short ones make series.
+const PAUSE_MS: ops::Range<u64> = 0..1_500;
+/// How long a fault lasts, in milliseconds: up to four leases of a home.
+const FAULT_MS: ops::Range<u64> = 200..4_000;
+/// Hosts that are started beside the first ones have numbers from here on.
+const FIRST_ADDED: usize = 10;
+
+/// What a step does.
+#[derive(Debug, Clone, Copy)]
+enum SoakStep {
+    /// A host is killed and replaced by another one.
+    KillHost,
+    /// A host stands still for a while.
+    PauseHost,
+    /// A host is told to stop, and replaced. What it may say at its end depends on
+    /// the other faults.
+    StopHost,
+    /// A host hears no other one.
+    DeafHost,
+    /// No other host hears a host.
+    MuteHost,
+    /// A failure domain is cut off from the others.
+    CutDomain,
+    /// A host's connections to the platform are closed and refused.
+    RefusePlatform,
+    /// A host's connections to the platform go silent.
+    SilencePlatform,
+    /// The platform fails in some way, for all.
+    PlatformFails,
+    /// A version of the configuration follows.
+    Publish,
+}
+
+const STEPS: [SoakStep; 10] = [
+    SoakStep::KillHost,
+    SoakStep::PauseHost,
+    SoakStep::StopHost,
+    SoakStep::DeafHost,
+    SoakStep::MuteHost,
+    SoakStep::CutDomain,
+    SoakStep::RefusePlatform,
+    SoakStep::SilencePlatform,
+    SoakStep::PlatformFails,
+    SoakStep::Publish,
+];
+
+const PLATFORM_FAULTS: [FaultMode; 6] = [
+    FaultMode::Silent,
+    FaultMode::Slow,
+    FaultMode::Stale,
+    FaultMode::Back,
+    FaultMode::Broken,
+    FaultMode::Refuse,
+];
+/// How late a slow platform answers.
+const PLATFORM_DELAY_MS: u64 = 400;
+
+/// How a fault ends.
+#[derive(Debug, Clone)]
+enum FaultEnd {
+    Resume(String),
+    Heal,
+    JoinPlatform(String),
+    PlatformServes,
+}
+
+/// One run.
+struct SoakRun {
+    faulty: FaultyDeployment,
+    random: SmallRng,
+    due: Vec<(time::Instant, FaultEnd)>,
+    /// Hosts that were told to stop and may still run.
+    stopping: Vec<ChildProcess>,
+    versions: SortedVector<String, u64>,
+    next_host: usize,
+}
+
+impl SoakRun {
+    async fn start(seed: u64) -> Self {
+        let faulty = FaultyDeployment::start(network::small_plan()).await;
+        faulty.make_network_poor().await;
+        Self {
+            faulty,
+            random: SmallRng::seed_from_u64(seed),
+            due: Vec::new(),
+            stopping: Vec::new(),
+            versions: SortedVector::new(),
+            next_host: FIRST_ADDED,
+        }
+    }
+
+    async fn play(&mut self, steps: u32) {
+        for _ in 0..steps {
+            let step = *STEPS.choose(&mut self.random).unwrap();
+            let hosts = self.faulty.hosts(None);
+            let host = hosts.choose(&mut self.random).unwrap().clone();
+            let lasts = self.random.random_range(FAULT_MS);
+            println!("  {step:?} {host} {lasts} ms");
+            self.begin(step, &host, time::Duration::from_millis(lasts))
+                .await;
+            support::last(self.random.random_range(PAUSE_MS)).await;
+            self.end_due(time::Instant::now()).await;
+            self.check_versions().await;
+        }
+        self.end_due(time::Instant::now() + time::Duration::from_secs(60))
+            .await;
+    }
+
+    async fn begin(&mut self, step: SoakStep, host: &str, lasts: time::Duration) {
+        let one = [host.to_owned()];
+        let others = self.faulty.hosts(None);
+        let others: Vec<_> = others.into_iter().filter(|name| name != host).collect();
+        let end = match step {
+            SoakStep::KillHost => {
+                self.faulty.process(host).kill().unwrap();
+                return self.replace(host).await;
+            }
+            SoakStep::StopHost => return self.stop(host).await,
+            SoakStep::PauseHost => {
+                self.faulty.process(host).pause().unwrap();
+                FaultEnd::Resume(host.to_owned())
+            }
+            SoakStep::DeafHost => {
+                self.faulty.cut(&others, &one).await;
+                FaultEnd::Heal
+            }
+            SoakStep::MuteHost => {
+                self.faulty.cut(&one, &others).await;
+                FaultEnd::Heal
+            }
+            SoakStep::CutDomain => {
+                let domain = self.domain(host);
+                let name = self.faulty.deployment.plan.domains[domain].name;
+                self.faulty.cut_domain(name).await;
+                FaultEnd::Heal
+            }
+            SoakStep::RefusePlatform => {
+                self.faulty.cut_platform(&one, CutMode::Close).await;
+                FaultEnd::JoinPlatform(host.to_owned())
+            }
+            SoakStep::SilencePlatform => {
+                self.faulty.cut_platform(&one, CutMode::Hold).await;
+                FaultEnd::JoinPlatform(host.to_owned())
+            }
+            SoakStep::PlatformFails => {
+                let mode = *PLATFORM_FAULTS.choose(&mut self.random).unwrap();
+                println!("    {mode:?}");
+                self.faulty
+                    .set_platform_fault(mode, PLATFORM_DELAY_MS)
+                    .await;
+                FaultEnd::PlatformServes
+            }
+            SoakStep::Publish => {
+                self.faulty.deployment.publish_root().await.unwrap();
+                return;
+            }
+        };
+        self.due.push((time::Instant::now() + lasts, end));
+    }
+
+    fn domain(&self, host: &str) -> usize {
+        let mut domains = self.faulty.deployment.plan.domains.iter();
+        let found = domains.position(|plan| host.starts_with(plan.name));
+        found.unwrap()
+    }
+
+    /// Starts another host in the place of `host`, which is no longer listed.
+    async fn replace(&mut self, host: &str) {
+        let domain = self.domain(host);
+        self.faulty.remove_host(host).await;
+        self.faulty.start_host(domain, self.next_host).await;
+        self.next_host += 1;
+        self.faulty.deployment.publish_hosts().await.unwrap();
+        self.faulty.deployment.tell_fabric().await.unwrap();
+    }
+
+    /// Tells `host` to stop, and starts another one in its place. Its process goes on
+    /// until it ends by itself.
+    async fn stop(&mut self, host: &str) {
+        self.faulty.process(host).terminate().unwrap();
+        let domain = self.domain(host);
+        let stopping = self.faulty.take_out(host).await;
+        self.stopping.push(stopping);
+        self.faulty.start_host(domain, self.next_host).await;
+        self.next_host += 1;
+        self.faulty.deployment.publish_hosts().await.unwrap();
+        self.faulty.deployment.tell_fabric().await.unwrap();
+    }
+
+    async fn end_due(&mut self, until: time::Instant) {
+        let due = std::mem::take(&mut self.due);
+        let (due, later): (Vec<_>, Vec<_>) = due.into_iter().partition(|(at, _)| *at <= until);
+        self.due = later;
+        for (_, end) in due {
+            self.end(end).await;
+        }
+    }
+
+    async fn end(&mut self, end: FaultEnd) {
+        let hosts = self.faulty.hosts(None);
+        match end {
+            FaultEnd::Resume(host) if hosts.contains(&host) => {
+                self.faulty.process(&host).resume().unwrap();
+            }
+            FaultEnd::JoinPlatform(host) if hosts.contains(&host) => {
+                self.faulty.cut_platform(&[host], CutMode::None).await;
+            }
+            // The host is gone, and its fault with it.
+            FaultEnd::Resume(_) | FaultEnd::JoinPlatform(_) => {}
+            FaultEnd::Heal => self.faulty.heal().await,
+            FaultEnd::PlatformServes => self.faulty.set_platform_fault(FaultMode::None, 0).await,
+        }
+    }
+
+    /// Fails where the version of a host fell. Hosts that stand still or are stopping
+    /// say nothing.
+    async fn check_versions(&mut self) {
+        for host in self.faulty.hosts(None) {
+            let asked = self.faulty.call(&host, "status");
+            let limit = time::Instant::now() + time::Duration::from_millis(200);
+            let status = cardamomwinch_standin::runtime::until(limit, asked).await;
+            let version = status.flatten().and_then(|one| one["version"].as_u64());
+            if let Some(version) = version {
+                let before = self.versions.insert(host.clone(), version);
+                assert!(before <= Some(version), "{host}: {before:?} to {version}");
+            }
+        }
+    }
+
+    /// Fails where a host that was told to stop does not end.
+    fn check_stopped(&mut self) {
+        for process in &mut self.stopping {
+            let ended = process.wait(support::LIMIT).unwrap();
+            let code = ended.and_then(|status| status.code());
+            assert!(code.is_some(), "a stopping host does not end");
+        }
+    }
+}
+
+fn play(seed: u64, steps: u32) {
+    support::run(async |executor| {
+        println!("seed {seed}, {steps} steps");
+        let mut run = SoakRun::start(seed).await;
+        let load = RequestLoad::start(executor, &run.faulty.deployment, CALLERS);
+        load.wait_for_answers(PROGRESS).await;
+        run.play(steps).await;
+        load.wait_for_answers(PROGRESS).await;
+        run.check_stopped();
+        run.check_versions().await;
+        load.finish().await.check(&run.faulty).await;
+    });
+}
+
+#[test]
+fn short_runs_break_no_promise() {
+    play(1, SHORT_STEPS);
+    play(2, SHORT_STEPS);
+}
+
+/// Plays the seeds of the environment, if there are any.
+#[test]
+fn by_hand() {
+    let Ok(seeds) = std::env::var("SOAK_SEEDS") else {
+        return;
+    };
+    let (first, end) = seeds.split_once("..").unwrap();
+    let steps = std::env::var("SOAK_STEPS").ok();
+    let steps = steps
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(LONG_STEPS);
+    for seed in first.parse::<u64>().unwrap()..end.parse().unwrap() {
+        play(seed, steps);
+    }
+}
--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -196,10 +196,17 @@
     /// Takes the host `name` off the published list and the fabric; its
     /// process ends if it has not already.
     pub(crate) async fn remove_host(&mut self, name: &str) {
+        self.take_out(name).await;
+    }
+
+    /// Takes the host `name` off the published list and the fabric, and returns its
+    /// process.
+    pub(crate) async fn take_out(&mut self, name: &str) -> ChildProcess {
         let position = self.position(name);
-        self.deployment.hosts.remove(position);
+        let removed = self.deployment.hosts.remove(position);
         self.deployment.publish_hosts().await.unwrap();
         self.deployment.tell_fabric().await.unwrap();
+        removed.process
     }
 
     /// Tells the fabric to hand nothing to the hosts `names`.
