--- a/crates/cardamomwinch_configuration/src/forwarder_settings.rs
+++ b/crates/cardamomwinch_configuration/src/forwarder_settings.rs
@@ -67,7 +67,13 @@
         object.check_keys(checker, keys::FORWARDER);
         let host = object.required(checker, "host", values::name);
         let domain = object.required(checker, "domain", values::name);
-        let addresses = LocalAddresses::read(checker, object);
+        let names = [
+            "traffic_address",
+            "readiness_address",
+            "peer_address",
+            "admin_address",
+        ];
+        let addresses = TakenAddresses::read_local(checker, object, names);
         let platform = object.required(checker, "platform", PlatformSettings::read);
         let seeds = object.optional(checker, "seeds", Vec::new(), read_seeds);
         let keys = object.required(checker, "keys", settings::read_keys);
@@ -75,14 +81,14 @@
         let flow_lifetime = rules::FLOW_LIFETIME.read_seconds(checker, object);
         let stop_within = rules::STOP_WITHIN.read_seconds(checker, object);
         let log = object.optional(checker, "log", LogSettings::default(), LogSettings::read);
-        let addresses = addresses?;
+        let [traffic, readiness, peer, admin] = addresses?;
         Some(Self {
             host: host?,
             domain: domain?,
-            traffic_address: addresses.traffic,
-            readiness_address: addresses.readiness,
-            peer_address: addresses.peer,
-            admin_address: addresses.admin,
+            traffic_address: traffic,
+            readiness_address: readiness,
+            peer_address: peer,
+            admin_address: admin,
             platform: platform?,
             seeds: seeds?,
             keys: keys?,
@@ -94,30 +100,6 @@
     }
 }
 
-struct LocalAddresses {
-    traffic: net::SocketAddr,
-    readiness: net::SocketAddr,
-    peer: net::SocketAddr,
-    admin: net::SocketAddr,
-}
-
-impl LocalAddresses {
-    fn read(checker: &mut DocumentChecker<'_>, object: &ObjectNode<'_>) -> Option<Self> {
-        let mut taken = TakenAddresses::default();
-        let traffic = taken.local(checker, object, "traffic_address");
-        let readiness = taken.local(checker, object, "readiness_address");
-        let peer = taken.local(checker, object, "peer_address");
-        let admin = taken.local(checker, object, "admin_address");
-        taken.report(checker);
-        Some(Self {
-            traffic: traffic?,
-            readiness: readiness?,
-            peer: peer?,
-            admin: admin?,
-        })
-    }
-}
-
 fn read_seeds(
     checker: &mut DocumentChecker<'_>,
     node: &ValueNode<'_>,
--- a/crates/cardamomwinch_configuration/src/settings.rs
+++ b/crates/cardamomwinch_configuration/src/settings.rs
@@ -256,7 +256,13 @@
         object.check_keys(checker, keys::SETTINGS);
         let host = object.required(checker, "host", values::name);
         let domain = object.required(checker, "domain", values::name);
-        let addresses = LocalAddresses::read(checker, object);
+        let names = [
+            "traffic_address",
+            "relay_address",
+            "peer_address",
+            "admin_address",
+        ];
+        let addresses = TakenAddresses::read_local(checker, object, names);
         let platform = object.required(checker, "platform", PlatformSettings::read);
         let keys = object.required(checker, "keys", read_keys);
         let traffic_threads = rules::TRAFFIC_THREADS.read_usize(checker, object);
@@ -264,14 +270,14 @@
         let bounds = object.optional(checker, "bounds", bounds, BoundSettings::read);
         let log = object.optional(checker, "log", LogSettings::default(), LogSettings::read);
         let stop_deadline = rules::STOP_DEADLINE.read_millis(checker, object);
-        let addresses = addresses?;
+        let [traffic, relay, peer, admin] = addresses?;
         Some(Self {
             host: host?,
             domain: domain?,
-            traffic_address: addresses.traffic,
-            relay_address: addresses.relay,
-            peer_address: addresses.peer,
-            admin_address: addresses.admin,
+            traffic_address: traffic,
+            relay_address: relay,
+            peer_address: peer,
+            admin_address: admin,
             platform: platform?,
             keys: keys?,
             traffic_threads: traffic_threads?,
@@ -282,30 +288,6 @@
     }
 }
 
-struct LocalAddresses {
-    traffic: net::SocketAddr,
-    relay: net::SocketAddr,
-    peer: net::SocketAddr,
-    admin: net::SocketAddr,
-}
-
-impl LocalAddresses {
-    fn read(checker: &mut DocumentChecker<'_>, object: &ObjectNode<'_>) -> Option<Self> {
-        let mut taken = TakenAddresses::default();
-        let traffic = taken.local(checker, object, "traffic_address");
-        let relay = taken.local(checker, object, "relay_address");
-        let peer = taken.local(checker, object, "peer_address");
-        let admin = taken.local(checker, object, "admin_address");
-        taken.report(checker);
-        Some(Self {
-            traffic: traffic?,
-            relay: relay?,
-            peer: peer?,
-            admin: admin?,
-        })
-    }
-}
-
 pub(crate) fn read_keys(
     checker: &mut DocumentChecker<'_>,
     node: &ValueNode<'_>,
--- a/crates/cardamomwinch_configuration/src/taken.rs
+++ b/crates/cardamomwinch_configuration/src/taken.rs
@@ -44,6 +44,20 @@
         Some(address)
     }
 
+    /// Reads the addresses under `names`, on which the host is to listen, and reports
+    /// those that are given twice.
+    pub(crate) fn read_local<const N: usize>(
+        checker: &mut DocumentChecker<'_>,
+        object: &ObjectNode<'_>,
+        names: [&str; N],
+    ) -> Option<[net::SocketAddr; N]> {
+        let mut taken = Self::default();
+        let addresses = names.map(|name| taken.local(checker, object, name));
+        taken.report(checker);
+        let present: Vec<_> = addresses.into_iter().collect::<Option<_>>()?;
+        present.try_into().ok()
+    }
+
     /// Reports every use of an address but its first in the text.
     pub(crate) fn report(mut self, checker: &mut DocumentChecker<'_>) {
         self.uses.sort_by_key(|place| (place.address, place.start));
--- a/crates/cardamomwinch_coordination/src/control/mod.rs
+++ b/crates/cardamomwinch_coordination/src/control/mod.rs
@@ -2,23 +2,23 @@
 //! what; publishes the result as snapshots for the traffic threads.
 
 pub mod adoption;
+mod decision_records;
 pub mod effect;
 pub mod event;
 pub mod health;
 pub(crate) mod home_dispatch;
 pub mod homes;
 pub mod membership;
+mod peer_messages;
 pub(crate) mod publication;
 
-use std::net;
 use std::sync;
 use std::time;
 
 use cardamomwinch_protocol::peer::configuration::ConfigurationMessage;
-use cardamomwinch_protocol::peer::membership::MembershipMessage;
-use cardamomwinch_protocol::prelude::{PeerEnvelope, PeerMessage};
+use cardamomwinch_protocol::prelude::PeerMessage;
 use cardamomwinch_state::prelude::{
-    ConfigurationVersion, DomainId, HostId, InForceConfiguration, SortedVector, Timestamp,
+    ConfigurationVersion, DomainId, InForceConfiguration, SortedVector, Timestamp,
 };
 
 use crate::bounds;
@@ -27,14 +27,11 @@
 use crate::control::adoption::refusal::RefusedDocument;
 use crate::control::effect::{ControlEffect, ControlSink};
 use crate::control::event::{ControlEvent, PlatformOutcome};
-use crate::control::health::{HealthChange, HealthTable, HealthTurn};
+use crate::control::health::{HealthTable, HealthTurn};
 use crate::control::homes::HomeTable;
-use crate::control::membership::{
-    MembershipContext, MembershipEvent, MembershipOutput, PeerMembership,
-};
+use crate::control::membership::{MembershipOutput, PeerMembership};
 use crate::control::publication::SnapshotPublisher;
 use crate::counter::Counter;
-use crate::decision::{DecisionReason, DecisionRecord};
 use crate::identity::HostIdentity;
 use crate::snapshot::ServingPhase;
 
@@ -187,7 +184,7 @@
         self.adoption.tick(now, &self.membership, &mut effects);
         self.apply(now, effects, sink);
         let mut output = MembershipOutput::default();
-        let context = membership_context(now, self.identity, &self.adoption);
+        let context = peer_messages::membership_context(now, self.identity, &self.adoption);
         self.membership.tick(&context, &mut output);
         self.apply_membership(now, output, sink);
         self.advance_homes(now, sink);
@@ -226,127 +223,6 @@
         self.publish(now, sink);
     }
 
-    fn health_record(&self, now: Timestamp, change: HealthChange) -> DecisionRecord {
-        DecisionRecord {
-            reason: DecisionReason::BackendHealth,
-            service: Some(change.service),
-            backend: Some(change.backend),
-            shard: Some(change.shard),
-            ..self.adopted_record(now)
-        }
-    }
-
-    fn send<S: ControlSink>(&mut self, host: HostId, message: PeerMessage, sink: &mut S) {
-        let entry = self.adoption.hosts().get(host);
-        if let Some(address) = entry.map(|entry| entry.peer_address) {
-            self.send_to(host, address, message, sink);
-        }
-    }
-
-    fn send_to<S: ControlSink>(
-        &mut self,
-        host: HostId,
-        address: net::SocketAddr,
-        message: PeerMessage,
-        sink: &mut S,
-    ) {
-        let envelope = PeerEnvelope {
-            sender: self.identity.host,
-            incarnation: self.identity.incarnation,
-            sequence: self.membership.next_sequence(),
-            message,
-        };
-        sink.emit(ControlEffect::ToPeer {
-            host,
-            address,
-            envelope,
-        });
-    }
-
-    fn take_peer<S: ControlSink>(&mut self, now: Timestamp, envelope: &PeerEnvelope, sink: &mut S) {
-        if self.adoption.hosts().get(envelope.sender).is_none() {
-            if let PeerMessage::Configuration(message) = &envelope.message {
-                // A host that starts, or whose list is old, learns from hosts
-                // that its own list does not name.
-                return self.take_configuration(now, envelope.sender, message, sink);
-            }
-            return sink.emit(ControlEffect::Count(Counter::PeerUnlisted));
-        }
-        let life = self
-            .membership
-            .get(envelope.sender)
-            .map(|peer| peer.incarnation);
-        if self.membership.note(now, envelope).is_err() {
-            // Messages about configuration may overtake one another: merging
-            // what they say can only raise the state, whereas dropping an
-            // offer that a later heartbeat has overtaken leaves a host behind.
-            if let PeerMessage::Configuration(message) = &envelope.message
-                && life.is_none_or(|life| life <= envelope.incarnation)
-            {
-                return self.take_configuration(now, envelope.sender, message, sink);
-            }
-            return sink.emit(ControlEffect::Count(Counter::PeerReplayed));
-        }
-        self.last_contact = now;
-        match &envelope.message {
-            PeerMessage::Membership(message) => {
-                self.take_membership(now, envelope, message, sink);
-                if let Some(digest) = message.digest() {
-                    let mut effects = Vec::new();
-                    let sender = envelope.sender;
-                    self.adoption.note_digest(now, sender, digest, &mut effects);
-                    self.apply(now, effects, sink);
-                }
-            }
-            PeerMessage::Home(message) => self.take_home(now, envelope, message, sink),
-            PeerMessage::Configuration(message) => {
-                self.take_configuration(now, envelope.sender, message, sink);
-            }
-        }
-    }
-
-    fn take_configuration<S: ControlSink>(
-        &mut self,
-        now: Timestamp,
-        sender: HostId,
-        message: &ConfigurationMessage,
-        sink: &mut S,
-    ) {
-        let mut effects = Vec::new();
-        self.adoption
-            .take_message(now, sender, message, &mut effects);
-        self.apply(now, effects, sink);
-    }
-
-    fn take_membership<S: ControlSink>(
-        &mut self,
-        now: Timestamp,
-        envelope: &PeerEnvelope,
-        message: &MembershipMessage,
-        sink: &mut S,
-    ) {
-        let mut output = MembershipOutput::default();
-        let context = membership_context(now, self.identity, &self.adoption);
-        self.membership
-            .take(&context, envelope, message, &mut output);
-        self.apply_membership(now, output, sink);
-    }
-
-    fn apply_membership<S: ControlSink>(
-        &mut self,
-        now: Timestamp,
-        output: MembershipOutput,
-        sink: &mut S,
-    ) {
-        for event in output.events {
-            let record = self.membership_record(now, event);
-            sink.emit(ControlEffect::Decide(record));
-        }
-        for send in output.sends {
-            self.send(send.host, PeerMessage::Membership(send.message), sink);
-        }
-    }
-
     fn take_platform<S: ControlSink>(
         &mut self,
         now: Timestamp,
@@ -421,37 +297,6 @@
         }
     }
 
-    fn adopted_record(&self, now: Timestamp) -> DecisionRecord {
-        self.record(now, DecisionReason::ConfigurationAdopted)
-    }
-
-    fn membership_record(&self, now: Timestamp, event: MembershipEvent) -> DecisionRecord {
-        match event {
-            MembershipEvent::Host { host, reachability } => DecisionRecord {
-                peer: Some(host),
-                ..self.record(now, DecisionReason::HostReachability(reachability))
-            },
-            MembershipEvent::Domain { domain, reachable } => {
-                let reason = DecisionReason::DomainReachability { domain, reachable };
-                self.record(now, reason)
-            }
-        }
-    }
-
-    fn record(&self, now: Timestamp, reason: DecisionReason) -> DecisionRecord {
-        DecisionRecord {
-            time: now,
-            host: self.identity.host,
-            version: self.adoption.version(),
-            reason,
-            flow: None,
-            service: None,
-            backend: None,
-            peer: None,
-            shard: None,
-        }
-    }
-
     /// Guards against a host that is cut off from every other and from the
     /// platform: by its address table it would go on sending packets to servers
     /// whose address has been given to another service meanwhile. It shows as
@@ -499,16 +344,3 @@
         sink.emit(ControlEffect::Publish(sync::Arc::new(snapshot)));
     }
 }
-
-fn membership_context(
-    now: Timestamp,
-    identity: HostIdentity,
-    adoption: &ConfigurationAdoption,
-) -> MembershipContext<'_> {
-    MembershipContext {
-        now,
-        identity,
-        hosts: adoption.hosts(),
-        digest: adoption.digest(),
-    }
-}
