Tell callers that may not repeat themselves once their server has left for good

Ruled out: a server that might answer late; it had left the list and its grace had passed. Change: three losses in a row on a server that has left end any flow. While the store lists a server, or it has just vanished, nothing changes for such callers. What is noted and what is decided stand in two functions now, where is_hopeless did both. Before: the new test ended with 'resent'; after: silent_server_reset at the third sending.

--- a/crates/cardamomwinch_coordination/src/forwarding/engine.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine.rs
@@ -318,7 +318,8 @@
         };
         let silence = self.observe(context, server, sink);
         let copies = silence.copies;
-        if self.is_hopeless(context, server, silence) {
+        let lost_thrice = self.note_losses(context, server, silence);
+        if self.is_over(context, server, silence, lost_thrice) {
             self.end(context);
             sink.reset();
             let outcome = ForwardingOutcome::SilentServerReset;
@@ -385,33 +386,44 @@
         silence
     }
 
-    /// Whether the caller waits in vain and would do better to send its request
-    /// again. Only idempotent requests can be sent again once they were sent:
-    /// for others a reset would only take the chance that an answer comes late.
+    /// Whether nobody will answer the flow any more, and its caller is to be told.
     ///
-    /// Guards against a server that went silent, such as by a loss of power: its
-    /// flows would wait until the deadlines of their callers. A server that is
-    /// merely busy acknowledges what it is sent, so that callers do not repeat it.
-    /// One repetition is not enough where the store has not lost the server and few
-    /// flows repeat themselves; the second one is, where nobody else saw the server
-    /// make progress meanwhile: hosts of large fleets see one or two flows of each
-    /// server, and no third one that could tell.
-    fn is_hopeless(
-        &mut self,
+    /// Guards against callers that wait until their deadlines for a server that has
+    /// gone. One repetition tells an idempotent caller, who asks again elsewhere, where
+    /// the store has lost the server or several flows meet silence; three losses in a
+    /// row do where nobody saw the server make progress meanwhile: hosts of large fleets
+    /// see one or two flows of each server. A caller that may not repeat itself gains
+    /// nothing by a reset while an answer may come; it is told where the store has given
+    /// the server up for good.
+    fn is_over(
+        &self,
         context: &PacketContext<'_>,
         server: &ServerRecord,
         silence: FlowSilence,
+        lost_thrice: bool,
     ) -> bool {
-        let repeatable = context.is_idempotent();
         let left = matches!(server.phase, ServerPhase::Left { .. });
-        let lost = left || (server.has_vanished() && context.view.is_complete(context.now));
-        let lost_thrice = silence.copies >= LONE_COPIES
+        let vanished = server.has_vanished() && context.view.is_complete(context.now);
+        let over = if context.is_idempotent() {
+            let silent = || self.progress.is_silent(server.id, context.now);
+            silence.copies >= HOPELESS_COPIES && (left || vanished || lost_thrice || silent())
+        } else {
+            left && silence.copies >= LONE_COPIES
+        };
+        over && self.progress.is_trustworthy(context.now)
+    }
+
+    /// Notes where the data of a flow were lost three times in a row, and whether that
+    /// says that the server has gone.
+    fn note_losses(
+        &mut self,
+        context: &PacketContext<'_>,
+        server: &ServerRecord,
+        silence: FlowSilence,
+    ) -> bool {
+        silence.copies >= LONE_COPIES
             && context.now.since(silence.since) >= LONE_SILENCE
-            && self.progress.note_lost_thrice(server.id, silence.since);
-        repeatable
-            && silence.copies >= HOPELESS_COPIES
-            && (lost || lost_thrice || self.progress.is_silent(server.id, context.now))
-            && self.progress.is_trustworthy(context.now)
+            && self.progress.note_lost_thrice(server.id, silence.since)
     }
 
     /// No known server has the token of the packet. Its server may have been added
--- a/crates/cardamomwinch_coordination/tests/forwarding_silence.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_silence.rs
@@ -195,6 +195,33 @@
     assert_eq!(second.outcomes, [ForwardingOutcome::SilentServerReset]);
 }
 
+/// A server lost power and the store has counted it as gone for long. A host that did
+/// not watch the flow gets a request on it that may run only once. Forwarded into the
+/// void again and again, it kept its caller waiting until the deadline, although
+/// nobody can answer any more.
+#[test]
+fn a_caller_that_may_not_repeat_is_told_once_its_server_has_left() {
+    let mut host = host_of_two(4);
+    host.adopt(document(2, vec![(service_address(), route(false))]));
+    let server = near_server(1).id;
+    host.change(|directory| {
+        directory.note_removed(server, StoreRevision::new(2), at(100));
+        directory.age(at(5_000), millis(60_000));
+    });
+    let repeat = data(999, server, 500, 1, 80);
+    assert_eq!(host.handle(at(5_000), &repeat).sent.len(), 1, "it may live");
+    show_life(&mut host, 5_100, near_server(2).id);
+    let once = host.handle(at(5_200), &repeat);
+    assert_eq!(
+        once.outcomes,
+        [ForwardingOutcome::Resent],
+        "its answer may be late"
+    );
+    show_life(&mut host, 5_500, near_server(2).id);
+    let twice = host.handle(at(5_600), &repeat);
+    assert_eq!(twice.outcomes, [ForwardingOutcome::SilentServerReset]);
+}
+
 /// Callers keep flows for later. Their server loses power; the next request that
 /// each sends on such a flow is lost, and one that may run only once is not sent
 /// again. Told before, callers open another flow.
