Make the indexes of servers once for all that are told together

What a peer tells of hundreds of servers was noted one by one, and each new one sorted both indexes anew. Ruled out: the lists that hosts read (the busiest host, which reads most, is as before). Change: ServerDirectory::note_all; note and merge use it.

--- a/crates/cardamomwinch_coordination/src/forwarding/directory.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/directory.rs
@@ -183,12 +183,23 @@
     /// Takes over what the store says of one server, unless something later is
     /// known.
     pub fn note(&mut self, record: ServerRecord) {
-        if self.knows_later(&record) {
-            return;
+        self.note_all([record]);
+    }
+
+    /// Takes over what the store says of some servers, unless something later is known
+    /// of them. The indexes are made once: made for each server, what a peer tells of
+    /// hundreds would keep a host of a large fleet busy for seconds.
+    pub fn note_all(&mut self, records: impl IntoIterator<Item = ServerRecord>) {
+        let mut moved = false;
+        for record in records {
+            if self.knows_later(&record) {
+                continue;
+            }
+            let place = (record.service, record.domain);
+            let known = self.servers.insert(record.id, record);
+            moved |= known.is_none_or(|known| (known.service, known.domain) != place);
         }
-        let place = (record.service, record.domain);
-        let known = self.servers.insert(record.id, record);
-        if known.is_none_or(|known| (known.service, known.domain) != place) {
+        if moved {
             self.index();
         }
     }
@@ -257,9 +268,9 @@
         if all {
             self.replace(listed, revision, now);
         } else {
-            listed.into_iter().for_each(|record| self.note(record));
+            self.note_all(listed);
         }
-        left.into_iter().for_each(|record| self.note(record));
+        self.note_all(left);
     }
 
     /// Ends the grace of servers that vanished, and forgets those that left so
