--- a/crates/cardamomwinch_forwarder/tests/soak.rs
+++ b/crates/cardamomwinch_forwarder/tests/soak.rs
@@ -12,6 +12,8 @@
 //! ```
 #![allow(clippy::unwrap_used, clippy::expect_used, missing_docs)]
 
+#[path = "soak/addresses.rs"]
+mod addresses;
 #[path = "soak/book.rs"]
 mod book;
 #[path = "soak/caller.rs"]
--- a/crates/cardamomwinch_forwarder/tests/soak/book.rs
+++ b/crates/cardamomwinch_forwarder/tests/soak/book.rs
@@ -39,6 +39,9 @@
     Store,
     /// The host that takes packets there.
     Host(net::SocketAddr),
+    /// The same while it stops as it was told to: that excuses delays, and nothing that
+    /// it does to flows.
+    StoppingHost(net::SocketAddr),
     /// One server.
     Server(ServerNumber),
 }
@@ -161,6 +164,12 @@
         })
     }
 
+    /// Whether bounds in time count for `host`.
+    fn is_in_touch(&self, host: net::SocketAddr, at: SoakTime) -> bool {
+        let parts = [DisturbedPart::Host(host), DisturbedPart::StoppingHost(host)];
+        parts.into_iter().all(|part| self.is_calm(part, at))
+    }
+
     fn is_serving(&self, server: ServerNumber, at: SoakTime) -> bool {
         let ended = self.ended.get(&server).is_some_and(|end| *end <= at);
         !ended && self.is_calm(DisturbedPart::Server(server), at)
@@ -282,8 +291,7 @@
             let what = format!("{flow} to port {route} opened at {server:x} of {service}");
             entries.break_promise(Promise::OwnService, what);
         }
-        let in_touch = self.timed && entries.is_calm(DisturbedPart::Host(host), at);
-        if !in_touch {
+        if !self.timed || !entries.is_in_touch(host, at) {
             return;
         }
         let dropped = entries.route_in_force(route, at);
@@ -337,8 +345,8 @@
             return;
         };
         let server = record.server;
-        let in_touch = entries.is_calm(DisturbedPart::Host(host), at);
-        if self.timed && !dropped && in_touch && entries.is_serving(server, at) {
+        let undisturbed = entries.is_calm(DisturbedPart::Host(host), at);
+        if self.timed && !dropped && undisturbed && entries.is_serving(server, at) {
             let what = format!("{flow} of {server:x} was reset by {host} at {at:?}");
             entries.break_promise(Promise::FlowKept, what);
         }
@@ -360,7 +368,7 @@
     pub(crate) fn note_refusal(&self, flow: FlowEnd, route: u16, host: net::SocketAddr) {
         let at = self.now();
         let mut entries = self.lock();
-        let in_touch = self.timed && entries.is_calm(DisturbedPart::Host(host), at);
+        let in_touch = self.timed && entries.is_in_touch(host, at);
         let present = entries.route_in_force(route, at);
         let present = present.is_some_and(|change| change.service.is_some());
         // A caller whose server has gone is told so, whatever its route.
--- a/crates/cardamomwinch_forwarder/tests/soak/fleet.rs
+++ b/crates/cardamomwinch_forwarder/tests/soak/fleet.rs
@@ -168,8 +168,8 @@
         if let Some(process) = &mut host.process {
             process.terminate();
             host.stopping = Some(time::Instant::now());
-            // Planned work excuses nothing but delays.
-            host.start_guard = Some(book.disturb(DisturbedPart::Host(host.order.traffic)));
+            let part = DisturbedPart::StoppingHost(host.order.traffic);
+            host.start_guard = Some(book.disturb(part));
         }
     }
 
@@ -261,6 +261,8 @@
                 }
                 self.stopping = None;
                 self.process = None;
+                let part = DisturbedPart::Host(self.order.traffic);
+                self.start_guard = Some(book.disturb(part));
             }
             (None, Some(since)) if since.elapsed() > STOP_LIMIT && book.is_timed() => {
                 let what = format!("{name} has not ended {STOP_LIMIT:?} after it was told to");
--- a/crates/cardamomwinch_forwarder/tests/soak/world.rs
+++ b/crates/cardamomwinch_forwarder/tests/soak/world.rs
@@ -4,7 +4,6 @@
 use std::net;
 use std::path;
 use std::sync;
-use std::sync::atomic;
 use std::thread;
 use std::time;
 
@@ -12,6 +11,7 @@
 use cardamomwinch_standin::faults::{CutMode, DatagramFaults};
 use cardamomwinch_standin::proxy::ProxyStandin;
 
+use crate::addresses::AddressBlock;
 use crate::book::{DisturbanceGuard, DisturbedPart, Promise, RequestCounts, SoakBook, Violation};
 use crate::caller::{CallerHabit, SoakCaller};
 use crate::fleet::HostFleet;
@@ -64,41 +64,6 @@
 /// So many answers in a row, without a request that fails, show the recovery.
 const GOOD_ANSWERS: u64 = 60;
 
-static BLOCKS: atomic::AtomicU32 = atomic::AtomicU32::new(0);
-
-/// Addresses of the loopback network that only this run uses.
-#[derive(Debug, Clone, Copy)]
-struct AddressBlock {
-    first: [u8; 3],
-    /// The port of packets, alike for hosts, servers and callers.
-    port: u16,
-}
-
-impl AddressBlock {
-    const HOSTS: u8 = 1;
-    const MISTAKEN: u8 = 50;
-    const SERVERS: u8 = 60;
-    const CALLERS: u8 = 200;
-
-    fn choose() -> Self {
-        let process = std::process::id();
-        let block = BLOCKS.fetch_add(1, atomic::Ordering::Relaxed);
-        let second = 64 + (process / 251 % 150) as u8;
-        let third = ((process % 251) + block) as u8;
-        let first = [127, second, third];
-        let probe = net::SocketAddr::from(([first[0], first[1], first[2], 254], 0));
-        let probe = net::UdpSocket::bind(probe).expect("the whole loopback network is there");
-        let port = probe.local_addr().expect("the socket is bound").port();
-        Self { first, port }
-    }
-
-    fn address(&self, number: u8, offset: u16) -> net::SocketAddrV4 {
-        let [a, b, c] = self.first;
-        // Three ports follow that of packets.
-        net::SocketAddrV4::new([a, b, c, number].into(), self.port.min(65_000) + offset)
-    }
-}
-
 /// What happens later, in the order of its making.
 enum DueAction {
     /// The guard ends with it.
@@ -152,7 +117,7 @@
 }
 
 impl SoakWorld {
-    /// Starts everything; returns once all hosts are ready.
+    /// Starts everything; returns once all processes run.
     pub(crate) fn start(
         plan: SoakPlan,
         timed: bool,
