--- a/crates/cardamomwinch_coordination/tests/forwarding_beliefs.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_beliefs.rs
@@ -398,3 +398,51 @@
     engine.handle_store(at(2_500), changes((1..=2).map(removed).collect(), 12));
     assert!(engine.view().is_complete(at(2_600)));
 }
+
+/// Hundreds of hosts start together after all lost power, and the list of thousands of
+/// servers takes seconds to read. What its first page names can be used at once;
+/// nothing can be taken as missing, and the fabric is not told that the host is ready.
+#[test]
+fn what_a_page_names_is_used_before_the_last_one_is_read() {
+    let mut engine = engine(1);
+    let first_page = StoreOutcome::Page {
+        items: vec![routes(1), server_entry(1, 5, false)],
+        revision: revision(10),
+        next: Some("servers/1".to_owned()),
+    };
+    engine.handle_store(at(0), first_page);
+    let view = engine.view();
+    assert!(view.is_usable() && !view.is_whole());
+    assert!(!view.is_complete(at(1)));
+    assert_eq!(phase(&engine, 1), Some(ServerPhase::Active));
+    assert_eq!(
+        engine.revision(),
+        StoreRevision::ZERO,
+        "peers are told nothing"
+    );
+    engine.handle_store(at(500), page(vec![server_entry(2, 6, false)], 12));
+    assert!(engine.view().is_whole());
+    assert_eq!(phase(&engine, 1), Some(ServerPhase::Active));
+    assert_eq!(phase(&engine, 2), Some(ServerPhase::Active));
+}
+
+/// A list is read anew because the history was gone, and it names a server that left
+/// since its page was read, as a peer has told meanwhile. It must not come back.
+#[test]
+fn a_page_does_not_undo_what_a_peer_told_later() {
+    let mut engine = started(1);
+    let mut peer = started_of("far", 2);
+    peer.handle_store(at(100), changes(vec![server_entry(1, 21, true)], 21));
+    engine.handle_store(at(100), StoreOutcome::Failed);
+    let word = ask(&mut peer, &mut engine, 200);
+    engine.handle_peer(at(200), host_address(2), Some(word));
+    engine.handle_store(at(210), StoreOutcome::Paused);
+    engine.handle_store(at(220), StoreOutcome::HistoryGone);
+    let first_page = StoreOutcome::Page {
+        items: vec![routes(1), server_entry(1, 5, false)],
+        revision: revision(20),
+        next: Some("servers/1".to_owned()),
+    };
+    engine.handle_store(at(230), first_page);
+    assert_eq!(phase(&engine, 1), Some(ServerPhase::Draining));
+}
--- a/crates/cardamomwinch_forwarder/src/view_cell.rs
+++ b/crates/cardamomwinch_forwarder/src/view_cell.rs
@@ -48,6 +48,7 @@
 
 impl ReadinessSource for ViewCell {
     fn is_ready(&self) -> bool {
-        !self.stopping.load(atomic::Ordering::Relaxed) && self.borrow().is_usable()
+        let view = self.borrow();
+        !self.stopping.load(atomic::Ordering::Relaxed) && view.is_usable() && view.is_whole()
     }
 }
