--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
@@ -234,14 +234,6 @@
             StoreOutcome::Failed => self.note_store_silent(now),
             _ => self.note_store_heard(now),
         }
-        if let StoreOutcome::Page {
-            items,
-            next: Some(_),
-            ..
-        } = &outcome
-        {
-            self.use_page(now, items);
-        }
         if let Some(step) = self.reader.handle(outcome) {
             self.take_step(now, step);
         }
@@ -280,24 +272,6 @@
         }
     }
 
-    /// Uses what a page names before the pages behind it are read.
-    ///
-    /// Guards against a long outage after all hosts lost power, when hundreds read a
-    /// list of thousands of servers together. It shows as seconds in which hosts are up
-    /// and forward nothing. A server that a page names can take packets whatever the
-    /// other pages hold; what is missing is judged by the whole list only.
-    fn use_page(&mut self, now: Timestamp, items: &[StoreChange]) {
-        let mut records = Vec::new();
-        for item in items {
-            match item {
-                StoreChange::Routes(document) => self.adopt_routes(document.clone()),
-                StoreChange::Server(entry) => records.push(entry.clone().into_record(now)),
-                StoreChange::ServerRemoved { .. } => {}
-            }
-        }
-        sync::Arc::make_mut(&mut self.directory).note_all(records);
-    }
-
     fn take_listing(&mut self, now: Timestamp, items: Vec<StoreChange>, revision: StoreRevision) {
         let mut records = Vec::new();
         for item in items {
--- a/crates/cardamomwinch_coordination/src/forwarding/engine.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine.rs
@@ -168,11 +168,6 @@
         let Some(service) = route.service_for(context.hash) else {
             return Self::refuse_server(context, copy, sink);
         };
-        if !context.view.is_whole() {
-            // Every host that starts reads the same part of the store's list first. Were
-            // openings placed by it, few servers would get the callers of all hosts.
-            return Self::refuse_server(context, copy, sink);
-        }
         match self.watch.get(context.hash, &context.packet.flow).copied() {
             Some(watched) => self.repeat_opening(context, service, watched, copy, sink),
             None => self.place(context, service, copy, sink),
@@ -194,7 +189,7 @@
     fn refuse_server<S: ForwardingSink>(context: &PacketContext<'_>, copy: u32, sink: &mut S) {
         // A server may come between two copies. After the last one the caller
         // would only wait in vain.
-        if copy >= LAST_COPY && context.view.is_whole() {
+        if copy >= LAST_COPY {
             sink.reset();
             context.record(ForwardingOutcome::NoServerReset, None, copy, 0, sink);
         } else {
--- a/crates/cardamomwinch_coordination/src/forwarding/view.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/view.rs
@@ -37,12 +37,6 @@
         !self.routes.is_empty() && !self.directory.is_empty()
     }
 
-    /// Whether everything was learned once. Before, what a part of the store's list
-    /// names can be used, and nothing else is known.
-    pub fn is_whole(&self) -> bool {
-        self.heard_at > Timestamp::ZERO
-    }
-
     /// Whether routes and servers are those of `other`.
     pub fn holds_same(&self, other: &Self) -> bool {
         sync::Arc::ptr_eq(&self.routes, &other.routes)
--- a/crates/cardamomwinch_coordination/tests/forwarding_routes.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_routes.rs
@@ -162,21 +162,3 @@
     let later = host.handle(at(1_600), &packet);
     assert_eq!(later.outcomes, [ForwardingOutcome::UnknownTokenReset]);
 }
-
-/// All hosts start together and read the same first page of the store's list. Were
-/// openings placed by it, a sixth of the servers would get all callers of the fleet,
-/// whose flows are long and stay there. Data of open flows go through.
-#[test]
-fn openings_wait_until_the_whole_list_is_read() {
-    let mut host = TestHost::new(vec![near_server(1)]);
-    host.view.heard_at = Timestamp::ZERO;
-    for copy in 0..3 {
-        let now = at(10 + 200 * u64::from(copy));
-        let sink = host.handle_stale(now, &opening(1, copy));
-        assert_eq!((sink.held, sink.resets, sink.sent.len()), (1, 0, 0));
-    }
-    let open_flow = data(2, near_server(1).id, 500, 1, 80);
-    assert_eq!(host.handle_stale(at(700), &open_flow).sent.len(), 1);
-    let sink = host.handle(at(800), &opening(1, 2));
-    assert_eq!(sink.sent.len(), 1);
-}
--- a/crates/cardamomwinch_forwarder/src/view_cell.rs
+++ b/crates/cardamomwinch_forwarder/src/view_cell.rs
@@ -48,7 +48,6 @@
 
 impl ReadinessSource for ViewCell {
     fn is_ready(&self) -> bool {
-        let view = self.borrow();
-        !self.stopping.load(atomic::Ordering::Relaxed) && view.is_usable() && view.is_whole()
+        !self.stopping.load(atomic::Ordering::Relaxed) && self.borrow().is_usable()
     }
 }
