Tell in the log when peers and the own domain's servers are lost and regained

The store had them; a peer that did not answer showed as a failed call each time, and nothing told that it was back, nor that a failure domain had no server of a service left. Change: peer_lost and peer_regained, own_servers_lost and own_servers_regained, once each. Both new tests failed to compile before, for want of the changes they name; they pass, and so do all tests of beliefs and sources.

--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
@@ -4,6 +4,7 @@
 //! Versions of the configuration and revisions of the directory only rise; who
 //! brings the higher one is believed, whether the store or a peer that read it.
 
+pub mod own_servers;
 pub mod peer_book;
 mod peer_exchange;
 pub mod peer_word;
@@ -16,8 +17,9 @@
 use std::sync;
 use std::time;
 
-use cardamomwinch_state::prelude::{ConfigurationVersion, DomainId, Timestamp};
+use cardamomwinch_state::prelude::{ConfigurationVersion, DomainId, ServiceId, Timestamp};
 
+use crate::forwarding::beliefs::own_servers::OwnServices;
 use crate::forwarding::beliefs::peer_book::PeerBook;
 use crate::forwarding::beliefs::peer_word::PeerQuestion;
 use crate::forwarding::beliefs::read_source::{ReadSource, SourceChoice};
@@ -90,6 +92,26 @@
         /// How long it could not be read.
         silence: time::Duration,
     },
+    /// A peer does not answer.
+    PeerLost {
+        /// The peer.
+        peer: net::SocketAddr,
+    },
+    /// A peer that did not answer lives.
+    PeerRegained {
+        /// The peer.
+        peer: net::SocketAddr,
+    },
+    /// No server of the own failure domain takes flows of a service any more.
+    OwnServersLost {
+        /// The service.
+        service: ServiceId,
+    },
+    /// One does again.
+    OwnServersRegained {
+        /// The service.
+        service: ServiceId,
+    },
     /// The host learns from somewhere else than before.
     SourceChanged {
         /// From there.
@@ -128,6 +150,7 @@
     told_hosts_at: Option<Timestamp>,
     /// Whether the last one who answered knows other hosts.
     knows_other_hosts: bool,
+    own_services: OwnServices,
     changes: Vec<BeliefChange>,
 }
 
@@ -151,6 +174,7 @@
             asked_revision: StoreRevision::ZERO,
             told_hosts_at: None,
             knows_other_hosts: true,
+            own_services: OwnServices::default(),
             settings,
             changes: Vec::new(),
         }
@@ -252,6 +276,13 @@
             }
         }
         self.doubt_vanished(now);
+        self.review_own_servers();
+    }
+
+    fn review_own_servers(&mut self) {
+        let domain = self.settings.domain;
+        let changes = self.own_services.review(&self.directory, domain);
+        self.changes.extend(changes);
     }
 
     /// Takes it for an outage of the store where many servers have just vanished.
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_book.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_book.rs
@@ -203,35 +203,41 @@
             .map(|(address, _)| address)
     }
 
-    /// `host` itself has asked, so that it lives, and knows `hosts`.
-    pub fn note_question(&mut self, host: PeerHost, hosts: &[PeerHost]) {
+    /// `host` itself has asked, so that it lives, and knows `hosts`. Returns whether it
+    /// did not answer until then.
+    pub fn note_question(&mut self, host: PeerHost, hosts: &[PeerHost]) -> bool {
         self.add(host);
-        self.note_life(host.address);
+        let regained = self.note_life(host.address);
         for other in hosts {
             self.add(*other);
         }
+        regained
     }
 
-    fn note_life(&mut self, address: net::SocketAddr) {
-        if let Some(entry) = self.peers.get_mut(&address) {
-            entry.silences = 0;
-            entry.shunned_until = Timestamp::ZERO;
-        }
+    fn note_life(&mut self, address: net::SocketAddr) -> bool {
+        let Some(entry) = self.peers.get_mut(&address) else {
+            return false;
+        };
+        entry.shunned_until = Timestamp::ZERO;
+        std::mem::take(&mut entry.silences) > 0
     }
 
-    /// `peer` answered, and knows `hosts`.
-    pub fn note_answer(&mut self, peer: net::SocketAddr, hosts: &[PeerHost]) {
-        self.note_life(peer);
+    /// `peer` answered, and knows `hosts`. Returns whether it did not answer until then.
+    pub fn note_answer(&mut self, peer: net::SocketAddr, hosts: &[PeerHost]) -> bool {
+        let regained = self.note_life(peer);
         for host in hosts {
             self.add(*host);
         }
+        regained
     }
 
-    /// `peer` did not answer.
-    pub fn note_silent(&mut self, peer: net::SocketAddr, now: Timestamp) {
-        if let Some(entry) = self.peers.get_mut(&peer) {
-            entry.silences = entry.silences.saturating_add(1);
-            entry.shunned_until = now.after(SHUNNING * entry.silences.min(SILENCE_LIMIT));
-        }
+    /// `peer` did not answer. Returns whether it did until then.
+    pub fn note_silent(&mut self, peer: net::SocketAddr, now: Timestamp) -> bool {
+        let Some(entry) = self.peers.get_mut(&peer) else {
+            return false;
+        };
+        entry.silences = entry.silences.saturating_add(1);
+        entry.shunned_until = now.after(SHUNNING * entry.silences.min(SILENCE_LIMIT));
+        entry.silences == 1
     }
 }
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_exchange.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_exchange.rs
@@ -110,7 +110,10 @@
         let heard_at = self.heard_at;
         match word {
             Some(word) => self.take_word(now, peer, word),
-            None => self.peers.note_silent(peer, now),
+            None if self.peers.note_silent(peer, now) => {
+                self.changes.push(BeliefChange::PeerLost { peer });
+            }
+            None => {}
         }
         // Who answers at once without anything new has too many questions.
         let learned = self.heard_at >= heard_at.after(LEAST_ADVANCE);
@@ -124,7 +127,9 @@
     }
 
     fn take_word(&mut self, now: Timestamp, peer: net::SocketAddr, word: PeerWord) {
-        self.peers.note_answer(peer, &word.hosts);
+        if self.peers.note_answer(peer, &word.hosts) {
+            self.changes.push(BeliefChange::PeerRegained { peer });
+        }
         if let Some(digest) = word.hosts_digest {
             self.knows_other_hosts = digest != self.peers.digest();
         }
@@ -176,6 +181,7 @@
         }
         let directory = sync::Arc::make_mut(&mut self.directory);
         directory.merge(servers, all, revision, now);
+        self.review_own_servers();
         self.revision = revision;
         self.reader.skip_to(revision);
     }
@@ -213,7 +219,10 @@
 
     /// Answers a peer. It also learns that the peer is there.
     pub fn answer_peer(&mut self, now: Timestamp, question: &PeerQuestion) -> PeerWord {
-        self.peers.note_question(question.host, &question.hosts);
+        if self.peers.note_question(question.host, &question.hosts) {
+            let peer = question.host.address;
+            self.changes.push(BeliefChange::PeerRegained { peer });
+        }
         let starting = !question.knows_left;
         let extent = self.extent_for(question);
         let describe = |server| PeerServer::from_record(server, now);
--- a/crates/cardamomwinch_coordination/tests/forwarding_beliefs.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_beliefs.rs
@@ -398,3 +398,36 @@
     engine.handle_store(at(2_500), changes((1..=2).map(removed).collect(), 12));
     assert!(engine.view().is_complete(at(2_600)));
 }
+
+/// A peer dies and comes back. An engineer who looks for the cause of late changes must
+/// find when, and one line each, however often it is asked.
+#[test]
+fn a_peer_is_told_as_lost_and_regained_once() {
+    let mut host = started(1);
+    let peer = host_address(2);
+    host.handle_peer(at(10), peer, None);
+    host.handle_peer(at(20), peer, None);
+    assert_eq!(host.take_changes(), [BeliefChange::PeerLost { peer }]);
+    let mut other = started(2);
+    let (_, question) = other.next_peer(at(30)).unwrap();
+    host.answer_peer(at(30), &question);
+    assert_eq!(host.take_changes(), [BeliefChange::PeerRegained { peer }]);
+    host.answer_peer(at(40), &question);
+    assert_eq!(host.take_changes(), []);
+}
+
+/// All servers of a service in the own domain leave, and later one comes. Callers are
+/// served elsewhere meanwhile, later than usual; the log must say from when to when.
+#[test]
+fn a_domain_without_servers_is_told_as_lost_and_regained() {
+    let mut host = started(1);
+    let desk = service("desk");
+    host.handle_store(at(10), changes(vec![server_entry(1, 11, true)], 11));
+    let lost = BeliefChange::OwnServersLost { service: desk };
+    assert!(!host.take_changes().contains(&lost), "one of two is left");
+    host.handle_store(at(20), changes(vec![server_entry(2, 12, true)], 12));
+    assert!(host.take_changes().contains(&lost));
+    host.handle_store(at(30), changes(vec![server_entry(3, 13, false)], 13));
+    let regained = BeliefChange::OwnServersRegained { service: desk };
+    assert!(host.take_changes().contains(&regained));
+}
--- a/crates/cardamomwinch_forwarder/src/belief_lines.rs
+++ b/crates/cardamomwinch_forwarder/src/belief_lines.rs
@@ -51,6 +51,26 @@
         /// How long it could not.
         silence_ms: u64,
     },
+    /// A peer does not answer.
+    PeerLost {
+        /// The peer.
+        peer: net::SocketAddr,
+    },
+    /// A peer that did not answer lives.
+    PeerRegained {
+        /// The peer.
+        peer: net::SocketAddr,
+    },
+    /// No server of the own domain takes flows of a service any more.
+    OwnServersLost {
+        /// The service, by identifier.
+        service: String,
+    },
+    /// One does again.
+    OwnServersRegained {
+        /// The service, by identifier.
+        service: String,
+    },
     /// The host learns from somewhere else than before.
     Source {
         /// `store`, or the peer.
@@ -106,6 +126,14 @@
             BeliefChange::StoreRegained { silence } => Self::StoreRegained {
                 silence_ms: silence.as_millis() as u64,
             },
+            BeliefChange::PeerLost { peer } => Self::PeerLost { peer: *peer },
+            BeliefChange::PeerRegained { peer } => Self::PeerRegained { peer: *peer },
+            BeliefChange::OwnServersLost { service } => Self::OwnServersLost {
+                service: service.to_string(),
+            },
+            BeliefChange::OwnServersRegained { service } => Self::OwnServersRegained {
+                service: service.to_string(),
+            },
             BeliefChange::SourceChanged { source } => Self::Source {
                 source: source.to_string(),
             },
@@ -129,6 +157,10 @@
             Self::Server { .. } => "server_changed",
             Self::Listing { .. } => "servers_listed",
             Self::ManyVanished { .. } => "many_vanished",
+            Self::PeerLost { .. } => "peer_lost",
+            Self::PeerRegained { .. } => "peer_regained",
+            Self::OwnServersLost { .. } => "own_servers_lost",
+            Self::OwnServersRegained { .. } => "own_servers_regained",
             Self::StoreLost {} => "store_lost",
             Self::StoreRegained { .. } => "store_regained",
             Self::Source { .. } => "source_changed",
