Let a word from outside cost one thing, and know servers that start again

An entry of a server must hold every field that servers write; one that does not names no server for new flows, and flows that its server holds go on. A malformed item no longer fails a whole answer. Servers may start again under their identifier: entries tell when the process started, peers pass it on, and another start lets load, suspicions and response times begin anew and ends flows that rest on the earlier process. A caller that waits is left to the server's own reset.

--- a/crates/cardamomwinch_coordination/examples/forwarding_cost.rs
+++ b/crates/cardamomwinch_coordination/examples/forwarding_cost.rs
@@ -56,6 +56,7 @@
         service: ServiceId::new(u64::from(number % services)),
         domain: DomainId::new(u64::from(number / services % 10)),
         slots: SlotCount::new(2),
+        started: None,
         phase: ServerPhase::Active,
         warm_at: Timestamp::ZERO,
         changed: StoreRevision::new(1),
@@ -81,7 +82,12 @@
 fn view(servers: u32, services: u32) -> ForwardingView {
     let mut directory = ServerDirectory::default();
     let records = (0..servers).map(|number| server(number, services));
-    directory.replace(records.collect(), StoreRevision::new(1), Timestamp::ZERO);
+    directory.replace(
+        records.collect(),
+        &[],
+        StoreRevision::new(1),
+        Timestamp::ZERO,
+    );
     let mut routes = RouteTable::default();
     routes.adopt(RouteDocument {
         version: ConfigurationVersion::new(1),
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
@@ -17,7 +17,9 @@
 use std::sync;
 use std::time;
 
-use cardamomwinch_state::prelude::{ConfigurationVersion, DomainId, ServiceId, Timestamp};
+use cardamomwinch_state::prelude::{
+    BackendId, ConfigurationVersion, DomainId, ServiceId, Timestamp,
+};
 
 use crate::forwarding::beliefs::own_servers::OwnServices;
 use crate::forwarding::beliefs::peer_book::PeerBook;
@@ -305,15 +307,18 @@
 
     fn take_listing(&mut self, now: Timestamp, items: Vec<StoreChange>, revision: StoreRevision) {
         let mut records = Vec::new();
+        let mut unreadable = Vec::new();
         for item in items {
             match item {
                 StoreChange::Routes(document) => self.adopt_routes(document),
                 StoreChange::Server(entry) => records.push(entry.into_record(now)),
+                StoreChange::ServerUnreadable { id, revision } => unreadable.push((id, revision)),
                 StoreChange::ServerRemoved { .. } => {}
             }
         }
         let servers = records.len();
-        sync::Arc::make_mut(&mut self.directory).replace(records, revision, now);
+        let directory = sync::Arc::make_mut(&mut self.directory);
+        directory.replace(records, &unreadable, revision, now);
         self.advance(now, revision);
         let change = BeliefChange::ServersListed { revision, servers };
         self.changes.push(change);
@@ -328,16 +333,23 @@
         match change {
             StoreChange::Routes(document) => self.adopt_routes(document),
             StoreChange::Server(entry) => self.note_server(entry, now),
+            StoreChange::ServerUnreadable { id, revision } => {
+                sync::Arc::make_mut(&mut self.directory).note_unreadable(id, revision);
+                self.tell_server(id);
+            }
             StoreChange::ServerRemoved { id, revision } => {
-                let directory = sync::Arc::make_mut(&mut self.directory);
-                directory.note_removed(id, revision, now);
-                if let Some(server) = directory.get(id).cloned() {
-                    self.changes.push(BeliefChange::ServerChanged { server });
-                }
+                sync::Arc::make_mut(&mut self.directory).note_removed(id, revision, now);
+                self.tell_server(id);
             }
         }
     }
 
+    fn tell_server(&mut self, id: BackendId) {
+        if let Some(server) = self.directory.get(id).cloned() {
+            self.changes.push(BeliefChange::ServerChanged { server });
+        }
+    }
+
     fn note_server(&mut self, entry: ServerEntry, now: Timestamp) {
         let server = entry.into_record(now);
         sync::Arc::make_mut(&mut self.directory).note(server.clone());
@@ -388,6 +400,7 @@
     fn into_record(self, now: Timestamp) -> ServerRecord {
         ServerRecord {
             id: self.id,
+            started: self.started,
             address: self.address,
             service: self.service,
             domain: self.domain,
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_word.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_word.rs
@@ -7,7 +7,7 @@
     BackendId, ConfigurationVersion, DomainId, ServiceId, SlotCount, Timestamp,
 };
 
-use crate::forwarding::beliefs::store_call::StoreRevision;
+use crate::forwarding::beliefs::store_call::{ServerStart, StoreRevision};
 use crate::forwarding::directory::{ServerPhase, ServerRecord};
 use crate::forwarding::routes::RouteDifference;
 
@@ -45,8 +45,10 @@
 /// are told instead.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerServer {
-    /// The incarnation.
+    /// Its identifier.
     pub id: BackendId,
+    /// When its process started, where it says so.
+    pub started: Option<ServerStart>,
     /// Where it takes packets.
     pub address: net::SocketAddr,
     /// The service that it serves.
@@ -57,6 +59,8 @@
     pub slots: SlotCount,
     /// Whether it is about to leave.
     pub draining: bool,
+    /// Whether its entry cannot be understood.
+    pub unreadable: bool,
     /// How long ago it was taken off the store's list, if it was.
     pub unlisted_for: Option<time::Duration>,
     /// Whether its entry vanished without a word before.
@@ -72,13 +76,15 @@
     pub fn from_record(server: &ServerRecord, now: Timestamp) -> Self {
         Self {
             id: server.id,
+            started: server.started,
             address: server.address,
             service: server.service,
             domain: server.domain,
             slots: server.slots,
             draining: server.phase == ServerPhase::Draining,
+            unreadable: server.phase == ServerPhase::Unreadable,
             unlisted_for: match server.phase {
-                ServerPhase::Active | ServerPhase::Draining => None,
+                ServerPhase::Active | ServerPhase::Draining | ServerPhase::Unreadable => None,
                 ServerPhase::Vanished { since } | ServerPhase::Left { since } => {
                     Some(now.since(since))
                 }
@@ -95,11 +101,13 @@
         let phase = match since {
             Some(since) if self.vanished => ServerPhase::Vanished { since },
             Some(since) => ServerPhase::Left { since },
+            None if self.unreadable => ServerPhase::Unreadable,
             None if self.draining => ServerPhase::Draining,
             None => ServerPhase::Active,
         };
         ServerRecord {
             id: self.id,
+            started: self.started,
             address: self.address,
             service: self.service,
             domain: self.domain,
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_call.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_call.rs
@@ -45,11 +45,48 @@
     }
 }
 
+/// When a process of a server started, in milliseconds since the Unix epoch by the
+/// clock of its own host. A server that starts again may keep its identifier; only
+/// this tells that it is another incarnation, which holds no flow of the earlier one.
+/// Another value under the same identifier is another incarnation. Which of two is the
+/// later one is told by the revisions that wrote them: clocks jump, revisions do not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+pub struct ServerStart(u64);
+
+impl ServerStart {
+    /// Wraps a number of milliseconds.
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// The number of milliseconds.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for ServerStart {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
+
+impl str::FromStr for ServerStart {
+    type Err = num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
 /// A server as the store lists it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerEntry {
-    /// The incarnation.
+    /// Its identifier.
     pub id: BackendId,
+    /// When its process started, where it says so.
+    pub started: Option<ServerStart>,
     /// Where it takes packets.
     pub address: net::SocketAddr,
     /// The service that it serves.
@@ -92,6 +129,13 @@
     Routes(RouteDocument),
     /// A server was written.
     Server(ServerEntry),
+    /// A server has an entry that cannot be understood.
+    ServerUnreadable {
+        /// The server.
+        id: BackendId,
+        /// The revision that wrote the entry.
+        revision: StoreRevision,
+    },
     /// A server was taken off the list.
     ServerRemoved {
         /// The incarnation.
--- a/crates/cardamomwinch_coordination/src/forwarding/directory.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/directory.rs
@@ -7,7 +7,7 @@
     BackendId, DomainId, ServiceId, SlotCount, SortedVector, Timestamp,
 };
 
-use crate::forwarding::beliefs::store_call::StoreRevision;
+use crate::forwarding::beliefs::store_call::{ServerStart, StoreRevision};
 use crate::forwarding::packet::FlowToken;
 use crate::forwarding::routes::RouteEntry;
 
@@ -23,6 +23,9 @@
     Active,
     /// It is about to leave and takes no new flows.
     Draining,
+    /// Its entry cannot be understood any more. It takes no new flows; those that it
+    /// holds go on until the entry is gone.
+    Unreadable,
     /// Its entry vanished without a word before.
     Vanished {
         /// When this host learned so.
@@ -35,11 +38,14 @@
     },
 }
 
-/// One incarnation of a backend server.
+/// What is known of one backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerRecord {
-    /// The incarnation; a restarted server is another one.
+    /// Its identifier. A server that starts again has another one or the same.
     pub id: BackendId,
+    /// When its process started, where it says so: tells incarnations with one
+    /// identifier apart.
+    pub started: Option<ServerStart>,
     /// Where it takes packets.
     pub address: net::SocketAddr,
     /// The service that it serves.
@@ -59,7 +65,10 @@
 impl ServerRecord {
     /// Whether the entry of the server is in the store.
     pub const fn is_listed(&self) -> bool {
-        matches!(self.phase, ServerPhase::Active | ServerPhase::Draining)
+        matches!(
+            self.phase,
+            ServerPhase::Active | ServerPhase::Draining | ServerPhase::Unreadable
+        )
     }
 
     /// Whether the store took the server off its list without a word before.
@@ -70,7 +79,7 @@
     /// Whether `now` is so late that no flow can be left on the server.
     fn is_forgotten(&self, now: Timestamp, flow_lifetime: time::Duration) -> bool {
         match self.phase {
-            ServerPhase::Active | ServerPhase::Draining => false,
+            ServerPhase::Active | ServerPhase::Draining | ServerPhase::Unreadable => false,
             ServerPhase::Vanished { since } | ServerPhase::Left { since } => {
                 now.since(since) > flow_lifetime
             }
@@ -209,6 +218,16 @@
         known.is_some_and(|known| known.changed > record.changed)
     }
 
+    /// Since `revision` the entry of `id` cannot be understood, unless something later
+    /// is known. A server that was not known before stays unknown.
+    pub fn note_unreadable(&mut self, id: BackendId, revision: StoreRevision) {
+        let known = self.servers.get_mut(&id);
+        if let Some(server) = known.filter(|one| one.changed < revision) {
+            server.changed = revision;
+            server.phase = ServerPhase::Unreadable;
+        }
+    }
+
     /// Since `revision` the store no longer lists `id`, unless something later is
     /// known.
     pub fn note_removed(&mut self, id: BackendId, revision: StoreRevision, now: Timestamp) {
@@ -216,23 +235,37 @@
         if let Some(server) = self.servers.get_mut(&id).filter(listed) {
             server.changed = revision;
             server.phase = match server.phase {
-                ServerPhase::Active => ServerPhase::Vanished { since: now },
+                ServerPhase::Active | ServerPhase::Unreadable => {
+                    ServerPhase::Vanished { since: now }
+                }
                 ServerPhase::Draining => ServerPhase::Left { since: now },
                 earlier => earlier,
             };
         }
     }
 
-    /// Takes over a whole listing, read at `revision`: servers that it lacks are no
-    /// longer listed.
+    /// Takes over a whole listing, read at `revision`: servers that are neither in
+    /// `records` nor `unreadable` are no longer listed.
     ///
     /// What is known from a later revision stays. Guards against a peer that tells of
     /// a change while the pages are read: without this a server that has just come
     /// would seem to vanish, and one that leaves would get new flows again.
-    pub fn replace(&mut self, records: Vec<ServerRecord>, revision: StoreRevision, now: Timestamp) {
+    pub fn replace(
+        &mut self,
+        records: Vec<ServerRecord>,
+        unreadable: &[(BackendId, StoreRevision)],
+        revision: StoreRevision,
+        now: Timestamp,
+    ) {
         let listed: SortedVector<_, _> = records.into_iter().map(|one| (one.id, one)).collect();
-        let missing = self.servers.keys().filter(|id| !listed.contains_key(id));
+        let is_listed = |id: &BackendId| {
+            listed.contains_key(id) || unreadable.iter().any(|(other, _)| other == id)
+        };
+        let missing = self.servers.keys().filter(|id| !is_listed(id));
         let missing: Vec<BackendId> = missing.copied().collect();
+        for (id, changed) in unreadable {
+            self.note_unreadable(*id, *changed);
+        }
         for id in missing {
             self.note_removed(id, revision, now);
         }
@@ -266,7 +299,7 @@
         let (listed, left): (Vec<_>, Vec<_>) =
             records.into_iter().partition(ServerRecord::is_listed);
         if all {
-            self.replace(listed, revision, now);
+            self.replace(listed, &[], revision, now);
         } else {
             self.note_all(listed);
         }
--- a/crates/cardamomwinch_coordination/src/forwarding/engine.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine.rs
@@ -15,6 +15,7 @@
 use crate::forwarding::recent_openings::RecentOpenings;
 use crate::forwarding::record::{ForwardingOutcome, ForwardingRecord};
 use crate::forwarding::routes::{self, RouteEntry};
+use crate::forwarding::server_starts::ServerStarts;
 use crate::forwarding::unknown_flows::UnknownFlows;
 use crate::forwarding::view::ForwardingView;
 
@@ -61,6 +62,7 @@
     recent: RecentOpenings,
     unknown: UnknownFlows,
     unwatched: u64,
+    starts: ServerStarts,
     ticks: u32,
     ran_at: Option<Timestamp>,
 }
@@ -117,6 +119,7 @@
             recent: RecentOpenings::default(),
             unknown: UnknownFlows::default(),
             unwatched: 0,
+            starts: ServerStarts::default(),
             ticks: 0,
             ran_at: None,
         }
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/upkeep.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/upkeep.rs
@@ -28,6 +28,7 @@
             self.end_flows(now, view, &[server], may_end, sink);
         }
         self.end_vanished(now, view, sink);
+        self.end_restarted(now, view, sink);
         self.ticks = (self.ticks + 1) % SWEEP_TICKS;
         if self.ticks == 0 {
             self.sweep(now, view);
@@ -79,6 +80,31 @@
         }
     }
 
+    /// Lets servers that started again under their identifiers begin anew, and ends
+    /// flows that rest on what ran before.
+    ///
+    /// A caller that rests would be reset by the server with its next request, which
+    /// is lost where it may run only once; told now, it opens another flow for it. A
+    /// caller that waits for an answer is left to the server: its next repetition is
+    /// answered with a reset at once, and it may be a caller of the new process.
+    fn end_restarted<S: ForwardingSink>(
+        &mut self,
+        now: Timestamp,
+        view: &ForwardingView,
+        sink: &mut S,
+    ) {
+        let restarted = self.starts.take_restarted(&view.directory);
+        if restarted.is_empty() {
+            return;
+        }
+        let may_end = |watched: &WatchedFlow| watched.is_resting(now);
+        self.end_flows(now, view, &restarted, may_end, sink);
+        self.watch.stop_counting(&restarted);
+        for server in restarted {
+            self.progress.forget(server);
+        }
+    }
+
     /// Ends the flows on `servers`, which are in rising order and have gone, that
     /// `may_end`. A caller that rests on such a flow would send its next request
     /// into the void; one that may run only once would then be lost, whereas a
--- a/crates/cardamomwinch_coordination/src/forwarding/flow_watch.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/flow_watch.rs
@@ -312,6 +312,15 @@
         });
     }
 
+    /// Flows on `servers`, which are in rising order, no longer count as load until
+    /// they are seen again.
+    pub fn stop_counting(&mut self, servers: &[BackendId]) {
+        self.table.retain(|_, watched| {
+            watched.counted &= servers.binary_search(&watched.server).is_err();
+            true
+        });
+    }
+
     /// Takes out the flows on `servers`, which are in rising order, that `may_end`.
     pub fn take_endable(
         &mut self,
--- a/crates/cardamomwinch_coordination/src/forwarding/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/mod.rs
@@ -25,5 +25,6 @@
 pub mod recent_openings;
 pub mod record;
 pub mod routes;
+pub mod server_starts;
 pub mod unknown_flows;
 pub mod view;
--- a/crates/cardamomwinch_coordination/src/forwarding/placement.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/placement.rs
@@ -70,7 +70,7 @@
     pub service: ServiceId,
     /// Decides among equals; alike on all hosts.
     pub subject: u64,
-    /// How fast requests of the flow should be answered.
+    /// How fast requests of the flow should be answered; zero where that is unknown.
     pub latency_goal: time::Duration,
     /// The present.
     pub now: Timestamp,
@@ -143,7 +143,7 @@
 
     fn rank(&self, server: &ServerRecord, relief: Option<time::Duration>) -> Option<ServerRank> {
         match server.phase {
-            ServerPhase::Draining | ServerPhase::Left { .. } => None,
+            ServerPhase::Draining | ServerPhase::Unreadable | ServerPhase::Left { .. } => None,
             ServerPhase::Vanished { .. } => Some(ServerRank::Vanished),
             ServerPhase::Active if self.progress.is_suspected(server.id, self.now) => {
                 Some(ServerRank::Suspected)
@@ -169,6 +169,9 @@
     /// half idle. Only a part goes elsewhere, so that hosts that measure the same
     /// do not move back and forth together.
     fn relief_below(&self) -> Option<time::Duration> {
+        if self.latency_goal.is_zero() {
+            return None;
+        }
         let mean = self.near_response()?;
         let goal = self.latency_goal.as_micros().max(1) as u64;
         let strain = mean.as_micros() as u64 * 100 / goal;
--- a/crates/cardamomwinch_coordination/src/forwarding/progress.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/progress.rs
@@ -290,6 +290,11 @@
         }
     }
 
+    /// Forgets all that is known of `server`.
+    pub fn forget(&mut self, server: BackendId) {
+        self.servers.remove(&server);
+    }
+
     /// Forgets the servers for which `keep` does not hold.
     pub fn retain(&mut self, mut keep: impl FnMut(BackendId) -> bool) {
         self.servers
--- a/crates/cardamomwinch_coordination/src/forwarding/routes.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/routes.rs
@@ -42,7 +42,7 @@
     /// Whether its requests may run twice, so that a caller whose flow was
     /// reset sends them again.
     pub idempotent: bool,
-    /// How fast its requests should be answered.
+    /// How fast its requests should be answered; zero where that is unknown.
     pub latency_goal: time::Duration,
 }
 
--- a/crates/cardamomwinch_coordination/tests/forwarding_support/mod.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_support/mod.rs
@@ -53,6 +53,7 @@
         service: service("desk"),
         domain: domain("near"),
         slots: SlotCount::new(2),
+        started: None,
         phase: ServerPhase::Active,
         warm_at: Timestamp::ZERO,
         changed: StoreRevision::new(1),
@@ -64,6 +65,7 @@
     let server = near_server(number);
     StoreChange::Server(ServerEntry {
         id: server.id,
+        started: None,
         address: server.address,
         service: server.service,
         domain: server.domain,
@@ -105,7 +107,7 @@
 
 pub fn directory(servers: Vec<ServerRecord>) -> ServerDirectory {
     let mut directory = ServerDirectory::default();
-    directory.replace(servers, StoreRevision::new(1), at(0));
+    directory.replace(servers, &[], StoreRevision::new(1), at(0));
     directory
 }
 
--- a/crates/cardamomwinch_forwarder/src/belief_lines.rs
+++ b/crates/cardamomwinch_forwarder/src/belief_lines.rs
@@ -92,6 +92,7 @@
     match phase {
         ServerPhase::Active => "active",
         ServerPhase::Draining => "draining",
+        ServerPhase::Unreadable => "unreadable",
         ServerPhase::Vanished { .. } => "vanished",
         ServerPhase::Left { .. } => "left",
     }
--- a/crates/cardamomwinch_forwarder/src/peer_wire.rs
+++ b/crates/cardamomwinch_forwarder/src/peer_wire.rs
@@ -6,7 +6,7 @@
 use cardamomwinch_coordination::forwarding::beliefs::peer_word::{
     PeerHost, PeerQuestion, PeerServer, PeerWord,
 };
-use cardamomwinch_coordination::forwarding::beliefs::store_call::StoreRevision;
+use cardamomwinch_coordination::forwarding::beliefs::store_call::{ServerStart, StoreRevision};
 use cardamomwinch_coordination::forwarding::routes::{RouteDifference, RouteEntry};
 use cardamomwinch_state::prelude::{
     BackendId, ConfigurationVersion, DomainId, ServiceId, SlotCount,
@@ -123,11 +123,16 @@
 #[derive(Serialize, Deserialize)]
 pub struct WireServer {
     id: BackendId,
+    /// Absent where the server or the peer does not tell it.
+    #[serde(default)]
+    started: Option<ServerStart>,
     address: net::SocketAddr,
     service: ServiceId,
     domain: DomainId,
     slots: SlotCount,
     draining: bool,
+    #[serde(default)]
+    unreadable: bool,
     unlisted_for_ms: Option<u64>,
     vanished: bool,
     cold_left_ms: u64,
@@ -138,11 +143,13 @@
     fn from(server: PeerServer) -> Self {
         Self {
             id: server.id,
+            started: server.started,
             address: server.address,
             service: server.service,
             domain: server.domain,
             slots: server.slots,
             draining: server.draining,
+            unreadable: server.unreadable,
             unlisted_for_ms: server.unlisted_for.map(|age| age.as_millis() as u64),
             vanished: server.vanished,
             cold_left_ms: server.cold_left.as_millis() as u64,
@@ -155,11 +162,13 @@
     fn from(server: WireServer) -> Self {
         Self {
             id: server.id,
+            started: server.started,
             address: server.address,
             service: server.service,
             domain: server.domain,
             slots: server.slots,
             draining: server.draining,
+            unreadable: server.unreadable,
             unlisted_for: server.unlisted_for_ms.map(time::Duration::from_millis),
             vanished: server.vanished,
             cold_left: time::Duration::from_millis(server.cold_left_ms),
--- a/crates/cardamomwinch_forwarder/tests/real_process.rs
+++ b/crates/cardamomwinch_forwarder/tests/real_process.rs
@@ -30,11 +30,16 @@
 
 fn server_entry(address: net::SocketAddr, state: &str) -> String {
     format!(
-        r#"{{"service":"desk","address":"{address}","zone":"near","concurrency":2,
-           "state":"{state}","cold-left-ms":0,"sequence":1}}"#
+        r#"{{"service":"desk","address":"{address}","zone":"near","version":"v1",
+           "concurrency":2,"state":"{state}","cold-left-ms":0,"sequence":1}}"#
     )
 }
 
+/// The entry of a server that tells when its process started.
+fn entry_of_start(address: net::SocketAddr, start: u64) -> String {
+    server_entry(address, "ready").replacen('{', &format!(r#"{{"born":{start},"#), 1)
+}
+
 fn packet(caller: net::SocketAddr, port: u16, flags: u8, token: u32) -> Vec<u8> {
     let net::IpAddr::V4(address) = caller.ip() else {
         panic!("callers have addresses of four bytes");
@@ -183,6 +188,29 @@
     assert_eq!((reset[6], reset.len()), (RESET, packet::HEAD_LENGTH));
 }
 
+/// A server starts again under its identifier before its entry lapses. A caller whose
+/// flow rests there must be told, at the port where callers listen, before it sends a
+/// request that may run only once into a flow that nobody holds.
+#[test]
+fn a_flow_that_rests_on_a_restarted_server_is_reset() {
+    let mut scene = Scene::new();
+    let address = scene.server.local_addr().unwrap();
+    let first = entry_of_start(address, 1_796_262_744_123);
+    scene.store.write(SERVER_KEY, Some(&first));
+    let host = HostProcess::start("seeing", scene.store.address, &[]);
+    host.wait_until_ready(true);
+    let listener = socket(("127.0.0.2", host.traffic.port()));
+    scene.caller.set_ip(net::Ipv4Addr::new(127, 0, 0, 2).into());
+    scene.send(&host, SERVICE_PORT, OPENING, 0);
+    receive(&scene.server);
+    scene.send(&host, SERVICE_PORT, DATA, TOKEN);
+    receive(&scene.server);
+    let again = entry_of_start(address, 1_796_262_750_456);
+    scene.store.write(SERVER_KEY, Some(&again));
+    let reset = receive(&listener);
+    assert_eq!((reset[6], reset.len()), (RESET, packet::HEAD_LENGTH));
+}
+
 /// The store goes down and a host starts. It knows nothing, and only its peer can
 /// tell it; without that, callers in its domain are refused until the store is back.
 #[test]
--- a/crates/cardamomwinch_forwarder/tests/soak/world.rs
+++ b/crates/cardamomwinch_forwarder/tests/soak/world.rs
@@ -311,8 +311,8 @@
         } = identity;
         let zone = DOMAINS[*domain];
         let entry = format!(
-            r#"{{"service":"{service}","address":"{address}","zone":"{zone}","concurrency":2,
-               "state":"{state}","cold-left-ms":0,"sequence":1}}"#
+            r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1",
+               "concurrency":2,"state":"{state}","cold-left-ms":0,"sequence":1}}"#
         );
         self.store
             .write(&format!("servers/i-{number:x}"), Some(&entry));
