Take what a peer or the store says for as old as its way was long

The answer was 1.5 s on its way and told "9 ms old" when it came; a server that had started meanwhile was missing from it, and a flow on that server was reset as one of an unknown token. Ruled out: a token that no host knew; a revision that went back. Change: an answer tells how long the question waited; with the moment of the question that bounds when it was said. Of the store's answers the time that the body took to come is taken off, and a listing is as old as its first page.

--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
@@ -149,6 +149,10 @@
     knows_left: bool,
     /// What was known when the last question was asked.
     asked_revision: StoreRevision,
+    /// When the last question was asked.
+    asked_at: Option<Timestamp>,
+    /// When the first page of the listing that is being read was said.
+    listing_said_at: Option<Timestamp>,
     told_hosts_at: Option<Timestamp>,
     /// Whether the last one who answered knows other hosts.
     knows_other_hosts: bool,
@@ -174,6 +178,8 @@
             pause: peer_exchange::IDLE_PAUSE,
             knows_left: false,
             asked_revision: StoreRevision::ZERO,
+            asked_at: None,
+            listing_said_at: None,
             told_hosts_at: None,
             knows_other_hosts: true,
             own_services: OwnServices::default(),
@@ -255,26 +261,52 @@
 
     /// Takes the outcome of the call that [`Self::next_store_call`] gave.
     pub fn handle_store(&mut self, now: Timestamp, outcome: StoreOutcome) {
+        self.handle_store_answer(now, now, outcome);
+    }
+
+    /// Takes the outcome of a call that the store answered at `said_at`. Long answers take
+    /// a while to come over a link that is full, and what they say is as old as that.
+    pub fn handle_store_answer(
+        &mut self,
+        now: Timestamp,
+        said_at: Timestamp,
+        outcome: StoreOutcome,
+    ) {
+        let said_at = self.note_page(said_at, &outcome);
         match outcome {
             StoreOutcome::Paused => {}
             StoreOutcome::Failed => self.note_store_silent(now),
             _ => self.note_store_heard(now),
         }
         if let Some(step) = self.reader.handle(outcome) {
-            self.take_step(now, step);
+            self.take_step(now, said_at, step);
+        }
+    }
+
+    /// Where a listing takes several pages, it is as old as the first one.
+    fn note_page(&mut self, said_at: Timestamp, outcome: &StoreOutcome) -> Timestamp {
+        let StoreOutcome::Page { next, .. } = outcome else {
+            self.listing_said_at = None;
+            return said_at;
+        };
+        let first = *self.listing_said_at.get_or_insert(said_at);
+        if next.is_none() {
+            self.listing_said_at = None;
         }
+        first
     }
 
-    fn take_step(&mut self, now: Timestamp, step: store_reader::ReadStep) {
+    fn take_step(&mut self, now: Timestamp, said_at: Timestamp, step: store_reader::ReadStep) {
         match step {
             store_reader::ReadStep::Listing { items, revision } => {
                 self.take_listing(now, items, revision);
+                self.advance(said_at, revision);
             }
             store_reader::ReadStep::Changes { changes, revision } => {
                 for change in changes {
                     self.apply(now, change);
                 }
-                self.advance(now, revision);
+                self.advance(said_at, revision);
             }
         }
         self.doubt_vanished(now);
@@ -319,14 +351,13 @@
         let servers = records.len();
         let directory = sync::Arc::make_mut(&mut self.directory);
         directory.replace(records, &unreadable, revision, now);
-        self.advance(now, revision);
         let change = BeliefChange::ServersListed { revision, servers };
         self.changes.push(change);
     }
 
-    fn advance(&mut self, now: Timestamp, revision: StoreRevision) {
+    fn advance(&mut self, said_at: Timestamp, revision: StoreRevision) {
         self.revision = self.revision.max(revision);
-        self.heard_at = now;
+        self.heard_at = self.heard_at.max(said_at);
     }
 
     fn apply(&mut self, now: Timestamp, change: StoreChange) {
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_exchange.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_exchange.rs
@@ -74,6 +74,7 @@
             Vec::new()
         };
         self.asked_revision = self.revision;
+        self.asked_at = Some(now);
         let question = PeerQuestion {
             revision: self.revision,
             version: self.routes.version(),
@@ -156,7 +157,11 @@
             self.remember_left(servers);
         }
         if revision >= self.revision {
-            self.heard_at = self.heard_at.max(now.before(word.age));
+            // The answer may have been on its way for seconds, where it is long and a
+            // link is full: what it says is as old as that.
+            let asked_at = self.asked_at.unwrap_or(now);
+            let said_at = asked_at.after(word.waited).min(now);
+            self.heard_at = self.heard_at.max(said_at.before(word.age));
         }
         if newer {
             self.changes.push(BeliefChange::PeerBelieved {
@@ -253,6 +258,7 @@
                 WordExtent::Nothing => StoreRevision::ZERO,
                 _ => self.revision,
             },
+            waited: time::Duration::ZERO,
             age: now.since(self.heard_at),
             store_silent_for: self.silent_at.map(|at| now.since(at)),
             routes,
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_word.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_word.rs
@@ -124,6 +124,8 @@
 pub struct PeerWord {
     /// The revision of its directory; zero where it tells nothing of that.
     pub revision: StoreRevision,
+    /// How long the question waited for this answer.
+    pub waited: time::Duration,
     /// How long ago it last heard of the store, itself or through others.
     pub age: time::Duration,
     /// How long ago the store was last found silent, if it was.
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/waiting_questions.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/waiting_questions.rs
@@ -33,6 +33,17 @@
     }
 }
 
+/// A question that is to be answered now.
+#[derive(Debug)]
+pub struct DueQuestion<A> {
+    /// The question.
+    pub question: PeerQuestion,
+    /// How long it waited.
+    pub waited: time::Duration,
+    /// Where its answer goes.
+    pub answer: A,
+}
+
 /// The questions that wait. `A` is what takes an answer.
 #[derive(Debug)]
 pub struct WaitingQuestions<A> {
@@ -58,14 +69,18 @@
     }
 
     /// Takes out the questions that are to be answered now.
-    pub fn take_due(&mut self, engine: &BeliefEngine, now: Timestamp) -> Vec<(PeerQuestion, A)> {
+    pub fn take_due(&mut self, engine: &BeliefEngine, now: Timestamp) -> Vec<DueQuestion<A>> {
         let excess = self.questions.len().saturating_sub(WAITING_LIMIT);
         let mut index = 0;
         let due = self.questions.extract_if(.., |waiting| {
             index += 1;
             index <= excess || waiting.is_due(engine, now)
         });
-        due.map(|waiting| (waiting.question, waiting.answer))
-            .collect()
+        due.map(|waiting| DueQuestion {
+            question: waiting.question,
+            waited: now.since(waiting.asked_at),
+            answer: waiting.answer,
+        })
+        .collect()
     }
 }
--- a/crates/cardamomwinch_coordination/tests/forwarding_beliefs.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_beliefs.rs
@@ -431,3 +431,41 @@
     let regained = BeliefChange::OwnServersRegained { service: desk };
     assert!(host.take_changes().contains(&regained));
 }
+
+/// A host whose link is full asks another one, and the answer is on its way for a second
+/// and a half. Taken for word of the moment in which it arrived, it would say that a server
+/// which started meanwhile does not exist, and flows on that would be reset.
+#[test]
+fn what_a_peer_says_is_as_old_as_its_way_was_long() {
+    let mut host = started(1);
+    let mut peer = started(2);
+    peer.handle_store(at(1_000), changes(vec![server_entry(2, 11, true)], 12));
+    let (address, question) = host.next_peer(at(1_000)).unwrap();
+    let mut word = peer.answer_peer(at(1_010), &question);
+    word.waited = millis(5);
+    host.handle_peer(at(2_500), address, Some(word));
+    let heard_at = host.heard_at();
+    assert!(heard_at > at(900) && heard_at <= at(1_010), "{heard_at}");
+}
+
+/// The same with a long answer of the store.
+#[test]
+fn what_the_store_says_is_as_old_as_its_way_was_long() {
+    let mut host = started(1);
+    let changed = changes(vec![server_entry(2, 11, true)], 12);
+    host.handle_store_answer(at(3_000), at(1_500), changed);
+    assert_eq!(host.heard_at(), at(1_500));
+    let page = |next: Option<&str>| StoreOutcome::Page {
+        items: Vec::new(),
+        revision: revision(20),
+        next: next.map(str::to_owned),
+    };
+    host.handle_store(at(3_100), StoreOutcome::HistoryGone);
+    host.handle_store_answer(at(4_000), at(3_900), page(Some("servers/i-01")));
+    host.handle_store_answer(at(5_000), at(4_900), page(None));
+    assert_eq!(
+        host.heard_at(),
+        at(3_900),
+        "the first page is the oldest word"
+    );
+}
--- a/crates/cardamomwinch_coordination/tests/forwarding_sources.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_sources.rs
@@ -218,7 +218,11 @@
         let due = host.waiting.take_due(&host.engine, now);
         let words: Vec<_> = due
             .into_iter()
-            .map(|(question, asker)| (asker, host.engine.answer_peer(now, &question)))
+            .map(|due| {
+                let mut word = host.engine.answer_peer(now, &due.question);
+                word.waited = due.waited;
+                (due.answer, word)
+            })
             .collect();
         for (asker, word) in words {
             let waits = self.hosts[asker].question.as_ref();
--- a/crates/cardamomwinch_forwarder/src/control_thread.rs
+++ b/crates/cardamomwinch_forwarder/src/control_thread.rs
@@ -72,10 +72,11 @@
 
     /// Answers the peers that waited for what is known now.
     fn answer_due(&mut self, now: Timestamp) {
-        for (question, answer) in self.waiting.take_due(&self.engine, now) {
-            let word = self.engine.answer_peer(now, &question);
+        for due in self.waiting.take_due(&self.engine, now) {
+            let mut word = self.engine.answer_peer(now, &due.question);
+            word.waited = due.waited;
             // Whoever asked may have left since.
-            drop(answer.try_send(word));
+            drop(due.answer.try_send(word));
         }
     }
 }
@@ -157,7 +158,8 @@
             };
             let mut state = self.state.borrow_mut();
             let now = state.clock.now();
-            state.decide(|engine| engine.handle_store(now, outcome));
+            let said_at = now.before(client.body_time());
+            state.decide(|engine| engine.handle_store_answer(now, said_at, outcome));
         }
     }
 
--- a/crates/cardamomwinch_forwarder/src/peer_wire.rs
+++ b/crates/cardamomwinch_forwarder/src/peer_wire.rs
@@ -182,6 +182,7 @@
 #[derive(Serialize, Deserialize)]
 pub struct WireWord {
     revision: StoreRevision,
+    waited_ms: u64,
     age_ms: u64,
     store_silent_for_ms: Option<u64>,
     routes: Option<WireRoutes>,
@@ -195,6 +196,7 @@
     fn from(word: PeerWord) -> Self {
         Self {
             revision: word.revision,
+            waited_ms: word.waited.as_millis() as u64,
             age_ms: word.age.as_millis() as u64,
             store_silent_for_ms: word.store_silent_for.map(|ago| ago.as_millis() as u64),
             routes: word.routes.map(WireRoutes::from),
@@ -210,6 +212,7 @@
     fn from(word: WireWord) -> Self {
         Self {
             revision: word.revision,
+            waited: time::Duration::from_millis(word.waited_ms),
             age: time::Duration::from_millis(word.age_ms),
             store_silent_for: word.store_silent_for_ms.map(time::Duration::from_millis),
             routes: word.routes.map(RouteDifference::from),
--- a/crates/cardamomwinch_transport/src/http_client.rs
+++ b/crates/cardamomwinch_transport/src/http_client.rs
@@ -90,6 +90,8 @@
     pub status: StatusCode,
     /// Its body.
     pub body: Vec<u8>,
+    /// How long the body took to come after the head.
+    pub body_time: time::Duration,
 }
 
 /// What a single exchange may cost.
@@ -279,6 +281,7 @@
     limit: usize,
 ) -> Result<HttpAnswer, HttpError> {
     let status = response.status();
+    let began_at = time::Instant::now();
     let mut incoming = response.into_body();
     let mut body = Vec::new();
     while let Some(frame) = incoming.frame().await {
@@ -290,5 +293,9 @@
         snafu::ensure!(within, OversizedSnafu { address, limit });
         body.extend_from_slice(&data);
     }
-    Ok(HttpAnswer { status, body })
+    Ok(HttpAnswer {
+        status,
+        body,
+        body_time: began_at.elapsed(),
+    })
 }
