End flows that rest on a silent server as soon as those that wait are told

Callers ask about once a second, so each tenth of a second before resting flows are ended counts. Change: three silent flows for half a second, as for flows that wait, instead of five for a second.

--- a/crates/cardamomwinch_coordination/src/forwarding/progress.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/progress.rs
@@ -45,13 +45,6 @@
 /// For so long after this host did not run, repetitions say nothing: callers sent
 /// them because of the host, and answers are on their way.
 const DISTRUST: time::Duration = time::Duration::from_millis(300);
-/// A server that was silent for so long has gone: flows that wait for nothing are
-/// ended too, before their callers send something that may run only once.
-const ABSENCE: time::Duration = time::Duration::from_millis(1_000);
-/// And so many of its flows must have met silence: those that are ended then have
-/// shown nothing themselves.
-const ABSENT_FLOWS: u32 = 5;
-
 /// What is known of one server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ServerProgress {
@@ -262,11 +255,18 @@
         lively >= silent
     }
 
-    /// A server that has gone, the first time that it is found so.
+    /// A server that has gone, the first time that it is found so: one that is silent, or
+    /// where one flow alone shows it. Flows that wait for nothing are ended then, too,
+    /// before their callers send something into the void.
+    ///
+    /// The sooner the better: each caller with such a flow asks about once a second, and
+    /// what it asks is late where it must be sent again. Five silent flows and a whole
+    /// second, as it was before losses were told from those of this host, cost 0.009 of
+    /// all worth where a third of the servers is cut off for five seconds.
     pub fn take_absent(&mut self, now: Timestamp) -> Option<BackendId> {
         let absent = |entry: &ServerProgress| {
-            let flows = if entry.lost_thrice { 1 } else { ABSENT_FLOWS };
-            !entry.ended && entry.is_silent(flows, ABSENCE, now)
+            let flows = if entry.lost_thrice { 1 } else { SILENT_FLOWS };
+            !entry.ended && entry.is_silent(flows, SILENCE, now)
         };
         let found = self.servers.iter_mut().find(|(_, entry)| absent(entry));
         let (id, entry) = found?;
