Start without calibrating a clock that nothing reads

Lines at each step of a start (trial) show it: the recorder of metrics takes 200 ms, in which it calibrates the processor's cycle counter in a loop; all else takes 1 ms. Everything asked meanwhile is late or lost, on each start of each host. Change: storage and formatting of the metrics libraries are used directly, without their recorder. Hosts that the settings name to others start 300 ms later than the rest; that is the platform's.

--- a/crates/cardamomwinch_daemon/src/launch.rs
+++ b/crates/cardamomwinch_daemon/src/launch.rs
@@ -20,7 +20,6 @@
     PeerLimits, PeerRpcError, PeerServer, RpcEndpoint, ThreadError, TimerService,
 };
 use jsonrpsee::core::RegisterMethodError;
-use metrics_exporter_prometheus::PrometheusBuilder;
 use snafu::{ResultExt, Snafu};
 
 use crate::administration::{self, AdministrationContext, SnapshotReadiness};
@@ -145,7 +144,7 @@
     let log = LogSink::start(io::stdout(), LOG_QUEUE, clock).context(LogSnafu)?;
     let level = log_level::level_filter(settings.log.level);
     log.install(level, clock).context(LogSnafu)?;
-    let metrics = MetricsSink::install(PrometheusBuilder::new()).context(MetricsSnafu)?;
+    let metrics = MetricsSink::install().context(MetricsSnafu)?;
     let incarnation = Incarnation::new(clock.now().get());
     let identity = HostIdentity {
         host: settings.host_id(),
--- a/crates/cardamomwinch_forwarder/src/launch.rs
+++ b/crates/cardamomwinch_forwarder/src/launch.rs
@@ -22,12 +22,10 @@
 };
 use jsonrpsee::RpcModule;
 use jsonrpsee::core::RegisterMethodError;
-use metrics_exporter_prometheus::PrometheusBuilder;
 use snafu::{OptionExt, ResultExt, Snafu};
 
 use crate::administration::{self, AdministrationContext};
 use crate::control_thread::ControlThread;
-use crate::outcome_counters;
 use crate::peer_calls;
 use crate::reload::{self, ReadError, SettingsFile};
 use crate::stopping::{self, StopCause};
@@ -142,9 +140,7 @@
     let log = LogSink::start(io::stdout(), LOG_QUEUE, clock).context(LogSnafu)?;
     let level = log_level::level_filter(settings.log.level);
     log.install(level, clock).context(LogSnafu)?;
-    let builder = PrometheusBuilder::new().set_buckets(&outcome_counters::BUCKETS);
-    let builder = builder.map_err(|source| MetricsError::Install { source });
-    let metrics = MetricsSink::install(builder.context(MetricsSnafu)?).context(MetricsSnafu)?;
+    let metrics = MetricsSink::install().context(MetricsSnafu)?;
     let parts = HostParts {
         path: path.to_owned(),
         settings,
--- a/crates/cardamomwinch_forwarder/src/outcome_counters.rs
+++ b/crates/cardamomwinch_forwarder/src/outcome_counters.rs
@@ -9,10 +9,6 @@
 const OPENING: &str = "cardamomwinch_forwarding_opening_seconds";
 const RESPONSE: &str = "cardamomwinch_forwarding_response_seconds";
 
-/// The upper bounds of the buckets of all histograms, in seconds: from a round
-/// trip within a failure domain to the longest time that callers wait.
-pub const BUCKETS: [f64; 11] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
-
 /// One counter an outcome.
 pub struct OutcomeCounters {
     handles: Vec<metrics::Counter>,
--- a/crates/cardamomwinch_transport/src/lib.rs
+++ b/crates/cardamomwinch_transport/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod http_client;
 pub mod load_client;
 pub mod log_sink;
+mod metrics_recorder;
 pub mod metrics_sink;
 pub mod peer_frame;
 pub mod peer_rpc;
--- a/crates/cardamomwinch_transport/src/metrics_sink.rs
+++ b/crates/cardamomwinch_transport/src/metrics_sink.rs
@@ -1,11 +1,12 @@
 //! Collects the metrics of the process without listening anywhere itself.
 
+use std::sync;
 use std::time;
 
-use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
-use snafu::{ResultExt, Snafu};
+use snafu::{OptionExt, Snafu};
 
 use crate::clock::Clock;
+use crate::metrics_recorder::MetricsRecorder;
 use crate::rpc_endpoint::MetricsSource;
 use crate::timer::{TickPlan, TimerService};
 
@@ -17,18 +18,15 @@
 #[derive(Debug)]
 #[derive(Snafu)]
 pub enum MetricsError {
-    /// A recorder is installed already, or its settings are wrong.
-    #[snafu(display("cannot install the recorder of metrics"))]
-    Install {
-        /// What the library said.
-        source: BuildError,
-    },
+    /// A recorder is installed already.
+    #[snafu(display("a recorder of metrics is installed already"))]
+    Taken,
 }
 
 /// Collects what the process counts and measures.
 #[derive(Debug, Clone)]
 pub struct MetricsSink {
-    handle: PrometheusHandle,
+    recorder: sync::Arc<MetricsRecorder>,
 }
 
 impl MetricsSink {
@@ -36,9 +34,11 @@
     ///
     /// # Errors
     /// Fails where there is a recorder already.
-    pub fn install(builder: PrometheusBuilder) -> Result<Self, MetricsError> {
-        let handle = builder.install_recorder().context(InstallSnafu)?;
-        Ok(Self { handle })
+    pub fn install() -> Result<Self, MetricsError> {
+        let recorder = sync::Arc::<MetricsRecorder>::default();
+        let installed = metrics::set_global_recorder(sync::Arc::clone(&recorder));
+        installed.ok().context(TakenSnafu)?;
+        Ok(Self { recorder })
     }
 
     /// Does the upkeep of the recorder until the future is dropped.
@@ -50,13 +50,13 @@
         };
         let mut subscription = service.subscribe_ticks((), plan);
         while subscription.next().await.is_some() {
-            self.handle.run_upkeep();
+            self.recorder.fold_samples();
         }
     }
 }
 
 impl MetricsSource for MetricsSink {
     fn render(&self) -> String {
-        self.handle.render()
+        self.recorder.render()
     }
 }
