Give slow servers fewer flows, and measure short answers too

Hypothesis: response times were used only to leave the domain. Change: the load of a server weighs more in proportion where it takes at least 1.5 times the median of its service, eight times at most. An answer of one packet counts too where the caller closes the flow with it, as callers with a flow a request do. Left: flows that rest on a slow server stay there; ending them would break sessions of a server that serves.

--- a/crates/cardamomwinch_coordination/src/forwarding/engine.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine.rs
@@ -371,6 +371,7 @@
                 self.deliveries.note(watched.seen_at);
             }
         }
+        let closing = packet.kind == PacketKind::Closing;
         let sent_once_at = watched.sent_once_at();
         let was_repeated = watched.copies > 0;
         watched.seen_at = now;
@@ -387,7 +388,7 @@
                 self.deliveries.note_late(server.id, now);
             }
             self.recent.confirm(context.caller());
-            if let Some(response) = watched.take_response_time(now) {
+            if let Some(response) = watched.take_response_time(closing, now) {
                 sink.measure_response(response);
                 self.progress.note_response(server.id, response, now);
             }
--- a/crates/cardamomwinch_coordination/src/forwarding/flow_watch.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/flow_watch.rs
@@ -183,16 +183,16 @@
     }
 
     /// The time from the request to its answer, once the caller has acknowledged
-    /// more than one packet of that. Answers of one packet are acknowledged with
-    /// the next request only, and tell nothing.
-    pub fn take_response_time(&mut self, now: Timestamp) -> Option<time::Duration> {
+    /// more than one packet of that, or closes the flow with it. Other answers of one
+    /// packet are acknowledged with the next request only, and tell nothing.
+    pub fn take_response_time(&mut self, closing: bool, now: Timestamp) -> Option<time::Duration> {
         let pending = self.pending?;
         let advance = self.acknowledged.wrapping_sub(pending.acknowledged);
         if advance == 0 {
             return None;
         }
         self.pending = None;
-        (advance > ONE_PACKET).then(|| now.since(pending.asked_at))
+        (closing || advance > ONE_PACKET).then(|| now.since(pending.asked_at))
     }
 
     /// Whether its caller waits for nothing that may run only once, so that a
--- a/crates/cardamomwinch_coordination/src/forwarding/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/mod.rs
@@ -27,5 +27,6 @@
 pub mod record;
 pub mod routes;
 pub mod server_starts;
+pub mod slowness;
 pub mod unknown_flows;
 pub mod view;
--- a/crates/cardamomwinch_coordination/src/forwarding/placement.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/placement.rs
@@ -7,6 +7,7 @@
 
 use crate::forwarding::directory::{ServerDirectory, ServerPhase, ServerRecord};
 use crate::forwarding::progress::ProgressTable;
+use crate::forwarding::slowness::UsualResponse;
 use crate::routing::rendezvous;
 
 /// The share by which a server that has just started counts as more loaded, in
@@ -81,30 +82,33 @@
     /// holds are chosen only where there is nobody else.
     pub fn choose(&self, avoid: impl Fn(BackendId) -> bool) -> Option<&ServerRecord> {
         let relief = self.relief_below();
+        let usual = self.usual_response();
         // A small sample of all holds those of the own domain, too.
         let is_large = self.directory.count(self.service, None) > LARGEST_SAMPLE;
         let near = self.near_sample().filter(|_| is_large);
         let any = self.sample(None);
-        if let Some((key, server)) = self.best(near.chain(any), relief, &avoid)
+        if let Some((key, server)) = self.best(near.chain(any), relief, usual, &avoid)
             && self.is_good_enough(&key)
         {
             return Some(server);
         }
         let all = self.directory.of_service(self.service);
-        self.best(all, relief, &avoid).map(|(_, server)| server)
+        self.best(all, relief, usual, &avoid)
+            .map(|(_, server)| server)
     }
 
     fn best<'s>(
         &self,
         servers: impl Iterator<Item = &'s ServerRecord>,
         relief: Option<time::Duration>,
+        usual: Option<UsualResponse>,
         avoid: impl Fn(BackendId) -> bool,
     ) -> Option<(ServerKey, &'s ServerRecord)> {
         let key = |server: &ServerRecord| {
             Some(ServerKey {
                 avoided: avoid(server.id),
                 rank: self.rank(server, relief)?,
-                load: self.load(server),
+                load: self.load(server, usual),
                 tie: u64::MAX - rendezvous::score(server.id.get(), self.subject),
             })
         };
@@ -191,8 +195,15 @@
         Some(sum / count)
     }
 
-    /// The flows of the server a slot, in thousandths, after it took this one.
-    fn load(&self, server: &ServerRecord) -> u64 {
+    /// The usual response time of the servers that this host looks at.
+    fn usual_response(&self) -> Option<UsualResponse> {
+        let servers = self.sample(None);
+        UsualResponse::of(servers.filter_map(|one| self.progress.response(one.id, self.now)))
+    }
+
+    /// The flows of the server a slot, in thousandths, after it took this one; more
+    /// where it is cold or slow.
+    fn load(&self, server: &ServerRecord, usual: Option<UsualResponse>) -> u64 {
         let flows = self.progress.load(server.id) + 1;
         let slots = u64::from(server.slots.get().max(1));
         let factor = if server.warm_at > self.now {
@@ -200,6 +211,11 @@
         } else {
             WARM_LOAD
         };
-        flows * 10 * factor / slots
+        let load = flows * 10 * factor / slots;
+        let response = self.progress.response(server.id, self.now);
+        match (usual, response) {
+            (Some(usual), Some(response)) => usual.weigh(load, response),
+            _ => load,
+        }
     }
 }
--- a/crates/cardamomwinch_coordination/tests/forwarding_placement.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_placement.rs
@@ -7,6 +7,7 @@
 use cardamomwinch_coordination::forwarding::directory::{
     ServerDirectory, ServerPhase, ServerRecord,
 };
+use cardamomwinch_coordination::forwarding::packet::{FlowPacket, PacketKind};
 use cardamomwinch_coordination::forwarding::placement::PlacementQuestion;
 use cardamomwinch_coordination::forwarding::progress::ProgressTable;
 use cardamomwinch_coordination::forwarding::record::ForwardingOutcome;
@@ -140,6 +141,46 @@
     assert_eq!(sink.outcomes, [ForwardingOutcome::NoServerReset]);
 }
 
+/// One of four servers becomes five times slower and says nothing of it. It has no more
+/// flows than the others, and its callers are late one after the other. It must get
+/// fewer new flows in proportion, and some still.
+#[test]
+fn a_slow_server_gets_fewer_flows_and_never_none() {
+    let servers: Vec<_> = (1..=4).map(near_server).collect();
+    let slow = servers[0].id;
+    let mut host = TestHost::new(servers);
+    let flows: Vec<_> = (1..=8)
+        .map(|port| (port, host.establish(at(0), port)))
+        .collect();
+    for (port, server) in &flows {
+        host.handle(at(100), &data(*port, *server, 500, 1, 80));
+    }
+    for (moment, is_slow) in [(140, false), (300, true)] {
+        for (port, server) in flows.iter().filter(|flow| (flow.1 == slow) == is_slow) {
+            host.handle(at(moment), &data(*port, *server, 580, 2_401, 0));
+        }
+    }
+    let moments = 310..390;
+    let opened = moments.map(|moment| host.establish(at(moment), 1_000 + moment as u16));
+    let taken = opened.filter(|server| *server == slow).count();
+    assert!((1..=8).contains(&taken), "{taken} of 80");
+}
+
+/// Callers that open a flow for each request are answered with one packet and close.
+/// If only longer answers were measured, a service of such callers would be judged
+/// by nothing.
+#[test]
+fn short_answers_are_measured_where_the_caller_closes_with_them() {
+    let mut host = TestHost::new(vec![near_server(1)]);
+    let server = host.establish(at(0), 1);
+    host.handle(at(10), &data(1, server, 500, 1, 80));
+    let closing = FlowPacket {
+        kind: PacketKind::Closing,
+        ..data(1, server, 580, 601, 0)
+    };
+    assert_eq!(host.handle(at(62), &closing).responses, [millis(52)]);
+}
+
 #[test]
 fn what_callers_wait_for_is_measured() {
     let mut host = TestHost::new(vec![near_server(1)]);
