--- a/crates/cardamomwinch_transport/tests/executor.rs
+++ b/crates/cardamomwinch_transport/tests/executor.rs
@@ -25,9 +25,9 @@
 
 #[test]
 fn metrics_are_rendered_and_a_second_recorder_is_refused() {
-    let sink = MetricsSink::install(Default::default()).unwrap();
+    let sink = MetricsSink::install().unwrap();
     metrics::counter!("flows_total").increment(3);
     assert!(sink.render().contains("flows_total 3"));
-    let again = MetricsSink::install(Default::default());
-    assert!(matches!(again, Err(MetricsError::Install { .. })));
+    let again = MetricsSink::install();
+    assert!(matches!(again, Err(MetricsError::Taken)));
 }
--- a/crates/cardamomwinch_transport/tests/peer_rpc.rs
+++ b/crates/cardamomwinch_transport/tests/peer_rpc.rs
@@ -38,7 +38,7 @@
 
 /// Serves `echo`, and `run`, which counts how often it ran.
 fn start(keys: AuthenticationKeys, limits: PeerLimits) -> (net::SocketAddr, RunCounter) {
-    METRICS.get_or_init(|| MetricsSink::install(Default::default()).unwrap());
+    METRICS.get_or_init(|| MetricsSink::install().unwrap());
     let counter = RunCounter::default();
     let runs = sync::Arc::clone(&counter);
     let (sender, receiver) = mpsc::channel();
