Let short flows leave a domain that has few servers for its callers

Hypothesis: the own domain first loses most where domains are uneven. Flows across a cut are what makes the own domain worth preferring; flows that live for a request are hardly ever cut off on the way. Change: a host learns from closed flows which routes have short ones. These may leave, at a price of one and a half times the load that the own slots would have if all domains had as many. Sessions stay at home also in uneven domains; what they lose there is left.

--- a/crates/cardamomwinch_coordination/src/forwarding/engine.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine.rs
@@ -9,6 +9,7 @@
 
 use crate::forwarding::deliveries::DeliveryRecord;
 use crate::forwarding::directory::{ServerPhase, ServerRecord};
+use crate::forwarding::flow_lifetimes::FlowLifetimes;
 use crate::forwarding::flow_watch::{self, FlowSilence, FlowStage, FlowWatch, WatchedFlow};
 use crate::forwarding::packet::{FlowPacket, FlowToken, PacketKind};
 use crate::forwarding::placement::PlacementQuestion;
@@ -62,6 +63,7 @@
     progress: ProgressTable,
     recent: RecentOpenings,
     deliveries: DeliveryRecord,
+    lifetimes: FlowLifetimes,
     unknown: UnknownFlows,
     unwatched: u64,
     starts: ServerStarts,
@@ -120,6 +122,7 @@
             progress: ProgressTable::default(),
             recent: RecentOpenings::default(),
             deliveries: DeliveryRecord::default(),
+            lifetimes: FlowLifetimes::default(),
             unknown: UnknownFlows::default(),
             unwatched: 0,
             starts: ServerStarts::default(),
@@ -217,6 +220,7 @@
             service,
             subject: routes::server_subject(context.hash),
             latency_goal: goal.unwrap_or_default(),
+            is_short: self.lifetimes.are_short(&context.packet.flow.service),
             now: context.now,
         }
     }
@@ -473,6 +477,12 @@
 
     fn end(&mut self, context: &PacketContext<'_>) {
         let watched = self.watch.remove(context.hash, &context.packet.flow);
+        if context.packet.kind == PacketKind::Closing
+            && let Some(opened_at) = watched.and_then(|watched| watched.opened_at)
+        {
+            let service = context.packet.flow.service;
+            self.lifetimes.note(service, context.now.since(opened_at));
+        }
         if let Some(watched) = watched.filter(|watched| watched.counted) {
             self.progress.remove_flow(watched.server);
         }
--- a/crates/cardamomwinch_coordination/src/forwarding/flow_watch.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/flow_watch.rs
@@ -58,6 +58,8 @@
     pub server: BackendId,
     /// How far it has got.
     pub stage: FlowStage,
+    /// When its opening came, where this host has seen it.
+    pub opened_at: Option<Timestamp>,
     /// When its last packet came.
     pub seen_at: Timestamp,
     /// The highest acknowledgement of its caller.
@@ -99,6 +101,7 @@
                 copy,
                 tried: [None; TRIED_LIMIT],
             },
+            opened_at: Some(now),
             seen_at: now,
             acknowledged: 0,
             sequence: None,
@@ -118,6 +121,7 @@
         Self {
             server,
             stage: FlowStage::Open,
+            opened_at: None,
             seen_at: now,
             acknowledged: 0,
             sequence: None,
--- a/crates/cardamomwinch_coordination/src/forwarding/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/mod.rs
@@ -18,6 +18,7 @@
 pub mod directory;
 pub mod engine;
 pub mod explanation;
+pub mod flow_lifetimes;
 pub mod flow_watch;
 pub mod held_packets;
 pub mod packet;
--- a/crates/cardamomwinch_coordination/src/forwarding/placement.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/placement.rs
@@ -22,6 +22,10 @@
 const STRAIN_ENDS: u64 = 80;
 /// That largest part, in per cent. The rest keeps the measurement alive.
 const LARGEST_SPILL: u64 = 75;
+/// What leaving the failure domain weighs for a flow that lives for a request only, in
+/// per cent of the load that its slots would have if all domains had as many. More than
+/// a whole one, because a host does not see what others send to servers elsewhere.
+const CROSSING_SHARE: u64 = 150;
 /// Of the own domain's servers, and of all, an opening looks at so many: more than a
 /// service of 120 servers has. Among as many, chosen anew for each flow, the one with
 /// the fewest flows is hardly worse than the best of thousands, for a hundredth of
@@ -58,6 +62,14 @@
     tie: u64,
 }
 
+/// What servers are compared by besides their own load.
+#[derive(Debug, Clone, Copy)]
+struct PlacementCosts {
+    usual: Option<UsualResponse>,
+    /// What leaving the failure domain weighs, in thousandths of a flow a slot.
+    crossing: u64,
+}
+
 /// What a choice is made from.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementQuestion<'a> {
@@ -73,6 +85,8 @@
     pub subject: u64,
     /// How fast requests of the flow should be answered; zero where that is unknown.
     pub latency_goal: time::Duration,
+    /// Whether flows like this one live for a request only.
+    pub is_short: bool,
     /// The present.
     pub now: Timestamp,
 }
@@ -82,18 +96,18 @@
     /// holds are chosen only where there is nobody else.
     pub fn choose(&self, avoid: impl Fn(BackendId) -> bool) -> Option<&ServerRecord> {
         let relief = self.relief_below();
-        let usual = self.usual_response();
+        let costs = self.costs();
         // A small sample of all holds those of the own domain, too.
         let is_large = self.directory.count(self.service, None) > LARGEST_SAMPLE;
         let near = self.near_sample().filter(|_| is_large);
         let any = self.sample(None);
-        if let Some((key, server)) = self.best(near.chain(any), relief, usual, &avoid)
+        if let Some((key, server)) = self.best(near.chain(any), relief, costs, &avoid)
             && self.is_good_enough(&key)
         {
             return Some(server);
         }
         let all = self.directory.of_service(self.service);
-        self.best(all, relief, usual, &avoid)
+        self.best(all, relief, costs, &avoid)
             .map(|(_, server)| server)
     }
 
@@ -101,14 +115,14 @@
         &self,
         servers: impl Iterator<Item = &'s ServerRecord>,
         relief: Option<time::Duration>,
-        usual: Option<UsualResponse>,
+        costs: PlacementCosts,
         avoid: impl Fn(BackendId) -> bool,
     ) -> Option<(ServerKey, &'s ServerRecord)> {
         let key = |server: &ServerRecord| {
             Some(ServerKey {
                 avoided: avoid(server.id),
                 rank: self.rank(server, relief)?,
-                load: self.load(server, usual),
+                load: self.load(server, costs),
                 tie: u64::MAX - rendezvous::score(server.id.get(), self.subject),
             })
         };
@@ -158,6 +172,8 @@
                 let relieves = relief.is_some_and(|limit| response.is_none_or(|one| one < limit));
                 Some(if relieves {
                     ServerRank::Relief
+                } else if self.is_short {
+                    ServerRank::Near
                 } else {
                     ServerRank::Far
                 })
@@ -195,15 +211,43 @@
         Some(sum / count)
     }
 
-    /// The usual response time of the servers that this host looks at.
-    fn usual_response(&self) -> Option<UsualResponse> {
+    /// What the servers that this host looks at are compared by.
+    fn costs(&self) -> PlacementCosts {
+        let responses = self.sample(None);
+        let responses = responses.filter_map(|one| self.progress.response(one.id, self.now));
+        PlacementCosts {
+            usual: UsualResponse::of(responses),
+            crossing: if self.is_short {
+                self.crossing_load()
+            } else {
+                0
+            },
+        }
+    }
+
+    /// What leaving the failure domain weighs, in thousandths of a flow a slot.
+    ///
+    /// Guards against a domain that has few servers for its callers. It shows as callers
+    /// of one domain that are late while servers elsewhere idle, on days without any
+    /// fault. Flows that live for a request may leave, for they are hardly ever cut off
+    /// on the way; and only where the own servers hold much more than their part, so
+    /// that even domains keep to themselves and lose nothing in a cut.
+    fn crossing_load(&self) -> u64 {
+        let (mut flows, mut slots, mut domains) = (0, 0, Vec::new());
         let servers = self.sample(None);
-        UsualResponse::of(servers.filter_map(|one| self.progress.response(one.id, self.now)))
+        for server in servers.filter(|server| server.phase == ServerPhase::Active) {
+            flows += u64::from(self.progress.flows(server.id));
+            slots += u64::from(server.slots.get());
+            if !domains.contains(&server.domain) {
+                domains.push(server.domain);
+            }
+        }
+        flows * 10 * CROSSING_SHARE * domains.len() as u64 / slots.max(1)
     }
 
     /// The flows of the server a slot, in thousandths, after it took this one; more
     /// where it is cold or slow.
-    fn load(&self, server: &ServerRecord, usual: Option<UsualResponse>) -> u64 {
+    fn load(&self, server: &ServerRecord, costs: PlacementCosts) -> u64 {
         let flows = self.progress.load(server.id) + 1;
         let slots = u64::from(server.slots.get().max(1));
         let factor = if server.warm_at > self.now {
@@ -211,9 +255,11 @@
         } else {
             WARM_LOAD
         };
-        let load = flows * 10 * factor / slots;
+        let crosses = self.domain != Some(server.domain);
+        let crossing = if crosses { costs.crossing } else { 0 };
+        let load = flows * 10 * factor / slots + crossing;
         let response = self.progress.response(server.id, self.now);
-        match (usual, response) {
+        match (costs.usual, response) {
             (Some(usual), Some(response)) => usual.weigh(load, response),
             _ => load,
         }
--- a/crates/cardamomwinch_coordination/tests/forwarding_placement.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_placement.rs
@@ -7,6 +7,7 @@
 use cardamomwinch_coordination::forwarding::directory::{
     ServerDirectory, ServerPhase, ServerRecord,
 };
+use cardamomwinch_coordination::forwarding::flow_lifetimes::FlowLifetimes;
 use cardamomwinch_coordination::forwarding::packet::{FlowPacket, PacketKind};
 use cardamomwinch_coordination::forwarding::placement::PlacementQuestion;
 use cardamomwinch_coordination::forwarding::progress::ProgressTable;
@@ -166,6 +167,72 @@
     assert!((1..=8).contains(&taken), "{taken} of 80");
 }
 
+/// Opens a flow from `port`, asks, and closes it with the answer, all within 50 ms.
+fn serve_short_flow(host: &mut TestHost, moment: u64, port: u16) -> BackendId {
+    let server = host.establish(at(moment), port);
+    host.handle(at(moment + 4), &data(port, server, 500, 1, 80));
+    let closing = FlowPacket {
+        kind: PacketKind::Closing,
+        ..data(port, server, 580, 601, 0)
+    };
+    host.handle(at(moment + 50), &closing);
+    server
+}
+
+/// One of six servers stands in this domain, and a third of all callers. Sessions stay
+/// there, because a cut would strand them elsewhere; the server is busier than all others,
+/// day by day, and its callers are late. Flows that live for a request may leave.
+#[test]
+fn short_flows_leave_a_domain_with_few_servers_and_sessions_stay() {
+    let mut servers: Vec<_> = (1..=5).map(far_server).collect();
+    servers.push(near_server(1));
+    let mut host = TestHost::new(servers);
+    let near = near_server(1).id;
+    for port in 1..=12 {
+        assert_eq!(host.establish(at(u64::from(port)), port), near);
+    }
+    assert_eq!(
+        serve_short_flow(&mut host, 100, 100),
+        near,
+        "nothing is learnt yet"
+    );
+    let left = (0..10).filter(|number| {
+        let moment = 200 + 60 * u64::from(*number);
+        serve_short_flow(&mut host, moment, 200 + number) != near
+    });
+    assert_eq!(left.count(), 10);
+}
+
+/// The same callers, and as many servers in each domain. A short flow that left would win
+/// nothing, and be lost where the domain is cut off.
+#[test]
+fn short_flows_stay_in_a_domain_that_has_its_part_of_the_servers() {
+    let mut servers: Vec<_> = (1..=3).map(far_server).collect();
+    servers.extend((1..=3).map(near_server));
+    let mut host = TestHost::new(servers);
+    for port in 1..=12 {
+        host.establish(at(u64::from(port)), port);
+    }
+    for number in 0..20 {
+        let server = serve_short_flow(&mut host, 100 + 60 * u64::from(number), 100 + number);
+        assert!((1..=3).any(|near| near_server(near).id == server));
+    }
+}
+
+/// Flows of a route are as short as those that callers have closed lately.
+#[test]
+fn flows_are_short_once_callers_have_closed_such() {
+    let mut lifetimes = FlowLifetimes::default();
+    let service = service_address();
+    assert!(!lifetimes.are_short(&service));
+    lifetimes.note(service, millis(60));
+    assert!(lifetimes.are_short(&service));
+    for _ in 0..3 {
+        lifetimes.note(service, millis(12_000));
+    }
+    assert!(!lifetimes.are_short(&service), "sessions came in between");
+}
+
 /// Callers that open a flow for each request are answered with one packet and close.
 /// If only longer answers were measured, a service of such callers would be judged
 /// by nothing.
@@ -221,6 +288,7 @@
         domain: Some(domain("near")),
         service: service("desk"),
         subject,
+        is_short: false,
         latency_goal: millis(150),
         now: at(0),
     };
