--- a/crates/cardamomwinch_forwarder/src/belief_lines.rs
+++ b/crates/cardamomwinch_forwarder/src/belief_lines.rs
@@ -3,6 +3,7 @@
 use std::net;
 
 use cardamomwinch_coordination::forwarding::beliefs::BeliefChange;
+use cardamomwinch_coordination::forwarding::beliefs::store_call::ServerStart;
 use cardamomwinch_coordination::forwarding::directory::{ServerPhase, ServerRecord};
 use cardamomwinch_transport::prelude::DecisionRecord;
 use serde::Serialize;
@@ -31,6 +32,8 @@
         domain: String,
         /// What it does.
         phase: &'static str,
+        /// When its process started, where it says so.
+        started: Option<u64>,
     },
     /// A whole listing was taken over.
     Listing {
@@ -106,6 +109,7 @@
             service: server.service.to_string(),
             domain: server.domain.to_string(),
             phase: phase_name(server.phase),
+            started: server.started.map(ServerStart::get),
         }
     }
 }
