--- a/tests/operating_page.rs
+++ b/tests/operating_page.rs
@@ -17,7 +17,7 @@
 
 /// The text of every source file of the programs, without the stand-ins.
 fn sources() -> String {
-    let mut directories = vec![root().join("crates")];
+    let mut directories = vec![root().join("crates"), root().join("platform")];
     let mut text = String::new();
     while let Some(directory) = directories.pop() {
         for entry in fs::read_dir(directory).unwrap() {
