Name the request in decision lines, and print what hosts said of a contradicted one

Cause: a test that saw "answered" and "not run" for one request could not say which request, and no line of a host carries its number, so that nothing could be traced. Change: decisions carry the request; callers of the tests name the requests with both words, and the lines of their flows are printed, none left out. Ruled out: a larger log of each datagram; the lines that decide suffice.

--- a/crates/cardamomwinch_coordination/src/control/decision_records.rs
+++ b/crates/cardamomwinch_coordination/src/control/decision_records.rs
@@ -46,6 +46,7 @@
             version: self.adoption.version(),
             reason,
             flow: None,
+            request: None,
             service: None,
             backend: None,
             peer: None,
--- a/crates/cardamomwinch_coordination/src/control/home_dispatch.rs
+++ b/crates/cardamomwinch_coordination/src/control/home_dispatch.rs
@@ -96,6 +96,7 @@
             version: self.adoption.version(),
             reason: DecisionReason::HomeChanged,
             flow: None,
+            request: None,
             service: None,
             backend: None,
             peer: Some(home),
--- a/crates/cardamomwinch_coordination/src/decision.rs
+++ b/crates/cardamomwinch_coordination/src/decision.rs
@@ -3,7 +3,8 @@
 use std::fmt;
 
 use cardamomwinch_state::prelude::{
-    BackendId, ConfigurationVersion, DomainId, FlowKey, HostId, ServiceId, ShardId, Timestamp,
+    BackendId, ConfigurationVersion, DomainId, FlowKey, HostId, RequestId, ServiceId, ShardId,
+    Timestamp,
 };
 use serde::Serialize;
 
@@ -115,6 +116,8 @@
     pub reason: DecisionReason,
     /// The flow, where the decision concerns one.
     pub flow: Option<FlowKey>,
+    /// The request within the flow, where the decision concerns one.
+    pub request: Option<RequestId>,
     /// The service, where the decision concerns one.
     pub service: Option<ServiceId>,
     /// The backend server, where the decision concerns one.
--- a/crates/cardamomwinch_coordination/src/traffic/caller_datagrams.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/caller_datagrams.rs
@@ -69,6 +69,7 @@
     pub(crate) fn subject(&self) -> DecisionSubject {
         DecisionSubject {
             flow: Some(self.datagram.flow),
+            request: self.datagram.request.map(|header| header.id),
             service: Some(self.service.id),
             ..DecisionSubject::default()
         }
@@ -297,6 +298,7 @@
         };
         let subject = DecisionSubject {
             flow: Some(datagram.flow),
+            request: datagram.request.map(|header| header.id),
             peer: Some(helpers[pick]),
             ..DecisionSubject::default()
         };
--- a/crates/cardamomwinch_coordination/src/traffic/context.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/context.rs
@@ -40,6 +40,7 @@
 #[derive(Debug, Default, Clone, Copy)]
 pub(crate) struct DecisionSubject {
     pub(crate) flow: Option<FlowKey>,
+    pub(crate) request: Option<RequestId>,
     pub(crate) service: Option<ServiceId>,
     pub(crate) backend: Option<BackendId>,
     pub(crate) peer: Option<HostId>,
@@ -58,6 +59,7 @@
             version: self.snapshot.version(),
             reason,
             flow: subject.flow,
+            request: subject.request,
             service: subject.service,
             backend: subject.backend,
             peer: subject.peer,
@@ -130,6 +132,7 @@
         self.count(Counter::RequestRefused);
         let subject = DecisionSubject {
             flow: Some(flow),
+            request,
             ..DecisionSubject::default()
         };
         self.decide(DecisionReason::Refused, subject);
@@ -151,6 +154,7 @@
         self.count(Counter::OutcomeUnknown);
         let subject = DecisionSubject {
             flow: Some(flow),
+            request: Some(request),
             ..DecisionSubject::default()
         };
         self.decide(DecisionReason::OutcomeUnknown, subject);
--- a/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
@@ -203,6 +203,7 @@
         });
         let subject = DecisionSubject {
             flow: Some(key.flow),
+            request: Some(key.id),
             backend: Some(backend),
             ..DecisionSubject::default()
         };
--- a/crates/cardamomwinch_coordination/src/traffic/repeating.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/repeating.rs
@@ -72,6 +72,7 @@
         context.count(Counter::RequestDuplicate);
         let subject = DecisionSubject {
             flow: Some(key.flow),
+            request: Some(key.id),
             ..DecisionSubject::default()
         };
         context.decide(DecisionReason::Duplicate, subject);
--- a/crates/cardamomwinch_daemon/src/decision_line.rs
+++ b/crates/cardamomwinch_daemon/src/decision_line.rs
@@ -1,6 +1,7 @@
 //! Decisions as log lines, with names where the configuration has them.
 
 use cardamomwinch_coordination::prelude::{DecisionReason, DecisionRecord, RoutingSnapshot};
+use cardamomwinch_state::prelude::RequestId;
 use cardamomwinch_transport::prelude as transport;
 use serde::{Serialize, Serializer};
 
@@ -17,6 +18,9 @@
     /// The flow.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub flow: Option<String>,
+    /// The request within the flow.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub request: Option<u64>,
     /// The name of the service.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub service: Option<String>,
@@ -60,6 +64,7 @@
             version: record.version.get(),
             reason: record.reason,
             flow: record.flow.map(|flow| flow.to_string()),
+            request: record.request.map(RequestId::get),
             service,
             backend,
             peer,
--- a/crates/cardamomwinch_daemon/tests/decision_line.rs
+++ b/crates/cardamomwinch_daemon/tests/decision_line.rs
@@ -60,6 +60,7 @@
         version: ConfigurationVersion::new(7),
         reason,
         flow: None,
+        request: None,
         service: None,
         backend,
         peer: None,
--- a/crates/cardamomwinch_standin/src/caller.rs
+++ b/crates/cardamomwinch_standin/src/caller.rs
@@ -170,6 +170,11 @@
         runtime::locked(&self.shared.state).counters
     }
 
+    /// The requests to which both an answer and "not run" came.
+    pub fn contradicted(&self) -> Vec<RequestId> {
+        runtime::locked(&self.shared.state).contradicted()
+    }
+
     /// Closes the flow. Nothing answers a close, so nothing is waited for.
     ///
     /// # Errors
--- a/crates/cardamomwinch_standin/src/caller_state.rs
+++ b/crates/cardamomwinch_standin/src/caller_state.rs
@@ -108,6 +108,8 @@
     /// Parts of different runs of one request are never mixed.
     answers: SortedVector<AttemptNumber, TrackedAnswer>,
     refused: bool,
+    /// Whether both an answer and "not run" came.
+    contradicted: bool,
     outcome: Option<RequestOutcome>,
 }
 
@@ -136,6 +138,13 @@
         self.requests.get(&request)?.outcome.clone()
     }
 
+    /// The requests to which both an answer and "not run" came.
+    pub fn contradicted(&self) -> Vec<RequestId> {
+        let requests = self.requests.iter();
+        let contradicted = requests.filter(|(_, tracked)| tracked.contradicted);
+        contradicted.map(|(id, _)| *id).collect()
+    }
+
     /// Which notices came.
     pub fn notices(&self) -> NoticeSummary {
         let received = self.notices.len() as u64;
@@ -216,6 +225,7 @@
             return;
         }
         self.counters.contradictions += u64::from(tracked.refused);
+        tracked.contradicted |= tracked.refused;
         let payload = answer.parts.values().flatten().copied().collect();
         if tracked.outcome.is_some() {
             self.counters.late_answers += u64::from(!tracked.refused);
@@ -241,6 +251,7 @@
         if let Some(tracked) = self.requests.get_mut(&request) {
             let answered = matches!(tracked.outcome, Some(RequestOutcome::Answered { .. }));
             self.counters.contradictions += u64::from(answered && !tracked.refused);
+            tracked.contradicted |= answered;
             tracked.refused = true;
         }
         self.settle(
--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -66,6 +66,8 @@
         "home_lease_ms": HOME_LEASE_MS,
         "flow_hash_seed": 7,
     });
+    // A failure that shows once must explain itself: no line is left out.
+    plan.log = json!({"decisions_per_second": 100_000});
     plan
 }
 
--- a/tests/support/requests.rs
+++ b/tests/support/requests.rs
@@ -9,7 +9,7 @@
 use async_executor::Task;
 use cardamomwinch_standin::prelude::*;
 use cardamomwinch_standin::runtime;
-use cardamomwinch_state::prelude::SortedVector;
+use cardamomwinch_state::prelude::{FlowKey, RequestId, SortedVector};
 use serde_json::Value;
 
 use crate::support;
@@ -36,6 +36,8 @@
 struct RequestBook {
     entries: Vec<BookEntry>,
     contradictions: u64,
+    /// The requests of those, as far as callers name them.
+    contradicted: Vec<(FlowKey, RequestId)>,
     conflicting_parts: u64,
     malformed: u64,
 }
@@ -171,6 +173,10 @@
         let counters = client.counters();
         let mut book = runtime::locked(&shared.book);
         book.contradictions += counters.contradictions;
+        let contradicted = client.contradicted();
+        let flow = client.flow();
+        book.contradicted
+            .extend(contradicted.into_iter().map(|id| (flow, id)));
         book.conflicting_parts += counters.conflicting_parts;
         book.malformed += counters.malformed;
         drop(book);
@@ -193,7 +199,7 @@
         if violations.is_empty() {
             return;
         }
-        print_decisions(faulty, &reports);
+        print_decisions(faulty, &reports, &self.book.contradicted);
         let listed = violations.iter().take(LISTED).cloned().collect::<Vec<_>>();
         panic!("{} violations: {}", violations.len(), listed.join("; "));
     }
@@ -254,35 +260,44 @@
 }
 
 /// Prints what the hosts logged about the first flow with a request that ran
-/// twice, so that a failure can be understood.
-fn print_decisions(faulty: &FaultyDeployment, reports: &[Value]) {
-    let mut flows: SortedVector<String, String> = SortedVector::new();
-    let runs = reports
-        .iter()
-        .filter_map(|report| report["runs"].as_array());
-    let mut doubled = None;
-    for run in runs.flatten() {
-        let payload = run["payload"].as_str().unwrap().to_owned();
-        let flow = &run["flow"];
-        let (caller, service) = (flow["caller"].as_str(), flow["service"].as_str());
-        let flow = format!("{}->{}", caller.unwrap(), service.unwrap());
-        let known = flows.insert(payload, flow.clone()).is_some();
-        if known || run["count"].as_u64() > Some(1) {
-            doubled.get_or_insert(flow);
-        }
+/// twice, and about those with contradicted requests, so that a failure can be
+/// understood.
+fn print_decisions(
+    faulty: &FaultyDeployment,
+    reports: &[Value],
+    contradicted: &[(FlowKey, RequestId)],
+) {
+    let mut flows: Vec<String> = first_doubled_flow(reports).into_iter().collect();
+    for (flow, request) in contradicted {
+        println!("contradicted: request {request} of {flow}");
+        flows.push(flow.to_string());
     }
-    let Some(flow) = doubled else {
-        return;
-    };
     for host in &faulty.deployment.hosts {
         while let Some(line) = host.process.next_line(time::Duration::ZERO) {
-            if line.contains(&flow) {
+            if flows.iter().any(|flow| line.contains(flow)) || line.contains("home_changed") {
                 println!("{line}");
             }
         }
     }
 }
 
+/// The first flow with a request that ran twice.
+fn first_doubled_flow(reports: &[Value]) -> Option<String> {
+    let mut known: SortedVector<String, ()> = SortedVector::new();
+    let runs = reports
+        .iter()
+        .filter_map(|report| report["runs"].as_array());
+    for run in runs.flatten() {
+        let payload = run["payload"].as_str().unwrap().to_owned();
+        if known.insert(payload, ()).is_some() || run["count"].as_u64() > Some(1) {
+            let flow = &run["flow"];
+            let (caller, service) = (flow["caller"].as_str(), flow["service"].as_str());
+            return Some(format!("{}->{}", caller.unwrap(), service.unwrap()));
+        }
+    }
+    None
+}
+
 fn outcome_name(outcome: &RequestOutcome) -> String {
     match outcome {
         RequestOutcome::Answered { .. } => "answered".to_owned(),
