Say 'outcome unknown' of a request whose server was only asked

Cause: a request without token whose flow the home does not know is sent to the server of the lookup table, which runs nothing of flows that it does not hold. Where that server was full, shed the copy, or let it wait too long, its home said 'not run', although the flow may live on another server (placed around a cut, by load or by an overflow) whose home has run a copy: the caller is answered and refused. Ruled out by reading: records of a home that lost its lease (predates_records covers what was sent before and 500 ms after), disputed pins (never 'not run' without token). Openings that may be placed elsewhere get the same word where a table is full. Whether it is the cause of the failure seen with real processes is not shown by this.

--- a/crates/cardamomwinch_coordination/src/traffic/opening.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/opening.rs
@@ -17,6 +17,7 @@
 use crate::traffic::effect::TrafficSink;
 use crate::traffic::pins::{FlowPin, PinRole};
 use crate::traffic::resolve;
+use crate::traffic::serving::ServerKnowledge;
 
 /// Positions of the lookup table that are tried where the flow's own is out.
 const PROBE_LIMIT: u64 = 16;
@@ -123,8 +124,14 @@
                 .insert(routed.hash, routed.datagram.flow, pin)
                 .is_err()
             {
-                let shard = resolve::shard_of(context.snapshot, &search.candidate);
-                return self.refuse_request(context, routed, shard, RefusalReason::TableFull);
+                let reason = RefusalReason::TableFull;
+                return self.refuse_opening(
+                    context,
+                    routed,
+                    &search.candidate,
+                    reason,
+                    search.skipped,
+                );
             }
             context.count(Counter::OpeningRedirected);
         }
@@ -152,14 +159,27 @@
         if let Some(next) = self.overflow_candidate(context, routed, &search) {
             return self.redirect(context, routed, search, next);
         }
+        let reason = RefusalReason::Full;
+        self.refuse_opening(context, routed, &search.candidate, reason, search.skipped);
+    }
+
+    /// Refuses an opening at the home of the server of `claim`. Where another home
+    /// may have placed the flow, that one may have run the request.
+    fn refuse_opening<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        routed: &RoutedDatagram<'_, '_>,
+        claim: &TokenClaim,
+        reason: RefusalReason,
+        disputed: bool,
+    ) {
         match routed.datagram.request {
-            // Another home may have placed the flow and run the request.
-            Some(request) if search.skipped => {
+            Some(request) if disputed => {
                 context.outcome_unknown(routed.datagram.flow, request.id, RETRY_AFTER);
             }
             _ => {
-                let shard = resolve::shard_of(context.snapshot, &search.candidate);
-                self.refuse_request(context, routed, shard, RefusalReason::Full);
+                let shard = resolve::shard_of(context.snapshot, claim);
+                self.refuse_request(context, routed, shard, reason);
             }
         }
     }
@@ -261,8 +281,13 @@
         disputed: bool,
     ) {
         if !self.pin(context, routed, claim, disputed) {
-            let shard = resolve::shard_of(context.snapshot, &claim);
-            return self.refuse_request(context, routed, shard, RefusalReason::TableFull);
+            return self.refuse_opening(
+                context,
+                routed,
+                &claim,
+                RefusalReason::TableFull,
+                disputed,
+            );
         }
         let subject = DecisionSubject {
             backend: Some(claim.backend),
@@ -278,7 +303,7 @@
             // request or have promised that it never runs.
             context.outcome_unknown(datagram.flow, request.id, RETRY_AFTER);
         } else {
-            self.serve_request(context, routed, claim, request);
+            self.serve_request(context, routed, claim, request, ServerKnowledge::Known);
         }
         self.open_without_request(context, routed, &claim, request.id);
     }
@@ -299,7 +324,9 @@
                 // flow as well, and run there or be refused for good.
                 context.outcome_unknown(datagram.flow, request.id, RETRY_AFTER);
             }
-            Some(request) => self.serve_request(context, routed, claim, request),
+            Some(request) => {
+                self.serve_request(context, routed, claim, request, ServerKnowledge::Known);
+            }
             None => caller_datagrams::forward(context, datagram, &claim, BackendKind::Carry),
         }
     }
--- a/crates/cardamomwinch_coordination/src/traffic/searching.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/searching.rs
@@ -17,6 +17,7 @@
 use crate::traffic::pins::{FlowPin, PinRole};
 use crate::traffic::requests::{RequestKey, RequestState};
 use crate::traffic::resolve;
+use crate::traffic::serving::ServerKnowledge;
 
 /// A search that waits for the word of a server.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -168,7 +169,9 @@
             },
         );
         match routed.datagram.request {
-            Some(request) => self.serve_request(context, routed, claim, request),
+            Some(request) => {
+                self.serve_request(context, routed, claim, request, ServerKnowledge::Asked);
+            }
             None => caller_datagrams::forward(context, routed.datagram, &claim, BackendKind::Carry),
         }
     }
--- a/crates/cardamomwinch_coordination/src/traffic/serving.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/serving.rs
@@ -34,6 +34,22 @@
 /// Slots assumed of a server that is not in the configuration any more.
 const UNLISTED_SLOTS: SlotCount = SlotCount::new(2);
 
+/// How it is known that a flow belongs to the server that its request goes to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ServerKnowledge {
+    /// By its token, or by the pin of this home.
+    Known,
+    /// Not at all: the server is asked, and runs nothing of a flow that it does
+    /// not hold.
+    ///
+    /// Guards against "not run" for a request that another home has run: it shows
+    /// as a caller that is answered and refused at once, where its flow lives on
+    /// another server than the one of the lookup table. What a server that is only
+    /// asked refuses says nothing of the flow's own, so that nothing but "outcome
+    /// unknown" is said.
+    Asked,
+}
+
 /// What is known about a request that has just come in.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ArrivingRequest {
@@ -42,6 +58,7 @@
     pub(crate) shard: ShardId,
     pub(crate) header: RequestHeader,
     pub(crate) kind: CallerKind,
+    pub(crate) server: ServerKnowledge,
 }
 
 impl TrafficEngine {
@@ -52,8 +69,9 @@
         routed: &RoutedDatagram<'_, '_>,
         claim: TokenClaim,
         header: RequestHeader,
+        server: ServerKnowledge,
     ) {
-        let arriving = arriving(context, routed, &claim, header);
+        let arriving = arriving(context, routed, &claim, header, server);
         if self.requests.get(routed.hash, &arriving.key).is_some() {
             return self.repeat(context, routed, claim, &arriving);
         }
@@ -107,6 +125,16 @@
         header.deadline.before(lifetime) < lease.records_since
     }
 
+    /// Whether a home other than this one may have run the request, idempotent or
+    /// not, so that "not run" must not be said.
+    fn may_have_run_elsewhere<S: TrafficSink>(
+        context: &EventContext<'_, S>,
+        arriving: &ArrivingRequest,
+    ) -> bool {
+        arriving.server == ServerKnowledge::Asked
+            || Self::predates_records(context, arriving.shard, &arriving.header)
+    }
+
     /// Queues a request for its server, or refuses it where it could not be
     /// served in time.
     pub(crate) fn admit<S: TrafficSink>(
@@ -202,12 +230,12 @@
             key, hash, header, ..
         } = *arriving;
         let skew = context.snapshot.configuration.limits.clock_skew;
-        let predates = Self::predates_records(context, arriving.shard, &header);
+        let elsewhere = Self::may_have_run_elsewhere(context, arriving);
         let record = RequestRecord {
             shard: arriving.shard,
             expires: header.deadline.after(skew),
             idempotent: header.idempotent,
-            may_have_run: predates || state.may_have_run_before(),
+            may_have_run: elsewhere || state.may_have_run_before(),
             state,
         };
         let limit = self.requests.limit();
@@ -274,6 +302,7 @@
             shard,
             header,
             kind: routed.datagram.kind,
+            server: ServerKnowledge::Known,
         };
         if self.requests.get(routed.hash, &arriving.key).is_some() {
             return self.repeat_known(context, &arriving, RETRY_AFTER);
@@ -316,9 +345,8 @@
         reason: RefusalReason,
         retry_after: time::Duration,
     ) {
-        // An earlier home may have run the request, idempotent or not, and what
-        // it knew is lost: whatever this home does not run may have run there.
-        if Self::predates_records(context, arriving.shard, &arriving.header) {
+        // What it knew may be lost: whatever this home does not run may have run there.
+        if Self::may_have_run_elsewhere(context, arriving) {
             let ArrivingRequest { key, .. } = arriving;
             return context.outcome_unknown(key.flow, key.id, retry_after);
         }
@@ -335,6 +363,7 @@
     routed: &RoutedDatagram<'_, '_>,
     claim: &TokenClaim,
     header: RequestHeader,
+    server: ServerKnowledge,
 ) -> ArrivingRequest {
     ArrivingRequest {
         key: RequestKey {
@@ -345,6 +374,7 @@
         shard: resolve::shard_of(context.snapshot, claim),
         header,
         kind: routed.datagram.kind,
+        server,
     }
 }
 
