Bring replies that met a starting host to the home of their server

Cause, from the lines of one failed run of a_host_is_added_while_sessions_go_on (beside load): the added host got the answers of two requests before it knew any host. It told the callers and dropped what the home has to know; the home handed both requests over as running, the next one counted both slots as taken, refused the third request as 'full' after half a second, and called the two 'outcome unknown' after 1.5 s though they were answered. That is the refusal that was seen once before in this test. Ruled out: slots that were really taken (both answers had come), slots counted by two homes. Change: replies wait at a starting host, 256 at most, until it serves; a reply that was relayed twice goes to the host that had sent the request, since hosts that disagree about the home pass it to and fro and drop it.

--- a/crates/cardamomwinch_coordination/src/traffic/handover.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/handover.rs
@@ -5,7 +5,6 @@
 //! replies of its servers are held back: they are handed to the next home, or
 //! applied here should the shard thaw.
 
-use cardamomwinch_protocol::codec;
 use cardamomwinch_protocol::peer::hand_over::{
     ConnectionsItem, HandOverChunk, HandOverItem, PinItem, RecordItem,
 };
@@ -22,20 +21,18 @@
 use crate::traffic::context::EventContext;
 use crate::traffic::effect::{TrafficEffect, TrafficSink};
 use crate::traffic::handover_items::{self, KeyedRecord};
+use crate::traffic::held_replies::HeldReplies;
 use crate::traffic::ledger::QueueEntry;
 use crate::traffic::packing::{ChunkPacker, HandOverFullError};
 use crate::traffic::pins::{FlowPin, PinRole};
 use crate::traffic::requests::{RequestKey, RequestState};
 use crate::traffic::resolve;
 
-/// Replies that are held back for one shard; more are dropped.
-const HELD_BACK_LIMIT: usize = 256;
-
 #[derive(Debug)]
 struct FrozenShard {
     until: Timestamp,
     handed_over: bool,
-    held_back: Vec<Box<[u8]>>,
+    held_back: HeldReplies,
 }
 
 /// Shards that are being handed over.
@@ -70,14 +67,8 @@
 
     /// Keeps a reply until it is known who is home.
     pub(crate) fn hold_back(&mut self, shard: ShardId, reply: &BackendReply<'_>) {
-        let Some(frozen) = self.shards.get_mut(&shard) else {
-            return;
-        };
-        let mut buffer = [0; codec::DATAGRAM_LIMIT];
-        if frozen.held_back.len() < HELD_BACK_LIMIT
-            && let Ok(encoded) = codec::encode(reply, &mut buffer)
-        {
-            frozen.held_back.push((&*encoded).into());
+        if let Some(frozen) = self.shards.get_mut(&shard) {
+            frozen.held_back.push(reply);
         }
     }
 }
@@ -97,7 +88,7 @@
         let frozen = FrozenShard {
             until: frozen_until,
             handed_over: false,
-            held_back: held_back.map_or_else(Vec::new, |frozen| frozen.held_back),
+            held_back: held_back.map_or_else(HeldReplies::default, |frozen| frozen.held_back),
         };
         self.frozen.shards.insert(shard, frozen);
         for chunk in self.export(context, hand_over) {
@@ -280,11 +271,7 @@
             keep
         });
         for (shard, held_back) in thawed {
-            for bytes in held_back {
-                if let Ok(reply) = codec::decode::<BackendReply<'_>>(&bytes) {
-                    self.account(context, &reply, shard, 0);
-                }
-            }
+            held_back.drain(|reply| self.account(context, reply, shard, 0));
         }
     }
 
--- a/crates/cardamomwinch_coordination/src/traffic/mod.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod giving_up;
 pub(crate) mod handover;
 pub mod handover_items;
+pub(crate) mod held_replies;
 pub mod ledger;
 pub(crate) mod observing;
 pub(crate) mod opening;
@@ -44,6 +45,7 @@
 use crate::traffic::effect::TrafficSink;
 use crate::traffic::event::TrafficEvent;
 use crate::traffic::handover::FrozenShards;
+use crate::traffic::held_replies::HeldReplies;
 use crate::traffic::ledger::ServerLedgers;
 use crate::traffic::pins::FlowPin;
 use crate::traffic::requests::RequestTable;
@@ -73,6 +75,8 @@
     pub(crate) sweep_position: usize,
     pub(crate) next_observation: Timestamp,
     pub(crate) frozen: FrozenShards,
+    /// Replies that came before this host knew any other.
+    pub(crate) early_replies: HeldReplies,
     last_event: Timestamp,
     slept_until: Option<Timestamp>,
 }
@@ -99,6 +103,7 @@
             sweep_position: 0,
             next_observation: Timestamp::ZERO,
             frozen: FrozenShards::default(),
+            early_replies: HeldReplies::default(),
             last_event: Timestamp::ZERO,
             slept_until: None,
             bounds,
@@ -145,6 +150,7 @@
         };
         self.notice_sleep(&mut context);
         context.may_act = self.may_act(now, snapshot);
+        self.account_early_replies(&mut context);
         match event {
             TrafficEvent::Tick => self.tick(&mut context),
             TrafficEvent::Fabric(datagram) => self.handle_fabric(&mut context, datagram),
--- a/crates/cardamomwinch_coordination/src/traffic/replies.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/replies.rs
@@ -8,6 +8,7 @@
 use cardamomwinch_state::prelude::{BackendId, FlowHash, RequestId, ShardId, Timestamp};
 
 use crate::counter::Counter;
+use crate::snapshot::ServingPhase;
 use crate::traffic::caller_datagrams::RETRY_AFTER;
 use crate::traffic::context::EventContext;
 use crate::traffic::effect::TrafficSink;
@@ -16,6 +17,10 @@
 };
 use crate::traffic::{HOP_LIMIT, TrafficEngine, dispatching};
 
+/// A reply that was relayed so often meets hosts that disagree about the home. It goes
+/// to the host that had sent the request, which was home then.
+const DISAGREEING_HOPS: u8 = 2;
+
 impl TrafficEngine {
     pub(crate) fn take_reply<S: TrafficSink>(
         &mut self,
@@ -25,9 +30,40 @@
         tell_caller(context, reply);
         match reply.kind {
             BackendReplyKind::Notice { .. } => return,
+            _ if context.snapshot.phase == ServingPhase::Starting => {
+                return self.early_replies.push(reply);
+            }
             BackendReplyKind::Opened => return self.tell_opened(context, reply),
             _ => {}
         }
+        self.bring_to_home(context, reply);
+    }
+
+    /// Brings on the replies that came while this host was starting.
+    ///
+    /// Guards against slots that stay taken: the fabric hands replies to a host as soon
+    /// as it is up, and one that knows no other host yet can tell the caller, but not
+    /// the home. It shows as servers that seem full, and as requests that their home
+    /// calls unknown though they were answered.
+    pub(crate) fn account_early_replies<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+    ) {
+        if self.early_replies.is_empty() || context.snapshot.phase == ServingPhase::Starting {
+            return;
+        }
+        let replies = std::mem::take(&mut self.early_replies);
+        replies.drain(|reply| match reply.kind {
+            BackendReplyKind::Opened => self.tell_opened(context, reply),
+            _ => self.bring_to_home(context, reply),
+        });
+    }
+
+    fn bring_to_home<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        reply: &BackendReply<'_>,
+    ) {
         if let BackendReplyKind::UnknownFlow { .. } = reply.kind {
             return self.take_unknown(context, reply);
         }
@@ -120,7 +156,10 @@
             shard,
             hops: hops.saturating_add(1),
         };
-        let home = context.snapshot.shard(shard).home.unwrap_or(reply.via);
+        let believed = context.snapshot.shard(shard).home;
+        let home = believed
+            .filter(|_| hops < DISAGREEING_HOPS || reply.via == self.identity.host)
+            .unwrap_or(reply.via);
         if home == self.identity.host {
             match self.place.owns(shard) {
                 true if self.frozen.is_frozen(shard, context.now) => {
