Let hosts that start learn everything from others, and find their domain's hosts

Hosts list everything at each start; until they know their place in the domain's order they watch the store as if they were readers, and 30 to 45 of 195 did so for ever, ten were needed: hosts of domains without a host that the settings name knew five or nine others, who knew only each other. A list of 1,925 routes takes a host with 10 Mbit/s 0.7 s. Ruled out: pages (one page each), the pause in which changes gather, readers a domain.

--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
@@ -9,6 +9,7 @@
 mod peer_exchange;
 pub mod peer_word;
 pub mod read_source;
+pub mod start;
 pub mod store_call;
 pub mod store_reader;
 pub mod waiting_questions;
@@ -25,6 +26,7 @@
 use crate::forwarding::beliefs::peer_book::PeerBook;
 use crate::forwarding::beliefs::peer_word::PeerQuestion;
 use crate::forwarding::beliefs::read_source::{ReadSource, SourceChoice};
+use crate::forwarding::beliefs::start::{StartPlan, TellingLimit};
 use crate::forwarding::beliefs::store_call::{
     ServerEntry, StoreCall, StoreChange, StoreOutcome, StoreRevision,
 };
@@ -37,6 +39,10 @@
 /// store itself. It may have become a reader, on which others wait.
 const SOURCE_PERIOD: time::Duration = time::Duration::from_millis(300);
 
+/// How often a host that starts looks whether another one has told it everything, or
+/// the store is to be read after all.
+const START_PERIOD: time::Duration = time::Duration::from_millis(20);
+
 /// More than this part of the listed servers, in per cent, must vanish with one
 /// answer of the store to show an outage that nobody noticed. Servers that fail by
 /// themselves, or by the host, are fewer.
@@ -143,6 +149,10 @@
     reader: StoreReader,
     peers: PeerBook,
     choice: SourceChoice,
+    start: StartPlan,
+    telling: TellingLimit,
+    /// The host that one which had too many to tell named instead of itself.
+    referred_to: Option<net::SocketAddr>,
     source: ReadSource,
     pause: time::Duration,
     /// Whether a peer has told of servers that left before this host started.
@@ -164,6 +174,8 @@
     /// Creates the beliefs of a host that has just started and knows nothing.
     pub fn new(settings: BeliefSettings, jitter_seed: u64) -> Self {
         let peers = PeerBook::new(settings.address, settings.domain, &settings.seeds);
+        let is_named = settings.seeds.contains(&settings.address);
+        let asks_others = !is_named && !settings.seeds.is_empty();
         Self {
             routes: sync::Arc::default(),
             directory: sync::Arc::default(),
@@ -174,6 +186,9 @@
             reader: StoreReader::new(settings.watch_wait, jitter_seed),
             peers,
             choice: SourceChoice::new(settings.address),
+            start: StartPlan::new(peer_book::order_number(settings.address), asks_others),
+            telling: TellingLimit::default(),
+            referred_to: None,
             source: ReadSource::Store,
             pause: peer_exchange::IDLE_PAUSE,
             knows_left: false,
@@ -238,12 +253,27 @@
     /// what that tells is fresh.
     pub fn next_store_call(&mut self, now: Timestamp) -> StoreCall {
         self.choose_source(now);
+        let age = now.since(self.heard_at);
+        if self.knows_nothing() {
+            if self.start.waits_for_hosts(now) && self.peers.may_answer() {
+                return StoreCall::Pause(START_PERIOD);
+            }
+            return self.reader.next_call(age);
+        }
+        let watching = self.reader.is_watching();
+        let spared = self.start.leaves_watching(age, now) && self.silent_since.is_none();
         match self.source {
-            ReadSource::Host(_) if self.reader.is_watching() => StoreCall::Pause(SOURCE_PERIOD),
-            _ => self.reader.next_call(now.since(self.heard_at)),
+            ReadSource::Host(_) if watching => StoreCall::Pause(SOURCE_PERIOD),
+            ReadSource::Store if watching && spared => StoreCall::Pause(SOURCE_PERIOD),
+            _ => self.reader.next_call(age),
         }
     }
 
+    /// Whether neither the store nor a host has told anything yet.
+    fn knows_nothing(&self) -> bool {
+        self.revision == StoreRevision::ZERO
+    }
+
     fn choose_source(&mut self, now: Timestamp) {
         let host = self.choice.host_to_ask(&self.peers, now);
         let age = now.since(self.heard_at);
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_book.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_book.rs
@@ -148,9 +148,7 @@
 
     /// The hosts of the own domain, with this one.
     pub fn own_domain_hosts(&self) -> Vec<PeerHost> {
-        let mut hosts = self.hosts();
-        hosts.retain(|host| host.domain == Some(self.domain));
-        hosts
+        self.hosts_in(self.domain)
     }
 
     /// A digest of the hosts of the own domain, to compare with that of a peer.
@@ -191,16 +189,47 @@
         self.own_domain_hosts().len()
     }
 
+    /// Whether there is a peer that was not found silent when it was asked last.
+    pub fn may_answer(&self) -> bool {
+        self.remembered().any(|(_, entry)| entry.silences == 0)
+    }
+
     /// The peer whose turn it is.
     pub fn take_turn(&mut self) -> Option<net::SocketAddr> {
-        let count = self.remembered().count();
-        if count == 0 {
-            return None;
-        }
-        self.cursor = (self.cursor + 1) % count;
-        self.remembered()
-            .nth(self.cursor)
+        self.take_turn_among(|_| true)
+    }
+
+    /// The peer whose turn it is of those that know hosts of the own domain: hosts of that
+    /// domain, and those that the settings name. The latter are known to all, so that no
+    /// few hosts know only each other.
+    pub fn take_turn_for_hosts(&mut self) -> Option<net::SocketAddr> {
+        let domain = Some(self.domain);
+        self.take_turn_among(|entry| entry.domain == domain || entry.named_in_settings)
+    }
+
+    /// The peer to ask for everything: one that the settings name and that answers, since
+    /// those read the store first; any other one where there is none.
+    pub fn take_turn_at_start(&mut self) -> Option<net::SocketAddr> {
+        self.take_turn_among(|entry| entry.named_in_settings && entry.silences == 0)
+            .or_else(|| self.take_turn())
+    }
+
+    fn take_turn_among(&mut self, fits: impl Fn(&PeerEntry) -> bool) -> Option<net::SocketAddr> {
+        let fitting: Vec<_> = self
+            .remembered()
+            .filter(|(_, entry)| fits(entry))
             .map(|(address, _)| address)
+            .collect();
+        self.cursor = self.cursor.wrapping_add(1);
+        let position = self.cursor.checked_rem(fitting.len())?;
+        Some(fitting[position])
+    }
+
+    /// The hosts of `domain` that are remembered.
+    pub fn hosts_in(&self, domain: DomainId) -> Vec<PeerHost> {
+        let mut hosts = self.hosts();
+        hosts.retain(|host| host.domain == Some(domain));
+        hosts
     }
 
     /// `host` itself has asked, so that it lives, and knows `hosts`. Returns whether it
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_exchange.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_exchange.rs
@@ -7,7 +7,9 @@
 
 use cardamomwinch_state::prelude::Timestamp;
 
+use crate::forwarding::beliefs::peer_book::PeerBook;
 use crate::forwarding::beliefs::peer_word::{PeerHost, PeerQuestion, PeerServer, PeerWord};
+use crate::forwarding::beliefs::start::TellingChoice;
 use crate::forwarding::beliefs::store_call::StoreRevision;
 use crate::forwarding::beliefs::{BeliefChange, BeliefEngine};
 use crate::forwarding::directory::{ServerPhase, ServerRecord};
@@ -28,17 +30,26 @@
 /// know different hosts, and readers ask so often whether they do.
 const HOSTS_PERIOD: time::Duration = time::Duration::from_secs(3);
 
-/// A host that knows nothing yet is told up to so many servers at once. It reads more
-/// of them from the store itself, unless that is silent: many hosts that start
-/// together ask the few that the settings name, whose links and memory thousands of
-/// servers would fill many times over.
-const SMALL_DIRECTORY: usize = 500;
+/// How long a question of a host that knows nothing yet may wait at another one that has
+/// just started, too. Meanwhile it can ask nobody else.
+const START_WAIT: time::Duration = time::Duration::from_millis(300);
+/// The pause between two questions of a host that knows nothing yet, and was named
+/// nobody to ask.
+const START_PAUSE: time::Duration = time::Duration::from_millis(10);
+/// How often, where the last one that was asked knows other hosts: until lists agree, more
+/// hosts than need be take themselves for readers.
+const DIFFERING_HOSTS_PERIOD: time::Duration = time::Duration::from_millis(800);
+/// And how often in the first seconds after a start, when all are looking for their place.
+const YOUNG_HOSTS_PERIOD: time::Duration = time::Duration::from_millis(300);
 
 /// How much an answer tells.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum WordExtent {
     /// Neither routes nor servers.
-    Nothing,
+    Nothing {
+        /// A host that is to be asked instead.
+        ask_instead: net::SocketAddr,
+    },
     /// What changed since what the asker knows.
     Difference,
     /// Everything.
@@ -52,9 +63,15 @@
     /// them. Readers also ask from time to time which hosts there are.
     pub fn next_peer(&mut self, now: Timestamp) -> Option<(net::SocketAddr, PeerQuestion)> {
         self.choose_source(now);
+        let young = self.start.is_young(now);
+        let hosts_period = match self.knows_other_hosts {
+            true if young => YOUNG_HOSTS_PERIOD,
+            true => DIFFERING_HOSTS_PERIOD,
+            false => HOSTS_PERIOD,
+        };
         let hosts_due = self
             .told_hosts_at
-            .is_none_or(|at| now.since(at) >= HOSTS_PERIOD);
+            .is_none_or(|at| now.since(at) >= hosts_period);
         let starting = !self.knows_left;
         let silent = self.peers.silent_predecessor(now);
         let source = self.choice.host_to_ask(&self.peers, now);
@@ -62,8 +79,19 @@
             // Whoever is cut off must not cost a whole wait, in which nothing is learned.
             (Some(host), _) => (host, time::Duration::ZERO),
             (None, Some(host)) if !starting => (host, QUESTION_WAIT),
-            _ if starting || self.silent_since.is_some() || hosts_due => {
-                (self.peers.take_turn()?, time::Duration::ZERO)
+            _ if starting || young || self.silent_since.is_some() || hosts_due => {
+                let wait = match self.knows_nothing() {
+                    true => START_WAIT,
+                    false => time::Duration::ZERO,
+                };
+                let referred = self.referred_to.take();
+                let knows_nothing = self.knows_nothing();
+                let turn = |peers: &mut PeerBook| match (hosts_due || young) && !starting {
+                    true => peers.take_turn_for_hosts(),
+                    false if knows_nothing => peers.take_turn_at_start(),
+                    false => peers.take_turn(),
+                };
+                (referred.or_else(|| turn(&mut self.peers))?, wait)
             }
             _ => return None,
         };
@@ -119,6 +147,8 @@
         // Who answers at once without anything new has too many questions.
         let learned = self.heard_at >= heard_at.after(LEAST_ADVANCE);
         self.pause = match self.choice.host_to_ask(&self.peers, now) {
+            _ if self.referred_to.is_some() => time::Duration::ZERO,
+            _ if self.knows_nothing() => START_PAUSE,
             None => IDLE_PAUSE,
             Some(_) if is_useful && learned => QUESTION_PAUSE,
             Some(_) if is_useful => IDLE_PAUSE,
@@ -138,6 +168,7 @@
         self.silent_at = self.silent_at.max(silent_at);
         let revision = word.revision;
         if revision == StoreRevision::ZERO {
+            self.referred_to = word.ask_instead;
             return;
         }
         self.knows_left |= word.all_servers || self.asked_revision > StoreRevision::ZERO;
@@ -188,7 +219,7 @@
         directory.merge(servers, all, revision, now);
         self.review_own_servers();
         self.revision = revision;
-        self.reader.skip_to(revision);
+        self.reader.skip_to(revision, all);
     }
 
     /// Takes over servers that have left, as a peer remembers them. They count as
@@ -209,17 +240,18 @@
         }
     }
 
-    /// How much to tell whoever asks `question`.
-    fn extent_for(&self, question: &PeerQuestion) -> WordExtent {
+    /// How much to tell whoever asks `question`. Many hosts that start together ask the
+    /// few that the settings name, whose links and memory it would fill if each were told
+    /// everything at once; the others are told whom else to ask.
+    fn extent_for(&mut self, now: Timestamp, question: &PeerQuestion) -> WordExtent {
         let knows_nothing = question.revision == StoreRevision::ZERO;
-        let is_large = self.directory.len() > SMALL_DIRECTORY;
-        if knows_nothing && is_large && !question.store_silent {
-            return WordExtent::Nothing;
+        if !knows_nothing && self.directory.changed_after(question.revision).is_some() {
+            return WordExtent::Difference;
         }
-        if knows_nothing || self.directory.changed_after(question.revision).is_none() {
-            return WordExtent::All;
+        match self.telling.choose(question.host.address, now) {
+            TellingChoice::Tell => WordExtent::All,
+            TellingChoice::Refer(ask_instead) => WordExtent::Nothing { ask_instead },
         }
-        WordExtent::Difference
     }
 
     /// Answers a peer. It also learns that the peer is there.
@@ -229,18 +261,19 @@
             self.changes.push(BeliefChange::PeerRegained { peer });
         }
         let starting = !question.knows_left;
-        let extent = self.extent_for(question);
+        let extent = self.extent_for(now, question);
         let describe = |server| PeerServer::from_record(server, now);
         let same_domain = question.host.domain == Some(self.settings.domain);
         let hosts = if starting {
             self.peers.hosts()
-        } else if same_domain && !question.hosts.is_empty() {
-            self.peers.own_domain_hosts()
-        } else {
+        } else if question.hosts.is_empty() {
             Vec::new()
+        } else {
+            let domain = question.host.domain;
+            domain.map_or_else(Vec::new, |domain| self.peers.hosts_in(domain))
         };
         let servers: Vec<_> = match extent {
-            WordExtent::Nothing => Vec::new(),
+            WordExtent::Nothing { .. } => Vec::new(),
             WordExtent::All => self.directory.iter().map(describe).collect(),
             WordExtent::Difference => {
                 let told = |server: &&ServerRecord| {
@@ -250,12 +283,12 @@
             }
         };
         let routes = match extent {
-            WordExtent::Nothing => None,
+            WordExtent::Nothing { .. } => None,
             _ => self.routes.difference(question.version),
         };
         PeerWord {
             revision: match extent {
-                WordExtent::Nothing => StoreRevision::ZERO,
+                WordExtent::Nothing { .. } => StoreRevision::ZERO,
                 _ => self.revision,
             },
             waited: time::Duration::ZERO,
@@ -266,6 +299,10 @@
             all_servers: extent == WordExtent::All,
             hosts_digest: same_domain.then(|| self.peers.digest()),
             hosts,
+            ask_instead: match extent {
+                WordExtent::Nothing { ask_instead } => Some(ask_instead),
+                WordExtent::Difference | WordExtent::All => None,
+            },
         }
     }
 }
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_word.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_word.rs
@@ -141,4 +141,7 @@
     pub hosts_digest: Option<u64>,
     /// Hosts that it knows, where the asker does not know the same.
     pub hosts: Vec<PeerHost>,
+    /// A host to ask instead, where the asker knows nothing and this one has told
+    /// everything to too many.
+    pub ask_instead: Option<net::SocketAddr>,
 }
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_reader.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_reader.rs
@@ -143,10 +143,14 @@
         }
     }
 
-    /// A peer has told everything up to `revision`: a watch goes on from there.
-    pub fn skip_to(&mut self, revision: StoreRevision) {
+    /// A peer has told what changed up to `revision`, or `all` that there is: a watch
+    /// goes on from there, and what was listed so far is not needed.
+    pub fn skip_to(&mut self, revision: StoreRevision, all: bool) {
         match &mut self.state {
             ReaderState::Watching { after } => *after = revision.max(*after),
+            ReaderState::Listing { .. } if all => {
+                self.state = ReaderState::Watching { after: revision };
+            }
             ReaderState::Listing { .. } => {}
         }
     }
--- /dev/null
+++ b/crates/cardamomwinch_coordination/tests/forwarding_support/fleet.rs
@@ -0,0 +1,359 @@
+//! Hosts and a store in steps of simulated time: hosts fail, are cut off, stand still,
+//! start again, or are turned away by the store.
+
+use std::net;
+
+use cardamomwinch_coordination::forwarding::beliefs::peer_word::PeerWord;
+use cardamomwinch_coordination::forwarding::beliefs::store_call::{
+    StoreCall, StoreChange, StoreOutcome, StoreRevision,
+};
+use cardamomwinch_coordination::forwarding::beliefs::waiting_questions::WaitingQuestions;
+use cardamomwinch_coordination::forwarding::beliefs::{BeliefEngine, BeliefSettings};
+use cardamomwinch_coordination::forwarding::directory::ServerPhase;
+
+use crate::forwarding_support::*;
+
+/// A step of the simulation, in milliseconds; also the time that a message takes.
+pub const STEP: u64 = 10;
+/// How long the store lets a watch wait, in milliseconds.
+pub const WATCH: u64 = 2_000;
+/// How long a host that knows nothing waits for a connection, in milliseconds.
+const START_CONNECT: u64 = 15;
+/// When the hosts have found each other.
+pub const SETTLED: u64 = 15_000;
+
+/// What became of a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Condition {
+    Running,
+    /// Gone: connections to it break.
+    Dead,
+    /// Neither reached nor able to reach anybody; nothing breaks.
+    Cut,
+    /// The store refuses it; peers reach it.
+    TurnedAway,
+}
+
+pub struct PendingCall {
+    pub call: StoreCall,
+    pub since: u64,
+    pub until: u64,
+}
+
+pub struct PendingQuestion {
+    pub host: usize,
+    pub limit: u64,
+}
+
+pub struct SimulatedHost {
+    pub engine: BeliefEngine,
+    pub waiting: WaitingQuestions<usize>,
+    pub condition: Condition,
+    pub call: Option<PendingCall>,
+    pub question: Option<PendingQuestion>,
+    pub ask_at: u64,
+    /// When its process is to start, where it has not yet.
+    pub starts_at: Option<u64>,
+}
+
+/// Hosts of one domain and a store.
+pub struct Fleet {
+    pub hosts: Vec<SimulatedHost>,
+    pub now: u64,
+    pub revision: u64,
+    /// Revision and state of the servers: draining or not.
+    pub log: Vec<(u64, u64, bool)>,
+    pub calls: usize,
+    /// Calls that list everything.
+    pub listings: usize,
+    pub questions: Vec<usize>,
+    /// How often each host told another one everything.
+    pub told_all: Vec<usize>,
+    pub domains: usize,
+}
+
+pub fn address(index: usize) -> net::SocketAddr {
+    net::SocketAddr::from(([10, 1, (index / 250) as u8, (index % 250) as u8], 8166))
+}
+
+impl Fleet {
+    pub fn new(count: usize) -> Self {
+        Self::of_domains(count, 1)
+    }
+
+    /// Hosts that stand in `domains` by turns, and all start now.
+    pub fn of_domains(count: usize, domains: usize) -> Self {
+        Self {
+            hosts: (0..count).map(|index| new_host(index, domains)).collect(),
+            now: 0,
+            revision: 10,
+            log: vec![(9, 1, false), (10, 2, false)],
+            calls: 0,
+            listings: 0,
+            questions: vec![0; count],
+            told_all: vec![0; count],
+            domains,
+        }
+    }
+
+    /// Like [`Self::of_domains`], but each host starts some time within `spread`
+    /// milliseconds, in an order that has nothing to do with that of the hosts.
+    pub fn starting_within(count: usize, domains: usize, spread: u64) -> Self {
+        let mut fleet = Self::of_domains(count, domains);
+        let steps = spread / STEP;
+        for index in 0..count {
+            let step = (index as u64 * 7_919 + 13) % 1_009 % steps;
+            fleet.hosts[index].condition = Condition::Dead;
+            fleet.hosts[index].starts_at = Some((step + 1) * STEP);
+        }
+        fleet
+    }
+
+    /// The process of a host starts anew and knows nothing.
+    pub fn restart(&mut self, index: usize) {
+        self.hosts[index] = new_host(index, self.domains);
+    }
+
+    /// Forgets what was counted.
+    pub fn count_anew(&mut self) {
+        self.calls = 0;
+        self.listings = 0;
+        self.questions.fill(0);
+        self.told_all.fill(0);
+    }
+
+    /// The hosts in reach that cannot forward anything yet.
+    pub fn unready(&self) -> usize {
+        let in_reach =
+            |host: &&SimulatedHost| !matches!(host.condition, Condition::Dead | Condition::Cut);
+        let hosts = self.hosts.iter().filter(in_reach);
+        hosts.filter(|host| !host.engine.view().is_usable()).count()
+    }
+
+    /// How long it takes until all hosts in reach can forward, in milliseconds.
+    pub fn time_to_serve(&mut self) -> u64 {
+        let start = self.now;
+        let starts = |host: &SimulatedHost| host.starts_at.is_some();
+        while (self.unready() > 0 || self.hosts.iter().any(starts)) && self.now < start + 20_000 {
+            self.run_until(self.now + STEP);
+        }
+        self.now - start
+    }
+
+    pub fn settled(count: usize) -> Self {
+        let mut fleet = Self::new(count);
+        fleet.run_until(SETTLED);
+        fleet.count_anew();
+        fleet
+    }
+
+    pub fn write(&mut self, number: u64, draining: bool) {
+        self.revision += 1;
+        self.log.push((self.revision, number, draining));
+    }
+
+    pub fn run_until(&mut self, end: u64) {
+        while self.now < end {
+            self.now += STEP;
+            for index in 0..self.hosts.len() {
+                if self.hosts[index].starts_at == Some(self.now) {
+                    self.restart(index);
+                }
+                if self.hosts[index].condition != Condition::Dead {
+                    self.read_store(index);
+                    self.ask(index);
+                    self.answer(index);
+                }
+            }
+        }
+    }
+
+    pub fn outcome(&self, index: usize, call: &PendingCall) -> Option<StoreOutcome> {
+        let timeout = self.now >= call.until + 1_000;
+        match self.hosts[index].condition {
+            Condition::Cut => return timeout.then_some(StoreOutcome::Failed),
+            Condition::TurnedAway => return Some(StoreOutcome::Failed),
+            Condition::Running | Condition::Dead => {}
+        }
+        let revision = StoreRevision::new(self.revision);
+        let since = |after: u64| {
+            let later = self.log.iter().filter(move |entry| entry.0 > after);
+            later.map(|(written, number, draining)| server_entry(*number, *written, *draining))
+        };
+        match &call.call {
+            StoreCall::Pause(_) => (self.now >= call.until).then_some(StoreOutcome::Paused),
+            StoreCall::List { .. } => {
+                let routes = document(1, vec![(service_address(), route(true))]);
+                let items = since(0).chain([StoreChange::Routes(routes)]).collect();
+                let next = None;
+                Some(StoreOutcome::Page {
+                    items,
+                    revision,
+                    next,
+                })
+            }
+            StoreCall::Watch { after, .. } => {
+                let changes: Vec<_> = since(after.get()).collect();
+                let due = !changes.is_empty() || self.now >= call.until;
+                due.then_some(StoreOutcome::Changes { changes, revision })
+            }
+        }
+    }
+
+    pub fn read_store(&mut self, index: usize) {
+        let now = at(self.now);
+        if let Some(call) = self.hosts[index].call.take() {
+            let is_new = self.now < call.since + STEP;
+            match self.outcome(index, &call).filter(|_| !is_new) {
+                Some(outcome) => self.hosts[index].engine.handle_store(now, outcome),
+                None => self.hosts[index].call = Some(call),
+            }
+        }
+        let host = &mut self.hosts[index];
+        if host.call.is_none() {
+            let call = host.engine.next_store_call(now);
+            let wait = match &call {
+                StoreCall::Pause(pause) => pause.as_millis() as u64,
+                StoreCall::Watch { wait, .. } => wait.as_millis() as u64,
+                StoreCall::List { .. } => 0,
+            };
+            self.calls += usize::from(!matches!(call, StoreCall::Pause(_)));
+            self.listings += usize::from(matches!(call, StoreCall::List { .. }));
+            host.call = Some(PendingCall {
+                call,
+                since: self.now,
+                until: self.now + wait,
+            });
+        }
+    }
+
+    pub fn ask(&mut self, index: usize) {
+        let now = at(self.now);
+        let pending = self.hosts[index].question.as_ref();
+        let failed = pending.is_some_and(|question| {
+            self.hosts[question.host].condition == Condition::Dead || self.now >= question.limit
+        });
+        if failed {
+            let question = self.hosts[index].question.take().unwrap();
+            self.take_word(index, question.host, None);
+        }
+        let host = &mut self.hosts[index];
+        if host.question.is_some() || self.now < host.ask_at {
+            return;
+        }
+        let Some((peer, question)) = host.engine.next_peer(now) else {
+            host.ask_at = self.now + host.engine.peer_pause().as_millis() as u64;
+            return;
+        };
+        let asked = (0..self.hosts.len()).find(|other| address(*other) == peer);
+        let asked = asked.unwrap();
+        self.questions[asked] += 1;
+        let reachable = |index: usize| self.hosts[index].condition != Condition::Cut;
+        let connects = reachable(index) && reachable(asked);
+        let limit = if !connects && question.revision == StoreRevision::ZERO {
+            START_CONNECT
+        } else {
+            question.wait.as_millis() as u64 + 400
+        };
+        let limit = self.now + limit;
+        self.hosts[index].question = Some(PendingQuestion { host: asked, limit });
+        if connects {
+            self.hosts[asked].waiting.push(question, now, index);
+        }
+    }
+
+    pub fn answer(&mut self, index: usize) {
+        let now = at(self.now);
+        let host = &mut self.hosts[index];
+        let due = host.waiting.take_due(&host.engine, now);
+        let words: Vec<_> = due
+            .into_iter()
+            .map(|due| {
+                let mut word = host.engine.answer_peer(now, &due.question);
+                word.waited = due.waited;
+                (due.answer, word)
+            })
+            .collect();
+        for (asker, word) in words {
+            self.told_all[index] += usize::from(word.all_servers);
+            let waits = self.hosts[asker].question.as_ref();
+            let cut = [index, asker].map(|one| self.hosts[one].condition == Condition::Cut);
+            if waits.is_some_and(|question| question.host == index) && cut == [false; 2] {
+                self.hosts[asker].question = None;
+                self.take_word(asker, index, Some(word));
+            }
+        }
+    }
+
+    pub fn take_word(&mut self, index: usize, peer: usize, word: Option<PeerWord>) {
+        let host = &mut self.hosts[index];
+        host.engine.handle_peer(at(self.now), address(peer), word);
+        host.ask_at = self.now + host.engine.peer_pause().as_millis() as u64;
+    }
+
+    /// The running hosts that have a call at the store.
+    pub fn readers(&self) -> Vec<usize> {
+        let reads = |host: &SimulatedHost| {
+            let call = host.call.as_ref();
+            let waits = call.is_none_or(|call| matches!(call.call, StoreCall::Pause(_)));
+            host.condition == Condition::Running && !waits
+        };
+        let indexed = self.hosts.iter().enumerate();
+        indexed
+            .filter(|(_, host)| reads(host))
+            .map(|(index, _)| index)
+            .collect()
+    }
+
+    /// The hosts in reach that do not know that `number` drains.
+    pub fn ignorant(&self, number: u64) -> Vec<usize> {
+        let id = near_server(number).id;
+        let knows = |host: &SimulatedHost| {
+            let view = host.engine.view();
+            view.directory.get(id).unwrap().phase == ServerPhase::Draining
+        };
+        let indexed = self.hosts.iter().enumerate();
+        indexed
+            .filter(|(_, host)| !matches!(host.condition, Condition::Dead | Condition::Cut))
+            .filter(|(_, host)| !knows(host))
+            .map(|(index, _)| index)
+            .collect()
+    }
+
+    /// How long it takes until all hosts in reach know a change, in milliseconds.
+    pub fn time_to_all(&mut self) -> u64 {
+        let start = self.now;
+        self.write(1, true);
+        while !self.ignorant(1).is_empty() && self.now < start + 20_000 {
+            self.run_until(self.now + STEP);
+        }
+        self.now - start
+    }
+
+    pub fn oldest_view(&self) -> u64 {
+        let running = |host: &&SimulatedHost| host.condition == Condition::Running;
+        let ages = self.hosts.iter().filter(running);
+        let age = |host: &SimulatedHost| host.engine.view().age(at(self.now)).as_millis() as u64;
+        ages.map(age).max().unwrap()
+    }
+}
+
+fn new_host(index: usize, domains: usize) -> SimulatedHost {
+    let names = ["near", "far", "third", "fourth", "fifth"];
+    let settings = BeliefSettings {
+        domain: domain(names[index % domains]),
+        address: address(index),
+        seeds: vec![address(0), address(1), address(2)],
+        flow_lifetime: millis(60_000),
+        watch_wait: millis(WATCH),
+    };
+    SimulatedHost {
+        engine: BeliefEngine::new(settings, index as u64),
+        waiting: WaitingQuestions::default(),
+        condition: Condition::Running,
+        call: None,
+        question: None,
+        ask_at: 0,
+        starts_at: None,
+    }
+}
--- a/crates/cardamomwinch_coordination/tests/forwarding_support/mod.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_support/mod.rs
@@ -1,6 +1,8 @@
 //! Routes, servers and packets for tests of forwarding.
 #![allow(clippy::unwrap_used, missing_docs, dead_code, unreachable_pub)]
 
+pub mod fleet;
+
 use std::net;
 use std::sync;
 use std::time;
--- a/crates/cardamomwinch_forwarder/src/peer_calls.rs
+++ b/crates/cardamomwinch_forwarder/src/peer_calls.rs
@@ -5,7 +5,8 @@
 
 use async_channel::Sender;
 use cardamomwinch_coordination::forwarding::beliefs::peer_word::{PeerQuestion, PeerWord};
-use cardamomwinch_transport::prelude::{PeerClient, PeerRpcError};
+use cardamomwinch_coordination::forwarding::beliefs::store_call::StoreRevision;
+use cardamomwinch_transport::prelude::{CallLimits, PeerClient, PeerRpcError};
 use jsonrpsee::RpcModule;
 use jsonrpsee::core::RegisterMethodError;
 use jsonrpsee::types::{ErrorCode, ErrorObjectOwned};
@@ -20,6 +21,11 @@
 /// answers within milliseconds.
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 
+/// How long a host that knows nothing yet waits for another one to take its connection.
+/// Hosts of a region are a few milliseconds apart. One that is without power answers
+/// nothing: the next one is asked, and the store where none answers, since callers wait.
+const START_CONNECT: time::Duration = time::Duration::from_millis(15);
+
 /// Why nothing was learned from a peer.
 #[derive(Debug)]
 #[derive(Snafu)]
@@ -50,9 +56,13 @@
     peer: net::SocketAddr,
     question: PeerQuestion,
 ) -> Result<PeerWord, PeerCallError> {
-    let timeout = question.wait + ANSWER_TIMEOUT;
+    let mut limits = CallLimits::whole(question.wait + ANSWER_TIMEOUT);
+    if question.revision == StoreRevision::ZERO {
+        limits.connect = START_CONNECT;
+    }
     let params = (WireQuestion::from(question),);
-    let word: WireWord = client.call(peer, BELIEFS_METHOD, &params, timeout).await?;
+    let word = client.call_within(peer, BELIEFS_METHOD, &params, limits);
+    let word: WireWord = word.await?;
     word.try_into().context(SenselessSnafu { peer })
 }
 
--- a/crates/cardamomwinch_forwarder/src/peer_wire/mod.rs
+++ b/crates/cardamomwinch_forwarder/src/peer_wire/mod.rs
@@ -107,6 +107,8 @@
     all_servers: bool,
     hosts_digest: Option<u64>,
     hosts: Vec<WireHost>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    ask_instead: Option<net::SocketAddr>,
 }
 
 impl From<PeerWord> for WireWord {
@@ -121,6 +123,7 @@
             all_servers: word.all_servers,
             hosts_digest: word.hosts_digest,
             hosts: word.hosts.into_iter().map(WireHost::from).collect(),
+            ask_instead: word.ask_instead,
         }
     }
 }
@@ -139,6 +142,7 @@
             all_servers: word.all_servers,
             hosts_digest: word.hosts_digest,
             hosts: word.hosts.into_iter().map(PeerHost::from).collect(),
+            ask_instead: word.ask_instead,
         })
     }
 }
--- a/crates/cardamomwinch_forwarder/tests/peer_wire.rs
+++ b/crates/cardamomwinch_forwarder/tests/peer_wire.rs
@@ -62,6 +62,7 @@
         all_servers: false,
         hosts_digest: Some(5),
         hosts: Vec::new(),
+        ask_instead: Some(net::SocketAddr::from(([10, 1, 0, 7], 8166))),
     }
 }
 
--- a/crates/cardamomwinch_transport/src/lib.rs
+++ b/crates/cardamomwinch_transport/src/lib.rs
@@ -43,7 +43,7 @@
     pub use crate::load_client::{LoadClient, LoadError};
     pub use crate::log_sink::{LogError, LogSink};
     pub use crate::metrics_sink::{MetricsError, MetricsSink};
-    pub use crate::peer_rpc::{PeerClient, PeerLimits, PeerRpcError, PeerServer};
+    pub use crate::peer_rpc::{CallLimits, PeerClient, PeerLimits, PeerRpcError, PeerServer};
     pub use crate::platform_client::{
         KeyReading, PlatformClient, PlatformError, PlatformKey, WatchOutcome,
     };
--- a/crates/cardamomwinch_transport/src/peer_rpc.rs
+++ b/crates/cardamomwinch_transport/src/peer_rpc.rs
@@ -109,6 +109,26 @@
     error: Option<ErrorObjectOwned>,
 }
 
+/// How long a call to a peer may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallLimits {
+    /// The time in which the peer must take the connection. A host without power, or
+    /// behind a partition, answers nothing, and the system would go on trying for long.
+    pub connect: time::Duration,
+    /// The time for the whole call.
+    pub whole: time::Duration,
+}
+
+impl CallLimits {
+    /// Limits the whole call alone.
+    pub const fn whole(limit: time::Duration) -> Self {
+        Self {
+            connect: limit,
+            whole: limit,
+        }
+    }
+}
+
 /// Calls methods of peers.
 #[derive(Debug, Clone)]
 pub struct PeerClient {
@@ -125,14 +145,30 @@
     /// or object; `timeout` bounds the whole call.
     ///
     /// # Errors
-    /// Fails where the peer cannot be reached, holds none of the keys, does not
-    /// answer in time, or refuses the call.
+    /// Like [`Self::call_within`].
     pub async fn call<T: DeserializeOwned, P: Serialize>(
         &self,
         address: net::SocketAddr,
         method: &'static str,
         params: &P,
         timeout: time::Duration,
+    ) -> Result<T, PeerRpcError> {
+        let limits = CallLimits::whole(timeout);
+        self.call_within(address, method, params, limits).await
+    }
+
+    /// Calls `method` of the peer at `address` within `limits`. `params` must become a
+    /// JSON array or object.
+    ///
+    /// # Errors
+    /// Fails where the peer cannot be reached, holds none of the keys, does not
+    /// answer in time, or refuses the call.
+    pub async fn call_within<T: DeserializeOwned, P: Serialize>(
+        &self,
+        address: net::SocketAddr,
+        method: &'static str,
+        params: &P,
+        limits: CallLimits,
     ) -> Result<T, PeerRpcError> {
         let request = CallRequest {
             jsonrpc: "2.0",
@@ -141,12 +177,8 @@
             params,
         };
         let request = serde_json::to_vec(&request).context(EncodeSnafu { method })?;
-        let expiry = async {
-            Timer::after(timeout).await;
-            let limit = timeout;
-            TimedOutSnafu { address, limit }.fail()
-        };
-        let response = future::or(self.exchange(address, &request), expiry).await?;
+        let exchange = self.exchange(address, &request, limits.connect);
+        let response = within(limits.whole, address, exchange).await?;
         parse_response(method, &response)
     }
 
@@ -154,10 +186,13 @@
         &self,
         address: net::SocketAddr,
         request: &[u8],
+        limit: time::Duration,
     ) -> Result<Vec<u8>, PeerRpcError> {
-        let stream = TcpStream::connect(address)
-            .await
-            .context(ConnectSnafu { address })?;
+        let connect = async {
+            let stream = TcpStream::connect(address).await;
+            stream.context(ConnectSnafu { address })
+        };
+        let stream = within(limit, address, connect).await?;
         stream.set_nodelay(true).context(ConnectSnafu { address })?;
         let session = PeerSession::open(stream, &self.keys).await;
         let mut session = session.context(ExchangeSnafu { address })?;
@@ -166,6 +201,19 @@
     }
 }
 
+/// What `step` of a call to the peer at `address` yields, if it does within `limit`.
+async fn within<T>(
+    limit: time::Duration,
+    address: net::SocketAddr,
+    step: impl Future<Output = Result<T, PeerRpcError>>,
+) -> Result<T, PeerRpcError> {
+    let expiry = async {
+        Timer::after(limit).await;
+        TimedOutSnafu { address, limit }.fail()
+    };
+    future::or(step, expiry).await
+}
+
 fn parse_response<T: DeserializeOwned>(
     method: &'static str,
     response: &[u8],
