--- a/crates/cardamomwinch_coordination/tests/requests_handed_over.rs
+++ b/crates/cardamomwinch_coordination/tests/requests_handed_over.rs
@@ -30,6 +30,21 @@
     (first, second, running)
 }
 
+/// A request of flow 1 that another host has relayed `hops` times.
+fn relayed(bench: &Bench, header: RequestHeader, hops: u8) -> RelayEnvelope<'static> {
+    RelayEnvelope {
+        sender: host("muc-nord-2"),
+        version: ConfigurationVersion::new(1),
+        frame: RelayFrame::Caller {
+            datagram: CallerDatagram::carry(flow(1), None, b"payload").with_request(header),
+            decided: Some(TokenClaim::from(&bench.servers[0])),
+            search: None,
+            shard: bench.home(),
+            hops,
+        },
+    }
+}
+
 /// The first home freezes the shard and gives out what it knows, which the
 /// second takes in.
 fn hand_over(first: &mut Bench, second: &mut Bench) {
@@ -132,24 +147,9 @@
     first.lose_home(Some(host("muc-nord-2")));
     first.take();
     let header = first.header(3, false, 9000);
-    let claim = TokenClaim::from(&first.servers[0]);
-    let mut envelope = RelayEnvelope {
-        sender: host("muc-nord-2"),
-        version: ConfigurationVersion::new(1),
-        frame: RelayFrame::Caller {
-            datagram: CallerDatagram::carry(flow(1), None, b"payload").with_request(header),
-            decided: Some(claim),
-            search: None,
-            shard,
-            hops: 0,
-        },
-    };
     let mut seen_by = [0, 0];
     for turn in 0..=traffic::HOP_LIMIT {
-        let RelayFrame::Caller { hops, .. } = &mut envelope.frame else {
-            unreachable!("the frame is a caller's");
-        };
-        *hops = turn;
+        let mut envelope = relayed(&first, header, turn);
         let bench = if turn % 2 == 0 {
             &mut first
         } else {
@@ -185,20 +185,8 @@
 ) {
     let mut bench = Bench::new(1, 1);
     bench.lose_home(home.map(host));
-    let claim = TokenClaim::from(&bench.servers[0]);
     let bring = |bench: &mut Bench, number: u64| {
-        let header = bench.header(number, false, 9000);
-        let envelope = RelayEnvelope {
-            sender: host("muc-nord-2"),
-            version: ConfigurationVersion::new(1),
-            frame: RelayFrame::Caller {
-                datagram: CallerDatagram::carry(flow(1), None, b"payload").with_request(header),
-                decided: Some(claim),
-                search: None,
-                shard: bench.home(),
-                hops,
-            },
-        };
+        let envelope = relayed(bench, bench.header(number, false, 9000), hops);
         bench.handle(TrafficEvent::Relay(envelope));
         bench.take()
     };
