Ask named hosts also after they were silent, and count no empty answers

Found on reading the change: answers of a host that knew nothing yet counted as told, so that those that asked next were sent to hosts that knew nothing, either; and a host that was cut off for long asked its source without a pause while that had too many to tell. Each has a test (answers_of_a_host_that_knows_nothing_count_for_nothing, a_host_that_is_referred_asks_elsewhere). Change: who knows nothing tells nothing and refers nobody; a referral is followed whatever the asker knows; only named hosts are asked for everything, also after they were silent; the choice of whom to ask stands in a function of its own.

--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_book.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_book.rs
@@ -189,9 +189,10 @@
         self.own_domain_hosts().len()
     }
 
-    /// Whether there is a peer that was not found silent when it was asked last.
+    /// Whether a host that the settings name was not found silent when it was asked last.
     pub fn may_answer(&self) -> bool {
-        self.remembered().any(|(_, entry)| entry.silences == 0)
+        let mut entries = self.remembered().map(|(_, entry)| entry);
+        entries.any(|entry| entry.named_in_settings && entry.silences == 0)
     }
 
     /// The peer whose turn it is.
@@ -207,11 +208,10 @@
         self.take_turn_among(|entry| entry.domain == domain || entry.named_in_settings)
     }
 
-    /// The peer to ask for everything: one that the settings name and that answers, since
-    /// those read the store first; any other one where there is none.
+    /// The peer to ask for everything: one that the settings name, since those read the
+    /// store first, also one that was silent, since it may have started meanwhile.
     pub fn take_turn_at_start(&mut self) -> Option<net::SocketAddr> {
-        self.take_turn_among(|entry| entry.named_in_settings && entry.silences == 0)
-            .or_else(|| self.take_turn())
+        self.take_turn_among(|entry| entry.named_in_settings)
     }
 
     fn take_turn_among(&mut self, fits: impl Fn(&PeerEntry) -> bool) -> Option<net::SocketAddr> {
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_exchange.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_exchange.rs
@@ -7,7 +7,6 @@
 
 use cardamomwinch_state::prelude::Timestamp;
 
-use crate::forwarding::beliefs::peer_book::PeerBook;
 use crate::forwarding::beliefs::peer_word::{PeerHost, PeerQuestion, PeerServer, PeerWord};
 use crate::forwarding::beliefs::start::TellingChoice;
 use crate::forwarding::beliefs::store_call::StoreRevision;
@@ -47,8 +46,8 @@
 enum WordExtent {
     /// Neither routes nor servers.
     Nothing {
-        /// A host that is to be asked instead.
-        ask_instead: net::SocketAddr,
+        /// A host that is to be asked instead, where this one knows any.
+        ask_instead: Option<net::SocketAddr>,
     },
     /// What changed since what the asker knows.
     Difference,
@@ -63,38 +62,8 @@
     /// them. Readers also ask from time to time which hosts there are.
     pub fn next_peer(&mut self, now: Timestamp) -> Option<(net::SocketAddr, PeerQuestion)> {
         self.choose_source(now);
-        let young = self.start.is_young(now);
-        let hosts_period = match self.knows_other_hosts {
-            true if young => YOUNG_HOSTS_PERIOD,
-            true => DIFFERING_HOSTS_PERIOD,
-            false => HOSTS_PERIOD,
-        };
-        let hosts_due = self
-            .told_hosts_at
-            .is_none_or(|at| now.since(at) >= hosts_period);
-        let starting = !self.knows_left;
-        let silent = self.peers.silent_predecessor(now);
-        let source = self.choice.host_to_ask(&self.peers, now);
-        let (peer, wait) = match (silent, source) {
-            // Whoever is cut off must not cost a whole wait, in which nothing is learned.
-            (Some(host), _) => (host, time::Duration::ZERO),
-            (None, Some(host)) if !starting => (host, QUESTION_WAIT),
-            _ if starting || young || self.silent_since.is_some() || hosts_due => {
-                let wait = match self.knows_nothing() {
-                    true => START_WAIT,
-                    false => time::Duration::ZERO,
-                };
-                let referred = self.referred_to.take();
-                let knows_nothing = self.knows_nothing();
-                let turn = |peers: &mut PeerBook| match (hosts_due || young) && !starting {
-                    true => peers.take_turn_for_hosts(),
-                    false if knows_nothing => peers.take_turn_at_start(),
-                    false => peers.take_turn(),
-                };
-                (referred.or_else(|| turn(&mut self.peers))?, wait)
-            }
-            _ => return None,
-        };
+        let hosts_due = self.hosts_are_due(now);
+        let (peer, wait) = self.peer_to_ask(now, hosts_due)?;
         let hosts = if hosts_due {
             self.told_hosts_at = Some(now);
             self.hosts_to_tell()
@@ -119,6 +88,48 @@
         Some((peer, question))
     }
 
+    /// Whether it is time to compare which hosts there are.
+    fn hosts_are_due(&mut self, now: Timestamp) -> bool {
+        let period = match self.knows_other_hosts {
+            true if self.start.is_young(now) => YOUNG_HOSTS_PERIOD,
+            true => DIFFERING_HOSTS_PERIOD,
+            false => HOSTS_PERIOD,
+        };
+        let told_at = self.told_hosts_at;
+        told_at.is_none_or(|at| now.since(at) >= period)
+    }
+
+    /// The host to ask now, and how long the question may wait there.
+    fn peer_to_ask(
+        &mut self,
+        now: Timestamp,
+        hosts_due: bool,
+    ) -> Option<(net::SocketAddr, time::Duration)> {
+        if let Some(host) = self.referred_to.take() {
+            return Some((host, START_WAIT));
+        }
+        // Whoever is cut off must not cost a whole wait, in which nothing is learned.
+        if let Some(host) = self.peers.silent_predecessor(now) {
+            return Some((host, time::Duration::ZERO));
+        }
+        if self.knows_nothing() {
+            return Some((self.peers.take_turn_at_start()?, START_WAIT));
+        }
+        let starting = !self.knows_left;
+        let source = self.choice.host_to_ask(&self.peers, now);
+        if let Some(host) = source.filter(|_| !starting) {
+            return Some((host, QUESTION_WAIT));
+        }
+        let host = if starting || self.silent_since.is_some() {
+            self.peers.take_turn()
+        } else if hosts_due || self.start.is_young(now) {
+            self.peers.take_turn_for_hosts()
+        } else {
+            None
+        };
+        Some((host?, time::Duration::ZERO))
+    }
+
     fn hosts_to_tell(&self) -> Vec<PeerHost> {
         if self.knows_other_hosts {
             self.peers.own_domain_hosts()
@@ -248,9 +259,14 @@
         if !knows_nothing && self.directory.changed_after(question.revision).is_some() {
             return WordExtent::Difference;
         }
+        if self.knows_nothing() {
+            return WordExtent::Nothing { ask_instead: None };
+        }
         match self.telling.choose(question.host.address, now) {
             TellingChoice::Tell => WordExtent::All,
-            TellingChoice::Refer(ask_instead) => WordExtent::Nothing { ask_instead },
+            TellingChoice::Refer(host) => WordExtent::Nothing {
+                ask_instead: Some(host),
+            },
         }
     }
 
@@ -300,7 +316,7 @@
             hosts_digest: same_domain.then(|| self.peers.digest()),
             hosts,
             ask_instead: match extent {
-                WordExtent::Nothing { ask_instead } => Some(ask_instead),
+                WordExtent::Nothing { ask_instead } => ask_instead,
                 WordExtent::Difference | WordExtent::All => None,
             },
         }
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/start.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/start.rs
@@ -108,10 +108,12 @@
             return TellingChoice::Tell;
         }
         self.referred = self.referred.wrapping_add(1);
-        let mut others = self.told.iter().cycle().skip(self.referred % TOLD_AT_ONCE);
-        let mut others = others.by_ref().take(TOLD_AT_ONCE).map(|(_, other)| *other);
+        let from_turn = self.told.iter().cycle().skip(self.referred % TOLD_AT_ONCE);
         // A host that starts over may have been told a moment ago.
-        let other = others.find(|other| *other != asker);
+        let mut others = from_turn
+            .take(TOLD_AT_ONCE)
+            .filter(|(_, host)| *host != asker);
+        let other = others.next().map(|(_, host)| *host);
         other.map_or(TellingChoice::Tell, TellingChoice::Refer)
     }
 }
--- a/crates/cardamomwinch_coordination/tests/forwarding_beliefs.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_beliefs.rs
@@ -359,6 +359,46 @@
     assert!(ask(&mut peer, &mut later, 300).all_servers);
 }
 
+/// Four hosts ask one that is starting, too, and are answered in vain. A moment later it
+/// knows everything, and the next one that asks must get it, instead of being sent to those
+/// that know nothing.
+#[test]
+fn answers_of_a_host_that_knows_nothing_count_for_nothing() {
+    let mut peer = engine(2);
+    for number in 10..14 {
+        let mut host = engine(number);
+        let word = ask(&mut peer, &mut host, 0);
+        assert!(!word.all_servers && word.ask_instead.is_none());
+    }
+    peer.handle_store(at(10), page(vec![routes(1), server_entry(1, 5, false)], 10));
+    let mut host = engine(14);
+    assert!(ask(&mut peer, &mut host, 20).all_servers);
+}
+
+/// A host was cut off for so long that its source can tell no difference any more, and
+/// must tell everything, which it has just told four others. The host asks the one that is
+/// named instead; it went on asking its source without a pause.
+#[test]
+fn a_host_that_is_referred_asks_elsewhere() {
+    let mut peer = host_of_many(20);
+    for number in 10..14 {
+        let mut other = engine(number);
+        assert!(ask(&mut peer, &mut other, 10).all_servers);
+    }
+    let mut host = started(9);
+    let (asked, question) = host.next_peer(at(10)).unwrap();
+    let mut word = peer.answer_peer(at(10), &question);
+    let elsewhere = host_address(12);
+    word.revision = StoreRevision::ZERO;
+    word.ask_instead = Some(elsewhere);
+    host.handle_peer(at(10), asked, Some(word));
+    assert_eq!(host.next_peer(at(11)).unwrap().0, elsewhere);
+    assert_ne!(
+        host.next_peer(at(12)).map(|(asked, _)| asked),
+        Some(elsewhere)
+    );
+}
+
 /// A host is told everything by another one while it reads the store's list. What it
 /// has read of that is older, and the rest is not needed.
 #[test]
--- a/crates/cardamomwinch_coordination/tests/forwarding_starts.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_starts.rs
@@ -6,9 +6,9 @@
 use forwarding_support::fleet::*;
 use yare::parameterized;
 
-/// Until then all that start together must serve, in milliseconds: they would read the
-/// store themselves by then at the latest.
-const SERVING: u64 = 800;
+/// Until then all that start together must serve, in milliseconds. Callers notice three
+/// tenths of a second as they notice a packet that was sent again.
+const SERVING: u64 = 300;
 /// Within this time all hosts start, in milliseconds.
 const SPREAD: u64 = 300;
 /// Until then a host that reaches nobody must serve, in milliseconds.
--- a/crates/cardamomwinch_coordination/tests/forwarding_support/fleet.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_support/fleet.rs
@@ -109,9 +109,17 @@
         fleet
     }
 
-    /// The process of a host starts anew and knows nothing.
+    /// The process of a host starts anew and knows nothing. Questions to the one before it
+    /// break off.
     pub fn restart(&mut self, index: usize) {
         self.hosts[index] = new_host(index, self.domains);
+        let questions = self
+            .hosts
+            .iter_mut()
+            .filter_map(|host| host.question.as_mut());
+        for question in questions.filter(|question| question.host == index) {
+            question.limit = self.now;
+        }
     }
 
     /// Forgets what was counted.
