Keep a reply at the home that it has reached

Found on reading the change: a reply that reached the home after two relays was sent on to the host that had sent the request, which took this one for the home: it went round until it was dropped, and the slot stayed taken. Change: a host that takes itself for the home accounts for the reply, however it came. Before and after: a_home_keeps_a_reply_however_often_it_was_relayed failed; passes.

--- a/crates/cardamomwinch_coordination/src/traffic/replies.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/replies.rs
@@ -156,11 +156,12 @@
             shard,
             hops: hops.saturating_add(1),
         };
+        let me = self.identity.host;
         let believed = context.snapshot.shard(shard).home;
         let home = believed
-            .filter(|_| hops < DISAGREEING_HOPS || reply.via == self.identity.host)
+            .filter(|home| *home == me || reply.via == me || hops < DISAGREEING_HOPS)
             .unwrap_or(reply.via);
-        if home == self.identity.host {
+        if home == me {
             match self.place.owns(shard) {
                 true if self.frozen.is_frozen(shard, context.now) => {
                     self.frozen.hold_back(shard, reply);
--- a/crates/cardamomwinch_coordination/tests/replies_brought_home.rs
+++ b/crates/cardamomwinch_coordination/tests/replies_brought_home.rs
@@ -83,3 +83,34 @@
     assert_eq!(bring(1), []);
     assert_eq!(bring(2), [(host(HOME), None)]);
 }
+
+/// A reply comes to the home by two other hosts. It must end there: sent on to the host
+/// that had sent the request, which takes this one for the home, it would go round until
+/// it is dropped.
+#[test]
+fn a_home_keeps_a_reply_however_often_it_was_relayed() {
+    let mut bench = Bench::new(1, 2);
+    let token = bench.open(1);
+    let header = bench.header(1, false, 5000);
+    bench.ask(1, token, header);
+    bench.take();
+    let reply = BackendReply {
+        flow: admission_support::flow(1),
+        backend: bench.server(),
+        via: host(OTHER),
+        kind: answer(),
+    };
+    let shard = bench.home();
+    bench.handle(TrafficEvent::Relay(RelayEnvelope {
+        sender: host(OTHER),
+        version: bench.snapshot.version(),
+        frame: RelayFrame::Backend {
+            reply,
+            shard,
+            hops: 3,
+        },
+    }));
+    let wanted = bench.take();
+    assert!(wanted.relayed.is_empty(), "{wanted:?}");
+    assert_eq!(wanted.count(Counter::RequestAnswered), 1);
+}
