--- a/tests/operating_steps.rs
+++ b/tests/operating_steps.rs
@@ -46,7 +46,11 @@
         let mut settings = CallerSettings::new(fabric, service);
         settings.echoes_token = number % 2 == 0;
         let client = CallerClient::bind(executor, settings).await.unwrap();
-        assert_eq!(client.open(b"", LIMIT).await.unwrap(), OpenOutcome::Opened);
+        let outcome = client.open(b"", LIMIT).await.unwrap();
+        if outcome != OpenOutcome::Opened {
+            print_logs(deployment);
+            panic!("{} got {outcome:?}", client.flow());
+        }
         sessions.push(client);
     }
     sessions
