--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/start.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/start.rs
@@ -3,7 +3,7 @@
 //!
 //! Read from the store, everything is a page of up to a megabyte for each host: after a
 //! loss of power hundreds of hosts ask for it at once, and a host with a link of 10 Mbit/s
-//! takes 0.7 s for it. A host that knows it tells it in a tenth of the bytes. Hosts that the
+//! takes 0.7 s for it, and 0.1 s where another host tells it in fewer bytes. Hosts that the
 //! settings name read the store at once, since others ask them first; whoever knows
 //! everything tells a few others, and refers the rest to those, so that it spreads as a
 //! tree in which nobody has more than a few to tell.
