--- a/crates/cardamomwinch_configuration/src/forwarder_settings.rs
+++ b/crates/cardamomwinch_configuration/src/forwarder_settings.rs
@@ -5,7 +5,7 @@
 use std::time;
 
 use cardamomwinch_protocol::prelude::AuthenticationKeys;
-use cardamomwinch_state::prelude::DomainId;
+use cardamomwinch_state::prelude::{DomainId, RegionId};
 
 use crate::check::CheckReport;
 use crate::checker::DocumentChecker;
@@ -24,6 +24,9 @@
     pub host: String,
     /// The name of its failure domain.
     pub domain: String,
+    /// The names of all failure domains, each with that of its region. A failure domain
+    /// that is not named takes no flows that are bound to regions.
+    pub regions: Vec<(String, String)>,
     /// Where it takes packets from the fabric (UDP). Packets to callers go to
     /// the same port of theirs.
     pub traffic_address: net::SocketAddr,
@@ -63,10 +66,17 @@
         DomainId::from_name(&self.domain)
     }
 
+    /// The failure domains, each with its region.
+    pub fn domain_regions(&self) -> impl Iterator<Item = (DomainId, RegionId)> {
+        let names = self.regions.iter();
+        names.map(|(domain, region)| (DomainId::from_name(domain), RegionId::from_name(region)))
+    }
+
     fn read(checker: &mut DocumentChecker<'_>, object: &ObjectNode<'_>) -> Option<Self> {
         object.check_keys(checker, keys::FORWARDER);
         let host = object.required(checker, "host", values::name);
         let domain = object.required(checker, "domain", values::name);
+        let regions = object.optional(checker, "regions", Vec::new(), read_regions);
         let names = [
             "traffic_address",
             "readiness_address",
@@ -85,6 +95,7 @@
         Some(Self {
             host: host?,
             domain: domain?,
+            regions: regions?,
             traffic_address: traffic,
             readiness_address: readiness,
             peer_address: peer,
@@ -100,6 +111,19 @@
     }
 }
 
+fn read_regions(
+    checker: &mut DocumentChecker<'_>,
+    node: &ValueNode<'_>,
+) -> Option<Vec<(String, String)>> {
+    let object = node.object(checker)?;
+    let entries = object.named_entries(checker);
+    let pairs = entries.iter().map(|entry| {
+        let region = values::name(checker, &entry.node)?;
+        Some((entry.name.to_owned(), region))
+    });
+    pairs.collect()
+}
+
 fn read_seeds(
     checker: &mut DocumentChecker<'_>,
     node: &ValueNode<'_>,
--- a/crates/cardamomwinch_configuration/src/keys.rs
+++ b/crates/cardamomwinch_configuration/src/keys.rs
@@ -20,6 +20,7 @@
 pub const FORWARDER: &[&str] = &[
     "host",
     "domain",
+    "regions",
     "traffic_address",
     "readiness_address",
     "peer_address",
--- a/crates/cardamomwinch_configuration/tests/forwarder_settings.rs
+++ b/crates/cardamomwinch_configuration/tests/forwarder_settings.rs
@@ -13,6 +13,10 @@
     let values = [
         ("{{node-name}}", "front-bud-angyal-1"),
         ("{{zone}}", "bud-angyal"),
+        (
+            "{{zones|json}}",
+            r#"{"bud-angyal":"bud","pecs-kertvaros":"pecs"}"#,
+        ),
         ("{{listen.data-addr}}", "10.1.0.10:8172"),
         ("{{listen.ready-addr}}", "10.1.0.10:8167"),
         ("{{listen.control}}", "10.1.0.10:8166"),
@@ -38,12 +42,18 @@
     assert_eq!(settings.host, "front-bud-angyal-1");
     assert_eq!(settings.admin_address.port(), 7720);
     assert_eq!(settings.seeds.len(), 2);
+    let pairs = [("bud-angyal", "bud"), ("pecs-kertvaros", "pecs")];
+    let pairs = pairs.map(|(domain, region)| (domain.to_owned(), region.to_owned()));
+    assert_eq!(settings.regions, pairs);
     assert_eq!(settings.stop_within, time::Duration::from_secs(6));
 }
 
 #[parameterized(
     unknown_key = { r#""domain""#, r#""domian""#, "domian" },
     port_missing = { "10.1.0.10:8172", "10.1.0.10", "traffic_address" },
+    region_malformed = { r#":"pecs""#, r#":"no region""#, "regions.pecs-kertvaros" },
+    regions_of_another_type = { r#"{"bud-angyal":"bud","pecs-kertvaros":"pecs"}"#, r#"["bud"]"#, "regions" },
+    domain_named_twice = { r#""pecs-kertvaros""#, r#""bud-angyal""#, "regions.bud-angyal" },
     seed_malformed = { r#""10.2.0.40:8166""#, r#""nowhere""#, "seeds" },
     time_out_of_range = { r#""stop_within_s": 6"#, r#""stop_within_s": 0"#, "stop_within_s" },
     address_taken = { "10.1.0.10:8167", "10.1.0.10:8172", "readiness_address" },
--- a/crates/cardamomwinch_coordination/examples/forwarding_cost.rs
+++ b/crates/cardamomwinch_coordination/examples/forwarding_cost.rs
@@ -76,6 +76,7 @@
         }],
         idempotent: true,
         latency_goal: time::Duration::from_millis(150),
+        regions: Vec::new(),
     }
 }
 
@@ -94,10 +95,13 @@
         routes: (0..services)
             .map(|one| (address(one), route(one)))
             .collect(),
+        cold_starts: Vec::new(),
         idle_timeout: time::Duration::from_secs(15),
     });
     ForwardingView {
         domain: Some(DomainId::new(0)),
+        regions: sync::Arc::default(),
+        cold_share: None,
         routes: sync::Arc::new(routes),
         directory: sync::Arc::new(directory),
         heard_at: Timestamp::ZERO,
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
@@ -31,7 +31,10 @@
     ServerEntry, StoreCall, StoreChange, StoreOutcome, StoreRevision,
 };
 use crate::forwarding::beliefs::store_reader::StoreReader;
+use crate::forwarding::cold_starts::ColdShare;
 use crate::forwarding::directory::{ServerDirectory, ServerPhase, ServerRecord};
+use crate::forwarding::evacuations::{EvacuationPhase, EvacuationRecord};
+use crate::forwarding::regions::DomainRegions;
 use crate::forwarding::routes::{RouteDocument, RouteTable};
 use crate::forwarding::view::ForwardingView;
 
@@ -55,6 +58,8 @@
 pub struct BeliefSettings {
     /// The failure domain of this host.
     pub domain: DomainId,
+    /// The regions of all failure domains.
+    pub regions: DomainRegions,
     /// Where peers reach this host.
     pub address: net::SocketAddr,
     /// Hosts that may be asked at first.
@@ -80,6 +85,11 @@
         /// The server as it is known now.
         server: ServerRecord,
     },
+    /// Operators have begun or ended the evacuation of a failure domain.
+    EvacuationChanged {
+        /// The evacuation as it is known now.
+        evacuation: EvacuationRecord,
+    },
     /// A whole listing of the servers was taken over.
     ServersListed {
         /// The revision of the listing.
@@ -140,6 +150,7 @@
 #[derive(Debug)]
 pub struct BeliefEngine {
     settings: BeliefSettings,
+    regions: sync::Arc<DomainRegions>,
     routes: sync::Arc<RouteTable>,
     directory: sync::Arc<ServerDirectory>,
     revision: StoreRevision,
@@ -198,6 +209,7 @@
             told_hosts_at: None,
             knows_other_hosts: true,
             own_services: OwnServices::default(),
+            regions: sync::Arc::new(settings.regions.clone()),
             settings,
             changes: Vec::new(),
         }
@@ -207,6 +219,8 @@
     pub fn view(&self) -> ForwardingView {
         ForwardingView {
             domain: Some(self.settings.domain),
+            regions: sync::Arc::clone(&self.regions),
+            cold_share: self.cold_share(),
             routes: sync::Arc::clone(&self.routes),
             directory: sync::Arc::clone(&self.directory),
             heard_at: self.heard_at,
@@ -214,6 +228,16 @@
         }
     }
 
+    /// The part of this host in what cold servers get. It is not known while others may
+    /// know hosts that this one has not heard of.
+    fn cold_share(&self) -> Option<ColdShare> {
+        let knows_hosts = !self.knows_other_hosts || self.settings.seeds.is_empty();
+        knows_hosts.then(|| ColdShare {
+            host_number: peer_book::order_number(self.settings.address),
+            host_numbers: self.peers.first_order_numbers().into(),
+        })
+    }
+
     /// The revision of the store up to which changes are known.
     pub const fn revision(&self) -> StoreRevision {
         self.revision
@@ -370,17 +394,27 @@
     fn take_listing(&mut self, now: Timestamp, items: Vec<StoreChange>, revision: StoreRevision) {
         let mut records = Vec::new();
         let mut unreadable = Vec::new();
+        let mut evacuations = Vec::new();
         for item in items {
             match item {
                 StoreChange::Routes(document) => self.adopt_routes(document),
                 StoreChange::Server(entry) => records.push(entry.into_record(now)),
                 StoreChange::ServerUnreadable { id, revision } => unreadable.push((id, revision)),
-                StoreChange::ServerRemoved { .. } => {}
+                StoreChange::EvacuationBegun { domain, revision } => {
+                    evacuations.push(EvacuationRecord {
+                        domain,
+                        phase: EvacuationPhase::Lasting,
+                        changed: revision,
+                    });
+                }
+                StoreChange::EvacuationEnded { .. } | StoreChange::ServerRemoved { .. } => {}
             }
         }
         let servers = records.len();
         let directory = sync::Arc::make_mut(&mut self.directory);
         directory.replace(records, &unreadable, revision, now);
+        let changed = directory.replace_evacuations(&evacuations, revision, now);
+        self.tell_evacuations(changed);
         let change = BeliefChange::ServersListed { revision, servers };
         self.changes.push(change);
     }
@@ -402,9 +436,37 @@
                 sync::Arc::make_mut(&mut self.directory).note_removed(id, revision, now);
                 self.tell_server(id);
             }
+            StoreChange::EvacuationBegun { domain, revision } => {
+                self.note_evacuation(domain, EvacuationPhase::Lasting, revision);
+            }
+            StoreChange::EvacuationEnded { domain, revision } => {
+                self.note_evacuation(domain, EvacuationPhase::Ended { at: now }, revision);
+            }
         }
     }
 
+    fn note_evacuation(
+        &mut self,
+        domain: DomainId,
+        phase: EvacuationPhase,
+        changed: StoreRevision,
+    ) {
+        let evacuation = EvacuationRecord {
+            domain,
+            phase,
+            changed,
+        };
+        if sync::Arc::make_mut(&mut self.directory).note_evacuation(evacuation) {
+            self.tell_evacuations([evacuation]);
+        }
+    }
+
+    fn tell_evacuations(&mut self, evacuations: impl IntoIterator<Item = EvacuationRecord>) {
+        let evacuations = evacuations.into_iter();
+        let changes = evacuations.map(|evacuation| BeliefChange::EvacuationChanged { evacuation });
+        self.changes.extend(changes);
+    }
+
     fn tell_server(&mut self, id: BackendId) {
         if let Some(server) = self.directory.get(id).cloned() {
             self.changes.push(BeliefChange::ServerChanged { server });
@@ -451,7 +513,8 @@
     /// Ages what is known. To be called every half second.
     pub fn tick(&mut self, now: Timestamp) {
         let lifetime = self.settings.flow_lifetime;
-        if self.directory.iter().any(|server| !server.is_listed()) {
+        let ages = self.directory.iter().any(|server| !server.is_listed());
+        if ages || !self.directory.evacuations().is_empty() {
             sync::Arc::make_mut(&mut self.directory).age(now, lifetime);
         }
     }
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_book.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_book.rs
@@ -189,6 +189,16 @@
         self.own_domain_hosts().len()
     }
 
+    /// The order numbers of the hosts of the own domain, with this one, that come first:
+    /// those that every host of the domain remembers.
+    pub fn first_order_numbers(&self) -> Vec<u64> {
+        let hosts = self.own_domain_hosts();
+        let mut numbers: Vec<_> = hosts.iter().map(|one| order_number(one.address)).collect();
+        numbers.sort_unstable();
+        numbers.truncate(OWN_DOMAIN_LIMIT);
+        numbers
+    }
+
     /// Whether a host that the settings name was not found silent when it was asked last.
     pub fn may_answer(&self) -> bool {
         let mut entries = self.remembered().map(|(_, entry)| entry);
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_exchange.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_exchange.rs
@@ -7,11 +7,14 @@
 
 use cardamomwinch_state::prelude::Timestamp;
 
-use crate::forwarding::beliefs::peer_word::{PeerHost, PeerQuestion, PeerServer, PeerWord};
+use crate::forwarding::beliefs::peer_word::{
+    PeerEvacuation, PeerHost, PeerQuestion, PeerServer, PeerWord,
+};
 use crate::forwarding::beliefs::start::TellingChoice;
 use crate::forwarding::beliefs::store_call::StoreRevision;
 use crate::forwarding::beliefs::{BeliefChange, BeliefEngine};
 use crate::forwarding::directory::{ServerPhase, ServerRecord};
+use crate::forwarding::evacuations::EvacuationRecord;
 
 /// How long a question to another host may wait for something new. A reader hears
 /// of the store at least every two seconds, and passes that on at once.
@@ -194,6 +197,9 @@
         let servers = word.servers.into_iter();
         let servers: Vec<_> = servers.map(|server| server.into_record(now)).collect();
         if revision > self.revision {
+            let evacuations = word.evacuations.into_iter();
+            let evacuations: Vec<_> = evacuations.map(|one| one.into_record(now)).collect();
+            self.take_evacuations(now, &evacuations, word.all_servers, revision);
             self.take_servers(now, servers, word.all_servers, revision);
         } else {
             self.remember_left(servers);
@@ -214,6 +220,26 @@
         }
     }
 
+    fn take_evacuations(
+        &mut self,
+        now: Timestamp,
+        evacuations: &[EvacuationRecord],
+        all: bool,
+        revision: StoreRevision,
+    ) {
+        let directory = sync::Arc::make_mut(&mut self.directory);
+        let noted = evacuations
+            .iter()
+            .filter(|one| directory.note_evacuation(**one));
+        let mut changed: Vec<_> = noted.copied().collect();
+        if all {
+            let lasting = evacuations.iter().filter(|one| one.is_lasting());
+            let lasting: Vec<_> = lasting.copied().collect();
+            changed.extend(directory.replace_evacuations(&lasting, revision, now));
+        }
+        self.tell_evacuations(changed);
+    }
+
     fn take_servers(
         &mut self,
         now: Timestamp,
@@ -298,6 +324,15 @@
                 self.directory.iter().filter(told).map(describe).collect()
             }
         };
+        let evacuations = self.directory.evacuations().iter();
+        let told = evacuations.filter(|one| match extent {
+            WordExtent::Nothing { .. } => false,
+            WordExtent::All => true,
+            WordExtent::Difference => one.changed > question.revision,
+        });
+        let evacuations = told
+            .map(|one| PeerEvacuation::from_record(one, now))
+            .collect();
         let routes = match extent {
             WordExtent::Nothing { .. } => None,
             _ => self.routes.difference(question.version),
@@ -313,6 +348,7 @@
             routes,
             servers,
             all_servers: extent == WordExtent::All,
+            evacuations,
             hosts_digest: same_domain.then(|| self.peers.digest()),
             hosts,
             ask_instead: match extent {
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_word.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_word.rs
@@ -9,6 +9,7 @@
 
 use crate::forwarding::beliefs::store_call::{ServerStart, StoreRevision};
 use crate::forwarding::directory::{ServerPhase, ServerRecord};
+use crate::forwarding::evacuations::{EvacuationPhase, EvacuationRecord};
 use crate::forwarding::routes::RouteDifference;
 
 /// What a host that asks knows already.
@@ -119,6 +120,45 @@
     }
 }
 
+/// An evacuation of a failure domain as a peer knows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerEvacuation {
+    /// The domain.
+    pub domain: DomainId,
+    /// How long ago it ended, if it did.
+    pub ended_for: Option<time::Duration>,
+    /// The revision that began or ended it.
+    pub changed: StoreRevision,
+}
+
+impl PeerEvacuation {
+    /// Describes `record` as it is known at `now`.
+    pub fn from_record(record: &EvacuationRecord, now: Timestamp) -> Self {
+        Self {
+            domain: record.domain,
+            ended_for: match record.phase {
+                EvacuationPhase::Lasting => None,
+                EvacuationPhase::Ended { at } => Some(now.since(at)),
+            },
+            changed: record.changed,
+        }
+    }
+
+    /// The evacuation as it is known at `now`.
+    pub fn into_record(self, now: Timestamp) -> EvacuationRecord {
+        let phase = self
+            .ended_for
+            .map_or(EvacuationPhase::Lasting, |ago| EvacuationPhase::Ended {
+                at: now.before(ago),
+            });
+        EvacuationRecord {
+            domain: self.domain,
+            phase,
+            changed: self.changed,
+        }
+    }
+}
+
 /// What a host answers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerWord {
@@ -134,8 +174,10 @@
     pub routes: Option<RouteDifference>,
     /// The servers that changed since the revision of the asker, or all.
     pub servers: Vec<PeerServer>,
-    /// Whether these are all servers that it knows.
+    /// Whether these are all servers and evacuations that it knows.
     pub all_servers: bool,
+    /// The evacuations that changed since the revision of the asker, or all.
+    pub evacuations: Vec<PeerEvacuation>,
     /// A digest of the hosts of its failure domain that it knows, where the asker
     /// stands there too.
     pub hosts_digest: Option<u64>,
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_call.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_call.rs
@@ -136,6 +136,20 @@
         /// The revision that wrote the entry.
         revision: StoreRevision,
     },
+    /// Operators ask that the servers of a failure domain get nothing more.
+    EvacuationBegun {
+        /// The domain.
+        domain: DomainId,
+        /// The revision that wrote so.
+        revision: StoreRevision,
+    },
+    /// The servers of a failure domain may be sent new flows again.
+    EvacuationEnded {
+        /// The domain.
+        domain: DomainId,
+        /// The revision that wrote so.
+        revision: StoreRevision,
+    },
     /// A server was taken off the list.
     ServerRemoved {
         /// The incarnation.
--- a/crates/cardamomwinch_coordination/src/forwarding/directory.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/directory.rs
@@ -8,6 +8,7 @@
 };
 
 use crate::forwarding::beliefs::store_call::{ServerStart, StoreRevision};
+use crate::forwarding::evacuations::{EvacuationRecord, EvacuationTable};
 use crate::forwarding::packet::FlowToken;
 use crate::forwarding::routes::RouteEntry;
 
@@ -96,7 +97,9 @@
     servers: SortedVector<BackendId, ServerRecord>,
     tokens: Vec<(FlowToken, BackendId)>,
     services: Vec<ServicePlace>,
-    /// The last revision that changed a server which is no longer known.
+    evacuations: EvacuationTable,
+    /// The last revision that changed a server, or ended an evacuation, which is no
+    /// longer known.
     forgotten: StoreRevision,
 }
 
@@ -189,6 +192,44 @@
         places.iter().filter_map(|(_, _, id)| self.servers.get(id))
     }
 
+    /// The failure domains whose servers are to get no new flows, or were until lately.
+    pub const fn evacuations(&self) -> &EvacuationTable {
+        &self.evacuations
+    }
+
+    /// Takes over that an evacuation began or ended, unless something later is known.
+    /// Returns whether that changed who may get new flows.
+    pub fn note_evacuation(&mut self, record: EvacuationRecord) -> bool {
+        self.evacuations.note(record)
+    }
+
+    /// Takes over all evacuations that last at `revision`. Returns those that began or
+    /// ended by it.
+    pub fn replace_evacuations(
+        &mut self,
+        listed: &[EvacuationRecord],
+        revision: StoreRevision,
+        now: Timestamp,
+    ) -> Vec<EvacuationRecord> {
+        self.evacuations.replace(listed, revision, now)
+    }
+
+    /// Until when `server` works slowly because it has just started; servers of its
+    /// service do so for `cold_start`.
+    ///
+    /// Guards against a domain that comes back from an evacuation with all its servers
+    /// started anew, before their entries say so. It shows as a rush on servers without
+    /// flows that cannot bear it. An entry written after the end of the evacuation is
+    /// believed again.
+    pub fn cold_until(&self, server: &ServerRecord, cold_start: time::Duration) -> Timestamp {
+        match self.evacuations.ended(server.domain) {
+            Some((at, revision)) if server.changed <= revision => {
+                server.warm_at.max(at.after(cold_start))
+            }
+            _ => server.warm_at,
+        }
+    }
+
     /// Takes over what the store says of one server, unless something later is
     /// known.
     pub fn note(&mut self, record: ServerRecord) {
@@ -331,6 +372,10 @@
             self.index();
             changed = true;
         }
+        if let Some(revision) = self.evacuations.age(now) {
+            self.forgotten = self.forgotten.max(revision);
+            changed = true;
+        }
         changed
     }
 
--- a/crates/cardamomwinch_coordination/src/forwarding/engine.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine.rs
@@ -7,11 +7,13 @@
 
 use cardamomwinch_state::prelude::{BackendId, FlowHash, FlowKey, ServiceId, Timestamp};
 
+use crate::forwarding::cold_starts::ColdLimiter;
 use crate::forwarding::deliveries::DeliveryRecord;
 use crate::forwarding::directory::{ServerPhase, ServerRecord};
 use crate::forwarding::flow_lifetimes::FlowLifetimes;
 use crate::forwarding::flow_watch::{self, FlowSilence, FlowStage, FlowWatch, WatchedFlow};
 use crate::forwarding::packet::{FlowPacket, FlowToken, PacketKind};
+use crate::forwarding::permission::FlowPermission;
 use crate::forwarding::placement::PlacementQuestion;
 use crate::forwarding::progress::ProgressTable;
 use crate::forwarding::recent_openings::RecentOpenings;
@@ -62,6 +64,7 @@
     watch: FlowWatch,
     progress: ProgressTable,
     recent: RecentOpenings,
+    cold: ColdLimiter,
     deliveries: DeliveryRecord,
     lifetimes: FlowLifetimes,
     unknown: UnknownFlows,
@@ -121,6 +124,7 @@
             watch: FlowWatch::new(flows, seed),
             progress: ProgressTable::default(),
             recent: RecentOpenings::default(),
+            cold: ColdLimiter::default(),
             deliveries: DeliveryRecord::default(),
             lifetimes: FlowLifetimes::default(),
             unknown: UnknownFlows::default(),
@@ -175,7 +179,7 @@
             return Self::refuse_route(context, copy, sink);
         };
         let Some(service) = route.service_for(context.hash) else {
-            return Self::refuse_server(context, copy, sink);
+            return self.refuse_server(context, None, copy, sink);
         };
         match self.watch.get(context.hash, &context.packet.flow).copied() {
             Some(watched) => self.repeat_opening(context, service, watched, copy, sink),
@@ -195,7 +199,19 @@
         }
     }
 
-    fn refuse_server<S: ForwardingSink>(context: &PacketContext<'_>, copy: u32, sink: &mut S) {
+    fn refuse_server<S: ForwardingSink>(
+        &self,
+        context: &PacketContext<'_>,
+        service: Option<ServiceId>,
+        copy: u32,
+        sink: &mut S,
+    ) {
+        let forbids_all =
+            |service: ServiceId| self.permission(context, service).forbids_all(service);
+        if context.view.is_complete(context.now) && service.is_some_and(forbids_all) {
+            sink.reset();
+            return context.record(ForwardingOutcome::ForbiddenReset, None, copy, 0, sink);
+        }
         // A server may come between two copies. After the last one the caller
         // would only wait in vain.
         if copy >= LAST_COPY {
@@ -207,6 +223,24 @@
         }
     }
 
+    /// Which servers of `service` operators let the flow at hand go to.
+    fn permission<'a>(
+        &'a self,
+        context: &PacketContext<'a>,
+        service: ServiceId,
+    ) -> FlowPermission<'a> {
+        let regions = context.route.map(|route| route.regions.as_slice());
+        let allowed = regions.unwrap_or_default();
+        FlowPermission::new(context.view, service, allowed, &self.cold, context.now)
+    }
+
+    /// A new flow goes to `server`.
+    fn note_cold(&mut self, context: &PacketContext<'_>, server: &ServerRecord) {
+        if self.permission(context, server.service).is_bounded(server) {
+            self.cold.note(server.id, context.now);
+        }
+    }
+
     fn question<'a>(
         &'a self,
         context: &PacketContext<'a>,
@@ -217,6 +251,7 @@
             directory: &context.view.directory,
             progress: &self.progress,
             domain: context.view.domain,
+            permission: self.permission(context, service),
             service,
             subject: routes::server_subject(context.hash),
             latency_goal: goal.unwrap_or_default(),
@@ -236,10 +271,11 @@
         let caller = context.caller();
         let avoid = |id: BackendId| self.recent.contains(caller, id, context.now);
         let Some(server) = question.choose(avoid).cloned() else {
-            return Self::refuse_server(context, copy, sink);
+            return self.refuse_server(context, Some(service), copy, sink);
         };
         let watched = WatchedFlow::opening(server.id, copy, context.is_idempotent(), context.now);
         self.start_watching(context, watched);
+        self.note_cold(context, &server);
         self.progress.note_opening(server.id, context.now);
         self.recent.note(caller, server.id, context.now);
         sink.send(&server, FlowToken::of_server(server.id));
@@ -270,7 +306,10 @@
         }
         let question = self.question(context, service);
         let avoid = |id: BackendId| is_copy && (id == earlier || watched.was_tried(id));
-        let still_active = |server: &&ServerRecord| server.phase == ServerPhase::Active;
+        let permission = self.permission(context, service);
+        let still_active = |server: &&ServerRecord| {
+            server.phase == ServerPhase::Active && permission.admits_domain(server.domain)
+        };
         let known = context.view.directory.get(earlier).filter(still_active);
         let chosen = if is_copy || known.is_none() {
             question.choose(avoid)
@@ -278,7 +317,7 @@
             known
         };
         let Some(server) = chosen.cloned() else {
-            return Self::refuse_server(context, copy, sink);
+            return self.refuse_server(context, Some(service), copy, sink);
         };
         watched.seen_at = context.now;
         let outcome = if server.id == earlier {
@@ -289,6 +328,7 @@
             }
             watched.counted = true;
             self.progress.add_flow(server.id, context.now);
+            self.note_cold(context, &server);
             ForwardingOutcome::OpeningMoved
         };
         watched.move_opening(server.id, copy);
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/upkeep.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/upkeep.rs
@@ -53,6 +53,7 @@
                 progress.remove_flow(watched.server);
             });
         progress.retain(|id| view.directory.get(id).is_some());
+        self.cold.retain(|id| view.directory.get(id).is_some());
         self.unknown.sweep(now);
         self.recent.sweep(now);
         self.deliveries.sweep(now);
--- a/crates/cardamomwinch_coordination/src/forwarding/explanation.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/explanation.rs
@@ -2,8 +2,10 @@
 
 use cardamomwinch_state::prelude::{BackendId, FlowHasher, FlowKey, ServiceId, Timestamp};
 
+use crate::forwarding::cold_starts::ColdLimiter;
 use crate::forwarding::directory::{ServerPhase, ServerRecord};
 use crate::forwarding::packet::FlowToken;
+use crate::forwarding::permission::FlowPermission;
 use crate::forwarding::record::ForwardingOutcome;
 use crate::forwarding::routes::RouteEntry;
 use crate::forwarding::view::ForwardingView;
@@ -19,8 +21,8 @@
     pub service: Option<ServiceId>,
     /// The server of the flow, where its token names a known one.
     pub server: Option<BackendId>,
-    /// The servers that may take an opening: those of the own domain, or all where
-    /// it has none. Which of them takes it depends on the flows of that moment.
+    /// The servers that may take an opening, cold ones as far as their bound allows: those
+    /// of the own domain, or all where it has none. Which of them takes it depends on the flows of that moment.
     pub candidates: Vec<BackendId>,
 }
 
@@ -43,7 +45,7 @@
     };
     match (token, route) {
         (Some(token), _) => explain_data(&mut explanation, view, flow, token, route),
-        (None, Some(_)) => explain_opening(&mut explanation, view),
+        (None, Some(route)) => explain_opening(&mut explanation, view, route, now),
         (None, None) if view.is_usable() && view.is_complete(now) => {
             explanation.outcome = ForwardingOutcome::NoRouteReset;
         }
@@ -70,12 +72,23 @@
     };
 }
 
-fn explain_opening(explanation: &mut FlowExplanation, view: &ForwardingView) {
-    let servers = explanation.service.into_iter();
-    let servers = servers.flat_map(|service| view.directory.of_service(service));
-    let active: Vec<&ServerRecord> = servers
-        .filter(|server| server.phase == ServerPhase::Active)
-        .collect();
+fn explain_opening(
+    explanation: &mut FlowExplanation,
+    view: &ForwardingView,
+    route: &RouteEntry,
+    now: Timestamp,
+) {
+    let Some(service) = explanation.service else {
+        explanation.outcome = ForwardingOutcome::NoServerHeld;
+        return;
+    };
+    let limiter = ColdLimiter::default();
+    let permission = FlowPermission::new(view, service, &route.regions, &limiter, now);
+    let takes_flows = |server: &&ServerRecord| {
+        server.phase == ServerPhase::Active && permission.admits_domain(server.domain)
+    };
+    let servers = view.directory.of_service(service);
+    let active: Vec<&ServerRecord> = servers.filter(takes_flows).collect();
     let is_near = |server: &&&ServerRecord| view.domain == Some(server.domain);
     let near: Vec<_> = active.iter().filter(is_near).map(|one| one.id).collect();
     explanation.candidates = if near.is_empty() {
@@ -83,7 +96,10 @@
     } else {
         near
     };
-    explanation.outcome = if explanation.candidates.is_empty() {
+    let forbidden = view.is_complete(now) && permission.forbids_all(service);
+    explanation.outcome = if forbidden {
+        ForwardingOutcome::ForbiddenReset
+    } else if explanation.candidates.is_empty() {
         ForwardingOutcome::NoServerHeld
     } else {
         ForwardingOutcome::OpeningPlaced
--- a/crates/cardamomwinch_coordination/src/forwarding/placement.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/placement.rs
@@ -6,6 +6,7 @@
 use cardamomwinch_state::prelude::{BackendId, DomainId, ServiceId, Timestamp};
 
 use crate::forwarding::directory::{ServerDirectory, ServerPhase, ServerRecord};
+use crate::forwarding::permission::FlowPermission;
 use crate::forwarding::progress::ProgressTable;
 use crate::forwarding::slowness::UsualResponse;
 use crate::routing::rendezvous;
@@ -79,6 +80,8 @@
     pub progress: &'a ProgressTable,
     /// The failure domain of this host.
     pub domain: Option<DomainId>,
+    /// Which servers operators let the flow go to.
+    pub permission: FlowPermission<'a>,
     /// The service asked for.
     pub service: ServiceId,
     /// Decides among equals; alike on all hosts.
@@ -139,9 +142,13 @@
                 .map(|_| self.directory.count(self.service, self.domain));
             near.unwrap_or_default() <= LARGEST_SAMPLE
         };
+        let may_stay = || {
+            self.domain
+                .is_some_and(|domain| self.permission.admits_domain(domain))
+        };
         let is_good = match key.rank {
             ServerRank::Relief | ServerRank::Near => true,
-            ServerRank::Far => saw_all_near(),
+            ServerRank::Far => saw_all_near() || !may_stay(),
             ServerRank::Vanished | ServerRank::Suspected => false,
         };
         is_good && !key.avoided
@@ -162,6 +169,7 @@
     fn rank(&self, server: &ServerRecord, relief: Option<time::Duration>) -> Option<ServerRank> {
         match server.phase {
             ServerPhase::Draining | ServerPhase::Unreadable | ServerPhase::Left { .. } => None,
+            _ if !self.permission.admits(server) => None,
             ServerPhase::Vanished { .. } => Some(ServerRank::Vanished),
             ServerPhase::Active if self.progress.is_suspected(server.id, self.now) => {
                 Some(ServerRank::Suspected)
@@ -235,7 +243,10 @@
     fn crossing_load(&self) -> u64 {
         let (mut flows, mut slots, mut domains) = (0, 0, Vec::new());
         let servers = self.sample(None);
-        for server in servers.filter(|server| server.phase == ServerPhase::Active) {
+        let takes_flows = |server: &&ServerRecord| {
+            server.phase == ServerPhase::Active && self.permission.admits_domain(server.domain)
+        };
+        for server in servers.filter(takes_flows) {
             flows += u64::from(self.progress.flows(server.id));
             slots += u64::from(server.slots.get());
             if !domains.contains(&server.domain) {
@@ -250,7 +261,7 @@
     fn load(&self, server: &ServerRecord, costs: PlacementCosts) -> u64 {
         let flows = self.progress.load(server.id) + 1;
         let slots = u64::from(server.slots.get().max(1));
-        let factor = if server.warm_at > self.now {
+        let factor = if self.permission.is_cold(server) {
             COLD_LOAD
         } else {
             WARM_LOAD
--- a/crates/cardamomwinch_coordination/src/forwarding/record.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/record.rs
@@ -24,6 +24,9 @@
     NoServerHeld,
     /// No server can take the flow; the caller was told.
     NoServerReset,
+    /// Operators let no server take the flow, since all of them stand in evacuated
+    /// failure domains or outside the regions of the route; the caller was told.
+    ForbiddenReset,
     /// The packet went to the server of its flow.
     Forwarded,
     /// Like [`Self::Forwarded`], and a request begins in the packet.
@@ -46,7 +49,7 @@
 
 impl ForwardingOutcome {
     /// Every outcome.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::OpeningPlaced,
         Self::OpeningRepeated,
         Self::OpeningMoved,
@@ -54,6 +57,7 @@
         Self::NoRouteHeld,
         Self::NoServerHeld,
         Self::NoServerReset,
+        Self::ForbiddenReset,
         Self::Forwarded,
         Self::RequestForwarded,
         Self::Resent,
@@ -74,6 +78,7 @@
             Self::NoRouteHeld => "no_route_held",
             Self::NoServerHeld => "no_server_held",
             Self::NoServerReset => "no_server_reset",
+            Self::ForbiddenReset => "forbidden_reset",
             Self::Forwarded => "forwarded",
             Self::RequestForwarded => "request_forwarded",
             Self::Resent => "resent",
--- a/crates/cardamomwinch_coordination/src/forwarding/routes.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/routes.rs
@@ -6,10 +6,11 @@
 
 use cardamomwinch_state::flow;
 use cardamomwinch_state::prelude::{
-    ConfigurationVersion, FlowHash, ServiceId, SortedVector, Weight,
+    ConfigurationVersion, FlowHash, RegionId, ServiceId, SortedVector, Weight,
 };
 use serde::{Deserialize, Serialize};
 
+use crate::forwarding::cold_starts::ColdStart;
 use crate::routing::rendezvous;
 
 /// Addresses that led somewhere lately are remembered up to this number, so
@@ -44,6 +45,8 @@
     pub idempotent: bool,
     /// How fast its requests should be answered; zero where that is unknown.
     pub latency_goal: time::Duration,
+    /// The regions whose servers may take its flows; any may where there is none.
+    pub regions: Vec<RegionId>,
 }
 
 impl RouteEntry {
@@ -73,6 +76,8 @@
     pub version: ConfigurationVersion,
     /// The route of each address.
     pub routes: Vec<(net::SocketAddr, RouteEntry)>,
+    /// How servers of the services behave after their start.
+    pub cold_starts: Vec<ColdStart>,
     /// How long a flow may rest before it may be forgotten.
     pub idle_timeout: time::Duration,
 }
@@ -88,6 +93,9 @@
     pub changed: Vec<(net::SocketAddr, RouteEntry)>,
     /// Addresses whose routes were dropped.
     pub dropped: Vec<net::SocketAddr>,
+    /// How servers behave after their start, for all services, where that is other than
+    /// before.
+    pub cold_starts: Option<Vec<ColdStart>>,
     /// How long a flow may rest before it may be forgotten.
     pub idle_timeout: time::Duration,
 }
@@ -109,6 +117,10 @@
     /// from these only: what changed and changed back between two of them shows
     /// in none.
     held: collections::VecDeque<ConfigurationVersion>,
+    /// How servers behave after their start, in the order of services, and the version
+    /// that made it so.
+    cold_starts: SortedVector<ServiceId, ColdStart>,
+    cold_since: ConfigurationVersion,
     idle_timeout: time::Duration,
 }
 
@@ -132,6 +144,7 @@
             .copied()
             .collect();
         self.routes = routes;
+        self.set_cold_starts(document.cold_starts, version);
         self.finish(version, dropped, document.idle_timeout);
         true
     }
@@ -147,9 +160,13 @@
             return self.adopt(RouteDocument {
                 version,
                 routes: difference.changed,
+                cold_starts: difference.cold_starts.unwrap_or_default(),
                 idle_timeout: difference.idle_timeout,
             });
         }
+        if let Some(cold_starts) = difference.cold_starts {
+            self.set_cold_starts(cold_starts, version);
+        }
         for (address, entry) in difference.changed {
             let route = self.versioned(address, entry, version);
             self.routes.insert(address, route);
@@ -161,6 +178,15 @@
         true
     }
 
+    fn set_cold_starts(&mut self, cold_starts: Vec<ColdStart>, version: ConfigurationVersion) {
+        let starts = cold_starts.into_iter();
+        let starts: SortedVector<_, _> = starts.map(|start| (start.service, start)).collect();
+        if starts != self.cold_starts {
+            self.cold_starts = starts;
+            self.cold_since = version;
+        }
+    }
+
     fn versioned(
         &self,
         address: net::SocketAddr,
@@ -213,6 +239,8 @@
                 .map(|(address, route)| (*address, route.entry.clone()))
                 .collect(),
             dropped: dropped.map(|(address, _)| *address).collect(),
+            cold_starts: (all || self.cold_since > earlier)
+                .then(|| self.cold_starts.values().copied().collect()),
             idle_timeout: self.idle_timeout,
         })
     }
@@ -239,6 +267,11 @@
         self.routes.get(address).map(|route| &route.entry)
     }
 
+    /// How servers of `service` behave after their start, where the configuration says.
+    pub fn cold_start(&self, service: ServiceId) -> Option<&ColdStart> {
+        self.cold_starts.get(&service)
+    }
+
     /// The version that dropped the route of `address`, if one did.
     pub fn dropped(&self, address: &net::SocketAddr) -> Option<ConfigurationVersion> {
         self.dropped.get(address).copied()
--- a/crates/cardamomwinch_coordination/src/forwarding/view.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/view.rs
@@ -5,7 +5,9 @@
 
 use cardamomwinch_state::prelude::{DomainId, Timestamp};
 
+use crate::forwarding::cold_starts::ColdShare;
 use crate::forwarding::directory::ServerDirectory;
+use crate::forwarding::regions::DomainRegions;
 use crate::forwarding::routes::RouteTable;
 
 /// Up to this age of the last word of the store or of a peer, what is missing is
@@ -21,6 +23,11 @@
 pub struct ForwardingView {
     /// The failure domain of this host.
     pub domain: Option<DomainId>,
+    /// The regions of all failure domains.
+    pub regions: sync::Arc<DomainRegions>,
+    /// The part of this host in what cold servers get; `None` until it knows the hosts
+    /// of its domain.
+    pub cold_share: Option<ColdShare>,
     /// The routes in force.
     pub routes: sync::Arc<RouteTable>,
     /// The known servers.
--- a/crates/cardamomwinch_coordination/tests/forwarding_beliefs.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_beliefs.rs
@@ -10,6 +10,7 @@
 };
 use cardamomwinch_coordination::forwarding::beliefs::{BeliefChange, BeliefEngine, BeliefSettings};
 use cardamomwinch_coordination::forwarding::directory::ServerPhase;
+use cardamomwinch_coordination::forwarding::regions::DomainRegions;
 use cardamomwinch_state::prelude::*;
 use forwarding_support::*;
 
@@ -24,6 +25,7 @@
 fn engine_of(domain_name: &str, number: u8) -> BeliefEngine {
     let settings = BeliefSettings {
         domain: domain(domain_name),
+        regions: DomainRegions::default(),
         address: host_address(number),
         seeds: vec![host_address(1), host_address(2), host_address(3)],
         flow_lifetime: millis(60_000),
@@ -109,6 +111,7 @@
 fn a_watch_waits_no_longer_than_others_rely_on_it() {
     let settings = BeliefSettings {
         domain: domain("near"),
+        regions: DomainRegions::default(),
         address: host_address(1),
         seeds: Vec::new(),
         flow_lifetime: millis(60_000),
--- a/crates/cardamomwinch_coordination/tests/forwarding_placement.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_placement.rs
@@ -4,14 +4,17 @@
 mod forwarding_support;
 
 use cardamomwinch_coordination::forwarding::beliefs::store_call::StoreRevision;
+use cardamomwinch_coordination::forwarding::cold_starts::ColdLimiter;
 use cardamomwinch_coordination::forwarding::directory::{
     ServerDirectory, ServerPhase, ServerRecord,
 };
 use cardamomwinch_coordination::forwarding::flow_lifetimes::FlowLifetimes;
 use cardamomwinch_coordination::forwarding::packet::{FlowPacket, PacketKind};
+use cardamomwinch_coordination::forwarding::permission::FlowPermission;
 use cardamomwinch_coordination::forwarding::placement::PlacementQuestion;
 use cardamomwinch_coordination::forwarding::progress::ProgressTable;
 use cardamomwinch_coordination::forwarding::record::ForwardingOutcome;
+use cardamomwinch_coordination::forwarding::view::ForwardingView;
 use cardamomwinch_state::prelude::*;
 use forwarding_support::*;
 
@@ -282,10 +285,13 @@
     avoided: impl Fn(BackendId) -> bool,
 ) -> (Option<BackendId>, usize) {
     let looked_at = std::cell::Cell::new(0);
+    let view = ForwardingView::default();
+    let limiter = ColdLimiter::default();
     let question = PlacementQuestion {
         directory,
         progress,
         domain: Some(domain("near")),
+        permission: FlowPermission::new(&view, service("desk"), &[], &limiter, at(0)),
         service: service("desk"),
         subject,
         is_short: false,
--- a/crates/cardamomwinch_coordination/tests/forwarding_restarts.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_restarts.rs
@@ -10,6 +10,7 @@
 };
 use cardamomwinch_coordination::forwarding::beliefs::{BeliefEngine, BeliefSettings};
 use cardamomwinch_coordination::forwarding::directory::{ServerPhase, ServerRecord};
+use cardamomwinch_coordination::forwarding::regions::DomainRegions;
 use forwarding_support::*;
 
 fn started_at(number: u64, start: u64, changed: u64) -> ServerRecord {
@@ -99,6 +100,7 @@
 fn beliefs() -> BeliefEngine {
     let settings = BeliefSettings {
         domain: domain("near"),
+        regions: DomainRegions::default(),
         address: "10.1.0.1:8166".parse().unwrap(),
         seeds: Vec::new(),
         flow_lifetime: millis(60_000),
--- a/crates/cardamomwinch_coordination/tests/forwarding_support/fleet.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_support/fleet.rs
@@ -10,6 +10,7 @@
 use cardamomwinch_coordination::forwarding::beliefs::waiting_questions::WaitingQuestions;
 use cardamomwinch_coordination::forwarding::beliefs::{BeliefEngine, BeliefSettings};
 use cardamomwinch_coordination::forwarding::directory::ServerPhase;
+use cardamomwinch_coordination::forwarding::regions::DomainRegions;
 
 use crate::forwarding_support::*;
 
@@ -350,6 +351,7 @@
     let names = ["near", "far", "third", "fourth", "fifth"];
     let settings = BeliefSettings {
         domain: domain(names[index % domains]),
+        regions: DomainRegions::default(),
         address: address(index),
         seeds: vec![address(0), address(1), address(2)],
         flow_lifetime: millis(60_000),
--- a/crates/cardamomwinch_coordination/tests/forwarding_support/mod.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_support/mod.rs
@@ -10,6 +10,7 @@
 use cardamomwinch_coordination::forwarding::beliefs::store_call::{
     ServerEntry, StoreChange, StoreRevision,
 };
+use cardamomwinch_coordination::forwarding::cold_starts::ColdShare;
 use cardamomwinch_coordination::forwarding::directory::{
     ServerDirectory, ServerPhase, ServerRecord,
 };
@@ -96,6 +97,7 @@
         }],
         idempotent,
         latency_goal: millis(150),
+        regions: Vec::new(),
     }
 }
 
@@ -103,6 +105,7 @@
     RouteDocument {
         version: ConfigurationVersion::new(version),
         routes,
+        cold_starts: Vec::new(),
         idle_timeout: millis(15_000),
     }
 }
@@ -171,6 +174,11 @@
             engine: ForwardingEngine::new(1_000, 0),
             view: ForwardingView {
                 domain: Some(domain("near")),
+                regions: sync::Arc::default(),
+                cold_share: Some(ColdShare {
+                    host_number: 1,
+                    host_numbers: [1].into(),
+                }),
                 routes: sync::Arc::new(routes),
                 directory: sync::Arc::new(directory(servers)),
                 heard_at: at(0),
--- a/crates/cardamomwinch_ctl/src/report_text.rs
+++ b/crates/cardamomwinch_ctl/src/report_text.rs
@@ -190,6 +190,9 @@
         write_label(formatter, "version", report.version)?;
         write_label(formatter, "routes", report.routes)?;
         write_label(formatter, "revision", report.revision)?;
+        if !report.evacuated_domains.is_empty() {
+            write_label(formatter, "evacuated", report.evacuated_domains.join(" "))?;
+        }
         write_label(formatter, "hosts known", report.peers.len())?;
         let mut table = TextTable::new(&["server", "address", "service", "own domain", "phase"]);
         for server in &report.servers {
--- a/crates/cardamomwinch_ctl/tests/host_command.rs
+++ b/crates/cardamomwinch_ctl/tests/host_command.rs
@@ -124,7 +124,7 @@
 version           7
 one of            0a 0b
 ";
-const BELIEFS: &str = r#"{"version":7,"revision":31,"view_age_ms":420,"source":"10.1.0.3:8166","complete":true,"routes":2,"peers":["10.1.0.3:8166","10.1.0.4:8166"],"servers":[{"server":"0a","address":"10.1.64.3:8301","service":"5e","own_domain":true,"phase":"draining"}]}"#;
+const BELIEFS: &str = r#"{"version":7,"revision":31,"view_age_ms":420,"source":"10.1.0.3:8166","complete":true,"routes":2,"evacuated_domains":["6d0f"],"peers":["10.1.0.3:8166","10.1.0.4:8166"],"servers":[{"server":"0a","address":"10.1.64.3:8301","service":"5e","own_domain":true,"phase":"draining"}]}"#;
 const BELIEFS_TEXT: &str = "\
 source            10.1.0.3:8166
 age               420 ms
@@ -132,6 +132,7 @@
 version           7
 routes            2
 revision          31
+evacuated         6d0f
 hosts known       2
 
 SERVER  ADDRESS         SERVICE  OWN DOMAIN  PHASE
--- a/crates/cardamomwinch_forwarder/src/administration.rs
+++ b/crates/cardamomwinch_forwarder/src/administration.rs
@@ -64,6 +64,8 @@
         own_domain: view.domain == Some(server.domain),
         phase: belief_lines::phase_name(server.phase).to_owned(),
     });
+    let evacuated = view.directory.evacuations().iter();
+    let evacuated = evacuated.filter(|evacuation| evacuation.is_lasting());
     let hosts = engine.peers().hosts();
     api::BeliefReport {
         version: view.routes.version().get(),
@@ -72,6 +74,7 @@
         source: engine.source().to_string(),
         complete: view.is_complete(now),
         routes: view.routes.len(),
+        evacuated_domains: evacuated.map(|one| one.domain.to_string()).collect(),
         peers: hosts.iter().map(|host| host.address).collect(),
         servers: servers.collect(),
     }
--- a/crates/cardamomwinch_forwarder/src/belief_lines.rs
+++ b/crates/cardamomwinch_forwarder/src/belief_lines.rs
@@ -35,6 +35,15 @@
         /// When its process started, where it says so.
         started: Option<u64>,
     },
+    /// An evacuation began or ended.
+    Evacuation {
+        /// The failure domain, by identifier.
+        domain: String,
+        /// Whether its servers get no new flows now.
+        evacuated: bool,
+        /// The revision that said so.
+        revision: u64,
+    },
     /// A whole listing was taken over.
     Listing {
         /// Its revision.
@@ -122,6 +131,11 @@
                 routes: *routes,
             },
             BeliefChange::ServerChanged { server } => server.into(),
+            BeliefChange::EvacuationChanged { evacuation } => Self::Evacuation {
+                domain: evacuation.domain.to_string(),
+                evacuated: evacuation.is_lasting(),
+                revision: evacuation.changed.get(),
+            },
             BeliefChange::ServersListed { revision, servers } => Self::Listing {
                 revision: revision.get(),
                 servers: *servers,
@@ -160,6 +174,12 @@
         match self {
             Self::Configuration { .. } => "configuration_in_force",
             Self::Server { .. } => "server_changed",
+            Self::Evacuation {
+                evacuated: true, ..
+            } => "evacuation_begun",
+            Self::Evacuation {
+                evacuated: false, ..
+            } => "evacuation_ended",
             Self::Listing { .. } => "servers_listed",
             Self::ManyVanished { .. } => "many_vanished",
             Self::PeerLost { .. } => "peer_lost",
--- a/crates/cardamomwinch_forwarder/src/launch.rs
+++ b/crates/cardamomwinch_forwarder/src/launch.rs
@@ -188,6 +188,7 @@
     fn belief_engine(&self, peer_address: net::SocketAddr) -> BeliefEngine {
         let settings = BeliefSettings {
             domain: self.settings.domain_id(),
+            regions: self.settings.domain_regions().collect(),
             address: peer_address,
             seeds: self.settings.seeds.clone(),
             flow_lifetime: self.settings.flow_lifetime,
--- a/crates/cardamomwinch_forwarder/src/peer_wire/mod.rs
+++ b/crates/cardamomwinch_forwarder/src/peer_wire/mod.rs
@@ -13,7 +13,7 @@
 use std::time;
 
 use cardamomwinch_coordination::forwarding::beliefs::peer_word::{
-    PeerHost, PeerQuestion, PeerWord,
+    PeerEvacuation, PeerHost, PeerQuestion, PeerWord,
 };
 use cardamomwinch_coordination::forwarding::beliefs::store_call::StoreRevision;
 use cardamomwinch_coordination::forwarding::routes::RouteDifference;
@@ -94,6 +94,36 @@
     }
 }
 
+/// An evacuation of a failure domain.
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize, Deserialize)]
+pub struct WireEvacuation {
+    domain: DomainId,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    ended_for_ms: Option<u64>,
+    changed: StoreRevision,
+}
+
+impl From<PeerEvacuation> for WireEvacuation {
+    fn from(evacuation: PeerEvacuation) -> Self {
+        Self {
+            domain: evacuation.domain,
+            ended_for_ms: evacuation.ended_for.map(|ago| ago.as_millis() as u64),
+            changed: evacuation.changed,
+        }
+    }
+}
+
+impl From<WireEvacuation> for PeerEvacuation {
+    fn from(evacuation: WireEvacuation) -> Self {
+        Self {
+            domain: evacuation.domain,
+            ended_for: evacuation.ended_for_ms.map(time::Duration::from_millis),
+            changed: evacuation.changed,
+        }
+    }
+}
+
 /// What a host answers.
 #[derive(Debug, Clone)]
 #[derive(Serialize, Deserialize)]
@@ -105,6 +135,8 @@
     routes: Option<WireRoutes>,
     servers: WireServers,
     all_servers: bool,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    evacuations: Vec<WireEvacuation>,
     hosts_digest: Option<u64>,
     hosts: Vec<WireHost>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -121,6 +153,7 @@
             routes: word.routes.map(WireRoutes::from),
             servers: word.servers.into(),
             all_servers: word.all_servers,
+            evacuations: word.evacuations.into_iter().map(Into::into).collect(),
             hosts_digest: word.hosts_digest,
             hosts: word.hosts.into_iter().map(WireHost::from).collect(),
             ask_instead: word.ask_instead,
@@ -140,6 +173,7 @@
             routes: word.routes.map(RouteDifference::try_from).transpose()?,
             servers: word.servers.try_into()?,
             all_servers: word.all_servers,
+            evacuations: word.evacuations.into_iter().map(Into::into).collect(),
             hosts_digest: word.hosts_digest,
             hosts: word.hosts.into_iter().map(PeerHost::from).collect(),
             ask_instead: word.ask_instead,
--- a/crates/cardamomwinch_forwarder/src/peer_wire/routes.rs
+++ b/crates/cardamomwinch_forwarder/src/peer_wire/routes.rs
@@ -3,8 +3,9 @@
 use std::net;
 use std::time;
 
+use cardamomwinch_coordination::forwarding::cold_starts::ColdStart;
 use cardamomwinch_coordination::forwarding::routes::{RouteDifference, RouteEntry, RouteTarget};
-use cardamomwinch_state::prelude::ConfigurationVersion;
+use cardamomwinch_state::prelude::{ConfigurationVersion, RegionId};
 use serde::{Deserialize, Serialize};
 
 use crate::peer_wire::kinds::{self, UnknownKindError};
@@ -16,6 +17,8 @@
     targets: Vec<RouteTarget>,
     idempotent: bool,
     latency_goal: time::Duration,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    regions: Vec<RegionId>,
 }
 
 /// A route: its address, its name, and the place of its kind.
@@ -32,6 +35,8 @@
     kinds: Vec<WireRouteKind>,
     changed: Vec<WireRoute>,
     dropped: Vec<net::SocketAddr>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    cold_starts: Option<Vec<ColdStart>>,
     idle_timeout_ms: u64,
 }
 
@@ -44,6 +49,7 @@
                 targets: entry.targets,
                 idempotent: entry.idempotent,
                 latency_goal: entry.latency_goal,
+                regions: entry.regions,
             };
             let place = kinds::place_of(&mut kinds, kind);
             changed.push(WireRoute(address, entry.name, place));
@@ -54,6 +60,7 @@
             kinds,
             changed,
             dropped: difference.dropped,
+            cold_starts: difference.cold_starts,
             idle_timeout_ms: difference.idle_timeout.as_millis() as u64,
         }
     }
@@ -71,6 +78,7 @@
                 targets: kind.targets,
                 idempotent: kind.idempotent,
                 latency_goal: kind.latency_goal,
+                regions: kind.regions,
             };
             changed.push((address, entry));
         }
@@ -79,6 +87,7 @@
             all: routes.all,
             changed,
             dropped: routes.dropped,
+            cold_starts: routes.cold_starts,
             idle_timeout: time::Duration::from_millis(routes.idle_timeout_ms),
         })
     }
--- a/crates/cardamomwinch_forwarder/tests/peer_wire.rs
+++ b/crates/cardamomwinch_forwarder/tests/peer_wire.rs
@@ -4,8 +4,11 @@
 use std::net;
 use std::time;
 
-use cardamomwinch_coordination::forwarding::beliefs::peer_word::{PeerServer, PeerWord};
+use cardamomwinch_coordination::forwarding::beliefs::peer_word::{
+    PeerEvacuation, PeerServer, PeerWord,
+};
 use cardamomwinch_coordination::forwarding::beliefs::store_call::{ServerStart, StoreRevision};
+use cardamomwinch_coordination::forwarding::cold_starts::ColdStart;
 use cardamomwinch_coordination::forwarding::routes::{RouteDifference, RouteEntry, RouteTarget};
 use cardamomwinch_forwarder::peer_wire::WireWord;
 use cardamomwinch_state::prelude::*;
@@ -24,6 +27,7 @@
         targets: vec![RouteTarget { service, weight }],
         idempotent: number.is_multiple_of(3),
         latency_goal: time::Duration::from_millis(150),
+        regions: Vec::new(),
     };
     (address, entry)
 }
@@ -56,10 +60,12 @@
             all: false,
             changed: (0..routes).map(route).collect(),
             dropped: vec![net::SocketAddr::from(([198, 18, 0, 1], 9_999))],
+            cold_starts: None,
             idle_timeout: time::Duration::from_secs(15),
         }),
         servers,
         all_servers: false,
+        evacuations: Vec::new(),
         hosts_digest: Some(5),
         hosts: Vec::new(),
         ask_instead: Some(net::SocketAddr::from(([10, 1, 0, 7], 8166))),
@@ -86,7 +92,24 @@
     gone.vanished = true;
     let mut cold = server(4);
     cold.cold_left = time::Duration::from_secs(2);
-    let said = word(5, vec![server(1), leaving, gone, cold]);
+    let mut said = word(5, vec![server(1), leaving, gone, cold]);
+    let changes = said.routes.as_mut().unwrap();
+    changes.changed[0].1.regions = vec![RegionId::from_name("bud")];
+    changes.cold_starts = Some(vec![ColdStart {
+        service: ServiceId::from_name("docvault"),
+        lasting: time::Duration::from_secs(2),
+        openings: OpeningRate::new(4_000),
+    }]);
+    let evacuation = |name: &str, ended_for| PeerEvacuation {
+        domain: DomainId::from_name(name),
+        ended_for,
+        changed: StoreRevision::new(9),
+    };
+    let ended_for = Some(time::Duration::from_millis(70));
+    said.evacuations = vec![
+        evacuation("bud-csepel", None),
+        evacuation("bud-angyal", ended_for),
+    ];
     assert_eq!(decoded(&encoded(said.clone())), Some(said));
 }
 
--- a/crates/cardamomwinch_protocol/src/administration.rs
+++ b/crates/cardamomwinch_protocol/src/administration.rs
@@ -308,6 +308,10 @@
     pub complete: bool,
     /// How many routes are in force.
     pub routes: usize,
+    /// The failure domains, by identifier, whose servers get no new flows because
+    /// operators evacuate them.
+    #[serde(default)]
+    pub evacuated_domains: Vec<String>,
     /// The hosts that it knows, and itself.
     pub peers: Vec<net::SocketAddr>,
     /// The backend servers that it knows.
--- a/crates/cardamomwinch_state/src/identifiers.rs
+++ b/crates/cardamomwinch_state/src/identifiers.rs
@@ -76,6 +76,10 @@
     /// A failure domain.
     DomainId
 }
+hashed_identifier! {
+    /// A region: failure domains that stand close to each other.
+    RegionId
+}
 hashed_identifier! {
     /// A team that owns a configuration fragment.
     TeamId
@@ -109,6 +113,13 @@
     }
 }
 
+impl RegionId {
+    /// Derives the identifier of the region named `name`.
+    pub fn from_name(name: &str) -> Self {
+        Self(hash_parts(&[b"region", name.as_bytes()]))
+    }
+}
+
 impl TeamId {
     /// Derives the identifier of the team named `name`.
     pub fn from_name(name: &str) -> Self {
--- a/crates/cardamomwinch_state/src/lib.rs
+++ b/crates/cardamomwinch_state/src/lib.rs
@@ -28,12 +28,12 @@
     pub use crate::flow::{FlowHash, FlowHasher, FlowKey};
     pub use crate::host::{HostEntry, HostPhase, HostTable};
     pub use crate::identifiers::{
-        BackendId, DomainId, HostId, RequestId, ServiceId, ShardId, TeamId,
+        BackendId, DomainId, HostId, RegionId, RequestId, ServiceId, ShardId, TeamId,
     };
     pub use crate::parted_table::{FlowTable, PartedTable, TableFullError};
     pub use crate::quantities::{
         ByteCount, ConfigurationVersion, ConnectionCount, FragmentRevision, HostListVersion,
-        Incarnation, RefutationCount, SlotCount, Timestamp, Weight,
+        Incarnation, OpeningRate, RefutationCount, SlotCount, Timestamp, Weight,
     };
     pub use crate::service::ServiceEntry;
     pub use crate::sorted_vector::SortedVector;
--- a/crates/cardamomwinch_state/src/quantities.rs
+++ b/crates/cardamomwinch_state/src/quantities.rs
@@ -67,6 +67,10 @@
     /// Flows that a backend server can hold open at the same time.
     ConnectionCount(u32)
 }
+quantity! {
+    /// New flows in a thousand seconds.
+    OpeningRate(u64)
+}
 quantity! {
     /// The relative share of new flows that a backend server gets. Zero means none.
     Weight(u32)
