--- a/crates/cardamomwinch_coordination/examples/forwarding_cost.rs
+++ b/crates/cardamomwinch_coordination/examples/forwarding_cost.rs
@@ -17,6 +17,7 @@
 use cardamomwinch_coordination::forwarding::routes::{
     RouteDocument, RouteEntry, RouteTable, RouteTarget,
 };
+use cardamomwinch_coordination::forwarding::server_reports::ReporterId;
 use cardamomwinch_coordination::forwarding::view::ForwardingView;
 use cardamomwinch_state::prelude::*;
 
@@ -106,6 +107,7 @@
         directory: sync::Arc::new(directory),
         heard_at: Timestamp::ZERO,
         silent_at: None,
+        reports: sync::Arc::default(),
     }
 }
 
@@ -137,7 +139,7 @@
     let before = resident_kib();
     let view = view(servers, services);
     let known = resident_kib();
-    let mut engine = ForwardingEngine::new(FLOWS as usize, 0);
+    let mut engine = ForwardingEngine::new(FLOWS as usize, 0, ReporterId::new(1));
     let mut sink = LastServer::default();
     let mut tokens = Vec::new();
     let now = Timestamp::new(1_000_000);
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
@@ -9,6 +9,7 @@
 mod peer_exchange;
 pub mod peer_word;
 pub mod read_source;
+mod report_exchange;
 pub mod start;
 pub mod store_call;
 pub mod store_reader;
@@ -36,6 +37,7 @@
 use crate::forwarding::evacuations::{EvacuationPhase, EvacuationRecord};
 use crate::forwarding::regions::DomainRegions;
 use crate::forwarding::routes::{RouteDocument, RouteTable};
+use crate::forwarding::server_reports::{ReportSerial, ReportTable};
 use crate::forwarding::view::ForwardingView;
 
 /// How often a host that learns from another one looks whether it must read the
@@ -178,6 +180,11 @@
     /// Whether the last one who answered knows other hosts.
     knows_other_hosts: bool,
     own_services: OwnServices,
+    reports: sync::Arc<ReportTable>,
+    /// The host that was told reports last, and how far.
+    reports_told: Option<(net::SocketAddr, ReportSerial)>,
+    /// How far the host that was asked last has told its reports.
+    reports_known: Option<(net::SocketAddr, ReportSerial)>,
     changes: Vec<BeliefChange>,
 }
 
@@ -209,6 +216,9 @@
             told_hosts_at: None,
             knows_other_hosts: true,
             own_services: OwnServices::default(),
+            reports: sync::Arc::default(),
+            reports_told: None,
+            reports_known: None,
             regions: sync::Arc::new(settings.regions.clone()),
             settings,
             changes: Vec::new(),
@@ -223,6 +233,7 @@
             cold_share: self.cold_share(),
             routes: sync::Arc::clone(&self.routes),
             directory: sync::Arc::clone(&self.directory),
+            reports: sync::Arc::clone(&self.reports),
             heard_at: self.heard_at,
             silent_at: self.silent_at,
         }
@@ -260,7 +271,9 @@
 
     /// Whether there is something to tell a host that asks.
     pub fn knows_more_than(&self, question: &PeerQuestion) -> bool {
-        self.revision > question.revision || self.routes.version() > question.version
+        self.revision > question.revision
+            || self.routes.version() > question.version
+            || self.reports.serial() != question.reports_known
     }
 
     /// The peers that are known.
@@ -517,6 +530,9 @@
         if ages || !self.directory.evacuations().is_empty() {
             sync::Arc::make_mut(&mut self.directory).age(now, lifetime);
         }
+        if !self.reports.is_empty() {
+            sync::Arc::make_mut(&mut self.reports).age(now);
+        }
     }
 }
 
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_book.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_book.rs
@@ -175,6 +175,17 @@
         hosts
     }
 
+    /// The host of the own domain that follows this one in the order, but for those that
+    /// did not answer last time.
+    pub fn successor(&self) -> Option<net::SocketAddr> {
+        let own = order_number(self.own);
+        let later = self.remembered().filter(|(address, entry)| {
+            entry.domain == Some(self.domain) && entry.silences == 0 && order_number(*address) > own
+        });
+        let hosts = later.map(|(address, _)| address);
+        hosts.min_by_key(|address| order_number(*address))
+    }
+
     /// A host before this one that did not answer, and is to be tried again. It
     /// must have answered before others learn from it: meanwhile those behind it
     /// take its place.
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_exchange.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_exchange.rs
@@ -15,6 +15,7 @@
 use crate::forwarding::beliefs::{BeliefChange, BeliefEngine};
 use crate::forwarding::directory::{ServerPhase, ServerRecord};
 use crate::forwarding::evacuations::EvacuationRecord;
+use crate::forwarding::server_reports::ReportSerial;
 
 /// How long a question to another host may wait for something new. A reader hears
 /// of the store at least every two seconds, and passes that on at once.
@@ -82,6 +83,7 @@
             store_silent: self.silent_since.is_some(),
             age: now.since(self.heard_at),
             wait,
+            reports_known: self.reports_known_of(peer),
             hosts,
             host: PeerHost {
                 address: self.settings.address,
@@ -151,6 +153,7 @@
         let follows = self.choice.host_to_ask(&self.peers, now) == Some(peer);
         let is_useful = follows && self.choice.note_word(now, word.as_ref());
         let heard_at = self.heard_at;
+        let reported = self.take_told_reports(now, peer, word.as_ref());
         match word {
             Some(word) => self.take_word(now, peer, word),
             None if self.peers.note_silent(peer, now) => {
@@ -159,7 +162,7 @@
             None => {}
         }
         // Who answers at once without anything new has too many questions.
-        let learned = self.heard_at >= heard_at.after(LEAST_ADVANCE);
+        let learned = reported || self.heard_at >= heard_at.after(LEAST_ADVANCE);
         self.pause = match self.choice.host_to_ask(&self.peers, now) {
             _ if self.referred_to.is_some() => time::Duration::ZERO,
             _ if self.knows_nothing() => START_PAUSE,
@@ -333,6 +336,13 @@
         let evacuations = told
             .map(|one| PeerEvacuation::from_record(one, now))
             .collect();
+        // Whoever asks may have asked a process that ran here before.
+        let known_reports = question.reports_known;
+        let known_reports = if known_reports > self.reports.serial() {
+            ReportSerial::default()
+        } else {
+            known_reports
+        };
         let routes = match extent {
             WordExtent::Nothing { .. } => None,
             _ => self.routes.difference(question.version),
@@ -349,6 +359,8 @@
             servers,
             all_servers: extent == WordExtent::All,
             evacuations,
+            reports: self.describe_reports(known_reports, now),
+            reports_serial: self.reports.serial(),
             hosts_digest: same_domain.then(|| self.peers.digest()),
             hosts,
             ask_instead: match extent {
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_word.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_word.rs
@@ -11,6 +11,7 @@
 use crate::forwarding::directory::{ServerPhase, ServerRecord};
 use crate::forwarding::evacuations::{EvacuationPhase, EvacuationRecord};
 use crate::forwarding::routes::RouteDifference;
+use crate::forwarding::server_reports::{ReportSerial, ReporterId, ServerReport, ServerSign};
 
 /// What a host that asks knows already.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -27,6 +28,8 @@
     pub age: time::Duration,
     /// How long the answer may wait for something newer.
     pub wait: time::Duration,
+    /// How far the asked host has told its reports about servers.
+    pub reports_known: ReportSerial,
     /// The hosts of its failure domain that it knows, where it asks for others.
     pub hosts: Vec<PeerHost>,
     /// The host itself.
@@ -159,6 +162,55 @@
     }
 }
 
+/// A report about a server as it is passed on. Hosts do not agree on the time, so that
+/// ages are told instead.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerReport {
+    /// The server.
+    pub server: BackendId,
+    /// Who saw it.
+    pub reporter: ReporterId,
+    /// Rises with each statement of the reporter.
+    pub number: u64,
+    /// How long ago it was seen last.
+    pub age: time::Duration,
+    /// How many flows met silence, and how long ago the first data were sent that nobody
+    /// answered; `None` where the server lives.
+    pub silence: Option<(u32, time::Duration)>,
+}
+
+impl PeerReport {
+    /// Describes `report` as it is told at `now`.
+    pub fn from_report(report: &ServerReport, now: Timestamp) -> Self {
+        Self {
+            server: report.server,
+            reporter: report.reporter,
+            number: report.number,
+            age: now.since(report.at),
+            silence: match report.sign {
+                ServerSign::Silent { flows, since } => Some((flows, now.since(since))),
+                ServerSign::Lively => None,
+            },
+        }
+    }
+
+    /// The report as it is known at `now`.
+    pub fn into_report(self, now: Timestamp) -> ServerReport {
+        ServerReport {
+            server: self.server,
+            reporter: self.reporter,
+            number: self.number,
+            sign: self
+                .silence
+                .map_or(ServerSign::Lively, |(flows, age)| ServerSign::Silent {
+                    flows,
+                    since: now.before(age),
+                }),
+            at: now.before(self.age),
+        }
+    }
+}
+
 /// What a host answers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerWord {
@@ -178,6 +230,10 @@
     pub all_servers: bool,
     /// The evacuations that changed since the revision of the asker, or all.
     pub evacuations: Vec<PeerEvacuation>,
+    /// Its reports about servers that the asker does not know from it.
+    pub reports: Vec<PeerReport>,
+    /// How far it has told its reports with these.
+    pub reports_serial: ReportSerial,
     /// A digest of the hosts of its failure domain that it knows, where the asker
     /// stands there too.
     pub hosts_digest: Option<u64>,
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/read_source.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/read_source.rs
@@ -111,6 +111,16 @@
         Some(predecessors[(first + detour) % rank])
     }
 
+    /// The host that is told what this one has seen of servers: the one that it asks, and
+    /// among readers another one, which the others do not all learn from.
+    pub fn host_to_report_to(&self, peers: &PeerBook, now: Timestamp) -> Option<net::SocketAddr> {
+        let source = self.host_to_ask(peers, now);
+        source.or_else(|| match peers.predecessors().first() {
+            Some(first) => Some(*first),
+            None => peers.successor(),
+        })
+    }
+
     /// Whether the host reads the store itself although it has someone to ask.
     pub fn distrusts_hosts(&self, age: time::Duration) -> bool {
         self.misses >= MISS_LIMIT || age >= self.staleness()
--- a/crates/cardamomwinch_coordination/src/forwarding/engine.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine.rs
@@ -12,6 +12,7 @@
 use crate::forwarding::directory::{ServerPhase, ServerRecord};
 use crate::forwarding::flow_lifetimes::FlowLifetimes;
 use crate::forwarding::flow_watch::{self, FlowSilence, FlowStage, FlowWatch, WatchedFlow};
+use crate::forwarding::own_reports::OwnReports;
 use crate::forwarding::packet::{FlowPacket, FlowToken, PacketKind};
 use crate::forwarding::permission::FlowPermission;
 use crate::forwarding::placement::PlacementQuestion;
@@ -19,6 +20,7 @@
 use crate::forwarding::recent_openings::RecentOpenings;
 use crate::forwarding::record::{ForwardingOutcome, ForwardingRecord};
 use crate::forwarding::routes::{self, RouteEntry};
+use crate::forwarding::server_reports::{ReporterId, ServerReport, ServerSign};
 use crate::forwarding::server_starts::ServerStarts;
 use crate::forwarding::unknown_flows::UnknownFlows;
 use crate::forwarding::view::ForwardingView;
@@ -70,6 +72,7 @@
     unknown: UnknownFlows,
     unwatched: u64,
     starts: ServerStarts,
+    reports: OwnReports,
     ticks: u32,
     ran_at: Option<Timestamp>,
 }
@@ -118,8 +121,9 @@
 }
 
 impl ForwardingEngine {
-    /// Creates an engine that watches at most `flows` flows.
-    pub fn new(flows: usize, seed: u64) -> Self {
+    /// Creates an engine that watches at most `flows` flows, and reports to other hosts
+    /// as `reporter`.
+    pub fn new(flows: usize, seed: u64, reporter: ReporterId) -> Self {
         Self {
             watch: FlowWatch::new(flows, seed),
             progress: ProgressTable::default(),
@@ -130,6 +134,7 @@
             unknown: UnknownFlows::default(),
             unwatched: 0,
             starts: ServerStarts::default(),
+            reports: OwnReports::new(reporter),
             ticks: 0,
             ran_at: None,
         }
@@ -150,6 +155,11 @@
         self.unwatched
     }
 
+    /// Takes out what other hosts are to be told of servers.
+    pub fn take_reports(&mut self) -> Vec<ServerReport> {
+        self.reports.take()
+    }
+
     /// Decides about `packet`.
     pub fn handle<S: ForwardingSink>(
         &mut self,
@@ -250,6 +260,7 @@
         PlacementQuestion {
             directory: &context.view.directory,
             progress: &self.progress,
+            reports: &context.view.reports,
             domain: context.view.domain,
             permission: self.permission(context, service),
             service,
@@ -302,7 +313,12 @@
         };
         if is_copy {
             let proven = self.deliveries.was_open_at(watched.seen_at);
-            self.progress.note_unanswered(earlier, proven, context.now);
+            let sent_at = watched.seen_at;
+            self.progress
+                .note_unanswered(earlier, sent_at, proven, context.now);
+            if proven {
+                self.report_silence(earlier, context.now);
+            }
         }
         let question = self.question(context, service);
         let avoid = |id: BackendId| is_copy && (id == earlier || watched.was_tried(id));
@@ -425,6 +441,10 @@
         }
         if watched.note_acknowledged(packet.acknowledged) {
             self.progress.note_progress(server.id, now);
+            let reports = &context.view.reports;
+            if !reports.is_empty() && reports.is_refuted_by(server.id, now) {
+                self.reports.note(server.id, ServerSign::Lively, now);
+            }
             if let Some(sent_at) = sent_once_at {
                 self.deliveries.note(sent_at);
             }
@@ -445,16 +465,37 @@
             watched.note_asked(now);
         }
         if silence.losses > 0 && watched.begin_silence() {
-            self.progress.note_silent_flow(server.id, now);
+            self.progress
+                .note_silent_flow(server.id, silence.since, now);
+            self.report_silence(server.id, now);
         }
         silence
     }
 
+    /// Tells others that flows on `server` met silence, where that says something about
+    /// the server rather than about this host.
+    fn report_silence(&mut self, server: BackendId, now: Timestamp) {
+        if self.deliveries.is_in_doubt(now) {
+            return;
+        }
+        if let Some((flows, since)) = self.progress.silence(server) {
+            self.reports
+                .note(server, ServerSign::Silent { flows, since }, now);
+        }
+    }
+
+    /// Whether several hosts together show that `server` has gone.
+    fn is_reported(&self, view: &ForwardingView, server: BackendId, now: Timestamp) -> bool {
+        let lively_at = self.progress.lively_at(server);
+        view.reports.is_silent(server, lively_at, now)
+    }
+
     /// Whether nobody will answer the flow any more, and its caller is to be told.
     ///
     /// Guards against callers that wait until their deadlines for a server that has
     /// gone. One repetition tells an idempotent caller, who asks again elsewhere, where
-    /// the store has lost the server or several flows meet silence; three losses in a
+    /// the store has lost the server or several flows meet silence, here or on several
+    /// hosts; three losses in a
     /// row do where nobody saw the server make progress meanwhile: hosts of large fleets
     /// see one or two flows of each server. A caller that may not repeat itself gains
     /// nothing by a reset while an answer may come; it is told where the store has given
@@ -466,6 +507,10 @@
         silence: FlowSilence,
         lost_thrice: bool,
     ) -> bool {
+        let reported = self.is_reported(context.view, server.id, context.now);
+        if reported && context.is_idempotent() {
+            return silence.copies >= HOPELESS_COPIES;
+        }
         let left = matches!(server.phase, ServerPhase::Left { .. });
         let vanished = server.has_vanished() && context.view.is_complete(context.now);
         let over = if context.is_idempotent() {
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/upkeep.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/upkeep.rs
@@ -9,6 +9,7 @@
 use crate::forwarding::flow_watch::WatchedFlow;
 use crate::forwarding::packet::FlowToken;
 use crate::forwarding::record::{ForwardingOutcome, ForwardingRecord};
+use crate::forwarding::server_reports::ServerSign;
 use crate::forwarding::view::ForwardingView;
 
 /// Ticks between two sweeps over all flows, which are a second apart.
@@ -23,12 +24,14 @@
     /// every [`super::TICK_PERIOD`].
     pub fn tick<S: ForwardingSink>(&mut self, now: Timestamp, view: &ForwardingView, sink: &mut S) {
         self.note_time(now);
+        self.report_unconfirmed(now);
         while self.can_judge(now)
             && let Some(server) = self.progress.take_absent(now)
         {
             let may_end = |watched: &WatchedFlow| watched.can_be_ended(now);
             self.end_flows(now, view, &[server], may_end, sink);
         }
+        self.end_reported(now, view, sink);
         self.end_vanished(now, view, sink);
         self.end_restarted(now, view, sink);
         self.ticks = (self.ticks + 1) % SWEEP_TICKS;
@@ -59,6 +62,40 @@
         self.deliveries.sweep(now);
     }
 
+    /// Tells others of servers that confirm no openings, where other servers do.
+    ///
+    /// Guards against servers that crash together: each resets callers at once, so that it
+    /// seems idle and draws openings on every host, which would each have to learn of it.
+    /// It shows as callers that use up their retries within milliseconds.
+    fn report_unconfirmed(&mut self, now: Timestamp) {
+        let unconfirmed = self.progress.take_unconfirmed(now);
+        for (server, flows, since) in unconfirmed {
+            if self.deliveries.was_open_at(since) && !self.deliveries.is_in_doubt(now) {
+                let sign = ServerSign::Silent { flows, since };
+                self.reports.note(server, sign, now);
+            }
+        }
+    }
+
+    /// Ends flows on servers that several hosts together show to have gone.
+    ///
+    /// Guards against a server that dies while each host sees one or two of its flows. It
+    /// shows as requests that are lost one by one on all hosts, seconds after the first.
+    /// That this host cannot judge by itself does not matter: the others can.
+    fn end_reported<S: ForwardingSink>(
+        &mut self,
+        now: Timestamp,
+        view: &ForwardingView,
+        sink: &mut S,
+    ) {
+        let mut servers = view.reports.servers();
+        servers.retain(|id| self.progress.flows(*id) > 0 && self.is_reported(view, *id, now));
+        if !servers.is_empty() {
+            let may_end = |watched: &WatchedFlow| watched.can_be_ended(now);
+            self.end_flows(now, view, &servers, may_end, sink);
+        }
+    }
+
     /// Ends flows that rest on servers that vanished from the store's list though
     /// the store was there all the time.
     ///
--- a/crates/cardamomwinch_coordination/src/forwarding/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/mod.rs
@@ -12,7 +12,8 @@
 //!   failure domain, nor those outside the regions of its route, nor cold ones that
 //!   have had their part.
 //! - [`placement`] chooses the server of a new flow.
-//! - [`progress`] judges servers by what callers send again.
+//! - [`progress`] judges servers by what callers send again, and [`server_reports`] by
+//!   what the hosts of a domain have seen together.
 //! - [`engine`] decides about each packet.
 //! - [`explanation`] tells operators what would be decided.
 
@@ -26,6 +27,7 @@
 pub mod flow_lifetimes;
 pub mod flow_watch;
 pub mod held_packets;
+pub mod own_reports;
 pub mod packet;
 pub mod permission;
 pub mod placement;
@@ -34,6 +36,7 @@
 pub mod record;
 pub mod regions;
 pub mod routes;
+pub mod server_reports;
 pub mod server_starts;
 pub mod slowness;
 pub mod unknown_flows;
--- a/crates/cardamomwinch_coordination/src/forwarding/placement.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/placement.rs
@@ -8,6 +8,7 @@
 use crate::forwarding::directory::{ServerDirectory, ServerPhase, ServerRecord};
 use crate::forwarding::permission::FlowPermission;
 use crate::forwarding::progress::ProgressTable;
+use crate::forwarding::server_reports::ReportTable;
 use crate::forwarding::slowness::UsualResponse;
 use crate::routing::rendezvous;
 
@@ -78,6 +79,8 @@
     pub directory: &'a ServerDirectory,
     /// What is known of how they do.
     pub progress: &'a ProgressTable,
+    /// What other hosts have seen of them, too.
+    pub reports: &'a ReportTable,
     /// The failure domain of this host.
     pub domain: Option<DomainId>,
     /// Which servers operators let the flow go to.
@@ -171,9 +174,7 @@
             ServerPhase::Draining | ServerPhase::Unreadable | ServerPhase::Left { .. } => None,
             _ if !self.permission.admits(server) => None,
             ServerPhase::Vanished { .. } => Some(ServerRank::Vanished),
-            ServerPhase::Active if self.progress.is_suspected(server.id, self.now) => {
-                Some(ServerRank::Suspected)
-            }
+            ServerPhase::Active if self.is_suspected(server.id) => Some(ServerRank::Suspected),
             ServerPhase::Active if self.domain == Some(server.domain) => Some(ServerRank::Near),
             ServerPhase::Active => {
                 let response = self.progress.response(server.id, self.now);
@@ -189,6 +190,13 @@
         }
     }
 
+    /// Whether `server` seems to have gone, to this host or to several together.
+    fn is_suspected(&self, server: BackendId) -> bool {
+        let lively_at = || self.progress.lively_at(server);
+        self.progress.is_suspected(server, self.now)
+            || (!self.reports.is_empty() && self.reports.is_doubtful(server, lively_at(), self.now))
+    }
+
     /// Where the own domain's servers are strained and it is this flow's turn to
     /// go elsewhere, the response time that a server elsewhere must stay below.
     ///
--- a/crates/cardamomwinch_coordination/src/forwarding/progress.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/progress.rs
@@ -52,8 +52,12 @@
     pub flows: u32,
     /// When a caller last acknowledged something new from it.
     progress_at: Timestamp,
+    /// When that was seen for sure; never at first.
+    lively_at: Option<Timestamp>,
     /// Flows that met silence since then.
     silent_flows: u32,
+    /// When the first data were sent that nobody answered since then.
+    silent_since: Timestamp,
     /// Whether the data of one flow were lost three times in a row since then.
     lost_thrice: bool,
     suspected_until: Timestamp,
@@ -62,6 +66,8 @@
     unconfirmed_since: Option<Timestamp>,
     /// How many openings went out since then.
     unconfirmed: u32,
+    /// How many of them others were told of.
+    unconfirmed_told: u32,
     /// Whether the flows of the silent server were ended.
     ended: bool,
     /// The moving mean of response times, and when the last one was taken.
@@ -73,17 +79,28 @@
         Self {
             flows: 0,
             progress_at: now,
+            lively_at: None,
             silent_flows: 0,
+            silent_since: Timestamp::ZERO,
             lost_thrice: false,
             suspected_until: Timestamp::ZERO,
             suspicion: time::Duration::ZERO,
             unconfirmed_since: None,
             unconfirmed: 0,
+            unconfirmed_told: 0,
             ended: false,
             response: None,
         }
     }
 
+    /// One more flow met silence with what was sent at `sent_at`.
+    fn add_silent_flow(&mut self, sent_at: Timestamp) {
+        if self.silent_flows == 0 || sent_at < self.silent_since {
+            self.silent_since = sent_at;
+        }
+        self.silent_flows = self.silent_flows.saturating_add(1);
+    }
+
     fn is_silent(&self, flows: u32, time: time::Duration, now: Timestamp) -> bool {
         self.silent_flows >= flows && now.since(self.progress_at) >= time
     }
@@ -145,16 +162,34 @@
         if forgotten {
             entry.unconfirmed_since = Some(now);
             entry.unconfirmed = 0;
+            entry.unconfirmed_told = 0;
         }
         entry.unconfirmed = entry.unconfirmed.saturating_add(1);
     }
 
+    /// Takes out the servers that have left openings without a confirmation and that
+    /// others were not told of: how many openings, and when the first one went out.
+    pub fn take_unconfirmed(&mut self, now: Timestamp) -> Vec<(BackendId, u32, Timestamp)> {
+        let mut found = Vec::new();
+        for (id, entry) in self.servers.iter_mut() {
+            if entry.unconfirmed > entry.unconfirmed_told
+                && entry.is_unconfirmed(now)
+                && let Some(since) = entry.unconfirmed_since
+            {
+                entry.unconfirmed_told = entry.unconfirmed;
+                found.push((*id, entry.unconfirmed, since));
+            }
+        }
+        found
+    }
+
     /// A caller has acknowledged something new from `server`. Returns whether
     /// the server was under suspicion until then.
     pub fn note_progress(&mut self, server: BackendId, now: Timestamp) -> bool {
         let entry = self.entry(server, now);
         let cleared = entry.suspected_until > now || entry.silent_flows >= SILENT_FLOWS;
         entry.progress_at = now;
+        entry.lively_at = Some(now);
         entry.silent_flows = 0;
         entry.lost_thrice = false;
         entry.ended = false;
@@ -183,14 +218,22 @@
         (now.since(at) <= RESPONSE_MEMORY).then_some(mean)
     }
 
-    /// `server` did not answer an opening; `proven` tells that the opening was not lost
-    /// before it left this host. Returns whether that is new.
-    pub fn note_unanswered(&mut self, server: BackendId, proven: bool, now: Timestamp) -> bool {
+    /// `server` did not answer an opening of `sent_at`; `proven` tells that the opening
+    /// was not lost before it left this host. Returns whether that is new.
+    pub fn note_unanswered(
+        &mut self,
+        server: BackendId,
+        sent_at: Timestamp,
+        proven: bool,
+        now: Timestamp,
+    ) -> bool {
         if now < self.distrust_until {
             return false;
         }
         let entry = self.entry(server, now);
-        entry.silent_flows = entry.silent_flows.saturating_add(u32::from(proven));
+        if proven {
+            entry.add_silent_flow(sent_at);
+        }
         if entry.suspected_until > now {
             return false;
         }
@@ -200,14 +243,13 @@
         true
     }
 
-    /// A flow on `server` sends data again for the first time since it last
-    /// made progress.
-    pub fn note_silent_flow(&mut self, server: BackendId, now: Timestamp) {
+    /// A flow on `server` sends data of `sent_at` again, for the first time since it
+    /// last made progress.
+    pub fn note_silent_flow(&mut self, server: BackendId, sent_at: Timestamp, now: Timestamp) {
         if now < self.distrust_until {
             return;
         }
-        let entry = self.entry(server, now);
-        entry.silent_flows = entry.silent_flows.saturating_add(1);
+        self.entry(server, now).add_silent_flow(sent_at);
     }
 
     /// A flow on `server` has sent the same data three times since `since`. Returns
@@ -220,6 +262,18 @@
         entry.lost_thrice
     }
 
+    /// The flows on `server` that met silence since it last made progress, and when the
+    /// first data were sent that nobody answered; `None` where there are none.
+    pub fn silence(&self, server: BackendId) -> Option<(u32, Timestamp)> {
+        let entry = self.servers.get(&server)?;
+        (entry.silent_flows > 0).then_some((entry.silent_flows, entry.silent_since))
+    }
+
+    /// When a caller last acknowledged something new from `server`.
+    pub fn lively_at(&self, server: BackendId) -> Option<Timestamp> {
+        self.servers.get(&server)?.lively_at
+    }
+
     /// Whether `server` is to get no new flows for now.
     pub fn is_suspected(&self, server: BackendId, now: Timestamp) -> bool {
         self.servers
--- a/crates/cardamomwinch_coordination/src/forwarding/view.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/view.rs
@@ -9,6 +9,7 @@
 use crate::forwarding::directory::ServerDirectory;
 use crate::forwarding::regions::DomainRegions;
 use crate::forwarding::routes::RouteTable;
+use crate::forwarding::server_reports::ReportTable;
 
 /// Up to this age of the last word of the store or of a peer, what is missing is
 /// taken as not there. Watches and keep-alive probes bring a word more often
@@ -32,6 +33,8 @@
     pub routes: sync::Arc<RouteTable>,
     /// The known servers.
     pub directory: sync::Arc<ServerDirectory>,
+    /// What hosts of the own domain have seen of servers.
+    pub reports: sync::Arc<ReportTable>,
     /// When the store, or a peer that had heard of it, said all of this last.
     pub heard_at: Timestamp,
     /// When the store was last found to be silent or refusing.
--- a/crates/cardamomwinch_coordination/tests/forwarding_placement.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_placement.rs
@@ -290,6 +290,7 @@
     let question = PlacementQuestion {
         directory,
         progress,
+        reports: &view.reports,
         domain: Some(domain("near")),
         permission: FlowPermission::new(&view, service("desk"), &[], &limiter, at(0)),
         service: service("desk"),
--- /dev/null
+++ b/crates/cardamomwinch_coordination/tests/forwarding_reports.rs
@@ -0,0 +1,373 @@
+//! What the hosts of a domain tell each other about servers, and what follows.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod forwarding_support;
+
+use std::sync;
+
+use cardamomwinch_coordination::forwarding::engine::ForwardingEngine;
+use cardamomwinch_coordination::forwarding::record::ForwardingOutcome;
+use cardamomwinch_coordination::forwarding::server_reports::{
+    ReportSerial, ReportTable, ReporterId, ServerReport, ServerSign,
+};
+use cardamomwinch_state::prelude::*;
+use forwarding_support::fleet::{Condition, Fleet};
+use forwarding_support::*;
+use rand::{Rng, SeedableRng, rngs};
+use yare::parameterized;
+
+fn silent(reporter: u64, number: u64, flows: u32, since: u64, seen_at: u64) -> ServerReport {
+    ServerReport {
+        server: near_server(1).id,
+        reporter: ReporterId::new(reporter),
+        number,
+        sign: ServerSign::Silent {
+            flows,
+            since: at(since),
+        },
+        at: at(seen_at),
+    }
+}
+
+fn lively(reporter: u64, number: u64, seen_at: u64) -> ServerReport {
+    ServerReport {
+        sign: ServerSign::Lively,
+        ..silent(reporter, number, 0, 0, seen_at)
+    }
+}
+
+fn table(reports: &[ServerReport]) -> ReportTable {
+    let mut table = ReportTable::default();
+    for report in reports {
+        table.note(*report, report.at);
+    }
+    table
+}
+
+#[parameterized(
+    three_flows_on_two_hosts = { &[silent(1, 1, 2, 0, 210), silent(2, 1, 1, 40, 250)], None, 600, true },
+    too_soon = { &[silent(1, 1, 2, 0, 210), silent(2, 1, 1, 40, 250)], None, 480, false },
+    one_host_alone = { &[silent(1, 1, 5, 0, 210)], None, 900, false },
+    two_flows = { &[silent(1, 1, 1, 0, 210), silent(2, 1, 1, 40, 250)], None, 900, false },
+    another_host_saw_it_live = { &[silent(1, 1, 2, 0, 210), silent(2, 1, 2, 40, 250), lively(3, 1, 300)], None, 900, false },
+    this_host_saw_it_live = { &[silent(1, 1, 2, 0, 210), silent(2, 1, 2, 40, 250)], Some(300), 900, false },
+    answers_from_before_it_fell_silent = { &[silent(1, 1, 2, 0, 210), silent(2, 1, 1, 40, 250), lively(3, 1, 60)], Some(50), 600, true },
+    it_lived_and_then_fell_silent = { &[silent(1, 1, 2, 500, 710), silent(2, 1, 1, 540, 750), lively(3, 1, 400)], Some(450), 1_100, true },
+    long_ago = { &[silent(1, 1, 2, 0, 210), silent(2, 1, 1, 40, 250)], None, 4_000, false },
+    the_same_host_twice = { &[silent(1, 1, 2, 0, 210), silent(1, 2, 4, 0, 400)], None, 900, false },
+)]
+fn several_hosts_together_show_that_a_server_has_gone(
+    reports: &[ServerReport],
+    progress: Option<u64>,
+    moment: u64,
+    expected: bool,
+) {
+    let table = table(reports);
+    let server = near_server(1).id;
+    assert_eq!(
+        table.is_silent(server, progress.map(at), at(moment)),
+        expected
+    );
+}
+
+/// Reports cross several hosts and may meet themselves, each time a little older. If they
+/// counted as new they would go round for ever.
+#[test]
+fn a_report_that_comes_again_is_not_passed_on() {
+    let mut table = table(&[silent(1, 4, 1, 0, 210)]);
+    let serial = table.serial();
+    let mut echo = silent(1, 4, 1, 3, 214);
+    assert!(!table.note(echo, at(230)));
+    echo.number = 3;
+    assert!(!table.note(echo, at(230)));
+    assert_eq!(table.serial(), serial);
+    assert!(table.note(lively(1, 5, 260), at(270)));
+    assert_eq!(table.after(serial).count(), 1);
+    assert_eq!(table.after(ReportSerial::default()).count(), 1);
+}
+
+/// All servers of a large domain are reported by all hosts. What is kept and told must
+/// stay bounded.
+#[test]
+fn a_table_keeps_no_more_than_a_verdict_needs() {
+    let mut table = ReportTable::default();
+    for server in 1..=2_000 {
+        for reporter in 1..=20 {
+            let report = ServerReport {
+                server: near_server(server).id,
+                ..silent(reporter, 1, 1, 0, 210)
+            };
+            table.note(report, at(220));
+        }
+    }
+    assert!(table.after(ReportSerial::default()).count() <= 1_024);
+    assert!(table.is_silent(near_server(1).id, None, at(600)));
+    table.age(at(5_000));
+    assert!(table.is_empty());
+}
+
+/// Hosts of one domain that hear each other's reports at once.
+struct Domain {
+    hosts: Vec<TestHost>,
+    table: ReportTable,
+}
+
+impl Domain {
+    fn new(hosts: u64, servers: u64) -> Self {
+        let servers: Vec<_> = (1..=servers).map(near_server).collect();
+        let make = |number| {
+            let mut host = TestHost::new(servers.clone());
+            host.engine = ForwardingEngine::new(1_000, 0, ReporterId::new(number));
+            host
+        };
+        Self {
+            hosts: (1..=hosts).map(make).collect(),
+            table: ReportTable::default(),
+        }
+    }
+
+    /// Collects what hosts have seen until `moment`, and lets all know it.
+    fn exchange(&mut self, moment: u64) {
+        for host in &mut self.hosts {
+            for report in host.engine.take_reports() {
+                self.table.note(report, at(moment));
+            }
+        }
+        let table = sync::Arc::new(self.table.clone());
+        for host in &mut self.hosts {
+            host.view.reports = sync::Arc::clone(&table);
+        }
+    }
+}
+
+/// Where each flow of the domain is: the host, its port, and its server.
+fn establish_everywhere(domain: &mut Domain, flows: u16) -> Vec<(usize, u16, BackendId)> {
+    let mut placed = Vec::new();
+    for index in 0..domain.hosts.len() {
+        for flow in 0..flows {
+            let port = 1_000 + index as u16 * 100 + flow;
+            let moment = u64::from(flow) * 5 + index as u64;
+            let server = domain.hosts[index].establish(at(moment), port);
+            placed.push((index, port, server));
+        }
+    }
+    placed
+}
+
+/// A server loses power while each of twenty hosts holds one or two of its flows. Alone,
+/// each host has to lose a request on each of them. Once three requests were lost anywhere,
+/// all hosts must know: idle flows are ended before their callers lose a request that may
+/// run only once, and no new flow goes there.
+#[test]
+fn what_three_flows_show_is_known_to_all_hosts() {
+    let mut domain = Domain::new(20, 20);
+    let flows = establish_everywhere(&mut domain, 40);
+    let dead = near_server(1).id;
+    let resting = flows.iter().filter(|one| one.2 == dead).count();
+    assert!(resting >= 20, "{resting} flows");
+    // Three callers on three hosts ask at 2 s; all others go on elsewhere.
+    let asking: Vec<_> = flows
+        .iter()
+        .filter(|one| one.2 == dead)
+        .step_by(7)
+        .collect();
+    let asking = &asking[..3];
+    for step in 0..100 {
+        let moment = 2_000 + step * 10;
+        for (index, port, server) in &flows {
+            if *server != dead && (u64::from(*port) + step).is_multiple_of(25) {
+                let turn = step as u32 / 25;
+                let ask = data(*port, *server, 500 + 80 * turn, 1 + 3_000 * turn, 80);
+                let answered = data(*port, *server, 580 + 80 * turn, 3_001 + 3_000 * turn, 0);
+                domain.hosts[*index].handle(at(moment), &ask);
+                domain.hosts[*index].handle(at(moment + 9), &answered);
+            }
+        }
+        if [0, 20, 60].contains(&step) {
+            for (index, port, _) in asking {
+                let ask = data(*port, dead, 500, 1, 80);
+                domain.hosts[*index].handle(at(moment), &ask);
+            }
+        }
+        if step % 10 == 0 {
+            for host in &mut domain.hosts {
+                host.tick(at(moment + 9));
+            }
+        }
+        domain.exchange(moment + 9);
+    }
+    let ended = domain.hosts.iter().flat_map(|host| &host.ended);
+    let ended: SortedVector<_, ()> = ended.map(|flow| (*flow, ())).collect();
+    assert_eq!(ended.len(), resting, "each flow is ended, also idle ones");
+    for (index, host) in domain.hosts.iter_mut().enumerate() {
+        for port in 0..5 {
+            let server = host.open(at(3_010), 9_000 + 10 * index as u16 + port);
+            assert_ne!(server, dead);
+        }
+    }
+}
+
+/// Links lose three packets in ten. Every host sees repetitions on every server, and every
+/// server goes on to answer others: no flow may be ended.
+#[test]
+fn losses_everywhere_end_no_flow() {
+    let mut domain = Domain::new(20, 20);
+    let flows = establish_everywhere(&mut domain, 40);
+    let mut random = rngs::SmallRng::seed_from_u64(7);
+    for step in 0..200_u64 {
+        let moment = 2_000 + step * 10;
+        for (index, port, server) in &flows {
+            if !(u64::from(*port) + step).is_multiple_of(40) {
+                continue;
+            }
+            let turn = step as u32 / 40;
+            let ask = data(*port, *server, 500 + 80 * turn, 1 + 3_000 * turn, 80);
+            let sink = domain.hosts[*index].handle(at(moment), &ask);
+            assert_eq!(sink.resets, 0);
+            if random.random_bool(0.7) {
+                let answered = data(*port, *server, 580 + 80 * turn, 3_001 + 3_000 * turn, 0);
+                domain.hosts[*index].handle(at(moment + 9), &answered);
+            } else {
+                let sink = domain.hosts[*index].handle(at(moment + 200), &ask);
+                assert_eq!(sink.resets, 0, "the server answers others");
+                let answered = data(*port, *server, 580 + 80 * turn, 3_001 + 3_000 * turn, 0);
+                domain.hosts[*index].handle(at(moment + 209), &answered);
+            }
+        }
+        if step % 10 == 0 {
+            for host in &mut domain.hosts {
+                host.tick(at(moment + 209));
+                assert!(host.ended.is_empty());
+            }
+        }
+        domain.exchange(moment + 209);
+    }
+}
+
+/// Half of the servers crash together. Each resets callers at once, so that it seems idle
+/// and draws openings; each host alone tries each of them, again and again. Two openings
+/// that were not confirmed on two hosts must keep all hosts away.
+#[test]
+fn crashed_servers_draw_few_openings() {
+    let mut domain = Domain::new(20, 20);
+    establish_everywhere(&mut domain, 20);
+    let is_dead = |id: BackendId| id.get().is_multiple_of(2);
+    let mut wasted = 0;
+    let mut port = 20_000;
+    for step in 0..150_u64 {
+        let moment = 2_000 + step * 10;
+        for host in &mut domain.hosts {
+            port += 1;
+            let server = host.open(at(moment), port);
+            if is_dead(server) {
+                wasted += 1;
+            } else {
+                host.handle(at(moment + 8), &data(port, server, 1, 1, 0));
+            }
+        }
+        if step % 10 == 0 {
+            for host in &mut domain.hosts {
+                host.tick(at(moment + 9));
+            }
+        }
+        domain.exchange(moment + 9);
+    }
+    // 3,000 openings. Before the first 180 ms have passed nobody can know.
+    assert!(wasted <= 400, "{wasted} openings went to crashed servers");
+}
+
+/// A host that lost what it sent to several servers is itself in doubt, and must not make
+/// others believe it.
+#[test]
+fn a_host_in_doubt_reports_nothing() {
+    let mut host = TestHost::new((1..=4).map(near_server).collect());
+    let servers: Vec<_> = (1..=4_u16)
+        .map(|port| host.establish(at(0), port))
+        .collect();
+    for (index, server) in servers.iter().enumerate().take(2) {
+        let port = index as u16 + 1;
+        host.handle(at(100), &data(port, *server, 500, 1, 80));
+        host.handle(at(300), &data(port, *server, 500, 1, 80));
+        host.handle(at(320), &data(port, *server, 580, 3_001, 0));
+    }
+    host.engine.take_reports();
+    for (index, server) in servers.iter().enumerate().skip(2) {
+        let port = index as u16 + 1;
+        host.handle(at(400), &data(port, *server, 500, 1, 80));
+        host.handle(at(610), &data(port, *server, 500, 1, 80));
+    }
+    assert!(host.engine.take_reports().is_empty());
+}
+
+/// Other hosts report a server that this host sees answer. It must say so, or they would
+/// end flows that are served.
+#[test]
+fn a_host_that_sees_a_reported_server_live_says_so() {
+    let mut host = TestHost::new(vec![near_server(1)]);
+    let server = host.establish(at(0), 1);
+    host.view.reports = sync::Arc::new(table(&[silent(7, 1, 3, 100, 310)]));
+    host.handle(at(400), &data(1, server, 500, 1, 80));
+    host.handle(at(440), &data(1, server, 580, 3_001, 0));
+    let reports = host.engine.take_reports();
+    assert_eq!(reports.len(), 1);
+    assert_eq!(reports[0].sign, ServerSign::Lively);
+    let mut table = table(&[silent(7, 1, 3, 100, 310), silent(8, 1, 3, 100, 310)]);
+    table.note(reports[0], at(450));
+    assert!(!table.is_silent(server, None, at(900)));
+}
+
+/// The callers of flows that may run only once wait for an answer that may still come.
+#[test]
+fn a_reported_server_costs_no_caller_that_may_not_repeat_itself() {
+    let mut host = TestHost::new(vec![near_server(1)]);
+    host.adopt(document(2, vec![(service_address(), route(false))]));
+    let server = host.establish(at(0), 1);
+    let reports = [silent(7, 1, 3, 100, 310), silent(8, 1, 3, 100, 310)];
+    host.view.reports = sync::Arc::new(table(&reports));
+    for moment in [700, 900, 1_300] {
+        let sink = host.handle(at(moment), &data(1, server, 500, 1, 80));
+        assert_eq!(sink.resets, 0);
+        assert_ne!(sink.outcomes, [ForwardingOutcome::SilentServerReset]);
+    }
+}
+
+/// One of many hosts sees a server fall silent. All must know soon, though each speaks
+/// with few others, also where a third of the hosts cannot be reached.
+#[parameterized(
+    eight = { 8, 0, 150 },
+    a_domain = { 23, 0, 300 },
+    a_large_domain = { 107, 0, 500 },
+    very_large = { 300, 0, 700 },
+    some_are_cut_off = { 23, 3, 3_500 },
+)]
+fn a_report_reaches_all_hosts(hosts: usize, cut_each: usize, limit: u64) {
+    let mut fleet = Fleet::settled(hosts);
+    if cut_each > 0 {
+        for index in (4..hosts).step_by(cut_each) {
+            fleet.hosts[index].condition = Condition::Cut;
+        }
+    }
+    let start = fleet.now;
+    let seen = ServerReport {
+        at: at(start),
+        ..silent(77, 1, 2, start, start)
+    };
+    let teller = hosts - 1;
+    fleet.hosts[teller].condition = Condition::Running;
+    fleet.hosts[teller].engine.take_reports(at(start), [seen]);
+    let knows = |index: usize, fleet: &Fleet| {
+        let host = &fleet.hosts[index];
+        let reports = host.engine.view().reports;
+        host.condition == Condition::Cut
+            || reports
+                .after(ReportSerial::default())
+                .any(|one| one.server == seen.server)
+    };
+    while (0..hosts).any(|index| !knows(index, &fleet)) && fleet.now < start + limit {
+        fleet.run_until(fleet.now + 10);
+    }
+    let ignorant = (0..hosts).filter(|index| !knows(*index, &fleet)).count();
+    assert_eq!(ignorant, 0, "after {} ms", fleet.now - start);
+    let busiest = fleet.tellings.iter().max().unwrap();
+    assert!(*busiest <= 40, "{busiest} calls at one host");
+}
--- a/crates/cardamomwinch_coordination/tests/forwarding_support/fleet.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_support/fleet.rs
@@ -20,6 +20,8 @@
 pub const WATCH: u64 = 2_000;
 /// How long a host that knows nothing waits for a connection, in milliseconds.
 const START_CONNECT: u64 = 15;
+/// How often a host passes reports on at most, in milliseconds.
+const REPORT_PAUSE: u64 = 50;
 /// When the hosts have found each other.
 pub const SETTLED: u64 = 15_000;
 
@@ -53,6 +55,8 @@
     pub call: Option<PendingCall>,
     pub question: Option<PendingQuestion>,
     pub ask_at: u64,
+    /// When it may tell reports again.
+    pub tell_at: u64,
     /// When its process is to start, where it has not yet.
     pub starts_at: Option<u64>,
 }
@@ -68,6 +72,9 @@
     /// Calls that list everything.
     pub listings: usize,
     pub questions: Vec<usize>,
+    /// How often each host was told reports, and how many it told.
+    pub tellings: Vec<usize>,
+    pub reports_told: Vec<usize>,
     /// How often each host told another one everything.
     pub told_all: Vec<usize>,
     pub domains: usize,
@@ -92,6 +99,8 @@
             calls: 0,
             listings: 0,
             questions: vec![0; count],
+            tellings: vec![0; count],
+            reports_told: vec![0; count],
             told_all: vec![0; count],
             domains,
         }
@@ -172,6 +181,7 @@
                     self.read_store(index);
                     self.ask(index);
                     self.answer(index);
+                    self.tell(index);
                 }
             }
         }
@@ -271,6 +281,36 @@
         }
     }
 
+    /// Passes reports on, as often as hosts do.
+    pub fn tell(&mut self, index: usize) {
+        let host = &mut self.hosts[index];
+        if self.now < host.tell_at {
+            return;
+        }
+        let Some((peer, reports)) = host.engine.next_reports(at(self.now)) else {
+            return;
+        };
+        host.tell_at = self.now + REPORT_PAUSE;
+        self.reports_told[index] += reports.len();
+        let told = (0..self.hosts.len()).find(|other| address(*other) == peer);
+        let told = told.unwrap();
+        let in_reach = |index: usize| {
+            !matches!(
+                self.hosts[index].condition,
+                Condition::Dead | Condition::Cut
+            )
+        };
+        if in_reach(index) && in_reach(told) {
+            self.tellings[told] += 1;
+            let now = at(self.now);
+            let reports = reports.into_iter().map(|report| report.into_report(now));
+            self.hosts[told].engine.take_reports(now, reports);
+        } else {
+            self.hosts[index].tell_at = self.now + 400;
+            self.hosts[index].engine.forget_told_reports();
+        }
+    }
+
     pub fn answer(&mut self, index: usize) {
         let now = at(self.now);
         let host = &mut self.hosts[index];
@@ -364,6 +404,7 @@
         call: None,
         question: None,
         ask_at: 0,
+        tell_at: 0,
         starts_at: None,
     }
 }
--- a/crates/cardamomwinch_coordination/tests/forwarding_support/mod.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_support/mod.rs
@@ -22,6 +22,7 @@
 use cardamomwinch_coordination::forwarding::routes::{
     RouteDocument, RouteEntry, RouteTable, RouteTarget,
 };
+use cardamomwinch_coordination::forwarding::server_reports::ReporterId;
 use cardamomwinch_coordination::forwarding::view::ForwardingView;
 use cardamomwinch_state::prelude::*;
 
@@ -162,6 +163,8 @@
 pub struct TestHost {
     pub engine: ForwardingEngine,
     pub view: ForwardingView,
+    /// The flows that ticks have ended.
+    pub ended: Vec<FlowKey>,
     ran_at: Timestamp,
 }
 
@@ -171,7 +174,7 @@
         let mut routes = RouteTable::default();
         routes.adopt(document(1, vec![(service_address(), route(true))]));
         Self {
-            engine: ForwardingEngine::new(1_000, 0),
+            engine: ForwardingEngine::new(1_000, 0, ReporterId::new(1)),
             view: ForwardingView {
                 domain: Some(domain("near")),
                 regions: sync::Arc::default(),
@@ -183,7 +186,9 @@
                 directory: sync::Arc::new(directory(servers)),
                 heard_at: at(0),
                 silent_at: None,
+                reports: sync::Arc::default(),
             },
+            ended: Vec::new(),
             ran_at: at(0),
         }
     }
@@ -229,6 +234,7 @@
         self.ran_at = now;
         let mut sink = RecordingSink::default();
         self.engine.tick(now, &self.view, &mut sink);
+        self.ended.extend(&sink.ended);
         sink
     }
 
--- a/crates/cardamomwinch_forwarder/src/control_thread.rs
+++ b/crates/cardamomwinch_forwarder/src/control_thread.rs
@@ -8,9 +8,12 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use cardamomwinch_coordination::forwarding::beliefs::BeliefEngine;
-use cardamomwinch_coordination::forwarding::beliefs::peer_word::{PeerQuestion, PeerWord};
+use cardamomwinch_coordination::forwarding::beliefs::peer_word::{
+    PeerQuestion, PeerReport, PeerWord,
+};
 use cardamomwinch_coordination::forwarding::beliefs::store_call::{StoreCall, StoreOutcome};
 use cardamomwinch_coordination::forwarding::beliefs::waiting_questions::WaitingQuestions;
+use cardamomwinch_coordination::forwarding::server_reports::ServerReport;
 use cardamomwinch_platform::prelude::StoreClient;
 use cardamomwinch_protocol::administration::BeliefReport;
 use cardamomwinch_state::prelude::Timestamp;
@@ -25,6 +28,10 @@
 
 /// How often beliefs age, and questions are answered that waited in vain.
 const TICK_PERIOD: time::Duration = time::Duration::from_millis(500);
+/// The pause after reports were passed on, in which further ones gather: short beside the
+/// half second after which they decide, and few calls even while a whole failure domain
+/// goes dark.
+const REPORT_PAUSE: time::Duration = time::Duration::from_millis(50);
 
 /// Something that others want to know of control.
 pub enum ControlQuestion {
@@ -35,6 +42,16 @@
         /// Takes the answer.
         answer: Sender<PeerWord>,
     },
+    /// The traffic thread has seen something of servers.
+    Seen {
+        /// What it has seen.
+        reports: Vec<ServerReport>,
+    },
+    /// A peer tells what was seen of servers.
+    Told {
+        /// What it tells.
+        reports: Vec<PeerReport>,
+    },
     /// An operator asks what is believed.
     Report {
         /// Takes the answer.
@@ -45,6 +62,8 @@
 struct ControlState {
     engine: BeliefEngine,
     waiting: WaitingQuestions<Sender<PeerWord>>,
+    /// Wakes the task that passes reports on.
+    reported: Sender<()>,
     logger: DecisionLogger<BeliefLine>,
     views: ViewCell,
     clock: HostClock,
@@ -70,6 +89,18 @@
         outcome
     }
 
+    /// Takes over reports, and has those that are new passed on.
+    fn take_reports(&mut self, now: Timestamp, reports: impl Iterator<Item = ServerReport>) {
+        if self.decide(|engine| engine.take_reports(now, reports)) {
+            self.wake_reporting();
+        }
+    }
+
+    /// A full channel has woken the task already.
+    fn wake_reporting(&self) {
+        let _: Result<_, _> = self.reported.try_send(());
+    }
+
     /// Answers the peers that waited for what is known now.
     fn answer_due(&mut self, now: Timestamp) {
         for due in self.waiting.take_due(&self.engine, now) {
@@ -85,6 +116,7 @@
 #[derive(Clone)]
 pub struct ControlThread {
     state: rc::Rc<cell::RefCell<ControlState>>,
+    reported: Receiver<()>,
     timers: TimerService<HostClock>,
 }
 
@@ -108,7 +140,9 @@
             "cardamomwinch_view_age_seconds",
             "The age of the last word of the store, directly or through a peer."
         );
+        let (reporter, reported) = async_channel::bounded(1);
         let state = ControlState {
+            reported: reporter,
             engine,
             waiting: WaitingQuestions::default(),
             logger,
@@ -120,6 +154,7 @@
         };
         Self {
             state: rc::Rc::new(cell::RefCell::new(state)),
+            reported,
             timers,
         }
     }
@@ -211,7 +246,29 @@
     fn take_word(&self, peer: net::SocketAddr, word: Option<PeerWord>) {
         let mut state = self.state.borrow_mut();
         let now = state.clock.now();
+        let serial = state.engine.view().reports.serial();
         state.decide(|engine| engine.handle_peer(now, peer, word));
+        if state.engine.view().reports.serial() != serial {
+            state.wake_reporting();
+        }
+    }
+
+    /// Passes on what was seen of servers.
+    pub async fn pass_reports(self, client: PeerClient) {
+        while self.reported.recv().await.is_ok() {
+            let next = {
+                let mut state = self.state.borrow_mut();
+                let now = state.clock.now();
+                state.engine.next_reports(now)
+            };
+            if let Some((peer, reports)) = next
+                && let Err(error) = peer_calls::tell(&client, peer, reports).await
+            {
+                log::info!("{error}");
+                self.state.borrow_mut().engine.forget_told_reports();
+            }
+            Timer::after(REPORT_PAUSE).await;
+        }
     }
 
     /// Answers what others ask.
@@ -224,6 +281,14 @@
                     state.waiting.push(question, now, answer);
                     state.answer_due(now);
                 }
+                ControlQuestion::Seen { reports } => {
+                    state.take_reports(now, reports.into_iter());
+                }
+                ControlQuestion::Told { reports } => {
+                    let reports = reports.into_iter();
+                    let reports = reports.map(|report| report.into_report(now));
+                    state.take_reports(now, reports);
+                }
                 ControlQuestion::Report { answer } => {
                     let report = administration::describe_beliefs(&state.engine, now);
                     drop(answer.try_send(report));
--- a/crates/cardamomwinch_forwarder/src/launch.rs
+++ b/crates/cardamomwinch_forwarder/src/launch.rs
@@ -7,25 +7,28 @@
 use std::thread;
 use std::time;
 
+use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use cardamomwinch_configuration::prelude::ForwarderSettings;
 use cardamomwinch_coordination::forwarding::beliefs::{BeliefEngine, BeliefSettings};
 use cardamomwinch_coordination::forwarding::engine::ForwardingEngine;
+use cardamomwinch_coordination::forwarding::server_reports::ReporterId;
 use cardamomwinch_daemon::log_level;
 use cardamomwinch_daemon::start_line::StartLine;
 use cardamomwinch_platform::prelude::StoreClient;
+use cardamomwinch_state::flow;
 use cardamomwinch_state::prelude::{FlowHasher, HostId};
 use cardamomwinch_transport::prelude::{
-    DatagramError, DatagramOptions, DecisionLogger, EndpointError, EndpointLimits, HostClock,
-    LogError, LogSink, MetricsError, MetricsSink, PeerClient, PeerLimits, PeerRpcError, PeerServer,
-    RpcEndpoint, TimerService, WaitingSocket,
+    Clock, DatagramError, DatagramOptions, DecisionLogger, EndpointError, EndpointLimits,
+    HostClock, LogError, LogSink, MetricsError, MetricsSink, PeerClient, PeerLimits, PeerRpcError,
+    PeerServer, RpcEndpoint, TimerService, WaitingSocket,
 };
 use jsonrpsee::RpcModule;
 use jsonrpsee::core::RegisterMethodError;
 use snafu::{OptionExt, ResultExt, Snafu};
 
 use crate::administration::{self, AdministrationContext};
-use crate::control_thread::ControlThread;
+use crate::control_thread::{ControlQuestion, ControlThread};
 use crate::peer_calls;
 use crate::reload::{self, ReadError, SettingsFile};
 use crate::stopping::{self, StopCause};
@@ -157,25 +160,28 @@
 impl HostParts {
     fn serve(self, socket: WaitingSocket) -> Result<StopCause, LaunchError> {
         let traffic_address = socket.local_address().context(SocketSnafu)?;
-        let traffic = self.traffic_thread(socket, traffic_address);
+        let (sender, questions) = async_channel::bounded(QUESTION_QUEUE);
+        let traffic = self.traffic_thread(socket, traffic_address, sender.clone());
         // The thread forwards to the last moment; it ends with the process.
         let builder = thread::Builder::new().name(TRAFFIC_THREAD.to_owned());
         let started = builder.spawn(move || traffic_thread::run(traffic));
         drop(started.context(ThreadSnafu)?);
         let executor = rc::Rc::new(LocalExecutor::new());
         let shared = rc::Rc::clone(&executor);
-        async_io::block_on(executor.run(self.control(shared, traffic_address)))
+        async_io::block_on(executor.run(self.control(shared, traffic_address, (sender, questions))))
     }
 
     fn traffic_thread(
         &self,
         socket: WaitingSocket,
         traffic_address: net::SocketAddr,
+        control: Sender<ControlQuestion>,
     ) -> TrafficThread {
         let level = log_level::level_filter(self.settings.log.level);
         let limit = self.settings.log.decisions_per_second;
         TrafficThread {
-            engine: ForwardingEngine::new(self.settings.flows, FLOW_HASH_SEED),
+            engine: ForwardingEngine::new(self.settings.flows, FLOW_HASH_SEED, self.reporter()),
+            control,
             socket,
             caller_port: traffic_address.port(),
             views: self.views.clone(),
@@ -185,6 +191,13 @@
         }
     }
 
+    /// A process that starts again at the same address reports as another one.
+    fn reporter(&self) -> ReporterId {
+        let host = HostId::from_name(&self.settings.host).get();
+        let started_at = self.timers.clock().now().get();
+        ReporterId::new(flow::mix(host ^ flow::mix(started_at)))
+    }
+
     fn belief_engine(&self, peer_address: net::SocketAddr) -> BeliefEngine {
         let settings = BeliefSettings {
             domain: self.settings.domain_id(),
@@ -201,9 +214,9 @@
         self,
         executor: rc::Rc<LocalExecutor<'static>>,
         traffic_address: net::SocketAddr,
+        (sender, questions): (Sender<ControlQuestion>, Receiver<ControlQuestion>),
     ) -> Result<StopCause, LaunchError> {
         let settings = &self.settings;
-        let (sender, questions) = async_channel::bounded(QUESTION_QUEUE);
         let peer_module = peer_calls::peer_module(sender.clone()).context(MethodSnafu)?;
         let keys = settings.keys.clone();
         let limits = PeerLimits::default();
@@ -240,7 +253,8 @@
         let _tasks = [
             executor.spawn(control.clone().read_store(store)),
             executor.spawn(control.clone().tick()),
-            executor.spawn(control.clone().ask_peers(PeerClient::new(keys))),
+            executor.spawn(control.clone().ask_peers(PeerClient::new(keys.clone()))),
+            executor.spawn(control.clone().pass_reports(PeerClient::new(keys))),
             executor.spawn(control.answer(questions)),
             executor.spawn(peers.serve()),
             executor.spawn(readiness.serve()),
--- a/crates/cardamomwinch_forwarder/src/peer_calls.rs
+++ b/crates/cardamomwinch_forwarder/src/peer_calls.rs
@@ -4,7 +4,9 @@
 use std::time;
 
 use async_channel::Sender;
-use cardamomwinch_coordination::forwarding::beliefs::peer_word::{PeerQuestion, PeerWord};
+use cardamomwinch_coordination::forwarding::beliefs::peer_word::{
+    PeerQuestion, PeerReport, PeerWord,
+};
 use cardamomwinch_coordination::forwarding::beliefs::store_call::StoreRevision;
 use cardamomwinch_transport::prelude::{CallLimits, PeerClient, PeerRpcError};
 use jsonrpsee::RpcModule;
@@ -13,10 +15,12 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::control_thread::ControlQuestion;
-use crate::peer_wire::{UnknownKindError, WireQuestion, WireWord};
+use crate::peer_wire::{UnknownKindError, WireQuestion, WireReport, WireWord};
 
 /// The method by which a host asks what another believes.
 const BELIEFS_METHOD: &str = "beliefs";
+/// The method by which a host tells another one what was seen of servers.
+const REPORTS_METHOD: &str = "reports";
 /// How long an answer may take beyond the time that it may wait. A peer that is up
 /// answers within milliseconds.
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(400);
@@ -66,6 +70,22 @@
     word.try_into().context(SenselessSnafu { peer })
 }
 
+/// Tells `peer` what was seen of servers.
+///
+/// # Errors
+/// Fails where the peer cannot be reached or does not answer in time.
+pub async fn tell(
+    client: &PeerClient,
+    peer: net::SocketAddr,
+    reports: Vec<PeerReport>,
+) -> Result<(), PeerCallError> {
+    let reports: Vec<_> = reports.into_iter().map(WireReport::from).collect();
+    let params = (reports,);
+    let limits = CallLimits::whole(ANSWER_TIMEOUT);
+    let told = client.call_within(peer, REPORTS_METHOD, &params, limits);
+    Ok(told.await?)
+}
+
 /// The methods that peers may call; control answers what arrives at `questions`.
 ///
 /// # Errors
@@ -74,6 +94,13 @@
     questions: Sender<ControlQuestion>,
 ) -> Result<RpcModule<()>, RegisterMethodError> {
     let mut module = RpcModule::new(());
+    let takers = questions.clone();
+    module.register_method(REPORTS_METHOD, move |params, _, _| {
+        let reports: Vec<WireReport> = params.one()?;
+        let reports = reports.into_iter().map(PeerReport::from).collect();
+        let told = takers.try_send(ControlQuestion::Told { reports });
+        told.map_err(|_| ErrorObjectOwned::from(ErrorCode::ServerIsBusy))
+    })?;
     module.register_async_method(BELIEFS_METHOD, move |params, _, _| {
         let questions = questions.clone();
         async move {
--- a/crates/cardamomwinch_forwarder/src/peer_wire/mod.rs
+++ b/crates/cardamomwinch_forwarder/src/peer_wire/mod.rs
@@ -6,6 +6,7 @@
 //! callers were lost meanwhile.
 
 mod kinds;
+mod reports;
 mod routes;
 mod servers;
 
@@ -17,10 +18,12 @@
 };
 use cardamomwinch_coordination::forwarding::beliefs::store_call::StoreRevision;
 use cardamomwinch_coordination::forwarding::routes::RouteDifference;
+use cardamomwinch_coordination::forwarding::server_reports::ReportSerial;
 use cardamomwinch_state::prelude::{ConfigurationVersion, DomainId};
 use serde::{Deserialize, Serialize};
 
 pub use crate::peer_wire::kinds::UnknownKindError;
+pub use crate::peer_wire::reports::WireReport;
 pub use crate::peer_wire::routes::WireRoutes;
 pub use crate::peer_wire::servers::WireServers;
 
@@ -60,6 +63,8 @@
     store_silent: bool,
     age_ms: u64,
     wait_ms: u64,
+    #[serde(default)]
+    reports_known: u64,
     hosts: Vec<WireHost>,
     host: WireHost,
 }
@@ -73,6 +78,7 @@
             store_silent: question.store_silent,
             age_ms: question.age.as_millis() as u64,
             wait_ms: question.wait.as_millis() as u64,
+            reports_known: question.reports_known.get(),
             hosts: question.hosts.into_iter().map(WireHost::from).collect(),
             host: question.host.into(),
         }
@@ -88,6 +94,7 @@
             store_silent: question.store_silent,
             age: time::Duration::from_millis(question.age_ms),
             wait: time::Duration::from_millis(question.wait_ms),
+            reports_known: ReportSerial::new(question.reports_known),
             hosts: question.hosts.into_iter().map(PeerHost::from).collect(),
             host: question.host.into(),
         }
@@ -137,6 +144,10 @@
     all_servers: bool,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     evacuations: Vec<WireEvacuation>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    reports: Vec<WireReport>,
+    #[serde(default)]
+    reports_serial: u64,
     hosts_digest: Option<u64>,
     hosts: Vec<WireHost>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -154,6 +165,8 @@
             servers: word.servers.into(),
             all_servers: word.all_servers,
             evacuations: word.evacuations.into_iter().map(Into::into).collect(),
+            reports: word.reports.into_iter().map(Into::into).collect(),
+            reports_serial: word.reports_serial.get(),
             hosts_digest: word.hosts_digest,
             hosts: word.hosts.into_iter().map(WireHost::from).collect(),
             ask_instead: word.ask_instead,
@@ -174,6 +187,8 @@
             servers: word.servers.try_into()?,
             all_servers: word.all_servers,
             evacuations: word.evacuations.into_iter().map(Into::into).collect(),
+            reports: word.reports.into_iter().map(Into::into).collect(),
+            reports_serial: ReportSerial::new(word.reports_serial),
             hosts_digest: word.hosts_digest,
             hosts: word.hosts.into_iter().map(PeerHost::from).collect(),
             ask_instead: word.ask_instead,
--- a/crates/cardamomwinch_forwarder/src/traffic_thread.rs
+++ b/crates/cardamomwinch_forwarder/src/traffic_thread.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic;
 use std::time;
 
+use async_channel::Sender;
 use cardamomwinch_coordination::forwarding::directory::ServerRecord;
 use cardamomwinch_coordination::forwarding::engine::{self, ForwardingEngine, ForwardingSink};
 use cardamomwinch_coordination::forwarding::held_packets::HeldPackets;
@@ -15,6 +16,7 @@
 use cardamomwinch_state::prelude::{BackendId, FlowKey, Timestamp};
 use cardamomwinch_transport::prelude::{Clock, DecisionLogger, HostClock, WaitingSocket};
 
+use crate::control_thread::ControlQuestion;
 use crate::decision_lines::DecisionLine;
 use crate::outcome_counters::OutcomeCounters;
 use crate::view_cell::ViewCell;
@@ -49,6 +51,8 @@
 pub struct TrafficThread {
     /// The decisions.
     pub engine: ForwardingEngine,
+    /// Takes what was seen of servers.
+    pub control: Sender<ControlQuestion>,
     /// Where packets come from and go to.
     pub socket: WaitingSocket,
     /// The port at which callers take packets.
@@ -203,11 +207,28 @@
             self.take_held(now, &view, buffer);
         }
         self.seen = view;
+        self.report();
         if now >= self.tick_at {
             self.tick(now);
         }
     }
 
+    /// Hands on what was seen of servers. Control that is too busy to take it loses it,
+    /// and the next packets that get no answer show the same.
+    fn report(&mut self) {
+        let reports = self.thread.engine.take_reports();
+        if reports.is_empty() {
+            return;
+        }
+        if let Err(error) = self
+            .thread
+            .control
+            .try_send(ControlQuestion::Seen { reports })
+        {
+            log::debug!("reports about servers are lost: {error}");
+        }
+    }
+
     /// Decides again about packets that wait for more to be known.
     fn take_held(
         &mut self,
--- a/crates/cardamomwinch_forwarder/tests/peer_wire.rs
+++ b/crates/cardamomwinch_forwarder/tests/peer_wire.rs
@@ -5,11 +5,12 @@
 use std::time;
 
 use cardamomwinch_coordination::forwarding::beliefs::peer_word::{
-    PeerEvacuation, PeerServer, PeerWord,
+    PeerEvacuation, PeerReport, PeerServer, PeerWord,
 };
 use cardamomwinch_coordination::forwarding::beliefs::store_call::{ServerStart, StoreRevision};
 use cardamomwinch_coordination::forwarding::cold_starts::ColdStart;
 use cardamomwinch_coordination::forwarding::routes::{RouteDifference, RouteEntry, RouteTarget};
+use cardamomwinch_coordination::forwarding::server_reports::{ReportSerial, ReporterId};
 use cardamomwinch_forwarder::peer_wire::WireWord;
 use cardamomwinch_state::prelude::*;
 
@@ -66,6 +67,8 @@
         servers,
         all_servers: false,
         evacuations: Vec::new(),
+        reports: Vec::new(),
+        reports_serial: ReportSerial::default(),
         hosts_digest: Some(5),
         hosts: Vec::new(),
         ask_instead: Some(net::SocketAddr::from(([10, 1, 0, 7], 8166))),
@@ -105,6 +108,16 @@
         ended_for,
         changed: StoreRevision::new(9),
     };
+    let report = |number, silence| PeerReport {
+        server: server(1).id,
+        reporter: ReporterId::new(99),
+        number,
+        age: time::Duration::from_millis(3),
+        silence,
+    };
+    let silence = Some((2, time::Duration::from_millis(450)));
+    said.reports = vec![report(1, silence), report(2, None)];
+    said.reports_serial = ReportSerial::new(31);
     let ended_for = Some(time::Duration::from_millis(70));
     said.evacuations = vec![
         evacuation("bud-csepel", None),
--- a/crates/cardamomwinch_state/src/sorted_vector.rs
+++ b/crates/cardamomwinch_state/src/sorted_vector.rs
@@ -102,6 +102,17 @@
         self.entries.iter_mut().map(|(key, value)| (&*key, value))
     }
 
+    /// The entries from `key` on, in the order of their keys.
+    pub fn range_from<'a>(
+        &'a self,
+        key: &K,
+    ) -> impl Iterator<Item = (&'a K, &'a V)> + use<'a, K, V> {
+        let (Ok(start) | Err(start)) = self.position(key);
+        self.entries[start..]
+            .iter()
+            .map(|(key, value)| (key, value))
+    }
+
     /// All keys in order.
     pub fn keys(&self) -> impl DoubleEndedIterator<Item = &K> {
         self.entries.iter().map(|(key, _)| key)
