Let hosts leave rotation that no server answers

Ruled out: using the evacuated servers while cut off. The operators' word stands as it was last known, also where nobody would see it broken. Judging by all packets: flows that were open before the evacuation go on and hid that none could be opened.

--- a/crates/cardamomwinch_coordination/src/forwarding/engine.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine.rs
@@ -20,6 +20,7 @@
 use crate::forwarding::recent_openings::RecentOpenings;
 use crate::forwarding::record::{ForwardingOutcome, ForwardingRecord};
 use crate::forwarding::routes::{self, RouteEntry};
+use crate::forwarding::server_reach::ServerReach;
 use crate::forwarding::server_reports::{ReporterId, ServerReport, ServerSign};
 use crate::forwarding::server_starts::ServerStarts;
 use crate::forwarding::unknown_flows::UnknownFlows;
@@ -72,6 +73,7 @@
     unknown: UnknownFlows,
     unwatched: u64,
     starts: ServerStarts,
+    reach: ServerReach,
     reports: OwnReports,
     ticks: u32,
     ran_at: Option<Timestamp>,
@@ -134,6 +136,7 @@
             unknown: UnknownFlows::default(),
             unwatched: 0,
             starts: ServerStarts::default(),
+            reach: ServerReach::default(),
             reports: OwnReports::new(reporter),
             ticks: 0,
             ran_at: None,
@@ -155,6 +158,12 @@
         self.unwatched
     }
 
+    /// Whether any server answers this host, as far as it can tell. Otherwise callers are
+    /// better served by hosts elsewhere.
+    pub const fn reaches_servers(&self) -> bool {
+        !self.reach.is_lost()
+    }
+
     /// Takes out what other hosts are to be told of servers.
     pub fn take_reports(&mut self) -> Vec<ServerReport> {
         self.reports.take()
@@ -314,6 +323,7 @@
         if is_copy {
             let proven = self.deliveries.was_open_at(watched.seen_at);
             let sent_at = watched.seen_at;
+            self.reach.note_unopened(earlier, sent_at);
             self.progress
                 .note_unanswered(earlier, sent_at, proven, context.now);
             if proven {
@@ -426,6 +436,7 @@
         };
         if matches!(watched.stage, FlowStage::Opening { .. }) {
             let time = now.since(watched.seen_at);
+            self.reach.note_opened(now);
             sink.measure_opening(time);
             if time < flow_watch::LEAST_PATIENCE {
                 self.deliveries.note(watched.seen_at);
@@ -441,6 +452,7 @@
         }
         if watched.note_acknowledged(packet.acknowledged) {
             self.progress.note_progress(server.id, now);
+            self.reach.note_progress(now);
             let reports = &context.view.reports;
             if !reports.is_empty() && reports.is_refuted_by(server.id, now) {
                 self.reports.note(server.id, ServerSign::Lively, now);
@@ -464,6 +476,9 @@
         if silence.copies == 0 {
             watched.note_asked(now);
         }
+        if silence.copies > 0 {
+            self.reach.note_repetition(server.id, silence.since);
+        }
         if silence.losses > 0 && watched.begin_silence() {
             self.progress
                 .note_silent_flow(server.id, silence.since, now);
@@ -484,8 +499,12 @@
         }
     }
 
-    /// Whether several hosts together show that `server` has gone.
+    /// Whether several hosts together show that `server` has gone, while others answer this
+    /// host: a caller who is told must find one that serves it.
     fn is_reported(&self, view: &ForwardingView, server: BackendId, now: Timestamp) -> bool {
+        if view.reports.is_empty() || !self.reach.is_proven(now) {
+            return false;
+        }
         let lively_at = self.progress.lively_at(server);
         view.reports.is_silent(server, lively_at, now)
     }
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/upkeep.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/upkeep.rs
@@ -24,6 +24,9 @@
     /// every [`super::TICK_PERIOD`].
     pub fn tick<S: ForwardingSink>(&mut self, now: Timestamp, view: &ForwardingView, sink: &mut S) {
         self.note_time(now);
+        if self.reach.review(view, now) {
+            self.progress.pardon(now);
+        }
         self.report_unconfirmed(now);
         while self.can_judge(now)
             && let Some(server) = self.progress.take_absent(now)
@@ -45,6 +48,7 @@
         let slept = self.ran_at.is_some_and(|at| now.since(at) >= SLEEP_GAP);
         self.ran_at = Some(now);
         if slept {
+            self.reach.forget_silence();
             self.progress.pardon(now);
         }
     }
--- a/crates/cardamomwinch_coordination/src/forwarding/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/mod.rs
@@ -36,6 +36,7 @@
 pub mod record;
 pub mod regions;
 pub mod routes;
+pub mod server_reach;
 pub mod server_reports;
 pub mod server_starts;
 pub mod slowness;
--- a/crates/cardamomwinch_coordination/tests/forwarding_support/mod.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_support/mod.rs
@@ -194,7 +194,7 @@
     }
 
     /// Lets the ticks pass that come due until `now`.
-    fn run_until(&mut self, now: Timestamp) {
+    pub fn run_until(&mut self, now: Timestamp) {
         while self.ran_at.after(TICK_PERIOD) <= now {
             self.tick(self.ran_at.after(TICK_PERIOD));
         }
--- a/crates/cardamomwinch_forwarder/src/traffic_thread.rs
+++ b/crates/cardamomwinch_forwarder/src/traffic_thread.rs
@@ -142,6 +142,7 @@
     send_failures: metrics::Counter,
     watched: metrics::Gauge,
     unwatched: metrics::Counter,
+    isolations: metrics::Counter,
 }
 
 /// Runs the thread until the process ends.
@@ -171,6 +172,10 @@
             "cardamomwinch_forwarding_unwatched_total",
             "Flows that found no room to be watched."
         );
+        metrics::describe_counter!(
+            "cardamomwinch_forwarding_isolations_total",
+            "How often no server answered the host, so that it left rotation."
+        );
         Self {
             thread,
             held: HeldPackets::default(),
@@ -181,6 +186,7 @@
             send_failures: metrics::counter!("cardamomwinch_forwarding_send_failures_total"),
             watched: metrics::gauge!("cardamomwinch_forwarding_flows"),
             unwatched: metrics::counter!("cardamomwinch_forwarding_unwatched_total"),
+            isolations: metrics::counter!("cardamomwinch_forwarding_isolations_total"),
         }
     }
 
@@ -295,6 +301,20 @@
         }
     }
 
+    /// Lets the fabric use other hosts while no server answers this one.
+    fn note_reach(&self) {
+        let reaches = self.thread.engine.reaches_servers();
+        if !self.thread.views.set_unreachable(!reaches) {
+            return;
+        }
+        if reaches {
+            log::info!("servers may answer again: the host is ready");
+        } else {
+            self.isolations.increment(1);
+            log::warn!("no server answers: the host is not ready");
+        }
+    }
+
     fn tick(&mut self, now: Timestamp) {
         self.tick_at = now.after(engine::TICK_PERIOD);
         let mut sink = PacketSink {
@@ -308,6 +328,7 @@
         for (flow, acknowledged) in sink.ended {
             self.reset(&flow, acknowledged);
         }
+        self.note_reach();
         self.thread.logger.report_left_out(now);
         self.watched.set(self.thread.engine.watch().len() as f64);
         self.unwatched.absolute(self.thread.engine.unwatched());
--- a/crates/cardamomwinch_forwarder/src/view_cell.rs
+++ b/crates/cardamomwinch_forwarder/src/view_cell.rs
@@ -13,6 +13,7 @@
 pub struct ViewCell {
     view: sync::Arc<ArcSwap<ForwardingView>>,
     stopping: sync::Arc<atomic::AtomicBool>,
+    unreachable: sync::Arc<atomic::AtomicBool>,
 }
 
 impl Default for ViewCell {
@@ -20,6 +21,7 @@
         Self {
             view: sync::Arc::new(ArcSwap::from_pointee(ForwardingView::default())),
             stopping: sync::Arc::default(),
+            unreachable: sync::Arc::default(),
         }
     }
 }
@@ -40,6 +42,15 @@
         self.view.load()
     }
 
+    /// The host is not ready while servers are `unreachable` for it. Returns whether that
+    /// is new.
+    pub fn set_unreachable(&self, unreachable: bool) -> bool {
+        let earlier = self
+            .unreachable
+            .swap(unreachable, atomic::Ordering::Relaxed);
+        earlier != unreachable
+    }
+
     /// From now on the host is not ready.
     pub fn begin_stop(&self) {
         self.stopping.store(true, atomic::Ordering::Relaxed);
@@ -48,6 +59,7 @@
 
 impl ReadinessSource for ViewCell {
     fn is_ready(&self) -> bool {
-        !self.stopping.load(atomic::Ordering::Relaxed) && self.borrow().is_usable()
+        let is_set = |flag: &atomic::AtomicBool| flag.load(atomic::Ordering::Relaxed);
+        !is_set(&self.stopping) && !is_set(&self.unreachable) && self.borrow().is_usable()
     }
 }
