Keep new flows away from servers that answer nobody

Cause: a server that says it is well, takes requests and resets callers, or never answers, looks idle and drew openings. Hosts see neither resets nor answers; each flow opened there lost a request that may run only once.

Two hosts' reports keep new flows away. Reports are about a subject now, delivery or answers, and a host that knows better objects within a tick instead of at its next packet; a verdict that ends flows waits 0.1 s for that.

--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_word.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_word.rs
@@ -11,7 +11,9 @@
 use crate::forwarding::directory::{ServerPhase, ServerRecord};
 use crate::forwarding::evacuations::{EvacuationPhase, EvacuationRecord};
 use crate::forwarding::routes::RouteDifference;
-use crate::forwarding::server_reports::{ReportSerial, ReporterId, ServerReport, ServerSign};
+use crate::forwarding::server_reports::{
+    ReportSerial, ReportSubject, ReporterId, ServerReport, ServerSilence,
+};
 
 /// What a host that asks knows already.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -168,44 +170,44 @@
 pub struct PeerReport {
     /// The server.
     pub server: BackendId,
+    /// What it is about.
+    pub subject: ReportSubject,
     /// Who saw it.
     pub reporter: ReporterId,
     /// Rises with each statement of the reporter.
     pub number: u64,
     /// How long ago it was seen last.
     pub age: time::Duration,
-    /// How many flows met silence, and how long ago the first data were sent that nobody
-    /// answered; `None` where the server lives.
+    /// How many flows wait in vain, and for how long; `None` where the server does well.
     pub silence: Option<(u32, time::Duration)>,
 }
 
 impl PeerReport {
     /// Describes `report` as it is told at `now`.
     pub fn from_report(report: &ServerReport, now: Timestamp) -> Self {
+        let describe = |silence: ServerSilence| (silence.flows, now.since(silence.since));
         Self {
             server: report.server,
+            subject: report.subject,
             reporter: report.reporter,
             number: report.number,
             age: now.since(report.at),
-            silence: match report.sign {
-                ServerSign::Silent { flows, since } => Some((flows, now.since(since))),
-                ServerSign::Lively => None,
-            },
+            silence: report.silence.map(describe),
         }
     }
 
     /// The report as it is known at `now`.
     pub fn into_report(self, now: Timestamp) -> ServerReport {
+        let restore = |(flows, age)| ServerSilence {
+            flows,
+            since: now.before(age),
+        };
         ServerReport {
             server: self.server,
+            subject: self.subject,
             reporter: self.reporter,
             number: self.number,
-            sign: self
-                .silence
-                .map_or(ServerSign::Lively, |(flows, age)| ServerSign::Silent {
-                    flows,
-                    since: now.before(age),
-                }),
+            silence: self.silence.map(restore),
             at: now.before(self.age),
         }
     }
--- a/crates/cardamomwinch_coordination/src/forwarding/engine.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine.rs
@@ -21,9 +21,10 @@
 use crate::forwarding::record::{ForwardingOutcome, ForwardingRecord};
 use crate::forwarding::routes::{self, RouteEntry};
 use crate::forwarding::server_reach::ServerReach;
-use crate::forwarding::server_reports::{ReporterId, ServerReport, ServerSign};
+use crate::forwarding::server_reports::{ReportSubject, ReporterId, ServerReport};
 use crate::forwarding::server_starts::ServerStarts;
 use crate::forwarding::unknown_flows::UnknownFlows;
+use crate::forwarding::usual_wait::UsualWait;
 use crate::forwarding::view::ForwardingView;
 
 /// How often [`ForwardingEngine::tick`] is to be called.
@@ -74,6 +75,7 @@
     unwatched: u64,
     starts: ServerStarts,
     reach: ServerReach,
+    responses: UsualWait,
     reports: OwnReports,
     ticks: u32,
     ran_at: Option<Timestamp>,
@@ -137,6 +139,7 @@
             unwatched: 0,
             starts: ServerStarts::default(),
             reach: ServerReach::default(),
+            responses: UsualWait::default(),
             reports: OwnReports::new(reporter),
             ticks: 0,
             ran_at: None,
@@ -453,10 +456,6 @@
         if watched.note_acknowledged(packet.acknowledged) {
             self.progress.note_progress(server.id, now);
             self.reach.note_progress(now);
-            let reports = &context.view.reports;
-            if !reports.is_empty() && reports.is_refuted_by(server.id, now) {
-                self.reports.note(server.id, ServerSign::Lively, now);
-            }
             if let Some(sent_at) = sent_once_at {
                 self.deliveries.note(sent_at);
             }
@@ -464,8 +463,12 @@
                 self.deliveries.note_late(server.id, now);
             }
             self.recent.confirm(context.caller());
+            if watched.has_answer() {
+                self.progress.note_answer(server.id, now);
+            }
             if let Some(response) = watched.take_response_time(closing, now) {
                 sink.measure_response(response);
+                self.responses.note(response);
                 self.progress.note_response(server.id, response, now);
             }
         }
@@ -493,9 +496,9 @@
         if self.deliveries.is_in_doubt(now) {
             return;
         }
-        if let Some((flows, since)) = self.progress.silence(server) {
-            self.reports
-                .note(server, ServerSign::Silent { flows, since }, now);
+        if let Some(silence) = self.progress.silence(server) {
+            let subject = ReportSubject::Delivery;
+            self.reports.note_silence(server, subject, silence, now);
         }
     }
 
@@ -505,8 +508,9 @@
         if view.reports.is_empty() || !self.reach.is_proven(now) {
             return false;
         }
-        let lively_at = self.progress.lively_at(server);
-        view.reports.is_silent(server, lively_at, now)
+        let subject = ReportSubject::Delivery;
+        let well_at = self.progress.well_at(server, subject);
+        view.reports.is_silent(server, subject, well_at, now)
     }
 
     /// Whether nobody will answer the flow any more, and its caller is to be told.
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/upkeep.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/upkeep.rs
@@ -9,11 +9,13 @@
 use crate::forwarding::flow_watch::WatchedFlow;
 use crate::forwarding::packet::FlowToken;
 use crate::forwarding::record::{ForwardingOutcome, ForwardingRecord};
-use crate::forwarding::server_reports::ServerSign;
+use crate::forwarding::server_reports::{ReportSubject, ServerSilence};
 use crate::forwarding::view::ForwardingView;
 
 /// Ticks between two sweeps over all flows, which are a second apart.
 const SWEEP_TICKS: u32 = 10;
+/// Ticks between two looks at requests that wait for too long.
+const OVERDUE_TICKS: u32 = 2;
 /// A gap this long without a tick or a packet means that this process did not run:
 /// what waited meanwhile says nothing about servers. Callers send again after
 /// 200 ms, so that a shorter gap brings no packet and its copy together.
@@ -28,6 +30,8 @@
             self.progress.pardon(now);
         }
         self.report_unconfirmed(now);
+        self.report_overdue(now);
+        self.object(view);
         while self.can_judge(now)
             && let Some(server) = self.progress.take_absent(now)
         {
@@ -75,8 +79,9 @@
         let unconfirmed = self.progress.take_unconfirmed(now);
         for (server, flows, since) in unconfirmed {
             if self.deliveries.was_open_at(since) && !self.deliveries.is_in_doubt(now) {
-                let sign = ServerSign::Silent { flows, since };
-                self.reports.note(server, sign, now);
+                let silence = ServerSilence { flows, since };
+                let subject = ReportSubject::Delivery;
+                self.reports.note_silence(server, subject, silence, now);
             }
         }
     }
@@ -92,7 +97,7 @@
         view: &ForwardingView,
         sink: &mut S,
     ) {
-        let mut servers = view.reports.servers();
+        let mut servers = view.reports.servers(ReportSubject::Delivery);
         servers.retain(|id| self.progress.flows(*id) > 0 && self.is_reported(view, *id, now));
         if !servers.is_empty() {
             let may_end = |watched: &WatchedFlow| watched.can_be_ended(now);
@@ -100,6 +105,46 @@
         }
     }
 
+    /// Tells others of servers at which requests wait for much longer than usual.
+    ///
+    /// Guards against a server that takes requests and resets its callers, or never
+    /// answers, while it says that it is well. Hosts see neither resets nor answers, only
+    /// that callers acknowledge none; each such request of a caller that may not repeat it
+    /// is lost. It only keeps new flows away: an acknowledgement may pass another host, and
+    /// a flow that is ended for it would break a session whose server serves.
+    fn report_overdue(&mut self, now: Timestamp) {
+        if !self.ticks.is_multiple_of(OVERDUE_TICKS) {
+            return;
+        }
+        let patience = self.responses.patience();
+        let mut overdue = Vec::new();
+        self.watch.visit(|watched| {
+            if let Some(asked_at) = watched.take_overdue(patience, now) {
+                overdue.push((watched.server, asked_at));
+            }
+        });
+        for (server, asked_at) in overdue {
+            let silence = self.progress.note_overdue(server, asked_at, now);
+            if !self.deliveries.is_in_doubt(now) {
+                let subject = ReportSubject::Answers;
+                self.reports.note_silence(server, subject, silence, now);
+            }
+        }
+    }
+
+    /// Says of servers that others report what this host has seen to the contrary.
+    fn object(&mut self, view: &ForwardingView) {
+        for subject in ReportSubject::ALL {
+            for server in view.reports.servers(subject) {
+                if let Some(well_at) = self.progress.well_at(server, subject)
+                    && view.reports.is_refuted_by(server, subject, well_at)
+                {
+                    self.reports.note_well(server, subject, well_at);
+                }
+            }
+        }
+    }
+
     /// Ends flows that rest on servers that vanished from the store's list though
     /// the store was there all the time.
     ///
--- a/crates/cardamomwinch_coordination/src/forwarding/flow_watch.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/flow_watch.rs
@@ -90,6 +90,8 @@
     asked_at: Timestamp,
     /// What the caller had of the server's stream when it asked.
     acknowledged: u32,
+    /// Whether it was counted as waiting for too long.
+    overdue: bool,
 }
 
 impl WatchedFlow {
@@ -183,9 +185,24 @@
         self.pending.get_or_insert(PendingRequest {
             asked_at: now,
             acknowledged,
+            overdue: false,
         });
     }
 
+    /// Whether the caller has the beginning of the answer that it waited for.
+    pub fn has_answer(&self) -> bool {
+        let pending = self.pending;
+        pending.is_some_and(|pending| self.acknowledged != pending.acknowledged)
+    }
+
+    /// When the caller asked, the first time that it has waited for longer than `patience`.
+    pub fn take_overdue(&mut self, patience: time::Duration, now: Timestamp) -> Option<Timestamp> {
+        let pending = self.pending.as_mut()?;
+        let is_overdue = !pending.overdue && now.since(pending.asked_at) >= patience;
+        pending.overdue |= is_overdue;
+        is_overdue.then_some(pending.asked_at)
+    }
+
     /// The time from the request to its answer, once the caller has acknowledged
     /// more than one packet of that, or closes the flow with it. Other answers of one
     /// packet are acknowledged with the next request only, and tell nothing.
@@ -324,6 +341,14 @@
         self.table.remove(hash, flow)
     }
 
+    /// Gives every flow to `visit`.
+    pub fn visit(&mut self, mut visit: impl FnMut(&mut WatchedFlow)) {
+        self.table.retain(|_, watched| {
+            visit(watched);
+            true
+        });
+    }
+
     /// Stops counting flows that were not seen lately, and forgets those that have
     /// been idle for `idle_timeout`; `uncount` is given each that counted.
     pub fn sweep(
--- a/crates/cardamomwinch_coordination/src/forwarding/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/mod.rs
@@ -41,4 +41,5 @@
 pub mod server_starts;
 pub mod slowness;
 pub mod unknown_flows;
+pub mod usual_wait;
 pub mod view;
--- a/crates/cardamomwinch_coordination/src/forwarding/own_reports.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/own_reports.rs
@@ -2,14 +2,15 @@
 
 use cardamomwinch_state::prelude::{BackendId, SortedVector, Timestamp};
 
-use crate::forwarding::server_reports::{ReporterId, ServerReport, ServerSign};
+use crate::forwarding::server_reports::{ReportSubject, ReporterId, ServerReport, ServerSilence};
 
-/// The statements of this host that it has not told yet; of each server the latest.
+/// The statements of this host that it has not told yet; the latest about each server and
+/// subject.
 #[derive(Debug)]
 pub struct OwnReports {
     reporter: ReporterId,
     number: u64,
-    pending: SortedVector<BackendId, ServerReport>,
+    pending: SortedVector<(BackendId, ReportSubject), ServerReport>,
 }
 
 impl OwnReports {
@@ -22,17 +23,39 @@
         }
     }
 
-    /// This host has seen `sign` of `server`.
-    pub fn note(&mut self, server: BackendId, sign: ServerSign, now: Timestamp) {
+    /// Flows on `server` wait in vain at `now`.
+    pub fn note_silence(
+        &mut self,
+        server: BackendId,
+        subject: ReportSubject,
+        silence: ServerSilence,
+        now: Timestamp,
+    ) {
+        self.note(server, subject, Some(silence), now);
+    }
+
+    /// `server` was seen to do well at `at`.
+    pub fn note_well(&mut self, server: BackendId, subject: ReportSubject, at: Timestamp) {
+        self.note(server, subject, None, at);
+    }
+
+    fn note(
+        &mut self,
+        server: BackendId,
+        subject: ReportSubject,
+        silence: Option<ServerSilence>,
+        at: Timestamp,
+    ) {
         self.number += 1;
         let report = ServerReport {
             server,
+            subject,
             reporter: self.reporter,
             number: self.number,
-            sign,
-            at: now,
+            silence,
+            at,
         };
-        self.pending.insert(server, report);
+        self.pending.insert((server, subject), report);
     }
 
     /// Takes out what is to be told.
--- a/crates/cardamomwinch_coordination/src/forwarding/placement.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/placement.rs
@@ -8,7 +8,7 @@
 use crate::forwarding::directory::{ServerDirectory, ServerPhase, ServerRecord};
 use crate::forwarding::permission::FlowPermission;
 use crate::forwarding::progress::ProgressTable;
-use crate::forwarding::server_reports::ReportTable;
+use crate::forwarding::server_reports::{ReportSubject, ReportTable};
 use crate::forwarding::slowness::UsualResponse;
 use crate::routing::rendezvous;
 
@@ -192,9 +192,13 @@
 
     /// Whether `server` seems to have gone, to this host or to several together.
     fn is_suspected(&self, server: BackendId) -> bool {
-        let lively_at = || self.progress.lively_at(server);
+        let is_doubtful = |subject: &ReportSubject| {
+            let well_at = self.progress.well_at(server, *subject);
+            self.reports
+                .is_doubtful(server, *subject, well_at, self.now)
+        };
         self.progress.is_suspected(server, self.now)
-            || (!self.reports.is_empty() && self.reports.is_doubtful(server, lively_at(), self.now))
+            || (!self.reports.is_empty() && ReportSubject::ALL.iter().any(is_doubtful))
     }
 
     /// Where the own domain's servers are strained and it is this flow's turn to
--- a/crates/cardamomwinch_coordination/src/forwarding/progress.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/progress.rs
@@ -7,6 +7,8 @@
 
 use cardamomwinch_state::prelude::{BackendId, SortedVector, Timestamp};
 
+use crate::forwarding::server_reports::{ReportSubject, ServerSilence};
+
 /// How long a server that did not answer an opening gets no other one. Callers
 /// copy openings after 200 ms; a server that lives answers within a round trip.
 /// One lost datagram costs a server a second of new flows and nothing else.
@@ -54,6 +56,10 @@
     progress_at: Timestamp,
     /// When that was seen for sure; never at first.
     lively_at: Option<Timestamp>,
+    /// When it answered a request last.
+    answered_at: Option<Timestamp>,
+    /// Requests that have waited for too long since then, and when the first was sent.
+    overdue: Option<ServerSilence>,
     /// Flows that met silence since then.
     silent_flows: u32,
     /// When the first data were sent that nobody answered since then.
@@ -80,6 +86,8 @@
             flows: 0,
             progress_at: now,
             lively_at: None,
+            answered_at: None,
+            overdue: None,
             silent_flows: 0,
             silent_since: Timestamp::ZERO,
             lost_thrice: false,
@@ -262,16 +270,47 @@
         entry.lost_thrice
     }
 
-    /// The flows on `server` that met silence since it last made progress, and when the
-    /// first data were sent that nobody answered; `None` where there are none.
-    pub fn silence(&self, server: BackendId) -> Option<(u32, Timestamp)> {
+    /// What met silence at `server` since it last made progress.
+    pub fn silence(&self, server: BackendId) -> Option<ServerSilence> {
         let entry = self.servers.get(&server)?;
-        (entry.silent_flows > 0).then_some((entry.silent_flows, entry.silent_since))
+        (entry.silent_flows > 0).then_some(ServerSilence {
+            flows: entry.silent_flows,
+            since: entry.silent_since,
+        })
+    }
+
+    /// `server` has answered a request.
+    pub fn note_answer(&mut self, server: BackendId, now: Timestamp) {
+        let entry = self.entry(server, now);
+        entry.answered_at = Some(now);
+        entry.overdue = None;
+    }
+
+    /// A request of `asked_at` has waited at `server` for too long. Returns all that did
+    /// since it last answered one.
+    pub fn note_overdue(
+        &mut self,
+        server: BackendId,
+        asked_at: Timestamp,
+        now: Timestamp,
+    ) -> ServerSilence {
+        let entry = self.entry(server, now);
+        let overdue = entry.overdue.get_or_insert(ServerSilence {
+            flows: 0,
+            since: asked_at,
+        });
+        overdue.flows += 1;
+        overdue.since = overdue.since.min(asked_at);
+        *overdue
     }
 
-    /// When a caller last acknowledged something new from `server`.
-    pub fn lively_at(&self, server: BackendId) -> Option<Timestamp> {
-        self.servers.get(&server)?.lively_at
+    /// When `server` was last seen to do well in what reports about `subject` tell.
+    pub fn well_at(&self, server: BackendId, subject: ReportSubject) -> Option<Timestamp> {
+        let entry = self.servers.get(&server)?;
+        match subject {
+            ReportSubject::Delivery => entry.lively_at,
+            ReportSubject::Answers => entry.answered_at,
+        }
     }
 
     /// Whether `server` is to get no new flows for now.
@@ -335,6 +374,7 @@
         for (_, entry) in self.servers.iter_mut() {
             entry.progress_at = now;
             entry.silent_flows = 0;
+            entry.overdue = None;
             entry.lost_thrice = false;
             entry.suspected_until = Timestamp::ZERO;
             entry.unconfirmed_since = None;
--- a/crates/cardamomwinch_coordination/src/forwarding/server_reports.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/server_reports.rs
@@ -4,8 +4,8 @@
 //! request on each of them to learn what its neighbours learned seconds before; what all
 //! of them see together shows within half a second that a server has gone.
 //!
-//! A report never says more than what its host saw: flows that met silence, or that the
-//! server lives. The latest statement of each host counts. Reports cross several hosts on
+//! A report never says more than what its host saw: flows that waited in vain, or that the
+//! server does well. The latest statement of each host counts. Reports cross several hosts on
 //! their way and may meet themselves; the number that their host gave them tells which is
 //! the later one.
 
@@ -18,8 +18,11 @@
 /// And hosts so many have seen it, since a host alone may lose what it sends.
 const SILENT_HOSTS: usize = 2;
 /// For so long nobody may have seen the server make progress: more than the 200 ms after
-/// which callers send again, and the time in which another host objects.
+/// which callers send again.
 const SILENCE: time::Duration = time::Duration::from_millis(500);
+/// The last report that a verdict needs must have been known for so long: others need the
+/// time to object.
+const OBJECTION_TIME: time::Duration = time::Duration::from_millis(100);
 /// What a server sent before it fell silent is acknowledged for so long: the way there and
 /// back, and the time for which callers hold an acknowledgement.
 const LATE_PROGRESS: time::Duration = time::Duration::from_millis(150);
@@ -48,18 +51,28 @@
     }
 }
 
-/// What a host has seen of a server.
+/// What a report is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ReportSubject {
+    /// Whether the server takes what is sent to it.
+    Delivery,
+    /// Whether it answers requests. One that takes them and answers none is lost for its
+    /// callers as well, whatever it says of itself.
+    Answers,
+}
+
+impl ReportSubject {
+    /// Every subject.
+    pub const ALL: [Self; 2] = [Self::Delivery, Self::Answers];
+}
+
+/// What flows on a server waited for in vain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ServerSign {
-    /// Flows met silence, though other servers answered what was sent at about that time.
-    Silent {
-        /// How many flows.
-        flows: u32,
-        /// When the first data were sent that nobody answered.
-        since: Timestamp,
-    },
-    /// A caller acknowledged something new from it.
-    Lively,
+pub struct ServerSilence {
+    /// How many flows.
+    pub flows: u32,
+    /// Since when: what was sent then nobody has answered.
+    pub since: Timestamp,
 }
 
 /// A statement of one host about one server.
@@ -67,24 +80,34 @@
 pub struct ServerReport {
     /// The server.
     pub server: BackendId,
+    /// What it is about.
+    pub subject: ReportSubject,
     /// Who saw it.
     pub reporter: ReporterId,
     /// Rises with each statement of the reporter.
     pub number: u64,
-    /// What was seen.
-    pub sign: ServerSign,
+    /// What was waited for in vain; `None` where the server was seen to do well.
+    pub silence: Option<ServerSilence>,
     /// When it was seen last.
     pub at: Timestamp,
 }
 
 impl ServerReport {
-    const fn is_lively(&self) -> bool {
-        matches!(self.sign, ServerSign::Lively)
-    }
-
     fn is_fresh(&self, now: Timestamp) -> bool {
         now.since(self.at) <= REPORT_MEMORY
     }
+
+    const fn key(&self) -> ReportKey {
+        (self.server, self.subject, self.reporter)
+    }
+}
+
+/// The order in which reports are kept.
+type ReportKey = (BackendId, ReportSubject, ReporterId);
+
+/// Whether progress at `progress_at` shows that what was silent since `since` is not.
+fn refutes(progress_at: Timestamp, since: Timestamp) -> bool {
+    progress_at > since.after(LATE_PROGRESS)
 }
 
 /// Tells how far a host has told its reports to another one.
@@ -103,20 +126,54 @@
     }
 }
 
-/// A report, and its place in the order in which this host learned of reports.
+/// A report, and how this host learned of it.
 #[derive(Debug, Clone, Copy)]
 struct KeptReport {
     report: ServerReport,
+    /// Its place in the order in which this host learned of reports.
     serial: ReportSerial,
+    learned_at: Timestamp,
 }
 
 /// The reports that a host knows, its own among them.
 #[derive(Debug, Default, Clone)]
 pub struct ReportTable {
-    reports: SortedVector<(BackendId, ReporterId), KeptReport>,
+    reports: SortedVector<ReportKey, KeptReport>,
     serial: ReportSerial,
 }
 
+/// What stands against a server.
+#[derive(Debug, Clone, Copy, Default)]
+struct ReportQuorum {
+    flows: u32,
+    hosts: usize,
+    since: Option<Timestamp>,
+    learned_at: Timestamp,
+}
+
+impl ReportQuorum {
+    fn add(mut self, silence: ServerSilence, learned_at: Timestamp) -> Self {
+        // Reports beyond those that a verdict needs must not put it off.
+        if !self.is_complete() {
+            self.learned_at = self.learned_at.max(learned_at);
+        }
+        self.flows = self.flows.saturating_add(silence.flows);
+        self.hosts += 1;
+        self.since = Some(self.since.map_or(silence.since, |at| at.min(silence.since)));
+        self
+    }
+
+    const fn is_complete(&self) -> bool {
+        self.flows >= SILENT_FLOWS && self.hosts >= SILENT_HOSTS
+    }
+
+    fn is_verdict(&self, now: Timestamp) -> bool {
+        self.is_complete()
+            && self.since.is_some_and(|since| now.since(since) >= SILENCE)
+            && now.since(self.learned_at) >= OBJECTION_TIME
+    }
+}
+
 impl ReportTable {
     /// Whether nothing is reported.
     pub fn is_empty(&self) -> bool {
@@ -135,54 +192,75 @@
         later.map(|kept| &kept.report)
     }
 
-    /// Takes over `report`, unless its host has made a later statement about the server,
-    /// or it adds nothing. Returns whether it was taken.
+    /// Takes over `report`, unless its host has made a later statement, or it adds
+    /// nothing. Returns whether it was taken.
     pub fn note(&mut self, report: ServerReport, now: Timestamp) -> bool {
-        let key = (report.server, report.reporter);
-        let known = self.reports.get(&key);
+        let known = self.reports.get(&report.key());
         let is_old = known.is_some_and(|known| known.report.number >= report.number);
         if is_old || !report.is_fresh(now) || !self.has_room(&report) {
             return false;
         }
+        let was_silent = known.filter(|known| known.report.silence.is_some());
+        let learned_at = was_silent.map_or(now, |known| known.learned_at);
         self.serial = ReportSerial(self.serial.0 + 1);
-        let serial = self.serial;
-        self.reports.insert(key, KeptReport { report, serial });
+        let kept = KeptReport {
+            report,
+            serial: self.serial,
+            learned_at,
+        };
+        self.reports.insert(report.key(), kept);
         true
     }
 
     fn has_room(&self, report: &ServerReport) -> bool {
-        if self.reports.contains_key(&(report.server, report.reporter)) {
+        if self.reports.contains_key(&report.key()) {
             return true;
         }
-        let silent = || self.of_server(report.server).filter(|one| !one.is_lively());
-        let adds = report.is_lively() || silent().count() < SILENT_REPORTS;
+        let known = self.about(report.server, report.subject);
+        let silent = known.filter(|kept| kept.report.silence.is_some());
+        let adds = report.silence.is_none() || silent.count() < SILENT_REPORTS;
         adds && self.reports.len() < REPORT_LIMIT
     }
 
-    fn of_server(&self, server: BackendId) -> impl Iterator<Item = &ServerReport> {
-        let reports = self.reports.range_from(&(server, ReporterId(0)));
-        let same = reports.take_while(move |((id, _), _)| *id == server);
-        same.map(|(_, kept)| &kept.report)
+    fn about(
+        &self,
+        server: BackendId,
+        subject: ReportSubject,
+    ) -> impl Iterator<Item = &KeptReport> {
+        let reports = self.reports.range_from(&(server, subject, ReporterId(0)));
+        let same = reports.take_while(move |(key, _)| (key.0, key.1) == (server, subject));
+        same.map(|(_, kept)| kept)
+    }
+
+    /// When hosts saw the server do well last.
+    fn well_at(&self, server: BackendId, subject: ReportSubject) -> Option<Timestamp> {
+        let well = self
+            .about(server, subject)
+            .filter(|kept| kept.report.silence.is_none());
+        well.map(|kept| kept.report.at).max()
     }
 
-    /// The reports that speak against `server`, but those that later progress refutes:
-    /// progress that others reported, or that this host saw itself at `progress_at`.
-    fn standing(
+    /// What speaks against `server`, but for what later progress refutes: progress that
+    /// others reported, or that this host saw itself at `progress_at`.
+    fn quorum(
         &self,
         server: BackendId,
+        subject: ReportSubject,
         progress_at: Option<Timestamp>,
         now: Timestamp,
-    ) -> impl Iterator<Item = (u32, Timestamp)> {
-        let lively = self.of_server(server).filter(|one| one.is_lively());
-        let lively_at = lively.map(|one| one.at).max().max(progress_at);
-        let fresh = self.of_server(server).filter(move |one| one.is_fresh(now));
-        fresh.filter_map(move |one| match one.sign {
-            ServerSign::Silent { flows, since } => {
-                let refuted = lively_at.is_some_and(|at| at > since.after(LATE_PROGRESS));
-                (!refuted).then_some((flows, since))
+    ) -> ReportQuorum {
+        let well_at = self.well_at(server, subject).max(progress_at);
+        let mut quorum = ReportQuorum::default();
+        for kept in self.about(server, subject) {
+            let standing = kept
+                .report
+                .silence
+                .filter(|one| !well_at.is_some_and(|at| refutes(at, one.since)));
+            if let Some(silence) = standing.filter(|_| kept.report.is_fresh(now)) {
+                quorum = quorum.add(silence, kept.learned_at);
             }
-            ServerSign::Lively => None,
-        })
+        }
+        quorum
     }
 
     /// Whether several hosts together have reason to give `server` no new flows; this host
@@ -191,53 +269,49 @@
     pub fn is_doubtful(
         &self,
         server: BackendId,
+        subject: ReportSubject,
         progress_at: Option<Timestamp>,
         now: Timestamp,
     ) -> bool {
-        !self.is_empty() && self.standing(server, progress_at, now).count() >= SILENT_HOSTS
+        let quorum = self.quorum(server, subject, progress_at, now);
+        quorum.hosts >= SILENT_HOSTS
     }
 
-    /// Whether several hosts together show that `server` has gone; this host itself saw
-    /// it make progress at `progress_at`, if ever.
+    /// Whether several hosts together show that `server` has gone or answers nobody; this
+    /// host itself saw it make progress at `progress_at`, if ever.
     pub fn is_silent(
         &self,
         server: BackendId,
+        subject: ReportSubject,
         progress_at: Option<Timestamp>,
         now: Timestamp,
     ) -> bool {
-        if self.is_empty() {
-            return false;
-        }
-        let mut flows = 0;
-        let mut hosts = 0;
-        let mut first = now;
-        for (silent, since) in self.standing(server, progress_at, now) {
-            flows += silent;
-            hosts += 1;
-            first = first.min(since);
-        }
-        flows >= SILENT_FLOWS && hosts >= SILENT_HOSTS && now.since(first) >= SILENCE
-    }
-
-    /// Whether progress of `server` at `progress_at` refutes what is reported of it, so
-    /// that others must hear so.
-    pub fn is_refuted_by(&self, server: BackendId, progress_at: Timestamp) -> bool {
-        let mut silent = self.of_server(server).filter_map(|one| match one.sign {
-            ServerSign::Silent { since, .. } => Some(since),
-            ServerSign::Lively => None,
-        });
-        let lively = self.of_server(server).filter(|one| one.is_lively());
-        let told_at = lively.map(|one| one.at).max();
-        silent.any(|since| {
-            let refutes = |at: Timestamp| at > since.after(LATE_PROGRESS);
-            refutes(progress_at) && !told_at.is_some_and(refutes)
+        let quorum = self.quorum(server, subject, progress_at, now);
+        quorum.is_verdict(now)
+    }
+
+    /// Whether progress of `server` at `progress_at` refutes what is reported of it, and
+    /// nobody has said so.
+    pub fn is_refuted_by(
+        &self,
+        server: BackendId,
+        subject: ReportSubject,
+        progress_at: Timestamp,
+    ) -> bool {
+        let told_at = self.well_at(server, subject);
+        let reports = self.about(server, subject);
+        let mut silent = reports.filter_map(|kept| kept.report.silence);
+        silent.any(|one| {
+            let is_told = told_at.is_some_and(|at| refutes(at, one.since));
+            refutes(progress_at, one.since) && !is_told
         })
     }
 
-    /// The servers that reports speak against, in rising order.
-    pub fn servers(&self) -> Vec<BackendId> {
-        let silent = self.reports.values().filter(|one| !one.report.is_lively());
-        let mut servers: Vec<_> = silent.map(|one| one.report.server).collect();
+    /// The servers that reports about `subject` speak against, in rising order.
+    pub fn servers(&self, subject: ReportSubject) -> Vec<BackendId> {
+        let reports = self.reports.values().map(|kept| &kept.report);
+        let silent = reports.filter(|one| one.subject == subject && one.silence.is_some());
+        let mut servers: Vec<_> = silent.map(|one| one.server).collect();
         servers.dedup();
         servers
     }
--- a/crates/cardamomwinch_coordination/tests/forwarding_reports.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_reports.rs
@@ -6,9 +6,10 @@
 use std::sync;
 
 use cardamomwinch_coordination::forwarding::engine::ForwardingEngine;
+use cardamomwinch_coordination::forwarding::packet::{FlowPacket, PacketKind};
 use cardamomwinch_coordination::forwarding::record::ForwardingOutcome;
 use cardamomwinch_coordination::forwarding::server_reports::{
-    ReportSerial, ReportTable, ReporterId, ServerReport, ServerSign,
+    ReportSerial, ReportSubject, ReportTable, ReporterId, ServerReport, ServerSilence,
 };
 use cardamomwinch_state::prelude::*;
 use forwarding_support::fleet::{Condition, Fleet};
@@ -16,22 +17,26 @@
 use rand::{Rng, SeedableRng, rngs};
 use yare::parameterized;
 
+const DELIVERY: ReportSubject = ReportSubject::Delivery;
+const ANSWERS: ReportSubject = ReportSubject::Answers;
+
 fn silent(reporter: u64, number: u64, flows: u32, since: u64, seen_at: u64) -> ServerReport {
     ServerReport {
         server: near_server(1).id,
+        subject: DELIVERY,
         reporter: ReporterId::new(reporter),
         number,
-        sign: ServerSign::Silent {
+        silence: Some(ServerSilence {
             flows,
             since: at(since),
-        },
+        }),
         at: at(seen_at),
     }
 }
 
 fn lively(reporter: u64, number: u64, seen_at: u64) -> ServerReport {
     ServerReport {
-        sign: ServerSign::Lively,
+        silence: None,
         ..silent(reporter, number, 0, 0, seen_at)
     }
 }
@@ -46,6 +51,7 @@
 
 #[parameterized(
     three_flows_on_two_hosts = { &[silent(1, 1, 2, 0, 210), silent(2, 1, 1, 40, 250)], None, 600, true },
+    others_had_no_time_to_object = { &[silent(1, 1, 2, 0, 210), silent(2, 1, 1, 40, 560)], None, 640, false },
     too_soon = { &[silent(1, 1, 2, 0, 210), silent(2, 1, 1, 40, 250)], None, 480, false },
     one_host_alone = { &[silent(1, 1, 5, 0, 210)], None, 900, false },
     two_flows = { &[silent(1, 1, 1, 0, 210), silent(2, 1, 1, 40, 250)], None, 900, false },
@@ -65,7 +71,7 @@
     let table = table(reports);
     let server = near_server(1).id;
     assert_eq!(
-        table.is_silent(server, progress.map(at), at(moment)),
+        table.is_silent(server, DELIVERY, progress.map(at), at(moment)),
         expected
     );
 }
@@ -101,7 +107,7 @@
         }
     }
     assert!(table.after(ReportSerial::default()).count() <= 1_024);
-    assert!(table.is_silent(near_server(1).id, None, at(600)));
+    assert!(table.is_silent(near_server(1).id, DELIVERY, None, at(600)));
     table.age(at(5_000));
     assert!(table.is_empty());
 }
@@ -308,12 +314,13 @@
     host.view.reports = sync::Arc::new(table(&[silent(7, 1, 3, 100, 310)]));
     host.handle(at(400), &data(1, server, 500, 1, 80));
     host.handle(at(440), &data(1, server, 580, 3_001, 0));
+    host.tick(at(500));
     let reports = host.engine.take_reports();
     assert_eq!(reports.len(), 1);
-    assert_eq!(reports[0].sign, ServerSign::Lively);
+    assert_eq!((reports[0].subject, reports[0].silence), (DELIVERY, None));
     let mut table = table(&[silent(7, 1, 3, 100, 310), silent(8, 1, 3, 100, 310)]);
     table.note(reports[0], at(450));
-    assert!(!table.is_silent(server, None, at(900)));
+    assert!(!table.is_silent(server, DELIVERY, None, at(900)));
 }
 
 /// The callers of flows that may run only once wait for an answer that may still come.
@@ -371,3 +378,78 @@
     let busiest = fleet.tellings.iter().max().unwrap();
     assert!(*busiest <= 40, "{busiest} calls at one host");
 }
+
+/// A server says that it is well, takes each request, and resets its caller at once. Hosts
+/// see neither resets nor answers. Each new flow there loses a request that may run only
+/// once; after some of them were never answered, no host may open further ones.
+#[test]
+fn a_server_that_answers_nobody_gets_no_new_flows() {
+    let mut domain = Domain::new(20, 10);
+    establish_everywhere(&mut domain, 5);
+    let liar = near_server(1).id;
+    let mut opened = Vec::new();
+    let mut port = 20_000;
+    for step in 0..300_u64 {
+        let moment = 2_000 + step * 10;
+        for index in 0..domain.hosts.len() {
+            if (step + index as u64).is_multiple_of(10) {
+                port += 1;
+                let host = &mut domain.hosts[index];
+                let server = host.open(at(moment), port);
+                host.handle(at(moment + 5), &data(port, server, 100, 1, 80));
+                if server != liar {
+                    host.handle(at(moment + 9), &data(port, server, 180, 3_001, 0));
+                    let closing = FlowPacket {
+                        kind: PacketKind::Closing,
+                        ..data(port, server, 180, 3_001, 0)
+                    };
+                    host.handle(at(moment + 9), &closing);
+                } else {
+                    opened.push(moment);
+                }
+            }
+        }
+        if step % 10 == 0 {
+            for host in &mut domain.hosts {
+                host.tick(at(moment + 9));
+            }
+        }
+        domain.exchange(moment + 9);
+    }
+    let late = opened.iter().filter(|moment| **moment >= 2_950).count();
+    assert!(opened.len() > 3, "it draws flows at first");
+    assert_eq!(late, 0, "of {}", opened.len());
+    let ended: usize = domain.hosts.iter().map(|host| host.ended.len()).sum();
+    assert_eq!(ended, 0, "an answer that is missing ends no flow");
+}
+
+/// The fabric hands all flows to other hosts at once. Those that had them wait for answers
+/// which others see; the servers must not be doubted for it.
+#[test]
+fn flows_that_move_to_other_hosts_cost_no_server_anything() {
+    let mut domain = Domain::new(20, 10);
+    let flows = establish_everywhere(&mut domain, 10);
+    for (turn, moment) in [2_000, 2_300, 2_600, 2_900, 3_200].into_iter().enumerate() {
+        let turn = turn as u32;
+        for (index, port, server) in &flows {
+            // The first request passes another host than the acknowledgement of its answer
+            // and everything that follows.
+            let moved = (index + 1) % 20;
+            let asked = if turn == 0 { *index } else { moved };
+            let ask = data(*port, *server, 500 + 80 * turn, 1 + 3_000 * turn, 80);
+            let answered = data(*port, *server, 580 + 80 * turn, 3_001 + 3_000 * turn, 0);
+            domain.hosts[asked].handle(at(moment), &ask);
+            domain.hosts[moved].handle(at(moment + 40), &answered);
+        }
+        for step in 1..30 {
+            for host in &mut domain.hosts {
+                host.tick(at(moment + 40 + step * 10));
+            }
+            domain.exchange(moment + 40 + step * 10);
+        }
+    }
+    let reports = sync::Arc::clone(&domain.hosts[0].view.reports);
+    for server in reports.servers(ANSWERS) {
+        assert!(!reports.is_doubtful(server, ANSWERS, None, at(3_600)));
+    }
+}
--- a/crates/cardamomwinch_forwarder/src/peer_wire/reports.rs
+++ b/crates/cardamomwinch_forwarder/src/peer_wire/reports.rs
@@ -3,21 +3,52 @@
 use std::time;
 
 use cardamomwinch_coordination::forwarding::beliefs::peer_word::PeerReport;
-use cardamomwinch_coordination::forwarding::server_reports::ReporterId;
+use cardamomwinch_coordination::forwarding::server_reports::{ReportSubject, ReporterId};
 use cardamomwinch_state::prelude::BackendId;
 use serde::{Deserialize, Serialize};
 
-/// A report: the server, the reporter and the number that it gave, the age in
-/// milliseconds, and how many flows met silence since how many milliseconds.
+/// What a report is about, in a letter.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-pub struct WireReport(BackendId, u64, u64, u64, Option<(u32, u64)>);
+pub enum WireSubject {
+    /// Whether the server takes what is sent to it.
+    #[serde(rename = "d")]
+    Delivery,
+    /// Whether it answers requests.
+    #[serde(rename = "a")]
+    Answers,
+}
+
+impl From<ReportSubject> for WireSubject {
+    fn from(subject: ReportSubject) -> Self {
+        match subject {
+            ReportSubject::Delivery => Self::Delivery,
+            ReportSubject::Answers => Self::Answers,
+        }
+    }
+}
+
+impl From<WireSubject> for ReportSubject {
+    fn from(subject: WireSubject) -> Self {
+        match subject {
+            WireSubject::Delivery => Self::Delivery,
+            WireSubject::Answers => Self::Answers,
+        }
+    }
+}
+
+/// A report: the server, the subject, the reporter and the number that it gave, the age in
+/// milliseconds, and how many flows wait in vain for how many milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct WireReport(BackendId, WireSubject, u64, u64, u64, Option<(u32, u64)>);
 
 impl From<PeerReport> for WireReport {
     fn from(report: PeerReport) -> Self {
         let silence = report.silence;
         Self(
             report.server,
+            report.subject.into(),
             report.reporter.get(),
             report.number,
             report.age.as_millis() as u64,
@@ -28,9 +59,10 @@
 
 impl From<WireReport> for PeerReport {
     fn from(report: WireReport) -> Self {
-        let WireReport(server, reporter, number, age, silence) = report;
+        let WireReport(server, subject, reporter, number, age, silence) = report;
         Self {
             server,
+            subject: subject.into(),
             reporter: ReporterId::new(reporter),
             number,
             age: time::Duration::from_millis(age),
--- a/crates/cardamomwinch_forwarder/tests/peer_wire.rs
+++ b/crates/cardamomwinch_forwarder/tests/peer_wire.rs
@@ -10,7 +10,9 @@
 use cardamomwinch_coordination::forwarding::beliefs::store_call::{ServerStart, StoreRevision};
 use cardamomwinch_coordination::forwarding::cold_starts::ColdStart;
 use cardamomwinch_coordination::forwarding::routes::{RouteDifference, RouteEntry, RouteTarget};
-use cardamomwinch_coordination::forwarding::server_reports::{ReportSerial, ReporterId};
+use cardamomwinch_coordination::forwarding::server_reports::{
+    ReportSerial, ReportSubject, ReporterId,
+};
 use cardamomwinch_forwarder::peer_wire::WireWord;
 use cardamomwinch_state::prelude::*;
 
@@ -110,6 +112,7 @@
     };
     let report = |number, silence| PeerReport {
         server: server(1).id,
+        subject: ReportSubject::Answers,
         reporter: ReporterId::new(99),
         number,
         age: time::Duration::from_millis(3),
