Tell reports about servers in the own domain only, as old as their way was long

Hosts whose store is silent ask anybody. While their domain is cut off others report its servers silent, and told so as soon as the cut healed; and reports in an answer that was late counted from its arrival.

Change: reports go to hosts of the own domain, and are as old as the question whose answer they came with.

Tests: forwarding_reports.rs, two stories.

--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
@@ -273,7 +273,7 @@
     pub fn knows_more_than(&self, question: &PeerQuestion) -> bool {
         self.revision > question.revision
             || self.routes.version() > question.version
-            || self.reports.serial() != question.reports_known
+            || self.has_reports_for(question)
     }
 
     /// The peers that are known.
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_exchange.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_exchange.rs
@@ -15,7 +15,6 @@
 use crate::forwarding::beliefs::{BeliefChange, BeliefEngine};
 use crate::forwarding::directory::{ServerPhase, ServerRecord};
 use crate::forwarding::evacuations::EvacuationRecord;
-use crate::forwarding::server_reports::ReportSerial;
 
 /// How long a question to another host may wait for something new. A reader hears
 /// of the store at least every two seconds, and passes that on at once.
@@ -212,10 +211,7 @@
             self.remember_left(servers);
         }
         if revision >= self.revision {
-            // The answer may have been on its way for seconds, where it is long and a
-            // link is full: what it says is as old as that.
-            let asked_at = self.asked_at.unwrap_or(now);
-            let said_at = asked_at.after(word.waited).min(now);
+            let said_at = self.said_at(now, word.waited);
             self.heard_at = self.heard_at.max(said_at.before(word.age));
         }
         if newer {
@@ -227,6 +223,13 @@
         }
     }
 
+    /// When an answer whose question `waited` was said at the earliest. It may have been on
+    /// its way for seconds, where it is long and a link is full: what it says is as old.
+    pub(super) fn said_at(&self, now: Timestamp, waited: time::Duration) -> Timestamp {
+        let asked_at = self.asked_at.unwrap_or(now);
+        asked_at.after(waited).min(now)
+    }
+
     fn take_evacuations(
         &mut self,
         now: Timestamp,
@@ -340,12 +343,11 @@
         let evacuations = told
             .map(|one| PeerEvacuation::from_record(one, now))
             .collect();
-        // Whoever asks may have asked a process that ran here before.
-        let known_reports = question.reports_known;
-        let known_reports = if known_reports > self.reports.serial() {
-            ReportSerial::default()
+        let (reports, reports_serial) = if same_domain {
+            let known = self.reports_known_by(question);
+            (self.describe_reports(known, now), self.reports.serial())
         } else {
-            known_reports
+            (Vec::new(), question.reports_known)
         };
         let routes = match extent {
             WordExtent::Nothing { .. } => None,
@@ -363,8 +365,8 @@
             servers,
             all_servers: extent == WordExtent::All,
             evacuations,
-            reports: self.describe_reports(known_reports, now),
-            reports_serial: self.reports.serial(),
+            reports,
+            reports_serial,
             hosts_digest: same_domain.then(|| self.peers.digest()),
             hosts,
             ask_instead: match extent {
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/report_exchange.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/report_exchange.rs
@@ -1,7 +1,8 @@
 //! How reports about servers get from host to host: up to the host that a host learns
 //! from, which passes them on in the same way, and down with the answers to questions.
 //! So each host speaks with few others however many there are, and what one has seen is
-//! known in the whole domain after some steps.
+//! known in the whole domain after some steps. Other domains are told nothing: while one
+//! is cut off, its servers are silent for them and serve its own hosts.
 
 use std::net;
 use std::sync;
@@ -9,7 +10,7 @@
 use cardamomwinch_state::prelude::Timestamp;
 
 use crate::forwarding::beliefs::BeliefEngine;
-use crate::forwarding::beliefs::peer_word::{PeerReport, PeerWord};
+use crate::forwarding::beliefs::peer_word::{PeerQuestion, PeerReport, PeerWord};
 use crate::forwarding::server_reports::{ReportSerial, ServerReport};
 
 impl BeliefEngine {
@@ -50,6 +51,23 @@
             .collect()
     }
 
+    /// Whether there are reports to tell whoever asks `question`.
+    pub(super) fn has_reports_for(&self, question: &PeerQuestion) -> bool {
+        let same_domain = question.host.domain == Some(self.settings.domain);
+        same_domain && self.reports.serial() != question.reports_known
+    }
+
+    /// How far this process has told its reports to whoever asks `question`, who may have
+    /// asked a process that ran here before.
+    pub(super) fn reports_known_by(&self, question: &PeerQuestion) -> ReportSerial {
+        let known = question.reports_known;
+        if known > self.reports.serial() {
+            ReportSerial::default()
+        } else {
+            known
+        }
+    }
+
     /// How far `peer` has told its reports.
     pub(super) fn reports_known_of(&self, peer: net::SocketAddr) -> ReportSerial {
         let known = self.reports_known.filter(|(host, _)| *host == peer);
@@ -69,7 +87,10 @@
             return false;
         };
         self.reports_known = Some((peer, word.reports_serial));
+        // An answer may be on its way for long, where a link is full. Taken for younger
+        // than they are, reports would survive what others have seen since.
+        let said_at = self.said_at(now, word.waited);
         let reports = word.reports.iter();
-        self.take_reports(now, reports.map(|report| report.into_report(now)))
+        self.take_reports(now, reports.map(|report| report.into_report(said_at)))
     }
 }
--- a/crates/cardamomwinch_coordination/tests/forwarding_reports.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_reports.rs
@@ -5,9 +5,12 @@
 
 use std::sync;
 
+use cardamomwinch_coordination::forwarding::beliefs::store_call::{StoreOutcome, StoreRevision};
+use cardamomwinch_coordination::forwarding::beliefs::{BeliefEngine, BeliefSettings};
 use cardamomwinch_coordination::forwarding::engine::ForwardingEngine;
 use cardamomwinch_coordination::forwarding::packet::{FlowPacket, PacketKind};
 use cardamomwinch_coordination::forwarding::record::ForwardingOutcome;
+use cardamomwinch_coordination::forwarding::regions::DomainRegions;
 use cardamomwinch_coordination::forwarding::server_reports::{
     ReportSerial, ReportSubject, ReportTable, ReporterId, ServerReport, ServerSilence,
 };
@@ -453,3 +456,55 @@
         assert!(!reports.is_doubtful(server, ANSWERS, None, at(3_600)));
     }
 }
+
+fn report_teller(number: u8, domain_name: &str) -> BeliefEngine {
+    let settings = BeliefSettings {
+        domain: domain(domain_name),
+        regions: DomainRegions::default(),
+        address: ([10, 1, 0, number], 8166).into(),
+        seeds: vec![([10, 1, 0, 1], 8166).into(), ([10, 1, 0, 2], 8166).into()],
+        flow_lifetime: millis(60_000),
+        watch_wait: millis(2_000),
+    };
+    let mut engine = BeliefEngine::new(settings, number.into());
+    let items = vec![server_entry(1, 5, false)];
+    let page = StoreOutcome::Page {
+        items,
+        revision: StoreRevision::new(10),
+        next: None,
+    };
+    engine.handle_store(at(0), page);
+    engine
+}
+
+/// A domain is cut off from another one. For hosts there its servers are silent, while they
+/// serve their own callers; when the cut heals, hosts that found the store silent ask
+/// anybody. What those say of servers must not end flows here.
+#[test]
+fn reports_are_told_in_their_own_domain_only() {
+    let mut teller = report_teller(1, "far");
+    teller.take_reports(at(300), [silent(7, 1, 3, 0, 210)]);
+    for (domain_name, expected) in [("far", 1), ("near", 0)] {
+        let mut asker = report_teller(9, domain_name);
+        let (_, question) = asker.next_peer(at(400)).unwrap();
+        assert_eq!(teller.knows_more_than(&question), expected == 1);
+        let word = teller.answer_peer(at(400), &question);
+        assert_eq!(word.reports.len(), expected);
+    }
+}
+
+/// An answer comes over a link that is full, and is seconds late. What its reports say is
+/// as old as that: a server that was seen to answer meanwhile must not be held silent.
+#[test]
+fn reports_are_as_old_as_their_way_was_long() {
+    let mut teller = report_teller(1, "near");
+    teller.take_reports(at(420), [silent(7, 1, 2, 0, 400), silent(8, 1, 2, 0, 400)]);
+    let mut asker = report_teller(9, "near");
+    let (peer, question) = asker.next_peer(at(450)).unwrap();
+    let word = teller.answer_peer(at(450), &question);
+    asker.handle_peer(at(2_450), peer, Some(word));
+    let reports = asker.view().reports;
+    let answered_at = Some(at(1_200));
+    assert!(reports.mentions(near_server(1).id));
+    assert!(!reports.is_silent(near_server(1).id, DELIVERY, answered_at, at(2_600)));
+}
