Ask a store that is away less often, where others ask it

Cause: once what a host knew was 2.6 s old it read the store itself, and asked one that refuses about 1.6 times a second, as the readers of its domain do.

Change: a host that learns from another one waits 1.2 s after its second failure. Readers go on as before, and tell it of the store's return.

The fleet of the tests let pauses of hosts that the store turns away fail at once, so that such hosts never called; pauses are pauses now. No check was changed.

--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
@@ -345,7 +345,8 @@
             StoreOutcome::Failed => self.note_store_silent(now),
             _ => self.note_store_heard(now),
         }
-        if let Some(step) = self.reader.handle(outcome) {
+        let follows = self.choice.host_to_ask(&self.peers, now).is_some();
+        if let Some(step) = self.reader.handle(outcome, follows) {
             self.take_step(now, said_at, step);
         }
     }
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_reader.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_reader.rs
@@ -13,6 +13,9 @@
 /// The longest pause after failures in a row. Every call has its price, also
 /// one that is refused; and a leaving server must be known within seconds.
 const LONGEST_PAUSE: time::Duration = time::Duration::from_millis(600);
+/// The pause of a host that others tell of the store, after its first failure: those that
+/// read for its domain try often enough, and tell it of the store's return.
+const FOLLOWER_PAUSE: time::Duration = time::Duration::from_millis(1_200);
 /// The pause after changes. They come in bursts, when servers are replaced or
 /// configurations follow each other, and one call then brings many. It is short
 /// beside the seconds in which changes must be in force; few hosts read the store,
@@ -117,10 +120,11 @@
         }
     }
 
-    /// Takes the outcome of the call and returns what is known by it.
-    pub fn handle(&mut self, outcome: StoreOutcome) -> Option<ReadStep> {
+    /// Takes the outcome of the call and returns what is known by it; `follows` tells
+    /// whether another host tells this one of the store as soon as it is reached.
+    pub fn handle(&mut self, outcome: StoreOutcome, follows: bool) -> Option<ReadStep> {
         if matches!(outcome, StoreOutcome::Failed) {
-            self.note_failure();
+            self.note_failure(follows);
             return None;
         }
         self.pause = None;
@@ -155,12 +159,15 @@
         }
     }
 
-    fn note_failure(&mut self) {
+    fn note_failure(&mut self, follows: bool) {
         let doublings = self.failures.min(8);
         self.failures = self.failures.saturating_add(1);
-        let pause = FIRST_PAUSE
-            .saturating_mul(1 << doublings)
-            .min(LONGEST_PAUSE);
+        let pause = if follows && self.failures > 1 {
+            FOLLOWER_PAUSE
+        } else {
+            let doubled = FIRST_PAUSE.saturating_mul(1 << doublings);
+            doubled.min(LONGEST_PAUSE)
+        };
         self.jitter = flow::mix(self.jitter.wrapping_add(1));
         let percent = 100 + (self.jitter % (JITTER_PERCENT + 1)) as u32;
         self.pause = Some(pause * percent / 100);
--- a/crates/cardamomwinch_coordination/tests/forwarding_sources.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_sources.rs
@@ -99,3 +99,22 @@
     let time = fleet.time_to_all();
     assert!(time <= 700, "{time} ms");
 }
+
+/// The store refuses everybody for ten seconds. What hosts know grows old, and each would
+/// ask it again and again, though the two readers of the domain do so already. All must
+/// know of a change soon after its return.
+#[test]
+fn a_store_that_refuses_everybody_is_asked_by_few() {
+    let mut fleet = Fleet::settled(25);
+    for host in &mut fleet.hosts {
+        host.condition = Condition::TurnedAway;
+    }
+    fleet.run_until(SETTLED + 10_000);
+    // One a second a host.
+    assert!(fleet.calls <= 250, "{} calls", fleet.calls);
+    for host in &mut fleet.hosts {
+        host.condition = Condition::Running;
+    }
+    let time = fleet.time_to_all();
+    assert!(time <= 1_500, "{time} ms");
+}
--- a/crates/cardamomwinch_coordination/tests/forwarding_support/fleet.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_support/fleet.rs
@@ -188,6 +188,9 @@
     }
 
     pub fn outcome(&self, index: usize, call: &PendingCall) -> Option<StoreOutcome> {
+        if matches!(call.call, StoreCall::Pause(_)) {
+            return (self.now >= call.until).then_some(StoreOutcome::Paused);
+        }
         let timeout = self.now >= call.until + 1_000;
         match self.hosts[index].condition {
             Condition::Cut => return timeout.then_some(StoreOutcome::Failed),
