--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_changes.rs
@@ -0,0 +1,193 @@
+//! What a host makes of what the store says: listings and changes of routes, servers and
+//! evacuations.
+
+use std::sync;
+
+use cardamomwinch_state::prelude::{BackendId, DomainId, Timestamp};
+
+use crate::forwarding::beliefs::store_call::{ServerEntry, StoreChange, StoreRevision};
+use crate::forwarding::beliefs::{BeliefChange, BeliefEngine, store_reader};
+use crate::forwarding::directory::{ServerPhase, ServerRecord};
+use crate::forwarding::evacuations::{EvacuationPhase, EvacuationRecord};
+use crate::forwarding::routes::RouteDocument;
+
+/// More than this part of the listed servers, in per cent, must vanish with one
+/// answer of the store to show an outage that nobody noticed. Servers that fail by
+/// themselves, or by the host, are fewer.
+const OUTAGE_PART: usize = 25;
+/// And at least so many, lest one of three servers count.
+const OUTAGE_SERVERS: usize = 3;
+
+impl BeliefEngine {
+    pub(super) fn take_step(
+        &mut self,
+        now: Timestamp,
+        said_at: Timestamp,
+        step: store_reader::ReadStep,
+    ) {
+        match step {
+            store_reader::ReadStep::Listing { items, revision } => {
+                self.take_listing(now, items, revision);
+                self.advance(said_at, revision);
+            }
+            store_reader::ReadStep::Changes { changes, revision } => {
+                for change in changes {
+                    self.apply(now, change);
+                }
+                self.advance(said_at, revision);
+            }
+        }
+        self.doubt_vanished(now);
+        self.review_own_servers();
+    }
+
+    pub(super) fn review_own_servers(&mut self) {
+        let domain = self.settings.domain;
+        let changes = self.own_services.review(&self.directory, domain);
+        self.changes.extend(changes);
+    }
+
+    /// Takes it for an outage of the store where many servers have just vanished.
+    ///
+    /// Guards against an outage that is shorter than the calls of this host, while
+    /// entries of servers that live lapse. It shows as flows that are ended on many
+    /// servers at once. What is missing then says nothing until the entries are back,
+    /// as after an outage that was noticed. A whole failure domain that loses power
+    /// looks the same; what rests on its servers is ended that much later.
+    fn doubt_vanished(&mut self, now: Timestamp) {
+        let vanished =
+            |server: &&ServerRecord| server.phase == ServerPhase::Vanished { since: now };
+        let servers = self.directory.iter().filter(vanished).count();
+        let listed = self.directory.listed_count() + servers;
+        if servers >= OUTAGE_SERVERS && servers * 100 > listed * OUTAGE_PART {
+            self.silent_at = Some(now);
+            self.changes.push(BeliefChange::ManyVanished { servers });
+        }
+    }
+
+    fn take_listing(&mut self, now: Timestamp, items: Vec<StoreChange>, revision: StoreRevision) {
+        let mut records = Vec::new();
+        let mut unreadable = Vec::new();
+        let mut evacuations = Vec::new();
+        for item in items {
+            match item {
+                StoreChange::Routes(document) => self.adopt_routes(document),
+                StoreChange::Server(entry) => records.push(entry.into_record(now)),
+                StoreChange::ServerUnreadable { id, revision } => unreadable.push((id, revision)),
+                StoreChange::EvacuationBegun { domain, revision } => {
+                    evacuations.push(EvacuationRecord {
+                        domain,
+                        phase: EvacuationPhase::Lasting,
+                        changed: revision,
+                    });
+                }
+                StoreChange::EvacuationEnded { .. } | StoreChange::ServerRemoved { .. } => {}
+            }
+        }
+        let servers = records.len();
+        let directory = sync::Arc::make_mut(&mut self.directory);
+        directory.replace(records, &unreadable, revision, now);
+        let changed = directory.replace_evacuations(&evacuations, revision, now);
+        self.tell_evacuations(changed);
+        let change = BeliefChange::ServersListed { revision, servers };
+        self.changes.push(change);
+    }
+
+    fn advance(&mut self, said_at: Timestamp, revision: StoreRevision) {
+        self.revision = self.revision.max(revision);
+        self.heard_at = self.heard_at.max(said_at);
+    }
+
+    fn apply(&mut self, now: Timestamp, change: StoreChange) {
+        match change {
+            StoreChange::Routes(document) => self.adopt_routes(document),
+            StoreChange::Server(entry) => self.note_server(entry, now),
+            StoreChange::ServerUnreadable { id, revision } => {
+                sync::Arc::make_mut(&mut self.directory).note_unreadable(id, revision);
+                self.tell_server(id);
+            }
+            StoreChange::ServerRemoved { id, revision } => {
+                sync::Arc::make_mut(&mut self.directory).note_removed(id, revision, now);
+                self.tell_server(id);
+            }
+            StoreChange::EvacuationBegun { domain, revision } => {
+                self.note_evacuation(domain, EvacuationPhase::Lasting, revision);
+            }
+            StoreChange::EvacuationEnded { domain, revision } => {
+                self.note_evacuation(domain, EvacuationPhase::Ended { at: now }, revision);
+            }
+        }
+    }
+
+    fn note_evacuation(
+        &mut self,
+        domain: DomainId,
+        phase: EvacuationPhase,
+        changed: StoreRevision,
+    ) {
+        let evacuation = EvacuationRecord {
+            domain,
+            phase,
+            changed,
+        };
+        if sync::Arc::make_mut(&mut self.directory).note_evacuation(evacuation) {
+            self.tell_evacuations([evacuation]);
+        }
+    }
+
+    pub(super) fn tell_evacuations(
+        &mut self,
+        evacuations: impl IntoIterator<Item = EvacuationRecord>,
+    ) {
+        let evacuations = evacuations.into_iter();
+        let changes = evacuations.map(|evacuation| BeliefChange::EvacuationChanged { evacuation });
+        self.changes.extend(changes);
+    }
+
+    fn tell_server(&mut self, id: BackendId) {
+        if let Some(server) = self.directory.get(id).cloned() {
+            self.changes.push(BeliefChange::ServerChanged { server });
+        }
+    }
+
+    fn note_server(&mut self, entry: ServerEntry, now: Timestamp) {
+        let server = entry.into_record(now);
+        sync::Arc::make_mut(&mut self.directory).note(server.clone());
+        self.changes.push(BeliefChange::ServerChanged { server });
+    }
+
+    fn adopt_routes(&mut self, document: RouteDocument) {
+        if document.version <= self.routes.version() {
+            return;
+        }
+        sync::Arc::make_mut(&mut self.routes).adopt(document);
+        self.note_configuration();
+    }
+
+    pub(super) fn note_configuration(&mut self) {
+        self.changes.push(BeliefChange::ConfigurationInForce {
+            version: self.routes.version(),
+            routes: self.routes.len(),
+        });
+    }
+}
+
+impl ServerEntry {
+    fn into_record(self, now: Timestamp) -> ServerRecord {
+        ServerRecord {
+            id: self.id,
+            started: self.started,
+            address: self.address,
+            service: self.service,
+            domain: self.domain,
+            slots: self.slots,
+            phase: if self.draining {
+                ServerPhase::Draining
+            } else {
+                ServerPhase::Active
+            },
+            warm_at: now.after(self.cold_left),
+            changed: self.revision,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/openings.rs
@@ -0,0 +1,211 @@
+//! What the engine does with openings: it places them, and moves copies that a server
+//! left without an answer.
+
+use cardamomwinch_state::prelude::{BackendId, ServiceId};
+
+use crate::forwarding::directory::{ServerPhase, ServerRecord};
+use crate::forwarding::engine::{ForwardingEngine, ForwardingSink, PacketContext};
+use crate::forwarding::flow_watch::{self, FlowStage, WatchedFlow};
+use crate::forwarding::packet::FlowToken;
+use crate::forwarding::permission::FlowPermission;
+use crate::forwarding::placement::PlacementQuestion;
+use crate::forwarding::record::ForwardingOutcome;
+use crate::forwarding::routes;
+
+/// Copies of an opening after which the caller gives up.
+const LAST_COPY: u32 = 2;
+
+impl ForwardingEngine {
+    pub(super) fn open<S: ForwardingSink>(
+        &mut self,
+        context: &PacketContext<'_>,
+        copy: u32,
+        sink: &mut S,
+    ) {
+        let Some(route) = context.route else {
+            return Self::refuse_route(context, copy, sink);
+        };
+        let Some(service) = route.service_for(context.hash) else {
+            return self.refuse_server(context, None, copy, sink);
+        };
+        match self.watch.get(context.hash, &context.packet.flow).copied() {
+            Some(watched) => self.repeat_opening(context, service, watched, copy, sink),
+            None => self.place(context, service, copy, sink),
+        }
+    }
+
+    fn refuse_route<S: ForwardingSink>(context: &PacketContext<'_>, copy: u32, sink: &mut S) {
+        // A host that lags behind must not refuse a route that was just added;
+        // the caller's next copy may meet another host, or this one later.
+        if context.view.is_usable() && context.view.is_complete(context.now) {
+            sink.reset();
+            context.record(ForwardingOutcome::NoRouteReset, None, copy, 0, sink);
+        } else {
+            sink.hold();
+            context.record(ForwardingOutcome::NoRouteHeld, None, copy, 0, sink);
+        }
+    }
+
+    fn refuse_server<S: ForwardingSink>(
+        &self,
+        context: &PacketContext<'_>,
+        service: Option<ServiceId>,
+        copy: u32,
+        sink: &mut S,
+    ) {
+        let forbids_all =
+            |service: ServiceId| self.permission(context, service).forbids_all(service);
+        if context.view.is_complete(context.now) && service.is_some_and(forbids_all) {
+            sink.reset();
+            return context.record(ForwardingOutcome::ForbiddenReset, None, copy, 0, sink);
+        }
+        // A server may come between two copies. After the last one the caller
+        // would only wait in vain.
+        if copy >= LAST_COPY {
+            sink.reset();
+            context.record(ForwardingOutcome::NoServerReset, None, copy, 0, sink);
+        } else {
+            sink.hold();
+            context.record(ForwardingOutcome::NoServerHeld, None, copy, 0, sink);
+        }
+    }
+
+    /// Which servers of `service` operators let the flow at hand go to.
+    fn permission<'a>(
+        &'a self,
+        context: &PacketContext<'a>,
+        service: ServiceId,
+    ) -> FlowPermission<'a> {
+        let regions = context.route.map(|route| route.regions.as_slice());
+        let allowed = regions.unwrap_or_default();
+        FlowPermission::new(context.view, service, allowed, &self.cold, context.now)
+    }
+
+    /// A new flow goes to `server`.
+    fn note_cold(&mut self, context: &PacketContext<'_>, server: &ServerRecord) {
+        if self.permission(context, server.service).is_bounded(server) {
+            self.cold.note(server.id, context.now);
+        }
+    }
+
+    fn question<'a>(
+        &'a self,
+        context: &PacketContext<'a>,
+        service: ServiceId,
+    ) -> PlacementQuestion<'a> {
+        let goal = context.route.map(|route| route.latency_goal);
+        PlacementQuestion {
+            directory: &context.view.directory,
+            progress: &self.progress,
+            reports: &context.view.reports,
+            domain: context.view.domain,
+            permission: self.permission(context, service),
+            service,
+            subject: routes::server_subject(context.hash),
+            latency_goal: goal.unwrap_or_default(),
+            is_short: self.lifetimes.are_short(&context.packet.flow.service),
+            now: context.now,
+        }
+    }
+
+    fn place<S: ForwardingSink>(
+        &mut self,
+        context: &PacketContext<'_>,
+        service: ServiceId,
+        copy: u32,
+        sink: &mut S,
+    ) {
+        let question = self.question(context, service);
+        let caller = context.caller();
+        let avoid = |id: BackendId| self.recent.contains(caller, id, context.now);
+        let Some(server) = question.choose(avoid).cloned() else {
+            return self.refuse_server(context, Some(service), copy, sink);
+        };
+        let watched = WatchedFlow::opening(server.id, copy, context.is_idempotent(), context.now);
+        self.start_watching(context, watched);
+        self.note_cold(context, &server);
+        self.progress.note_opening(server.id, context.now);
+        self.recent.note(caller, server.id, context.now);
+        sink.send(&server, FlowToken::of_server(server.id));
+        let flows = self.progress.flows(server.id);
+        let outcome = ForwardingOutcome::OpeningPlaced;
+        context.record(outcome, Some(&server), copy, flows, sink);
+    }
+
+    fn repeat_opening<S: ForwardingSink>(
+        &mut self,
+        context: &PacketContext<'_>,
+        service: ServiceId,
+        mut watched: WatchedFlow,
+        copy: u32,
+        sink: &mut S,
+    ) {
+        let earlier = watched.server;
+        // Copies that waited together, in this process or before it, come in one
+        // burst and say nothing about the server.
+        let waited = context.now.since(watched.seen_at) >= flow_watch::LEAST_PATIENCE;
+        let is_copy = match watched.stage {
+            FlowStage::Opening { copy: last, .. } => copy > last && waited,
+            FlowStage::Open => false,
+        };
+        if is_copy {
+            let proven = self.deliveries.was_open_at(watched.seen_at);
+            let sent_at = watched.seen_at;
+            self.reach.note_unopened(earlier, sent_at);
+            self.progress
+                .note_unanswered(earlier, sent_at, proven, context.now);
+            if proven {
+                self.report_silence(earlier, context.now);
+            }
+        }
+        let question = self.question(context, service);
+        let avoid = |id: BackendId| is_copy && (id == earlier || watched.was_tried(id));
+        let permission = self.permission(context, service);
+        let still_active = |server: &&ServerRecord| {
+            server.phase == ServerPhase::Active && permission.admits_domain(server.domain)
+        };
+        let known = context.view.directory.get(earlier).filter(still_active);
+        let chosen = if is_copy || known.is_none() {
+            question.choose(avoid)
+        } else {
+            known
+        };
+        let Some(server) = chosen.cloned() else {
+            return self.refuse_server(context, Some(service), copy, sink);
+        };
+        watched.seen_at = context.now;
+        let outcome = if server.id == earlier {
+            ForwardingOutcome::OpeningRepeated
+        } else {
+            if watched.counted {
+                self.progress.remove_flow(earlier);
+            }
+            watched.counted = true;
+            self.progress.add_flow(server.id, context.now);
+            self.note_cold(context, &server);
+            ForwardingOutcome::OpeningMoved
+        };
+        watched.move_opening(server.id, copy);
+        self.progress.note_opening(server.id, context.now);
+        if let Some(entry) = self.watch.get_mut(context.hash, &context.packet.flow) {
+            *entry = watched;
+        }
+        sink.send(&server, FlowToken::of_server(server.id));
+        let flows = self.progress.flows(server.id);
+        context.record(outcome, Some(&server), copy, flows, sink);
+    }
+
+    /// Watches a flow. A full table loses the count of it and nothing else.
+    pub(super) fn start_watching(&mut self, context: &PacketContext<'_>, watched: WatchedFlow) {
+        let flow = context.packet.flow;
+        match self.watch.insert(context.hash, flow, watched) {
+            Ok(replaced) => {
+                if let Some(replaced) = replaced.filter(|replaced| replaced.counted) {
+                    self.progress.remove_flow(replaced.server);
+                }
+                self.progress.add_flow(watched.server, context.now);
+            }
+            Err(_) => self.unwatched += 1,
+        }
+    }
+}
--- a/crates/cardamomwinch_coordination/src/forwarding/progress.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/progress.rs
@@ -353,9 +353,7 @@
     /// before their callers send something into the void.
     ///
     /// The sooner the better: each caller with such a flow asks about once a second, and
-    /// what it asks is late where it must be sent again. Five silent flows and a whole
-    /// second, as it was before losses were told from those of this host, cost 0.009 of
-    /// all worth where a third of the servers is cut off for five seconds.
+    /// what it asks is late where it must be sent again.
     pub fn take_absent(&mut self, now: Timestamp) -> Option<BackendId> {
         let absent = |entry: &ServerProgress| {
             let flows = if entry.lost_thrice { 1 } else { SILENT_FLOWS };
--- a/crates/cardamomwinch_coordination/src/forwarding/slowness.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/slowness.rs
@@ -4,8 +4,7 @@
 //! it is well. It has no more flows than others and so got as many new ones; it shows
 //! as answers that are late on one server only. Judged by what callers wait, it gets
 //! fewer flows in proportion. The flows that it holds go on to measure it, and without
-//! measurements for two seconds it counts as any other. Where a sixth of the servers is
-//! five times slower for some seconds, this wins a quarter of what is lost otherwise.
+//! measurements for two seconds it counts as any other.
 
 use std::time;
 
