End no flow for openings that are not confirmed

Cause: a confirmation passes another host after a change of the rotation. Three openings on two hosts then stood for a server that has gone; where nobody asked it anything for half a second, nothing refuted that, and its idle flows were ended although it served.

Change: openings are a subject of their own, which keeps new flows away and ends nothing. The test failed before: idle flows were ended after 0.5 s.

--- a/crates/cardamomwinch_coordination/src/forwarding/engine/upkeep.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/upkeep.rs
@@ -74,13 +74,14 @@
     ///
     /// Guards against servers that crash together: each resets callers at once, so that it
     /// seems idle and draws openings on every host, which would each have to learn of it.
-    /// It shows as callers that use up their retries within milliseconds.
+    /// It shows as callers that use up their retries within milliseconds. It only keeps new
+    /// flows away: after a change of the rotation confirmations pass other hosts.
     fn report_unconfirmed(&mut self, now: Timestamp) {
         let unconfirmed = self.progress.take_unconfirmed(now);
         for (server, flows, since) in unconfirmed {
             if self.deliveries.was_open_at(since) && !self.deliveries.is_in_doubt(now) {
                 let silence = ServerSilence { flows, since };
-                let subject = ReportSubject::Delivery;
+                let subject = ReportSubject::Openings;
                 self.reports.note_silence(server, subject, silence, now);
             }
         }
--- a/crates/cardamomwinch_coordination/src/forwarding/progress.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/progress.rs
@@ -308,7 +308,7 @@
     pub fn well_at(&self, server: BackendId, subject: ReportSubject) -> Option<Timestamp> {
         let entry = self.servers.get(&server)?;
         match subject {
-            ReportSubject::Delivery => entry.lively_at,
+            ReportSubject::Delivery | ReportSubject::Openings => entry.lively_at,
             ReportSubject::Answers => entry.answered_at,
         }
     }
--- a/crates/cardamomwinch_coordination/src/forwarding/server_reports.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/server_reports.rs
@@ -54,16 +54,19 @@
 /// What a report is about.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ReportSubject {
-    /// Whether the server takes what is sent to it.
+    /// Whether the server takes the data that are sent to it, which callers send again
+    /// through the same host. Only this ends flows.
     Delivery,
+    /// Whether it confirms openings. The confirmation may pass another host.
+    Openings,
     /// Whether it answers requests. One that takes them and answers none is lost for its
-    /// callers as well, whatever it says of itself.
+    /// callers as well, whatever it says of itself. An answer may pass another host, too.
     Answers,
 }
 
 impl ReportSubject {
     /// Every subject.
-    pub const ALL: [Self; 2] = [Self::Delivery, Self::Answers];
+    pub const ALL: [Self; 3] = [Self::Delivery, Self::Openings, Self::Answers];
 }
 
 /// What flows on a server waited for in vain.
--- a/crates/cardamomwinch_coordination/tests/forwarding_reports.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_reports.rs
@@ -508,3 +508,33 @@
     assert!(reports.mentions(near_server(1).id));
     assert!(!reports.is_silent(near_server(1).id, DELIVERY, answered_at, at(2_600)));
 }
+
+/// The rotation of the fabric changes while openings are under way: the hosts that placed
+/// them never see them confirmed, since the callers' next packets pass others. It is late,
+/// and nobody asks a server anything for a second. Sessions that rest there must stay.
+#[test]
+fn openings_that_others_saw_confirmed_end_no_flow() {
+    let mut domain = Domain::new(4, 1);
+    establish_everywhere(&mut domain, 3);
+    let elsewhere = far_server(1);
+    for (index, host) in domain.hosts.iter_mut().enumerate() {
+        host.change(|directory| directory.note(elsewhere.clone()));
+        let number = index as u16;
+        // Something else that the host sends at that moment arrives.
+        host.handle(at(2_000), &data(30_000 + number, elsewhere.id, 500, 1, 80));
+        host.open(at(2_000), 20_000 + number);
+        host.handle(
+            at(2_030),
+            &data(30_000 + number, elsewhere.id, 580, 3_001, 0),
+        );
+    }
+    for step in 4..200 {
+        for host in &mut domain.hosts {
+            host.tick(at(2_000 + step * 10));
+            assert!(host.ended.is_empty(), "{} ms later", step * 10);
+        }
+        domain.exchange(2_000 + step * 10);
+    }
+    let reports = &domain.hosts[0].view.reports;
+    assert!(reports.mentions(near_server(1).id), "it gets no new flows");
+}
--- a/crates/cardamomwinch_forwarder/src/peer_wire/reports.rs
+++ b/crates/cardamomwinch_forwarder/src/peer_wire/reports.rs
@@ -14,6 +14,9 @@
     /// Whether the server takes what is sent to it.
     #[serde(rename = "d")]
     Delivery,
+    /// Whether it confirms openings.
+    #[serde(rename = "o")]
+    Openings,
     /// Whether it answers requests.
     #[serde(rename = "a")]
     Answers,
@@ -23,6 +26,7 @@
     fn from(subject: ReportSubject) -> Self {
         match subject {
             ReportSubject::Delivery => Self::Delivery,
+            ReportSubject::Openings => Self::Openings,
             ReportSubject::Answers => Self::Answers,
         }
     }
@@ -32,6 +36,7 @@
     fn from(subject: WireSubject) -> Self {
         match subject {
             WireSubject::Delivery => Self::Delivery,
+            WireSubject::Openings => Self::Openings,
             WireSubject::Answers => Self::Answers,
         }
     }
