Tell the revision of each change of a server, and changes that are not taken over

The lines tell the first hypothesis from the others already: five followers have no line of a change that all four readers have, their words are fresh, and the revisions of listings go from 26 back to 24. They do not show the second one: server_changed was printed also where a later record was known and the change was dropped, and without its revision. The line carries the revision now, and a dropped change is change_outdated.

--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
@@ -20,7 +20,9 @@
 use std::sync;
 use std::time;
 
-use cardamomwinch_state::prelude::{ConfigurationVersion, DomainId, ServiceId, Timestamp};
+use cardamomwinch_state::prelude::{
+    BackendId, ConfigurationVersion, DomainId, ServiceId, Timestamp,
+};
 
 use crate::forwarding::beliefs::own_servers::OwnServices;
 use crate::forwarding::beliefs::peer_book::PeerBook;
@@ -77,6 +79,15 @@
         /// The server as it is known now.
         server: ServerRecord,
     },
+    /// The store said something of a server, and something later is known of it.
+    ChangeOutdated {
+        /// The server.
+        server: BackendId,
+        /// The revision of what the store said.
+        revision: StoreRevision,
+        /// The revision of what is known.
+        known: StoreRevision,
+    },
     /// Operators have begun or ended the evacuation of a failure domain.
     EvacuationChanged {
         /// The evacuation as it is known now.
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_changes.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_changes.rs
@@ -152,10 +152,25 @@
 
     fn note_server(&mut self, entry: ServerEntry, now: Timestamp) {
         let server = entry.into_record(now);
-        sync::Arc::make_mut(&mut self.directory).note(server.clone());
+        let directory = sync::Arc::make_mut(&mut self.directory);
+        if directory.knows_later(&server) {
+            self.tell_outdated(&server);
+            return;
+        }
+        directory.note(server.clone());
         self.changes.push(BeliefChange::ServerChanged { server });
     }
 
+    fn tell_outdated(&mut self, server: &ServerRecord) {
+        if let Some(known) = self.directory.get(server.id) {
+            self.changes.push(BeliefChange::ChangeOutdated {
+                server: server.id,
+                revision: server.changed,
+                known: known.changed,
+            });
+        }
+    }
+
     fn adopt_routes(&mut self, document: RouteDocument) {
         if document.version <= self.routes.version() {
             return;
--- a/crates/cardamomwinch_coordination/src/forwarding/directory.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/directory.rs
@@ -254,7 +254,8 @@
         }
     }
 
-    fn knows_later(&self, record: &ServerRecord) -> bool {
+    /// Whether something later than `record` is known of its server.
+    pub fn knows_later(&self, record: &ServerRecord) -> bool {
         let known = self.servers.get(&record.id);
         known.is_some_and(|known| known.changed > record.changed)
     }
--- a/crates/cardamomwinch_forwarder/src/belief_lines.rs
+++ b/crates/cardamomwinch_forwarder/src/belief_lines.rs
@@ -34,6 +34,17 @@
         phase: &'static str,
         /// When its process started, where it says so.
         started: Option<u64>,
+        /// The revision that changed it.
+        revision: u64,
+    },
+    /// The store said something of a server, and something later is known.
+    Outdated {
+        /// The incarnation.
+        server: String,
+        /// The revision of what the store said.
+        revision: u64,
+        /// The revision of what is known.
+        known_revision: u64,
     },
     /// An evacuation began or ended.
     Evacuation {
@@ -119,6 +130,7 @@
             domain: server.domain.to_string(),
             phase: phase_name(server.phase),
             started: server.started.map(ServerStart::get),
+            revision: server.changed.get(),
         }
     }
 }
@@ -131,6 +143,15 @@
                 routes: *routes,
             },
             BeliefChange::ServerChanged { server } => server.into(),
+            BeliefChange::ChangeOutdated {
+                server,
+                revision,
+                known,
+            } => Self::Outdated {
+                server: server.to_string(),
+                revision: revision.get(),
+                known_revision: known.get(),
+            },
             BeliefChange::EvacuationChanged { evacuation } => Self::Evacuation {
                 domain: evacuation.domain.to_string(),
                 evacuated: evacuation.is_lasting(),
@@ -174,6 +195,7 @@
         match self {
             Self::Configuration { .. } => "configuration_in_force",
             Self::Server { .. } => "server_changed",
+            Self::Outdated { .. } => "change_outdated",
             Self::Evacuation {
                 evacuated: true, ..
             } => "evacuation_begun",
