Play a store that comes back from a copy, and show what hosts then miss

The stand-in store can be restored from a copy, tells Store-Era in every answer, cuts calls that wait, and answers 410 to a watch from a revision that it does not have.

--- a/crates/cardamomwinch_forwarder/tests/support/store.rs
+++ b/crates/cardamomwinch_forwarder/tests/support/store.rs
@@ -57,10 +57,19 @@
     }
 }
 
+/// What the store held at one moment.
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    items: Vec<StoredItem>,
+    revision: u64,
+}
+
 #[derive(Debug, Default)]
 struct StoreState {
     items: Vec<StoredItem>,
     revision: u64,
+    /// How often the store came back from a copy.
+    era: u64,
     /// Changes up to this one are no longer told.
     forgotten: u64,
     fault: StoreFault,
@@ -82,9 +91,9 @@
     pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
 }
 
-fn respond(status: &str, body: &str) -> String {
+fn respond(era: u64, status: &str, body: &str) -> String {
     let length = body.len();
-    format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\n\r\n{body}")
+    format!("HTTP/1.1 {status}\r\nstore-era: {era}\r\ncontent-length: {length}\r\n\r\n{body}")
 }
 
 impl StandInStore {
@@ -144,6 +153,25 @@
         self.change(|state| state.forgotten = state.revision);
     }
 
+    /// A copy of what the store holds now.
+    pub fn copy(&self) -> StoreCopy {
+        self.change(|state| StoreCopy {
+            items: state.items.clone(),
+            revision: state.revision,
+        })
+    }
+
+    /// Comes back from `copy`: what was written since is gone, revisions are given out
+    /// again, and calls that wait are cut.
+    pub fn restore(&self, copy: StoreCopy) {
+        self.change(|state| {
+            state.items = copy.items;
+            state.revision = copy.revision;
+            state.forgotten = state.forgotten.min(copy.revision);
+            state.era += 1;
+        });
+    }
+
     /// Requests that would have changed something. A host must make none.
     pub fn writes(&self) -> Vec<String> {
         self.change(|state| state.writes.clone())
@@ -176,17 +204,17 @@
     /// The answer; `None` closes the connection.
     fn answer(&self, request: &str) -> Option<String> {
         let path = request.split(' ').nth(1)?;
-        let fault = self.change(|state| {
+        let (fault, era) = self.change(|state| {
             state.calls += 1;
             if !request.starts_with("GET ") {
                 state.writes.push(request.to_owned());
             }
-            state.fault
+            (state.fault, state.era)
         });
         match fault {
             StoreFault::None => {}
             StoreFault::Reset => return None,
-            StoreFault::Busy => return Some(respond("503 Service Unavailable", "")),
+            StoreFault::Busy => return Some(respond(era, "503 Service Unavailable", "")),
             StoreFault::Silent => {
                 self.wait_while(|state| state.fault == StoreFault::Silent);
                 return None;
@@ -220,30 +248,34 @@
             .collect();
         let (items, revision) = (items.join(","), state.revision);
         let body = format!(r#"{{"items":[{items}],"has-more":{more},"as-of":{revision}}}"#);
-        respond("200 OK", &body)
+        respond(state.era, "200 OK", &body)
     }
 
     fn watch(&self, after: u64) -> Option<String> {
         let (state, changed) = &*self.state;
         let mut state = state.lock().unwrap();
         let deadline = time::Instant::now() + LONGEST_WAIT;
-        while state.revision <= after && !state.fault.is_outage() {
+        let era = state.era;
+        if after > state.revision {
+            return Some(respond(era, "410 Gone", ""));
+        }
+        while state.revision <= after && !state.fault.is_outage() && state.era == era {
             let left = deadline.saturating_duration_since(time::Instant::now());
             if left.is_zero() {
                 break;
             }
             state = changed.wait_timeout(state, left).unwrap().0;
         }
-        if state.fault.is_outage() {
+        if state.fault.is_outage() || state.era != era {
             return None;
         }
         if after < state.forgotten {
-            return Some(respond("410 Gone", ""));
+            return Some(respond(era, "410 Gone", ""));
         }
         let news = state.items.iter().filter(|item| item.revision > after);
         let events: Vec<_> = news.map(StoredItem::json).collect();
         let (events, revision) = (events.join(","), state.revision);
         let body = format!(r#"{{"events":[{events}],"as-of":{revision}}}"#);
-        Some(respond("200 OK", &body))
+        Some(respond(era, "200 OK", &body))
     }
 }
