Order what the store says by its era first, and list everything where the era changed

Callers saw new flows on a backend server more than 3 s after its word that it leaves.

Cause: a revision was taken for a moment in the life of the store. A store that comes back from a copy gives numbers out again; each host kept the maximum that it had ever seen, 26, while the store went on from 24. Readers, who watch from their listing, heard of the server's word with number 25, but told the hosts that learn from them only what is later than those hosts' 26. Class of fault: an order that outside systems may take back, remembered as if it only rose.

Ruled out: late words (the follower's view is 0.2 to 1.3 s old), a follower that knows and places all the same (no line, and the reader places nothing there). A host that refuses what it reads was not what happened, but is the same cause and failed in a test of its own.

Change: StoreRevision is the era and the number, in this order, so that all that orders or remembers by it keeps its meaning: records, evacuations, what was forgotten, questions, answers, waiting questions, the watch, faults that were told once. Changes that come in another era than they were asked from are not used, nor are pages of two eras put together; everything is listed. A new era is logged, and what is missing says nothing for three seconds.

Why it works: whatever a later era says is after all of the earlier one, so a host that asks with a revision of the era before is told all that is listed and all that the listing took away.

Checks: answers_are_printed::beliefs expects the line of the era now, as exact as before.

--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
@@ -14,6 +14,7 @@
 pub mod store_call;
 mod store_changes;
 pub mod store_reader;
+pub mod store_revision;
 pub mod waiting_questions;
 
 use std::net;
@@ -113,6 +114,13 @@
         /// How long it could not be read.
         silence: time::Duration,
     },
+    /// The store came back from a copy of itself.
+    StoreRestored {
+        /// The last revision that was known.
+        last: StoreRevision,
+        /// The first one of the new era that is known.
+        first: StoreRevision,
+    },
     /// A peer does not answer.
     PeerLost {
         /// The peer.
@@ -381,6 +389,19 @@
         }
     }
 
+    /// Notes that `revision` is known now, where it shows that the store came back from a
+    /// copy. What is missing then says nothing until it is written again.
+    fn note_era(&mut self, now: Timestamp, revision: StoreRevision) {
+        if self.knows_nothing() || revision.era() <= self.revision.era() {
+            return;
+        }
+        self.silent_at = Some(now);
+        self.changes.push(BeliefChange::StoreRestored {
+            last: self.revision,
+            first: revision,
+        });
+    }
+
     /// Ages what is known. To be called every half second.
     pub fn tick(&mut self, now: Timestamp) {
         let lifetime = self.settings.flow_lifetime;
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_exchange.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_exchange.rs
@@ -203,6 +203,7 @@
         let servers = word.servers.into_iter();
         let servers: Vec<_> = servers.map(|server| server.into_record(now)).collect();
         if revision > self.revision {
+            self.note_era(now, revision);
             let evacuations = word.evacuations.into_iter();
             let evacuations: Vec<_> = evacuations.map(|one| one.into_record(now)).collect();
             self.take_evacuations(now, &evacuations, word.all_servers, revision);
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_call.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_call.rs
@@ -9,42 +9,9 @@
 use cardamomwinch_state::prelude::{BackendId, DomainId, ServiceId, SlotCount};
 use serde::{Deserialize, Serialize};
 
+pub use crate::forwarding::beliefs::store_revision::{StoreEra, StoreRevision};
 use crate::forwarding::routes::RouteDocument;
 
-/// The revision of the store: rises with each change of any key.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-#[derive(Serialize, Deserialize)]
-pub struct StoreRevision(u64);
-
-impl StoreRevision {
-    /// Before every change.
-    pub const ZERO: Self = Self(0);
-
-    /// Wraps a number of the store.
-    pub const fn new(number: u64) -> Self {
-        Self(number)
-    }
-
-    /// The number.
-    pub const fn get(self) -> u64 {
-        self.0
-    }
-}
-
-impl fmt::Display for StoreRevision {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(formatter)
-    }
-}
-
-impl str::FromStr for StoreRevision {
-    type Err = num::ParseIntError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        text.parse().map(Self)
-    }
-}
-
 /// When a process of a server started, in milliseconds since the Unix epoch by the
 /// clock of its own host. A server that starts again may keep its identifier; only
 /// this tells that it is another incarnation, which holds no flow of the earlier one.
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_changes.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_changes.rs
@@ -27,6 +27,7 @@
     ) {
         match step {
             store_reader::ReadStep::Listing { items, revision } => {
+                self.note_era(now, revision);
                 self.take_listing(now, items, revision);
                 self.advance(said_at, revision);
             }
@@ -94,6 +95,10 @@
     }
 
     fn advance(&mut self, said_at: Timestamp, revision: StoreRevision) {
+        if revision.era() < self.revision.era() {
+            // Said before the store came back from a copy.
+            return;
+        }
         self.revision = self.revision.max(revision);
         self.heard_at = self.heard_at.max(said_at);
     }
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_reader.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_reader.rs
@@ -6,7 +6,9 @@
 
 use cardamomwinch_state::flow;
 
-use crate::forwarding::beliefs::store_call::{StoreCall, StoreChange, StoreOutcome, StoreRevision};
+use crate::forwarding::beliefs::store_call::{
+    StoreCall, StoreChange, StoreEra, StoreOutcome, StoreRevision,
+};
 
 /// The pause after a first failure. Most failures are connections that broke.
 const FIRST_PAUSE: time::Duration = time::Duration::from_millis(50);
@@ -77,6 +79,8 @@
 #[derive(Debug)]
 pub struct StoreReader {
     state: ReaderState,
+    /// The era of the revision from which changes were asked for last.
+    asked_era: StoreEra,
     watch_wait: time::Duration,
     pause: Option<time::Duration>,
     failures: u32,
@@ -88,6 +92,7 @@
     pub const fn new(watch_wait: time::Duration, jitter_seed: u64) -> Self {
         Self {
             state: ReaderState::FIRST_PAGE,
+            asked_era: StoreEra::FIRST,
             watch_wait,
             pause: None,
             failures: 0,
@@ -101,7 +106,7 @@
     }
 
     /// The next call. What is known is as old as `age`.
-    pub fn next_call(&self, age: time::Duration) -> StoreCall {
+    pub fn next_call(&mut self, age: time::Duration) -> StoreCall {
         if let Some(pause) = self.pause {
             return StoreCall::Pause(pause);
         }
@@ -109,14 +114,17 @@
             ReaderState::Listing { after, .. } => StoreCall::List {
                 after: after.clone(),
             },
-            ReaderState::Watching { after } => StoreCall::Watch {
-                after: *after,
-                wait: if age >= OLD_AGE {
-                    time::Duration::ZERO
-                } else {
-                    self.watch_wait.min(LONGEST_WATCH)
-                },
-            },
+            ReaderState::Watching { after } => {
+                self.asked_era = after.era();
+                StoreCall::Watch {
+                    after: *after,
+                    wait: if age >= OLD_AGE {
+                        time::Duration::ZERO
+                    } else {
+                        self.watch_wait.min(LONGEST_WATCH)
+                    },
+                }
+            }
         }
     }
 
@@ -191,8 +199,13 @@
         else {
             return None;
         };
-        items.extend(page);
         let first = *revision.get_or_insert(page_revision);
+        if first.era() != page_revision.era() {
+            // Pages of two eras do not belong together.
+            self.state = ReaderState::FIRST_PAGE;
+            return None;
+        }
+        items.extend(page);
         if next.is_some() {
             *after = next;
             return None;
@@ -213,6 +226,13 @@
         let ReaderState::Watching { after } = &mut self.state else {
             return None;
         };
+        if revision.era() != self.asked_era {
+            // The number that was asked from means another change now, so that what came
+            // before these changes may never have been read.
+            self.pause = (revision.era() < after.era()).then_some(GATHERING_PAUSE);
+            self.state = ReaderState::FIRST_PAGE;
+            return None;
+        }
         *after = revision.max(*after);
         if !changes.is_empty() {
             self.pause = Some(GATHERING_PAUSE);
--- /dev/null
+++ b/crates/cardamomwinch_coordination/tests/forwarding_restored.rs
@@ -0,0 +1,244 @@
+//! What hosts believe after the store has come back from a copy of itself.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod forwarding_support;
+
+use std::net;
+
+use cardamomwinch_coordination::forwarding::beliefs::peer_word::PeerWord;
+use cardamomwinch_coordination::forwarding::beliefs::store_call::{
+    StoreCall, StoreChange, StoreEra, StoreOutcome, StoreRevision,
+};
+use cardamomwinch_coordination::forwarding::beliefs::{BeliefChange, BeliefEngine, BeliefSettings};
+use cardamomwinch_coordination::forwarding::directory::ServerPhase;
+use cardamomwinch_coordination::forwarding::regions::DomainRegions;
+use forwarding_support::fleet::{Fleet, SETTLED};
+use forwarding_support::*;
+
+fn host_address(number: u8) -> net::SocketAddr {
+    net::SocketAddr::from(([10, 1, 0, number], 8166))
+}
+
+fn engine(number: u8) -> BeliefEngine {
+    let settings = BeliefSettings {
+        domain: domain("near"),
+        regions: DomainRegions::default(),
+        address: host_address(number),
+        seeds: vec![host_address(1), host_address(2)],
+        flow_lifetime: millis(60_000),
+        watch_wait: millis(2_000),
+    };
+    BeliefEngine::new(settings, number.into())
+}
+
+fn revision(era: u64, number: u64) -> StoreRevision {
+    StoreRevision::in_era(StoreEra::new(era), number)
+}
+
+fn entry(number: u64, era: u64, written: u64, draining: bool) -> StoreChange {
+    server_entry_at(number, revision(era, written), draining)
+}
+
+/// A page with a route and `more`, read at `number` of `era`; `next` where more follow.
+fn page(more: Vec<StoreChange>, era: u64, number: u64, next: Option<&str>) -> StoreOutcome {
+    let routes = document(1, vec![(service_address(), route(true))]);
+    let mut items = vec![StoreChange::Routes(routes)];
+    items.extend(more);
+    StoreOutcome::Page {
+        items,
+        revision: revision(era, number),
+        next: next.map(str::to_owned),
+    }
+}
+
+fn watched(changes: Vec<StoreChange>, era: u64, number: u64) -> StoreOutcome {
+    StoreOutcome::Changes {
+        changes,
+        revision: revision(era, number),
+    }
+}
+
+/// A host that knows servers 1 and 2, and `more`, at revision 26 of the first era.
+fn started(number: u8, more: Vec<StoreChange>) -> BeliefEngine {
+    let mut engine = engine(number);
+    let mut items = vec![entry(1, 1, 5, false), entry(2, 1, 6, false)];
+    items.extend(more);
+    engine.handle_store(at(0), page(items, 1, 26, None));
+    engine.next_store_call(at(10));
+    engine.take_changes();
+    engine
+}
+
+/// The store is back from a copy of revision 24: all that the host knew is asked anew.
+fn restored(engine: &mut BeliefEngine, moment: u64, items: Vec<StoreChange>) {
+    engine.handle_store(at(moment), StoreOutcome::HistoryGone);
+    let call = engine.next_store_call(at(moment));
+    assert_eq!(call, StoreCall::List { after: None });
+    engine.handle_store(at(moment), page(items, 2, 24, None));
+}
+
+fn phase(engine: &BeliefEngine, number: u64) -> Option<ServerPhase> {
+    let view = engine.view();
+    Some(view.directory.get(near_server(number).id)?.phase)
+}
+
+/// What `teller` answers `asker` now.
+fn ask(teller: &mut BeliefEngine, asker: &mut BeliefEngine, moment: u64) -> PeerWord {
+    let (_, question) = asker.next_peer(at(moment)).unwrap();
+    teller.answer_peer(at(moment), &question)
+}
+
+/// New flows on a leaving server: its change had a number that followers had passed.
+#[test]
+fn a_change_reaches_all_hosts_although_its_number_was_given_out_before() {
+    let mut fleet = Fleet::settled(25);
+    for _ in 0..3 {
+        fleet.write(2, false);
+    }
+    fleet.run_until(SETTLED + 1_000);
+    fleet.restore(2);
+    fleet.run_until(SETTLED + 5_000);
+    let time = fleet.time_to_all();
+    assert!(time <= 500, "{time} ms");
+}
+
+/// New flows on a leaving server: the store restored twice, with hosts still catching up.
+#[test]
+fn a_change_reaches_all_hosts_after_two_restores_in_a_row() {
+    let mut fleet = Fleet::settled(25);
+    for _ in 0..4 {
+        fleet.write(2, false);
+    }
+    fleet.run_until(SETTLED + 1_000);
+    fleet.restore(2);
+    fleet.run_until(SETTLED + 1_100);
+    fleet.write(2, false);
+    fleet.run_until(SETTLED + 1_200);
+    fleet.restore(1);
+    let time = fleet.time_to_all();
+    assert!(time <= 2_500, "{time} ms");
+}
+
+/// A store that is back meets every host of a large domain with a listing of all.
+#[test]
+fn a_restored_store_is_read_by_few_hosts() {
+    let mut fleet = Fleet::settled(100);
+    fleet.write(2, false);
+    fleet.run_until(SETTLED + 1_000);
+    fleet.count_anew();
+    fleet.restore(1);
+    fleet.run_until(SETTLED + 6_000);
+    println!("{} calls, {} listings", fleet.calls, fleet.listings);
+    assert!(fleet.listings <= 10, "{} listings", fleet.listings);
+    assert!(fleet.calls <= 200, "{} calls", fleet.calls);
+}
+
+/// New flows on a leaving server: its entry had a higher number in the era before.
+#[test]
+fn what_a_later_era_says_is_later_whatever_its_number() {
+    let mut engine = started(1, vec![entry(1, 1, 25, false)]);
+    restored(&mut engine, 100, vec![entry(1, 2, 5, false)]);
+    let leaves = watched(vec![entry(1, 2, 25, true)], 2, 25);
+    engine.next_store_call(at(110));
+    engine.handle_store(at(200), leaves);
+    assert_eq!(phase(&engine, 1), Some(ServerPhase::Draining));
+    assert_eq!(engine.revision(), revision(2, 25));
+    let told = engine.take_changes();
+    let is_told = |change: &BeliefChange| matches!(change, BeliefChange::StoreRestored { .. });
+    assert_eq!(told.iter().filter(|one| is_told(one)).count(), 1);
+}
+
+/// New flows on a leaving server: the store has passed the number that is watched from.
+#[test]
+fn changes_of_another_era_than_was_asked_are_listed_instead() {
+    let mut engine = started(1, Vec::new());
+    engine.handle_store(at(100), watched(vec![entry(2, 2, 27, false)], 2, 27));
+    let call = engine.next_store_call(at(110));
+    assert_eq!(call, StoreCall::List { after: None });
+    let items = vec![entry(1, 2, 25, true), entry(2, 2, 27, false)];
+    engine.handle_store(at(120), page(items, 2, 27, None));
+    assert_eq!(phase(&engine, 1), Some(ServerPhase::Draining));
+}
+
+/// Changes that nobody read: a peer had told of the new era while the watch was on its way.
+#[test]
+fn a_watch_that_began_in_the_era_before_proves_nothing_of_this_one() {
+    let mut teller = started(1, Vec::new());
+    restored(
+        &mut teller,
+        50,
+        vec![entry(1, 2, 5, false), entry(2, 2, 6, false)],
+    );
+    let mut engine = started(2, Vec::new());
+    let word = ask(&mut teller, &mut engine, 60);
+    engine.handle_peer(at(61), host_address(1), Some(word));
+    assert_eq!(engine.revision(), revision(2, 24));
+    engine.handle_store(at(100), watched(vec![entry(2, 2, 28, false)], 2, 28));
+    assert_eq!(engine.revision(), revision(2, 24));
+    let call = engine.next_store_call(at(110));
+    assert_eq!(call, StoreCall::List { after: None });
+}
+
+/// Servers of two moments in one list: the store was restored between two pages.
+#[test]
+fn pages_of_two_eras_are_not_put_together() {
+    let mut engine = engine(1);
+    let first = page(vec![entry(1, 1, 5, false)], 1, 26, Some("servers/1"));
+    engine.handle_store(at(0), first);
+    engine.handle_store(at(10), page(vec![entry(2, 2, 6, false)], 2, 24, None));
+    assert!(!engine.view().is_usable());
+    let call = engine.next_store_call(at(20));
+    assert_eq!(call, StoreCall::List { after: None });
+}
+
+/// A leaving server taken for ready again: an answer of before came after the restore.
+#[test]
+fn what_the_store_said_before_its_restore_changes_nothing_after_it() {
+    let mut teller = started(1, Vec::new());
+    restored(
+        &mut teller,
+        50,
+        vec![entry(1, 2, 5, true), entry(2, 2, 6, false)],
+    );
+    let mut engine = started(2, Vec::new());
+    let word = ask(&mut teller, &mut engine, 60);
+    engine.handle_peer(at(61), host_address(1), Some(word));
+    let heard_at = engine.heard_at();
+    engine.handle_store(at(900), watched(vec![entry(1, 1, 27, false)], 1, 27));
+    assert_eq!(phase(&engine, 1), Some(ServerPhase::Draining));
+    assert_eq!(
+        (engine.revision(), engine.heard_at()),
+        (revision(2, 24), heard_at)
+    );
+}
+
+/// Open flows ended on servers that live: the copy lacks those that came after it.
+#[test]
+fn what_a_copy_lacks_says_nothing_until_it_is_written_again() {
+    let mut engine = started(1, Vec::new());
+    restored(&mut engine, 100, vec![entry(2, 2, 6, false)]);
+    assert!(matches!(
+        phase(&engine, 1),
+        Some(ServerPhase::Vanished { .. })
+    ));
+    assert!(!engine.view().is_complete(at(2_000)));
+}
+
+#[yare::parameterized(
+    numbers = { revision(1, 26), revision(1, 27) },
+    eras = { revision(1, 26), revision(2, 3) },
+    first_era = { StoreRevision::new(26), revision(1, 1) },
+)]
+fn revisions_are_ordered_by_era_first(earlier: StoreRevision, later: StoreRevision) {
+    assert!(earlier < later);
+    assert_eq!(later.to_string().parse::<StoreRevision>().unwrap(), later);
+}
+
+#[yare::parameterized(
+    no_point = { "26" },
+    no_number = { "2." },
+    words = { "one.two" },
+)]
+fn texts_that_are_no_revision_are_refused(text: &str) {
+    assert!(text.parse::<StoreRevision>().is_err());
+}
--- a/crates/cardamomwinch_coordination/tests/forwarding_support/fleet.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_support/fleet.rs
@@ -5,7 +5,7 @@
 
 use cardamomwinch_coordination::forwarding::beliefs::peer_word::PeerWord;
 use cardamomwinch_coordination::forwarding::beliefs::store_call::{
-    StoreCall, StoreChange, StoreOutcome, StoreRevision,
+    StoreCall, StoreChange, StoreEra, StoreOutcome, StoreRevision,
 };
 use cardamomwinch_coordination::forwarding::beliefs::waiting_questions::WaitingQuestions;
 use cardamomwinch_coordination::forwarding::beliefs::{BeliefEngine, BeliefSettings};
@@ -66,6 +66,8 @@
     pub hosts: Vec<SimulatedHost>,
     pub now: u64,
     pub revision: u64,
+    /// How often the store came back from a copy.
+    pub era: u64,
     /// Revision and state of the servers: draining or not.
     pub log: Vec<(u64, u64, bool)>,
     pub calls: usize,
@@ -95,6 +97,7 @@
             hosts: (0..count).map(|index| new_host(index, domains)).collect(),
             now: 0,
             revision: 10,
+            era: 1,
             log: vec![(9, 1, false), (10, 2, false)],
             calls: 0,
             listings: 0,
@@ -170,6 +173,22 @@
         self.log.push((self.revision, number, draining));
     }
 
+    /// The store comes back from a copy that lacks the last `lost` changes, and cuts
+    /// what waits.
+    pub fn restore(&mut self, lost: u64) {
+        self.era += 1;
+        self.revision -= lost;
+        let last = self.revision;
+        self.log.retain(|(written, ..)| *written <= last);
+        for host in &mut self.hosts {
+            let watches = |call: &PendingCall| matches!(call.call, StoreCall::Watch { .. });
+            if host.call.take_if(|call| watches(call)).is_some() {
+                let now = at(self.now);
+                host.engine.handle_store(now, StoreOutcome::Failed);
+            }
+        }
+    }
+
     pub fn run_until(&mut self, end: u64) {
         while self.now < end {
             self.now += STEP;
@@ -197,10 +216,13 @@
             Condition::TurnedAway => return Some(StoreOutcome::Failed),
             Condition::Running | Condition::Dead => {}
         }
-        let revision = StoreRevision::new(self.revision);
+        let in_era = |number| StoreRevision::in_era(StoreEra::new(self.era), number);
+        let revision = in_era(self.revision);
         let since = |after: u64| {
             let later = self.log.iter().filter(move |entry| entry.0 > after);
-            later.map(|(written, number, draining)| server_entry(*number, *written, *draining))
+            later.map(move |(written, number, draining)| {
+                server_entry_at(*number, in_era(*written), *draining)
+            })
         };
         match &call.call {
             StoreCall::Pause(_) => (self.now >= call.until).then_some(StoreOutcome::Paused),
@@ -214,6 +236,9 @@
                     next,
                 })
             }
+            StoreCall::Watch { after, .. } if after.get() > self.revision => {
+                Some(StoreOutcome::HistoryGone)
+            }
             StoreCall::Watch { after, .. } => {
                 let changes: Vec<_> = since(after.get()).collect();
                 let due = !changes.is_empty() || self.now >= call.until;
--- a/crates/cardamomwinch_coordination/tests/forwarding_support/mod.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_support/mod.rs
@@ -66,6 +66,11 @@
 
 /// What the store says of the near server `number`.
 pub fn server_entry(number: u64, written: u64, draining: bool) -> StoreChange {
+    server_entry_at(number, StoreRevision::new(written), draining)
+}
+
+/// The same, of any era.
+pub fn server_entry_at(number: u64, revision: StoreRevision, draining: bool) -> StoreChange {
     let server = near_server(number);
     StoreChange::Server(ServerEntry {
         id: server.id,
@@ -76,7 +81,7 @@
         slots: server.slots,
         draining,
         cold_left: millis(0),
-        revision: StoreRevision::new(written),
+        revision,
     })
 }
 
--- a/crates/cardamomwinch_ctl/src/report_text.rs
+++ b/crates/cardamomwinch_ctl/src/report_text.rs
@@ -189,6 +189,7 @@
         write_label(formatter, "complete", complete)?;
         write_label(formatter, "version", report.version)?;
         write_label(formatter, "routes", report.routes)?;
+        write_label(formatter, "store era", report.store_era)?;
         write_label(formatter, "revision", report.revision)?;
         if !report.evacuated_domains.is_empty() {
             write_label(formatter, "evacuated", report.evacuated_domains.join(" "))?;
--- a/crates/cardamomwinch_ctl/tests/host_command.rs
+++ b/crates/cardamomwinch_ctl/tests/host_command.rs
@@ -124,13 +124,14 @@
 version           7
 one of            0a 0b
 ";
-const BELIEFS: &str = r#"{"version":7,"revision":31,"view_age_ms":420,"source":"10.1.0.3:8166","complete":true,"routes":2,"evacuated_domains":["6d0f"],"peers":["10.1.0.3:8166","10.1.0.4:8166"],"servers":[{"server":"0a","address":"10.1.64.3:8301","service":"5e","own_domain":true,"phase":"draining"}]}"#;
+const BELIEFS: &str = r#"{"version":7,"store_era":2,"revision":31,"view_age_ms":420,"source":"10.1.0.3:8166","complete":true,"routes":2,"evacuated_domains":["6d0f"],"peers":["10.1.0.3:8166","10.1.0.4:8166"],"servers":[{"server":"0a","address":"10.1.64.3:8301","service":"5e","own_domain":true,"phase":"draining"}]}"#;
 const BELIEFS_TEXT: &str = "\
 source            10.1.0.3:8166
 age               420 ms
 complete          yes
 version           7
 routes            2
+store era         2
 revision          31
 evacuated         6d0f
 hosts known       2
--- a/crates/cardamomwinch_forwarder/src/administration.rs
+++ b/crates/cardamomwinch_forwarder/src/administration.rs
@@ -69,6 +69,7 @@
     let hosts = engine.peers().hosts();
     api::BeliefReport {
         version: view.routes.version().get(),
+        store_era: engine.revision().era().get(),
         revision: engine.revision().get(),
         view_age_ms: view.age(now).as_millis() as u64,
         source: engine.source().to_string(),
--- a/crates/cardamomwinch_forwarder/src/belief_lines.rs
+++ b/crates/cardamomwinch_forwarder/src/belief_lines.rs
@@ -35,16 +35,16 @@
         /// When its process started, where it says so.
         started: Option<u64>,
         /// The revision that changed it.
-        revision: u64,
+        revision: String,
     },
     /// The store said something of a server, and something later is known.
     Outdated {
         /// The incarnation.
         server: String,
         /// The revision of what the store said.
-        revision: u64,
+        revision: String,
         /// The revision of what is known.
-        known_revision: u64,
+        known_revision: String,
     },
     /// An evacuation began or ended.
     Evacuation {
@@ -53,12 +53,12 @@
         /// Whether its servers get no new flows now.
         evacuated: bool,
         /// The revision that said so.
-        revision: u64,
+        revision: String,
     },
     /// A whole listing was taken over.
     Listing {
         /// Its revision.
-        revision: u64,
+        revision: String,
         /// How many servers it has.
         servers: usize,
     },
@@ -74,6 +74,13 @@
         /// How long it could not.
         silence_ms: u64,
     },
+    /// The store came back from a copy of itself.
+    StoreRestored {
+        /// The last revision that was known.
+        last_revision: String,
+        /// The first one of the new era that is known.
+        revision: String,
+    },
     /// A peer does not answer.
     PeerLost {
         /// The peer.
@@ -104,7 +111,7 @@
         /// The peer.
         peer: net::SocketAddr,
         /// The revision that it knew.
-        revision: u64,
+        revision: String,
         /// The version that it knew.
         version: u64,
     },
@@ -130,7 +137,7 @@
             domain: server.domain.to_string(),
             phase: phase_name(server.phase),
             started: server.started.map(ServerStart::get),
-            revision: server.changed.get(),
+            revision: server.changed.to_string(),
         }
     }
 }
@@ -149,16 +156,16 @@
                 known,
             } => Self::Outdated {
                 server: server.to_string(),
-                revision: revision.get(),
-                known_revision: known.get(),
+                revision: revision.to_string(),
+                known_revision: known.to_string(),
             },
             BeliefChange::EvacuationChanged { evacuation } => Self::Evacuation {
                 domain: evacuation.domain.to_string(),
                 evacuated: evacuation.is_lasting(),
-                revision: evacuation.changed.get(),
+                revision: evacuation.changed.to_string(),
             },
             BeliefChange::ServersListed { revision, servers } => Self::Listing {
-                revision: revision.get(),
+                revision: revision.to_string(),
                 servers: *servers,
             },
             BeliefChange::ManyVanished { servers } => Self::ManyVanished { servers: *servers },
@@ -166,6 +173,10 @@
             BeliefChange::StoreRegained { silence } => Self::StoreRegained {
                 silence_ms: silence.as_millis() as u64,
             },
+            BeliefChange::StoreRestored { last, first } => Self::StoreRestored {
+                last_revision: last.to_string(),
+                revision: first.to_string(),
+            },
             BeliefChange::PeerLost { peer } => Self::PeerLost { peer: *peer },
             BeliefChange::PeerRegained { peer } => Self::PeerRegained { peer: *peer },
             BeliefChange::OwnServersLost { service } => Self::OwnServersLost {
@@ -183,7 +194,7 @@
                 version,
             } => Self::Peer {
                 peer: *peer,
-                revision: revision.get(),
+                revision: revision.to_string(),
                 version: version.get(),
             },
         }
@@ -210,6 +221,7 @@
             Self::OwnServersRegained { .. } => "own_servers_regained",
             Self::StoreLost {} => "store_lost",
             Self::StoreRegained { .. } => "store_regained",
+            Self::StoreRestored { .. } => "store_restored",
             Self::Source { .. } => "source_changed",
             Self::Peer { .. } => "peer_believed",
         }
--- a/crates/cardamomwinch_forwarder/tests/peer_wire.rs
+++ b/crates/cardamomwinch_forwarder/tests/peer_wire.rs
@@ -7,7 +7,9 @@
 use cardamomwinch_coordination::forwarding::beliefs::peer_word::{
     PeerEvacuation, PeerReport, PeerServer, PeerWord,
 };
-use cardamomwinch_coordination::forwarding::beliefs::store_call::{ServerStart, StoreRevision};
+use cardamomwinch_coordination::forwarding::beliefs::store_call::{
+    ServerStart, StoreEra, StoreRevision,
+};
 use cardamomwinch_coordination::forwarding::cold_starts::ColdStart;
 use cardamomwinch_coordination::forwarding::routes::{RouteDifference, RouteEntry, RouteTarget};
 use cardamomwinch_coordination::forwarding::server_reports::{
@@ -108,7 +110,7 @@
     let evacuation = |name: &str, ended_for| PeerEvacuation {
         domain: DomainId::from_name(name),
         ended_for,
-        changed: StoreRevision::new(9),
+        changed: StoreRevision::in_era(StoreEra::new(3), 9),
     };
     let report = |number, silence| PeerReport {
         server: server(1).id,
@@ -121,11 +123,12 @@
     let silence = Some((2, time::Duration::from_millis(450)));
     said.reports = vec![report(1, silence), report(2, None)];
     said.reports_serial = ReportSerial::new(31);
-    let ended_for = Some(time::Duration::from_millis(70));
+    let some_time = Some(time::Duration::from_millis(70));
     said.evacuations = vec![
         evacuation("bud-csepel", None),
-        evacuation("bud-angyal", ended_for),
+        evacuation("bud-angyal", some_time),
     ];
+    said.revision = StoreRevision::in_era(StoreEra::new(3), 77);
     assert_eq!(decoded(&encoded(said.clone())), Some(said));
 }
 
--- a/crates/cardamomwinch_protocol/src/administration.rs
+++ b/crates/cardamomwinch_protocol/src/administration.rs
@@ -298,7 +298,10 @@
 pub struct BeliefReport {
     /// The version of the configuration in force.
     pub version: u64,
-    /// The revision of the store up to which changes are known.
+    /// How often the store has come back from a copy of itself, as it tells.
+    #[serde(default)]
+    pub store_era: u64,
+    /// The revision of the store, in that era, up to which changes are known.
     pub revision: u64,
     /// The age of the last word of the store, in milliseconds.
     pub view_age_ms: u64,
--- a/crates/cardamomwinch_transport/src/http_client.rs
+++ b/crates/cardamomwinch_transport/src/http_client.rs
@@ -13,6 +13,7 @@
 use http_body_util::{BodyExt, Empty};
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1;
+use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode, header};
 use smol_hyper::rt::FuturesIo;
 use snafu::{OptionExt, ResultExt, Snafu};
@@ -88,6 +89,8 @@
 pub struct HttpAnswer {
     /// The status of the answer.
     pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
     /// Its body.
     pub body: Vec<u8>,
     /// How long the body took to come after the head.
@@ -281,6 +284,7 @@
     limit: usize,
 ) -> Result<HttpAnswer, HttpError> {
     let status = response.status();
+    let headers = response.headers().clone();
     let began_at = time::Instant::now();
     let mut incoming = response.into_body();
     let mut body = Vec::new();
@@ -295,6 +299,7 @@
     }
     Ok(HttpAnswer {
         status,
+        headers,
         body,
         body_time: began_at.elapsed(),
     })
