Let no copy of the store take back the word of a server that it leaves

Callers would see new flows on a server that leaves, from the return of a restored store until the server writes its entry again.

Cause: the listing of a new era is later than all that was known, and the copy may be older than the server's word.

Change: a record that leaves stays so where the store says 'ready' of the same process in a later era, or at the same revision, as hosts tell it that did not know. What a server writes itself in the new era counts, and so does another start of it.

Not covered: a server that had left altogether and is listed by the copy as ready gets openings until its entry lapses; nothing tells it from one that was cut off from the store and lives.

--- a/crates/cardamomwinch_coordination/src/forwarding/directory.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/directory.rs
@@ -245,6 +245,7 @@
             if self.knows_later(&record) {
                 continue;
             }
+            let record = self.keep_drain(record);
             let place = (record.service, record.domain);
             let known = self.servers.insert(record.id, record);
             moved |= known.is_none_or(|known| (known.service, known.domain) != place);
@@ -260,6 +261,26 @@
         known.is_some_and(|known| known.changed > record.changed)
     }
 
+    /// `record`, with what its server said of itself before the store came back from a
+    /// copy.
+    ///
+    /// Guards against a server that announced its end and is shown as ready by the copy,
+    /// until it writes its entry again. It shows as new flows on a server that leaves. No
+    /// process takes its word back; another one has another start.
+    fn keep_drain(&self, mut record: ServerRecord) -> ServerRecord {
+        let is_drained = |known: &&ServerRecord| {
+            known.phase == ServerPhase::Draining && known.started == record.started
+        };
+        let drained = self.servers.get(&record.id).filter(is_drained);
+        let may_be_older = |known: &ServerRecord| {
+            known.changed.era() < record.changed.era() || known.changed == record.changed
+        };
+        if record.phase == ServerPhase::Active && drained.is_some_and(may_be_older) {
+            record.phase = ServerPhase::Draining;
+        }
+        record
+    }
+
     /// Since `revision` the entry of `id` cannot be understood, unless something later
     /// is known. A server that was not known before stays unknown.
     pub fn note_unreadable(&mut self, id: BackendId, revision: StoreRevision) {
@@ -313,7 +334,8 @@
         }
         for record in listed.values() {
             if !self.knows_later(record) {
-                self.servers.insert(record.id, record.clone());
+                let record = self.keep_drain(record.clone());
+                self.servers.insert(record.id, record);
             }
         }
         self.index();
--- a/crates/cardamomwinch_coordination/tests/forwarding_restored.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_restored.rs
@@ -7,7 +7,7 @@
 
 use cardamomwinch_coordination::forwarding::beliefs::peer_word::PeerWord;
 use cardamomwinch_coordination::forwarding::beliefs::store_call::{
-    StoreCall, StoreChange, StoreEra, StoreOutcome, StoreRevision,
+    ServerStart, StoreCall, StoreChange, StoreEra, StoreOutcome, StoreRevision,
 };
 use cardamomwinch_coordination::forwarding::beliefs::{BeliefChange, BeliefEngine, BeliefSettings};
 use cardamomwinch_coordination::forwarding::directory::ServerPhase;
@@ -212,6 +212,54 @@
     );
 }
 
+/// New flows on a leaving server: the copy is older than its word that it leaves.
+#[test]
+fn an_old_copy_takes_back_no_word_of_a_server_that_it_leaves() {
+    let mut engine = started(1, vec![entry(1, 1, 26, true)]);
+    restored(
+        &mut engine,
+        100,
+        vec![entry(1, 2, 5, false), entry(2, 2, 6, false)],
+    );
+    assert_eq!(phase(&engine, 1), Some(ServerPhase::Draining));
+    assert_eq!(phase(&engine, 2), Some(ServerPhase::Active));
+    let mut follower = started(2, Vec::new());
+    let word = ask(&mut engine, &mut follower, 110);
+    follower.handle_peer(at(111), host_address(1), Some(word));
+    assert_eq!(phase(&follower, 1), Some(ServerPhase::Draining));
+    let again = page(
+        vec![entry(1, 2, 5, false), entry(2, 2, 6, false)],
+        2,
+        24,
+        None,
+    );
+    engine.handle_store(at(200), StoreOutcome::HistoryGone);
+    engine.handle_store(at(210), again);
+    assert_eq!(phase(&engine, 1), Some(ServerPhase::Draining));
+}
+
+/// A server without flows for good: the process that left is not the one that is listed.
+#[test]
+fn a_server_that_started_again_takes_flows_after_a_restore() {
+    let started_entry = |era, written, draining, start| {
+        let StoreChange::Server(mut one) = entry(1, era, written, draining) else {
+            panic!("an entry is a server's");
+        };
+        one.started = Some(ServerStart::new(start));
+        StoreChange::Server(one)
+    };
+    let mut engine = started(1, vec![started_entry(1, 26, true, 7_000)]);
+    restored(&mut engine, 100, vec![started_entry(2, 24, false, 9_000)]);
+    assert_eq!(phase(&engine, 1), Some(ServerPhase::Active));
+    // What it writes itself in this era is its last word.
+    let mut engine = started(1, vec![started_entry(1, 26, true, 7_000)]);
+    restored(&mut engine, 100, vec![started_entry(2, 5, false, 7_000)]);
+    engine.next_store_call(at(110));
+    let word = watched(vec![started_entry(2, 25, false, 7_000)], 2, 25);
+    engine.handle_store(at(200), word);
+    assert_eq!(phase(&engine, 1), Some(ServerPhase::Active));
+}
+
 /// Open flows ended on servers that live: the copy lacks those that came after it.
 #[test]
 fn what_a_copy_lacks_says_nothing_until_it_is_written_again() {
