Soak a store that comes back from copies of itself

The soak's store stand-in knew outages, dropped history and lapsed entries, and no loss of what was acknowledged. A restore: away for up to five seconds, back from a copy up to five seconds old, in a new era, and 1.5 s later what was lost is written again, but for what was written since. It counts as a disturbance of the store until then; bounds in time are judged before and after.

Restores are drawn apart from the other disruptions, so that the plans of seeds that once failed stay what they were; they and the two short runs are played as before, with one run more.

--- a/crates/cardamomwinch_forwarder/tests/soak.rs
+++ b/crates/cardamomwinch_forwarder/tests/soak.rs
@@ -49,13 +49,14 @@
 /// not trust itself for some of the time.
 const PLANTED_LIMIT: time::Duration = time::Duration::from_secs(90);
 
-/// Plays one seed; returns the number of broken promises.
-fn play(seed: u64, length: time::Duration, timed: bool) -> usize {
+/// Plays the plan of one seed; returns the number of broken promises.
+fn play(plan: SoakPlan, timed: bool) -> usize {
+    let (seed, length) = (plan.seed, plan.length);
     let log = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
     // What an earlier run of the seed logged would only confuse.
     std::fs::remove_dir_all(&log).ok();
     println!("seed {seed}, {length:?}, logs in {}", log.display());
-    let report = SoakWorld::start(SoakPlan::draw(seed, length), timed, None, &log).play(None);
+    let report = SoakWorld::start(plan, timed, None, &log).play(None);
     for violation in &report.violations {
         println!("  BROKEN {violation}");
     }
@@ -90,21 +91,28 @@
 /// A kind that is never drawn would never be tested.
 #[test]
 fn plans_hold_every_kind_of_disruption() {
-    let plans = (0..40).map(|seed| SoakPlan::draw(seed, time::Duration::from_secs(20)));
+    let length = time::Duration::from_secs(20);
+    let plans = (0..40).map(|seed| SoakPlan::draw_with_restores(seed, length));
     let mut kinds: Vec<DisruptionKind> = plans
         .flat_map(|plan| plan.disruptions)
         .map(|one| one.kind)
         .collect();
     kinds.sort_unstable();
     kinds.dedup();
-    assert_eq!(kinds.len(), DisruptionKind::ALL.len());
+    assert_eq!(kinds.len(), DisruptionKind::DRAWN.len() + 1);
 }
 
 /// What holds whatever the machine does, on two short runs of fixed seeds.
 #[test]
 fn short_runs_break_no_promise() {
-    assert_eq!(play(1, SHORT_RUN, false), 0);
-    assert_eq!(play(2, SHORT_RUN, false), 0);
+    assert_eq!(play(SoakPlan::draw(1, SHORT_RUN), false), 0);
+    assert_eq!(play(SoakPlan::draw(2, SHORT_RUN), false), 0);
+}
+
+/// The same with a store that comes back from an old copy.
+#[test]
+fn a_short_run_with_a_restored_store_breaks_no_promise() {
+    assert_eq!(play(SoakPlan::draw_with_restores(3, SHORT_RUN), false), 0);
 }
 
 /// Seeds that once broke a promise, with the bounds in time judged. Here they are not:
@@ -122,7 +130,7 @@
 )]
 fn seeds_that_once_failed(seed: u64) {
     let length = time::Duration::from_secs(LONG_RUN_S);
-    assert_eq!(play(seed, length, false), 0);
+    assert_eq!(play(SoakPlan::draw(seed, length), false), 0);
 }
 
 /// A check that cannot fail shows nothing. Each promise is broken by a host, a server
@@ -168,7 +176,7 @@
     let timed = std::env::var("SOAK_TIMED").is_ok();
     let length = time::Duration::from_secs(seconds);
     let broken: Vec<u64> = seeds
-        .filter(|seed| play(*seed, length, timed) > 0)
+        .filter(|seed| play(SoakPlan::draw_with_restores(*seed, length), timed) > 0)
         .collect();
     assert_eq!(broken, Vec::<u64>::new(), "seeds that broke a promise");
 }
--- a/crates/cardamomwinch_forwarder/tests/soak/plan.rs
+++ b/crates/cardamomwinch_forwarder/tests/soak/plan.rs
@@ -16,6 +16,10 @@
 /// How long a disruption lasts.
 const SHORTEST_MS: u64 = 300;
 const LONGEST_MS: u64 = 5_000;
+/// The time for which one restore of the store is drawn.
+const RESTORE_SPAN: time::Duration = time::Duration::from_secs(10);
+/// Makes the draw of restores independent of the other draws.
+const RESTORE_SALT: u64 = 0x7e57_0e7a;
 /// The path serves in peace before the first disruption.
 const QUIET_START_MS: u64 = 1_500;
 
@@ -40,6 +44,9 @@
     StoreSlow,
     /// The store forgets its history.
     HistoryDropped,
+    /// The store is away, and comes back from a copy some seconds old. What it lost is
+    /// written again soon after.
+    StoreRestored,
     /// The connections of one host to the store are closed and refused.
     StoreRefusesHost,
     /// The connections of one host to the store go silent.
@@ -68,8 +75,8 @@
 }
 
 impl DisruptionKind {
-    /// Each kind.
-    pub(crate) const ALL: [Self; 21] = [
+    /// Each kind that is drawn among others; [`Self::StoreRestored`] is drawn apart.
+    pub(crate) const DRAWN: [Self; 21] = [
         Self::HostKilled,
         Self::AllHostsKilled,
         Self::HostPaused,
@@ -164,6 +171,25 @@
         }
     }
 
+    /// Draws a plan in which the store comes back from copies, too. These are drawn apart,
+    /// so that the plan of a seed without them stays as it was.
+    pub(crate) fn draw_with_restores(seed: u64, length: time::Duration) -> Self {
+        let mut plan = Self::draw(seed, length);
+        let mut random = SmallRng::seed_from_u64(seed ^ RESTORE_SALT);
+        let spans = (length.as_secs() / RESTORE_SPAN.as_secs()).max(1);
+        let latest_ms = length.as_millis() as u64;
+        for _ in 0..spans {
+            plan.disruptions.push(PlannedDisruption {
+                at: time::Duration::from_millis(random.random_range(QUIET_START_MS..latest_ms)),
+                lasts: time::Duration::from_millis(random.random_range(SHORTEST_MS..=LONGEST_MS)),
+                kind: DisruptionKind::StoreRestored,
+                pick: random.random_range(0..1_000_000),
+            });
+        }
+        plan.disruptions.sort_by_key(|one| one.at);
+        plan
+    }
+
     /// Draws a plan. The same seed and length give the same plan.
     pub(crate) fn draw(seed: u64, length: time::Duration) -> Self {
         let mut random = SmallRng::seed_from_u64(seed);
@@ -173,7 +199,7 @@
             disruptions.push(PlannedDisruption {
                 at,
                 lasts: time::Duration::from_millis(random.random_range(SHORTEST_MS..=LONGEST_MS)),
-                kind: *DisruptionKind::ALL
+                kind: *DisruptionKind::DRAWN
                     .choose(&mut random)
                     .expect("there are kinds"),
                 pick: random.random_range(0..1_000_000),
--- a/crates/cardamomwinch_forwarder/tests/soak/world.rs
+++ b/crates/cardamomwinch_forwarder/tests/soak/world.rs
@@ -1,5 +1,6 @@
 //! Everything around the hosts of one run, and what its disruptions do to it.
 
+use std::collections;
 use std::fs;
 use std::net;
 use std::path;
@@ -19,7 +20,7 @@
 use crate::plan::{DisruptionKind, PlannedDisruption, SoakPlan};
 use crate::planted::{MistakenHost, PlantedMistake};
 use crate::server::{IDEMPOTENT_PREFIX, ServerIdentity, SoakServer};
-use crate::support::store::StoreFault;
+use crate::support::store::{LostWrites, StoreCopy, StoreFault};
 use crate::support::{HostOrder, StandInStore};
 
 const DOMAINS: [&str; 3] = ["north", "south", "west"];
@@ -53,6 +54,10 @@
 const REUSE: time::Duration = time::Duration::from_secs(2);
 /// Entries that lapsed in an outage are back so long after it.
 const RETURN: time::Duration = time::Duration::from_millis(1_500);
+/// A copy of the store is made so often.
+const COPY_PERIOD: time::Duration = time::Duration::from_secs(1);
+/// And so many are kept: a restore takes back some seconds.
+const KEPT_COPIES: usize = 5;
 /// How often the run looks at its processes and at what is due.
 const STEP: time::Duration = time::Duration::from_millis(20);
 /// A step that takes longer shows that this process did not run.
@@ -76,6 +81,8 @@
     /// Entries of servers that live lapse while the store is away.
     LapseEntries,
     RestoreEntries,
+    /// What a restored store lost is written again; the guard ends with it.
+    WriteAgain(LostWrites, Option<DisturbanceGuard>),
 }
 
 /// One run of the soak.
@@ -83,6 +90,9 @@
     plan: SoakPlan,
     book: SoakBook,
     store: StandInStore,
+    /// The latest one last.
+    copies: collections::VecDeque<StoreCopy>,
+    copied_at: time::Instant,
     network: sync::Arc<SoakNetwork>,
     fleet: HostFleet,
     block: AddressBlock,
@@ -153,6 +163,8 @@
             plan,
             book,
             store: StandInStore::start(),
+            copies: collections::VecDeque::new(),
+            copied_at: time::Instant::now(),
             network,
             fleet,
             block,
@@ -242,6 +254,13 @@
         }
         self.fleet.look_after();
         let now = time::Instant::now();
+        if now - self.copied_at >= COPY_PERIOD {
+            self.copied_at = now;
+            if self.copies.len() == KEPT_COPIES {
+                self.copies.pop_front();
+            }
+            self.copies.push_back(self.store.copy());
+        }
         let (due, later) = std::mem::take(&mut self.due)
             .into_iter()
             .partition(|(at, _)| *at <= now);
@@ -383,7 +402,9 @@
     /// Notes what `disruption` disturbs for as long as it lasts.
     fn disturb(&mut self, disruption: PlannedDisruption) -> Option<DisturbanceGuard> {
         let part = match disruption.kind {
-            DisruptionKind::StoreDown | DisruptionKind::StoreSlow => DisturbedPart::Store,
+            DisruptionKind::StoreDown
+            | DisruptionKind::StoreSlow
+            | DisruptionKind::StoreRestored => DisturbedPart::Store,
             DisruptionKind::FabricPoor => DisturbedPart::Everything,
             kind if kind.concerns_host() => {
                 DisturbedPart::Host(self.fleet.traffic(disruption.pick))
@@ -426,6 +447,7 @@
                 self.store.set_fault(StoreFault::Slow(delay));
             }
             DisruptionKind::HistoryDropped => self.store.drop_history(),
+            DisruptionKind::StoreRestored => self.store.set_fault(StoreFault::Reset),
             DisruptionKind::StoreRefusesHost => {
                 self.fleet.cut_store(pick, CutMode::Close, CutMode::Close);
             }
@@ -539,7 +561,15 @@
     fn act(&mut self, action: DueAction) {
         match action {
             DueAction::EndDisruption(disruption, guard) => {
-                self.end(disruption);
+                if disruption.kind == DisruptionKind::StoreRestored {
+                    self.restore_store(disruption.pick, guard);
+                } else {
+                    self.end(disruption);
+                    drop(guard);
+                }
+            }
+            DueAction::WriteAgain(lost, guard) => {
+                self.store.write_again(lost);
                 drop(guard);
             }
             DueAction::RemoveEntry(number) => self.remove_entry(number),
@@ -554,6 +584,18 @@
         }
     }
 
+    /// Brings the store back from a copy. It counts as disturbed until what it lost is
+    /// written again.
+    fn restore_store(&mut self, pick: usize, guard: Option<DisturbanceGuard>) {
+        if let Some(copy) = self.copies.get(pick % self.copies.len().max(1)) {
+            let lost = self.store.restore(copy.clone());
+            // Copies of the life that the store has left behind.
+            self.copies.clear();
+            self.after(RETURN, DueAction::WriteAgain(lost, guard));
+        }
+        self.store.set_fault(StoreFault::None);
+    }
+
     fn end(&mut self, disruption: PlannedDisruption) {
         let pick = disruption.pick;
         match disruption.kind {
--- a/crates/cardamomwinch_forwarder/tests/support/store.rs
+++ b/crates/cardamomwinch_forwarder/tests/support/store.rs
@@ -64,6 +64,14 @@
     revision: u64,
 }
 
+/// What the store has lost by coming back from a copy.
+#[derive(Debug, Clone)]
+pub struct LostWrites {
+    writes: Vec<StoredItem>,
+    /// Its revision right after it came back.
+    restored_at: u64,
+}
+
 #[derive(Debug, Default)]
 struct StoreState {
     items: Vec<StoredItem>,
@@ -162,14 +170,30 @@
     }
 
     /// Comes back from `copy`: what was written since is gone, revisions are given out
-    /// again, and calls that wait are cut.
-    pub fn restore(&self, copy: StoreCopy) {
+    /// again, and calls that wait are cut. Returns what was lost.
+    pub fn restore(&self, copy: StoreCopy) -> LostWrites {
         self.change(|state| {
-            state.items = copy.items;
+            let lost = std::mem::replace(&mut state.items, copy.items);
             state.revision = copy.revision;
             state.forgotten = state.forgotten.min(copy.revision);
             state.era += 1;
-        });
+            let is_lost = |item: &StoredItem| item.revision > copy.revision;
+            LostWrites {
+                writes: lost.into_iter().filter(is_lost).collect(),
+                restored_at: copy.revision,
+            }
+        })
+    }
+
+    /// Writes again what was lost, but for keys that have been written since.
+    pub fn write_again(&self, lost: LostWrites) {
+        for write in lost.writes {
+            let is_newer =
+                |item: &StoredItem| item.key == write.key && item.revision > lost.restored_at;
+            if !self.change(|state| state.items.iter().any(is_newer)) {
+                self.write(&write.key, write.value.as_deref());
+            }
+        }
     }
 
     /// Requests that would have changed something. A host must make none.
