--- a/crates/cardamomwinch_coordination/src/decision.rs
+++ b/crates/cardamomwinch_coordination/src/decision.rs
@@ -27,6 +27,12 @@
     RelayedDecision,
     /// Relayed to the home of the server's shard.
     RelayedToHome,
+    /// A reply was relayed towards the home of its server.
+    ReplyRelayed,
+    /// A reply reached no home: no host was left to send it to, or too many had it.
+    ReplyLost,
+    /// An answer came to the home of its server, which knows no request of it.
+    ReplyUnmatched,
     /// Relayed to another traffic thread of this host.
     RelayedToThread,
     /// Passed on to the home of the next server that the flow may belong to.
@@ -75,6 +81,9 @@
             Self::Pin => "pin",
             Self::RelayedDecision => "relayed_decision",
             Self::RelayedToHome => "relayed_to_home",
+            Self::ReplyRelayed => "reply_relayed",
+            Self::ReplyLost => "reply_lost",
+            Self::ReplyUnmatched => "reply_unmatched",
             Self::RelayedToThread => "relayed_to_thread",
             Self::SearchMoved => "search_moved",
             Self::Redirected => "redirected",
--- a/crates/cardamomwinch_coordination/src/traffic/replies.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/replies.rs
@@ -5,12 +5,13 @@
     AttemptNumber, BackendReply, BackendReplyKind, CallerKind, CallerReplyKind, PartNumber,
     RefusalReason, RelayFrame, TokenClaim,
 };
-use cardamomwinch_state::prelude::{BackendId, FlowHash, RequestId, ShardId, Timestamp};
+use cardamomwinch_state::prelude::{BackendId, FlowHash, HostId, RequestId, ShardId, Timestamp};
 
 use crate::counter::Counter;
+use crate::decision::DecisionReason;
 use crate::snapshot::ServingPhase;
 use crate::traffic::caller_datagrams::RETRY_AFTER;
-use crate::traffic::context::EventContext;
+use crate::traffic::context::{DecisionSubject, EventContext};
 use crate::traffic::effect::TrafficSink;
 use crate::traffic::requests::{
     KEPT_PARTS_LIMIT, KeptPart, RequestKey, RequestState, RunningRequest,
@@ -112,15 +113,20 @@
         context: &mut EventContext<'_, S>,
         reply: &BackendReply<'_>,
     ) {
-        if let Some(shard) = context.snapshot.any_shard() {
+        let relayed = context.snapshot.any_shard().is_some_and(|shard| {
             let reply = shortened(reply);
             let frame = RelayFrame::Backend {
                 reply,
                 shard,
                 hops: 1,
             };
-            context.relay(reply.via, frame);
-        }
+            context.relay(reply.via, frame)
+        });
+        let reason = match relayed {
+            true => DecisionReason::ReplyRelayed,
+            false => DecisionReason::ReplyLost,
+        };
+        context.decide(reason, subject_of(reply, None, Some(reply.via)));
     }
 
     /// Takes a reply that another host or thread passed on. What this host
@@ -170,9 +176,15 @@
                 false => context.pass_to_thread(self.place.owner(shard), frame),
             }
         } else if hops < HOP_LIMIT {
-            context.relay(home, frame);
+            let reason = match context.relay(home, frame) {
+                true => DecisionReason::ReplyRelayed,
+                false => DecisionReason::ReplyLost,
+            };
+            context.decide(reason, subject_of(reply, Some(shard), Some(home)));
         } else {
             context.count(Counter::HopLimit);
+            let subject = subject_of(reply, Some(shard), Some(home));
+            context.decide(DecisionReason::ReplyLost, subject);
         }
     }
 
@@ -236,6 +248,15 @@
             given_up = record.state.is_given_up();
             note_in_state(&mut record.state, answered, room)
         });
+        if noted.is_none() {
+            let subject = DecisionSubject {
+                flow: Some(key.flow),
+                request: Some(key.id),
+                backend: Some(backend),
+                ..DecisionSubject::default()
+            };
+            context.decide(DecisionReason::ReplyUnmatched, subject);
+        }
         match noted.unwrap_or(PartOutcome::Ignored) {
             PartOutcome::Ignored => {}
             PartOutcome::Progress => self.ledgers.of(backend).note_progress(context.now, key),
@@ -324,6 +345,27 @@
     }
 }
 
+/// What a decision about `reply` concerns, which belongs to `shard` and goes to `peer`.
+fn subject_of(
+    reply: &BackendReply<'_>,
+    shard: Option<ShardId>,
+    peer: Option<HostId>,
+) -> DecisionSubject {
+    let request = match reply.kind {
+        BackendReplyKind::Answer { request, .. } => Some(request),
+        BackendReplyKind::Shed { request, .. } => request,
+        _ => None,
+    };
+    DecisionSubject {
+        flow: Some(reply.flow),
+        request,
+        backend: Some(reply.backend),
+        peer,
+        shard,
+        ..DecisionSubject::default()
+    }
+}
+
 /// Sends the caller what concerns it, whoever accounts for it.
 fn tell_caller<S: TrafficSink>(context: &mut EventContext<'_, S>, reply: &BackendReply<'_>) {
     let kind = match reply.kind {
