--- a/crates/cardamomwinch_coordination/tests/forwarding_evacuations.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_evacuations.rs
@@ -3,32 +3,13 @@
 
 mod forwarding_support;
 
-use std::net;
-
 use cardamomwinch_coordination::forwarding::beliefs::peer_word::{PeerQuestion, PeerWord};
 use cardamomwinch_coordination::forwarding::beliefs::store_call::{
     StoreChange, StoreOutcome, StoreRevision,
 };
-use cardamomwinch_coordination::forwarding::beliefs::{BeliefChange, BeliefEngine, BeliefSettings};
-use cardamomwinch_coordination::forwarding::regions::DomainRegions;
+use cardamomwinch_coordination::forwarding::beliefs::{BeliefChange, BeliefEngine};
 use forwarding_support::*;
 
-fn host_address(number: u8) -> net::SocketAddr {
-    net::SocketAddr::from(([10, 1, 0, number], 8166))
-}
-
-fn engine(number: u8) -> BeliefEngine {
-    let settings = BeliefSettings {
-        domain: domain("near"),
-        regions: DomainRegions::default(),
-        address: host_address(number),
-        seeds: vec![host_address(1), host_address(2)],
-        flow_lifetime: millis(60_000),
-        watch_wait: millis(2_000),
-    };
-    BeliefEngine::new(settings, number.into())
-}
-
 fn begun(name: &str, revision: u64) -> StoreChange {
     StoreChange::EvacuationBegun {
         domain: domain(name),
@@ -64,7 +45,7 @@
 
 /// A host that has listed everything at revision 10.
 fn started(number: u8, more: Vec<StoreChange>) -> BeliefEngine {
-    let mut engine = engine(number);
+    let mut engine = belief_engine(number);
     engine.handle_store(at(0), listing(more, 10));
     engine.take_changes();
     engine
@@ -115,7 +96,7 @@
     let engine_from_store = started(1, vec![begun("far", 7)]);
     assert!(is_evacuated(&engine_from_store, "far"));
     let mut teller = engine_from_store;
-    let mut young = engine(9);
+    let mut young = belief_engine(9);
     let word = ask(&mut teller, &mut young, 20);
     young.handle_peer(at(20), host_address(1), Some(word));
     assert!(is_evacuated(&young, "far"));
@@ -161,7 +142,7 @@
     let mut teller = started(1, Vec::new());
     let mut asker = started(9, vec![begun("far", 9)]);
     let mut old = started(2, vec![begun("far", 9)]);
-    let old_word = ask(&mut old, &mut engine(8), 10);
+    let old_word = ask(&mut old, &mut belief_engine(8), 10);
     teller.handle_store(at(50), watched(vec![begun("far", 9), ended("far", 20)], 20));
     let word = ask(&mut teller, &mut asker, 100);
     asker.handle_peer(at(100), host_address(1), Some(word));
--- a/crates/cardamomwinch_coordination/tests/forwarding_restored.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_restored.rs
@@ -3,36 +3,17 @@
 
 mod forwarding_support;
 
-use std::net;
-
 use cardamomwinch_coordination::forwarding::beliefs::peer_word::PeerWord;
 use cardamomwinch_coordination::forwarding::beliefs::store_call::{
     ServerStart, StoreCall, StoreChange, StoreEra, StoreOutcome, StoreRevision,
 };
-use cardamomwinch_coordination::forwarding::beliefs::{BeliefChange, BeliefEngine, BeliefSettings};
+use cardamomwinch_coordination::forwarding::beliefs::{BeliefChange, BeliefEngine};
 use cardamomwinch_coordination::forwarding::directory::ServerPhase;
-use cardamomwinch_coordination::forwarding::regions::DomainRegions;
 use forwarding_support::fleet::{Condition, Fleet, SETTLED};
 use forwarding_support::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-fn host_address(number: u8) -> net::SocketAddr {
-    net::SocketAddr::from(([10, 1, 0, number], 8166))
-}
-
-fn engine(number: u8) -> BeliefEngine {
-    let settings = BeliefSettings {
-        domain: domain("near"),
-        regions: DomainRegions::default(),
-        address: host_address(number),
-        seeds: vec![host_address(1), host_address(2)],
-        flow_lifetime: millis(60_000),
-        watch_wait: millis(2_000),
-    };
-    BeliefEngine::new(settings, number.into())
-}
-
 fn revision(era: u64, number: u64) -> StoreRevision {
     StoreRevision::in_era(StoreEra::new(era), number)
 }
@@ -69,7 +50,7 @@
 
 /// A host that knows servers 1 and 2, and `more`, at revision 26 of the first era.
 fn started(number: u8, more: Vec<StoreChange>) -> BeliefEngine {
-    let mut engine = engine(number);
+    let mut engine = belief_engine(number);
     let mut items = vec![entry(1, 1, 5, false), entry(2, 1, 6, false)];
     items.extend(more);
     engine.handle_store(at(0), page(items, 1, 26, None));
@@ -273,7 +254,7 @@
 /// Servers of two moments in one list: the store was restored between two pages.
 #[test]
 fn pages_of_two_eras_are_not_put_together() {
-    let mut engine = engine(1);
+    let mut engine = belief_engine(1);
     let first = page(vec![entry(1, 1, 5, false)], 1, 26, Some("servers/1"));
     engine.handle_store(at(0), first);
     engine.handle_store(at(10), page(vec![entry(2, 2, 6, false)], 2, 24, None));
--- a/crates/cardamomwinch_coordination/tests/forwarding_support/mod.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_support/mod.rs
@@ -10,6 +10,7 @@
 use cardamomwinch_coordination::forwarding::beliefs::store_call::{
     ServerEntry, StoreChange, StoreRevision,
 };
+use cardamomwinch_coordination::forwarding::beliefs::{BeliefEngine, BeliefSettings};
 use cardamomwinch_coordination::forwarding::cold_starts::ColdShare;
 use cardamomwinch_coordination::forwarding::directory::{
     ServerDirectory, ServerPhase, ServerRecord,
@@ -19,6 +20,7 @@
 };
 use cardamomwinch_coordination::forwarding::packet::{FlowPacket, FlowToken, PacketKind};
 use cardamomwinch_coordination::forwarding::record::{ForwardingOutcome, ForwardingRecord};
+use cardamomwinch_coordination::forwarding::regions::DomainRegions;
 use cardamomwinch_coordination::forwarding::routes::{
     RouteDocument, RouteEntry, RouteTable, RouteTarget,
 };
@@ -49,6 +51,24 @@
     net::SocketAddr::from(([198, 18, 0, 1], SERVICE_PORT))
 }
 
+/// Where the host `number` can be asked.
+pub fn host_address(number: u8) -> net::SocketAddr {
+    net::SocketAddr::from(([10, 1, 0, number], 8166))
+}
+
+/// The beliefs of the host `number` of domain `near`, whose settings name the first two.
+pub fn belief_engine(number: u8) -> BeliefEngine {
+    let settings = BeliefSettings {
+        domain: domain("near"),
+        regions: DomainRegions::default(),
+        address: host_address(number),
+        seeds: vec![host_address(1), host_address(2)],
+        flow_lifetime: millis(60_000),
+        watch_wait: millis(2_000),
+    };
+    BeliefEngine::new(settings, number.into())
+}
+
 /// The server `number` of service `desk` in domain `near`.
 pub fn near_server(number: u64) -> ServerRecord {
     ServerRecord {
