Bring replies to the home that sent the request while this host holds no lease

The home that had sent the requests handed them over as running; both slots of the server stayed taken until the deadline. Ruled out: lost frames (no reply_lost), replies during the freeze (the home froze 0.67 s later), replies at a starting host (its configuration was adopted before).

Change: a host that takes itself for the home counts a reply only where it holds the lease, is taking the shard over, or knows the request; else the reply goes to the host that had sent the request. Requests have asked for the lease all along. A reply may take two hops more, within the limit of hops.

--- a/crates/cardamomwinch_coordination/src/traffic/replies.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/replies.rs
@@ -166,6 +166,7 @@
         let believed = context.snapshot.shard(shard).home;
         let home = believed
             .filter(|home| *home == me || reply.via == me || hops < DISAGREEING_HOPS)
+            .filter(|home| *home != me || !self.is_sender_home(context, reply, shard))
             .unwrap_or(reply.via);
         if home == me {
             match self.place.owns(shard) {
@@ -188,6 +189,29 @@
         }
     }
 
+    /// Whether the host that had sent what `reply` answers is the home, although this one
+    /// takes itself for it.
+    ///
+    /// Guards against answers that end at a host which was just added: it takes itself for
+    /// the home, and others do, before it holds the lease. It shows as requests that the
+    /// home hands over as running though they were answered, and as a server that seems
+    /// full until they are given up. Who knows the request accounts for it in any case.
+    fn is_sender_home<S: TrafficSink>(
+        &self,
+        context: &EventContext<'_, S>,
+        reply: &BackendReply<'_>,
+        shard: ShardId,
+    ) -> bool {
+        let may_be_home = context.snapshot.lease_at(shard, context.now).is_some()
+            || self.frozen.is_changing_hands(shard, context.now);
+        if may_be_home || reply.via == self.identity.host || !self.place.owns(shard) {
+            return false;
+        }
+        let hash = Self::hasher(context.snapshot).hash(&reply.flow);
+        let request = request_of(reply).map(|request| request_key(reply, request));
+        request.is_none_or(|key| self.requests.get(hash, &key).is_none())
+    }
+
     pub(crate) fn apply<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
@@ -345,20 +369,24 @@
     }
 }
 
+/// The request that `reply` answers, where it answers one.
+const fn request_of(reply: &BackendReply<'_>) -> Option<RequestId> {
+    match reply.kind {
+        BackendReplyKind::Answer { request, .. } => Some(request),
+        BackendReplyKind::Shed { request, .. } => request,
+        _ => None,
+    }
+}
+
 /// What a decision about `reply` concerns, which belongs to `shard` and goes to `peer`.
 fn subject_of(
     reply: &BackendReply<'_>,
     shard: Option<ShardId>,
     peer: Option<HostId>,
 ) -> DecisionSubject {
-    let request = match reply.kind {
-        BackendReplyKind::Answer { request, .. } => Some(request),
-        BackendReplyKind::Shed { request, .. } => request,
-        _ => None,
-    };
     DecisionSubject {
         flow: Some(reply.flow),
-        request,
+        request: request_of(reply),
         backend: Some(reply.backend),
         peer,
         shard,
--- a/crates/cardamomwinch_coordination/tests/replies_brought_home.rs
+++ b/crates/cardamomwinch_coordination/tests/replies_brought_home.rs
@@ -114,3 +114,55 @@
     assert!(wanted.relayed.is_empty(), "{wanted:?}");
     assert_eq!(wanted.count(Counter::RequestAnswered), 1);
 }
+
+/// Servers that seem full while a host is added: it takes itself for the home before it
+/// holds the lease, and kept answers that the home which sent the requests waited for.
+#[test]
+fn a_host_without_the_lease_brings_a_reply_to_the_home_that_sent_the_request() {
+    let mut bench = host_beside(OTHER);
+    let reply = BackendReply {
+        flow: admission_support::flow(1),
+        backend: bench.server(),
+        via: host(HOME),
+        kind: answer(),
+    };
+    let shard = bench.home();
+    let frame = |hops| RelayFrame::Backend { reply, shard, hops };
+    bench.handle(TrafficEvent::Relay(RelayEnvelope {
+        sender: host("muc-nord-3"),
+        version: bench.snapshot.version(),
+        frame: frame(1),
+    }));
+    assert_eq!(bench.take().relayed, [(host(HOME), None)]);
+}
+
+/// Slots that stay taken where a lease lapses for a moment: who has the request accounts
+/// for its answer, with a lease or without.
+#[test]
+fn a_host_that_knows_the_request_keeps_its_reply_without_a_lease() {
+    let mut bench = Bench::new(1, 2);
+    let token = bench.open(1);
+    let header = bench.header(1, false, 5000);
+    bench.ask(1, token, header);
+    bench.take();
+    bench.lose_home(Some(host(HOME)));
+    let reply = BackendReply {
+        flow: admission_support::flow(1),
+        backend: bench.server(),
+        via: host(OTHER),
+        kind: answer(),
+    };
+    let shard = bench.home();
+    bench.handle(TrafficEvent::Relay(RelayEnvelope {
+        sender: host(OTHER),
+        version: bench.snapshot.version(),
+        frame: RelayFrame::Backend {
+            reply,
+            shard,
+            hops: 1,
+        },
+    }));
+    let wanted = bench.take();
+    assert!(wanted.relayed.is_empty(), "{wanted:?}");
+    assert_eq!(wanted.count(Counter::RequestAnswered), 1);
+}
