Keep an evacuation through a second listing that lacks it, and tell of servers as they are known

New flows would go to an evacuated domain where a host lists twice within the three seconds after a restore: the second listing is of the same era and ended what the first one had spared.

server_changed is printed from what is known after the change instead of from what the store said.

--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_changes.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_changes.rs
@@ -162,8 +162,9 @@
             self.tell_outdated(&server);
             return;
         }
-        directory.note(server.clone());
-        self.changes.push(BeliefChange::ServerChanged { server });
+        let id = server.id;
+        directory.note(server);
+        self.tell_server(id);
     }
 
     fn tell_outdated(&mut self, server: &ServerRecord) {
--- a/crates/cardamomwinch_coordination/src/forwarding/evacuations.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/evacuations.rs
@@ -49,6 +49,16 @@
             EvacuationPhase::Lasting | EvacuationPhase::Missing { .. }
         )
     }
+
+    /// What becomes of it, which counts, by a listing at `revision` that lacks it.
+    fn phase_unlisted(&self, revision: StoreRevision, now: Timestamp) -> EvacuationPhase {
+        match self.phase {
+            _ if self.changed.era() < revision.era() => EvacuationPhase::Missing { since: now },
+            // It is ended once it could have been written again.
+            EvacuationPhase::Missing { since } => EvacuationPhase::Missing { since },
+            _ => EvacuationPhase::Ended { at: now },
+        }
+    }
 }
 
 /// The evacuations that last or ended lately. The later revision of the store wins, in
@@ -107,11 +117,7 @@
             .filter(|one| one.is_lasting() && one.changed < revision && !is_listed(one.domain));
         let missing = missing.map(|one| EvacuationRecord {
             domain: one.domain,
-            phase: if one.changed.era() < revision.era() {
-                EvacuationPhase::Missing { since: now }
-            } else {
-                EvacuationPhase::Ended { at: now }
-            },
+            phase: one.phase_unlisted(revision, now),
             changed: revision,
         });
         let records: Vec<_> = missing.chain(listed.iter().copied()).collect();
--- a/crates/cardamomwinch_coordination/tests/forwarding_restored.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_restored.rs
@@ -382,6 +382,19 @@
     }
 }
 
+/// New flows in an evacuated domain: a second listing soon after the restore lacks it, too.
+#[test]
+fn a_second_listing_ends_no_evacuation_that_could_still_be_written_again() {
+    let mut engine = started(1, vec![begun("far", 1, 26)]);
+    restored(&mut engine, 100, vec![entry(1, 2, 5, false)]);
+    engine.handle_store(at(900), StoreOutcome::HistoryGone);
+    let again = page(vec![entry(1, 2, 5, false)], 2, 25, None);
+    engine.handle_store(at(1_000), again);
+    assert!(is_evacuated(&engine, "far"));
+    engine.tick(at(3_200));
+    assert!(!is_evacuated(&engine, "far"));
+}
+
 /// New flows in an evacuated domain: what was written again must not end with the grace.
 #[test]
 fn an_evacuation_that_is_written_again_lasts() {
