--- a/crates/cardamomwinch_coordination/src/traffic/replies.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/replies.rs
@@ -166,7 +166,10 @@
         let believed = context.snapshot.shard(shard).home;
         let home = believed
             .filter(|home| *home == me || reply.via == me || hops < DISAGREEING_HOPS)
-            .filter(|home| *home != me || !self.is_sender_home(context, reply, shard))
+            .filter(|home| {
+                let may_move = *home == me && hops < DISAGREEING_HOPS;
+                !may_move || !self.is_sender_home(context, reply, shard)
+            })
             .unwrap_or(reply.via);
         if home == me {
             match self.place.owns(shard) {
@@ -203,6 +206,7 @@
         shard: ShardId,
     ) -> bool {
         let may_be_home = context.snapshot.lease_at(shard, context.now).is_some()
+            || self.frozen.is_frozen(shard, context.now)
             || self.frozen.is_changing_hands(shard, context.now);
         if may_be_home || reply.via == self.identity.host || !self.place.owns(shard) {
             return false;
