End what a soak has started also when the soak is killed

What was seen: 26 processes of killed soaks ran on for half an hour beside tests and plays, and again 13 of one here. Cause: children end by the drop of their guard, and a killed test program drops nothing. Ruled out: a wrapper program (tests of one package do not build those of another), a pipe that children watch (hosts are the product's own programs). Change: the system kills a child when the thread that started it ends; that thread is one of its own, as long as the process. Before: a_soak_that_is_killed_leaves_no_process waits in vain, 13 processes had to be ended by id.

--- a/crates/cardamomwinch_standin/src/process.rs
+++ b/crates/cardamomwinch_standin/src/process.rs
@@ -1,5 +1,7 @@
 //! Child processes of tests: started, signalled by their own id, and ended
-//! when the guard is dropped.
+//! when the guard is dropped, or when this process ends without dropping it.
+
+mod starter;
 
 use std::ffi;
 use std::io;
@@ -17,7 +19,8 @@
 
 const READY_LIMIT: time::Duration = time::Duration::from_secs(30);
 
-/// A child process that has said it is ready. Dropping it kills just this child.
+/// A child process that has said it is ready. Dropping it kills just this child. The
+/// system kills it where this process is killed itself.
 #[derive(Debug)]
 pub struct ChildProcess {
     child: process::Child,
@@ -40,7 +43,7 @@
         command.args(arguments);
         command.stdin(process::Stdio::null());
         command.stdout(process::Stdio::piped());
-        let child = command.spawn();
+        let child = starter::spawn(command);
         let mut child = child.context(ChildSnafu { action: "start" })?;
         let (sender, lines) = mpsc::channel();
         if let Some(output) = child.stdout.take() {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -15,6 +15,7 @@
 mod support;
 
 use std::ops;
+use std::process;
 use std::time;
 
 use cardamomwinch_standin::faults::CutMode;
@@ -25,6 +26,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use support::network::{self, FaultyDeployment};
+use support::process_list::{self, ListedProcess};
 use support::requests::RequestLoad;
 
 const CALLERS: usize = 4;
@@ -309,6 +311,32 @@
     play(seed, LONG_STEPS);
 }
 
+/// Processes that a soak has started once its hosts come up: the surroundings and six hosts.
+const SOAK_PROCESSES: usize = 12;
+
+/// Guards against hosts and servers that run on, beside whatever is tested next, after the
+/// soak that started them was killed.
+#[test]
+fn a_soak_that_is_killed_leaves_no_process() {
+    support::run(async |_| {
+        let mut command = process::Command::new(std::env::current_exe().unwrap());
+        command.args(["by_hand", "--exact"]);
+        command.env("SOAK_SEEDS", "1..2");
+        let mut soak = command.stdout(process::Stdio::null()).spawn().unwrap();
+        let started = support::eventually("a soak to start", async || {
+            let children = process_list::children_of(soak.id());
+            (children.len() >= SOAK_PROCESSES).then_some(children)
+        });
+        let started = started.await;
+        soak.kill().unwrap();
+        soak.wait().unwrap();
+        support::eventually("what the soak started to end", async || {
+            (!started.iter().any(ListedProcess::runs)).then_some(())
+        })
+        .await;
+    });
+}
+
 /// Plays the seeds of the environment, if there are any.
 #[test]
 fn by_hand() {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 pub(crate) mod network;
 pub(crate) mod plain_data;
+pub(crate) mod process_list;
 pub(crate) mod requests;
 pub(crate) mod sessions;
 
