Stop a host twice where it cannot hand its requests over in between

Seen once in 59 runs of the whole test program beside load: a_second_signal_ends_the_host_at_once_and_says_what_it_cut failed, "stopped: Cut { pending_requests: 0 }" where some were expected. Cause: the test's. The host hands its shards over to the other one of its domain as soon as it is told to stop. Change: the host is the last one of its domain, and requests run for 4 s instead of 1 s, so that some must be pending at the second signal. What is asserted stays.

--- a/tests/graceful_stop.rs
+++ b/tests/graceful_stop.rs
@@ -13,13 +13,14 @@
 /// How long a request runs, in milliseconds: long enough that it still runs
 /// when the host is told to stop.
 const SERVICE_MS: &str = "1000";
+/// How long a request runs that must not end before its host is told to stop twice.
+const LONG_SERVICE_MS: &str = "4000";
 /// The longest time between first sending and deadline.
 const LIFETIME_MS: u64 = 6000;
 const DEADLINE: time::Duration = time::Duration::from_millis(5500);
 
-async fn start() -> FaultyDeployment {
-    let mut plan = network::small_plan();
-    plan.services[0].options = vec!["--service-ms-mean".to_owned(), SERVICE_MS.to_owned()];
+async fn start(mut plan: DeploymentPlan, service_ms: &str) -> FaultyDeployment {
+    plan.services[0].options = vec!["--service-ms-mean".to_owned(), service_ms.to_owned()];
     plan.limits["request_lifetime_ms"] = serde_json::json!(LIFETIME_MS);
     let faulty = FaultyDeployment::start(plan).await;
     // A home host does not run what may have been sent before it became one:
@@ -81,7 +82,7 @@
 #[test]
 fn requests_in_flight_are_answered_although_their_home_host_stops() {
     support::run(async |executor| {
-        let mut faulty = start().await;
+        let mut faulty = start(network::small_plan(), SERVICE_MS).await;
         let tasks = send_requests(executor, &faulty).await;
         let stopping = busy_hosts(&faulty).await[0].clone();
         faulty.process(&stopping).terminate().unwrap();
@@ -110,11 +111,16 @@
 }
 
 /// An operator is in a hurry and asks twice. The second signal ends the host
-/// at once, which cuts the requests that it waits for; it says how many.
+/// at once, which cuts the requests that it waits for; it says how many. The host
+/// is the last one of its domain, so that it cannot hand them over between the two.
 #[test]
 fn a_second_signal_ends_the_host_at_once_and_says_what_it_cut() {
     support::run(async |executor| {
-        let mut faulty = start().await;
+        let mut plan = network::small_plan();
+        for domain in &mut plan.domains {
+            domain.hosts = 1;
+        }
+        let mut faulty = start(plan, LONG_SERVICE_MS).await;
         let tasks = send_requests(executor, &faulty).await;
         let stopping = busy_hosts(&faulty).await[0].clone();
         let process = faulty.process(&stopping);
