Split the way of a reply from what it does at its home

replies.rs had 515 lines and two jobs: the way to the home, and what an answer does there. The second one is reply_effects.rs now. No line of code changed but the paths of imports.

--- a/crates/cardamomwinch_coordination/src/traffic/mod.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/mod.rs
@@ -19,6 +19,7 @@
 pub mod pins;
 pub(crate) mod repeating;
 pub(crate) mod replies;
+mod reply_effects;
 pub mod requests;
 pub(crate) mod resolve;
 pub mod retry_budget;
--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/traffic/reply_effects.rs
@@ -0,0 +1,252 @@
+//! What a backend server's reply does at the home of the server: it answers a request,
+//! sheds it, or closes its flow.
+
+use cardamomwinch_protocol::prelude::{
+    AttemptNumber, BackendReply, BackendReplyKind, CallerKind, PartNumber, RefusalReason,
+};
+use cardamomwinch_state::prelude::{BackendId, FlowHash, Timestamp};
+
+use crate::counter::Counter;
+use crate::decision::DecisionReason;
+use crate::traffic::caller_datagrams::RETRY_AFTER;
+use crate::traffic::context::{DecisionSubject, EventContext};
+use crate::traffic::effect::TrafficSink;
+use crate::traffic::replies;
+use crate::traffic::requests::{
+    KEPT_PARTS_LIMIT, KeptPart, RequestKey, RequestState, RunningRequest,
+};
+use crate::traffic::{TrafficEngine, dispatching};
+
+impl TrafficEngine {
+    pub(crate) fn apply<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        reply: &BackendReply<'_>,
+    ) {
+        let hash = Self::hasher(context.snapshot).hash(&reply.flow);
+        match reply.kind {
+            BackendReplyKind::Answer {
+                request,
+                attempt,
+                part,
+                payload,
+            } => {
+                let answered = AnswerPart {
+                    attempt,
+                    part,
+                    payload,
+                };
+                self.confirm_search(context, hash, reply);
+                let key = replies::request_key(reply, request);
+                self.note_part(context, hash, reply.backend, &key, answered);
+            }
+            BackendReplyKind::Shed { request, attempt } => {
+                context.count(Counter::BackendShed);
+                match request {
+                    Some(request) => {
+                        let key = replies::request_key(reply, request);
+                        self.note_shed(context, hash, reply.backend, &key, attempt);
+                    }
+                    None => self.note_opening_shed(context, hash, reply),
+                }
+            }
+            BackendReplyKind::Closed => {
+                self.remove_pin(hash, &reply.flow);
+            }
+            BackendReplyKind::Opened
+            | BackendReplyKind::Notice { .. }
+            | BackendReplyKind::UnknownFlow { .. } => {}
+        }
+    }
+
+    /// Notes a part of an answer. A part of an earlier attempt is never mixed
+    /// into a later one; but a whole answer in one part ends the request,
+    /// whichever attempt gave it.
+    fn note_part<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        hash: FlowHash,
+        backend: BackendId,
+        key: &RequestKey,
+        answered: AnswerPart<'_>,
+    ) {
+        let limit = self.bounds.held_bytes;
+        let held_bytes = self.requests.held_bytes();
+        let room = limit.saturating_sub(held_bytes);
+        let mut given_up = false;
+        let noted = self.requests.change(hash, key, |record| {
+            given_up = record.state.is_given_up();
+            note_in_state(&mut record.state, answered, room)
+        });
+        if noted.is_none() {
+            let subject = DecisionSubject {
+                flow: Some(key.flow),
+                request: Some(key.id),
+                backend: Some(backend),
+                ..DecisionSubject::default()
+            };
+            context.decide(DecisionReason::ReplyUnmatched, subject);
+        }
+        match noted.unwrap_or(PartOutcome::Ignored) {
+            PartOutcome::Ignored => {}
+            PartOutcome::Progress => self.ledgers.of(backend).note_progress(context.now, key),
+            PartOutcome::Whole => {
+                context.count(Counter::RequestAnswered);
+                if given_up {
+                    context.count(Counter::RequestAnsweredLate);
+                }
+                let ledger = self.ledgers.of(backend);
+                if let Some(slot) = ledger.finish(key) {
+                    ledger.note_answer(context.now, context.now.since(slot.sent));
+                }
+                self.start_next(context, backend);
+            }
+            PartOutcome::Superseded { attempt, deadline } => {
+                context.count(Counter::RequestAnswered);
+                let ledger = self.ledgers.of(backend);
+                ledger.leave_queue(key);
+                ledger.finish(key);
+                if let Some(attempt) = attempt {
+                    dispatching::cancel(context, key, backend, attempt, deadline);
+                }
+                self.start_next(context, backend);
+            }
+        }
+    }
+
+    /// Takes a server's word that it did not run a request and will not. It
+    /// counts only for the attempt that is under way, and only while no part of
+    /// an answer has come: a doubled datagram may be shed in one copy and run
+    /// in the other.
+    fn note_shed<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        hash: FlowHash,
+        backend: BackendId,
+        key: &RequestKey,
+        attempt: AttemptNumber,
+    ) {
+        let record = self.requests.get(hash, key);
+        let Some(RequestState::Running(running)) = record.map(|record| &record.state) else {
+            return;
+        };
+        if running.attempt != attempt || !running.tracker.is_empty() {
+            return;
+        }
+        let opens = running.held.kind == CallerKind::Open;
+        let given_up = running.given_up;
+        let ledger = self.ledgers.of(backend);
+        ledger.last_heard = context.now;
+        ledger.unreported.sheds += 1;
+        let pause = ledger.estimate.pause();
+        let Some(slot) = ledger.finish(key) else {
+            return;
+        };
+        let entry = context.snapshot.backend(backend);
+        let slots = entry.map_or(1, |entry| entry.slots.get());
+        ledger.count_overdue(context.now);
+        let busy = ledger.busy();
+        ledger.estimate.note_shed(context.now, slots, busy);
+        if given_up {
+            // Its caller reckons with a run that has been, not with one to come.
+            self.requests.put(hash, key, RequestState::Unknown);
+        } else if entry.is_some() && self.may_retry(context, &slot, attempt, pause) {
+            self.queue_again(context, backend, &slot, pause);
+        } else {
+            let wait = pause.max(self.retry_after(context, backend, hash));
+            self.refuse_known(context, slot.entry, RefusalReason::Shed, wait);
+            if opens && let Some(pin) = self.pins.remove(hash, &key.flow) {
+                self.uncount(&pin);
+            }
+        }
+        self.start_next(context, backend);
+    }
+
+    fn note_opening_shed<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        hash: FlowHash,
+        reply: &BackendReply<'_>,
+    ) {
+        if let Some(pin) = self.pins.remove(hash, &reply.flow) {
+            self.uncount(&pin);
+        }
+        context.refuse(reply.flow, None, RefusalReason::Shed, RETRY_AFTER);
+    }
+}
+
+/// A part of an answer, as it came.
+#[derive(Debug, Clone, Copy)]
+struct AnswerPart<'p> {
+    attempt: AttemptNumber,
+    part: PartNumber,
+    payload: &'p [u8],
+}
+
+impl AnswerPart<'_> {
+    fn kept(&self) -> KeptPart {
+        KeptPart {
+            part: self.part,
+            payload: self.payload.into(),
+        }
+    }
+}
+
+/// What a part of an answer did.
+#[derive(Debug, Clone, Copy)]
+enum PartOutcome {
+    /// Nothing: it was known, malformed, or of an attempt that is over.
+    Ignored,
+    /// More parts have to come.
+    Progress,
+    /// The attempt under way is answered whole.
+    Whole,
+    /// An earlier attempt is answered whole; the one under way is not needed.
+    Superseded {
+        attempt: Option<AttemptNumber>,
+        deadline: Timestamp,
+    },
+}
+
+/// Notes a part in the state of its request, of which at most `room` more bytes
+/// may be kept.
+fn note_in_state(state: &mut RequestState, answered: AnswerPart<'_>, room: usize) -> PartOutcome {
+    let (current, begun, deadline) = match &*state {
+        RequestState::Queued { attempt, held, .. } => (*attempt, false, held.header.deadline),
+        RequestState::Running(running) => (running.attempt, true, running.held.header.deadline),
+        _ => return PartOutcome::Ignored,
+    };
+    if answered.attempt < current && answered.part == PartNumber::WHOLE {
+        let kept = (answered.payload.len() <= room).then(|| vec![answered.kept()]);
+        let attempt = answered.attempt;
+        *state = RequestState::Answered { attempt, kept };
+        let attempt = begun.then_some(current);
+        return PartOutcome::Superseded { attempt, deadline };
+    }
+    let RequestState::Running(running) = state else {
+        return PartOutcome::Ignored;
+    };
+    if answered.attempt != current || !running.tracker.note(answered.part) {
+        return PartOutcome::Ignored;
+    }
+    keep_part(running, answered, room);
+    if !running.tracker.is_whole() {
+        return PartOutcome::Progress;
+    }
+    let attempt = current;
+    let kept = running.complete.then(|| std::mem::take(&mut running.kept));
+    *state = RequestState::Answered { attempt, kept };
+    PartOutcome::Whole
+}
+
+/// Keeps a part for a repeated request, unless the answer is long or too many
+/// bytes are held already; then what was kept of it is of no use either.
+fn keep_part(running: &mut RunningRequest, answered: AnswerPart<'_>, room: usize) {
+    if answered.part.total > KEPT_PARTS_LIMIT || answered.payload.len() > room {
+        running.complete = false;
+        running.kept.clear();
+    }
+    if running.complete {
+        running.kept.push(answered.kept());
+    }
+}
