--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/mod.rs
@@ -11,6 +11,7 @@
 pub mod read_source;
 mod report_exchange;
 pub mod start;
+pub mod start_list;
 pub mod store_call;
 mod store_changes;
 pub mod store_reader;
@@ -29,8 +30,9 @@
 use crate::forwarding::beliefs::peer_book::PeerBook;
 use crate::forwarding::beliefs::peer_word::PeerQuestion;
 use crate::forwarding::beliefs::read_source::{ReadSource, SourceChoice};
-use crate::forwarding::beliefs::start::{StartPlan, TellingLimit};
-use crate::forwarding::beliefs::store_call::{StoreCall, StoreOutcome, StoreRevision};
+use crate::forwarding::beliefs::start::{StartPlan, TellingPlaces};
+use crate::forwarding::beliefs::start_list::StartList;
+use crate::forwarding::beliefs::store_call::{StoreCall, StoreChange, StoreOutcome, StoreRevision};
 use crate::forwarding::beliefs::store_reader::StoreReader;
 use crate::forwarding::cold_starts::ColdShare;
 use crate::forwarding::directory::{ServerDirectory, ServerRecord};
@@ -63,6 +65,8 @@
     pub flow_lifetime: time::Duration,
     /// How long a watch waits at the store for a change.
     pub watch_wait: time::Duration,
+    /// How many servers are told at a time to a host that knows nothing.
+    pub list_part: usize,
 }
 
 /// What changed in the beliefs of a host, for its log.
@@ -172,7 +176,11 @@
     peers: PeerBook,
     choice: SourceChoice,
     start: StartPlan,
-    telling: TellingLimit,
+    places: TellingPlaces,
+    /// What hosts that know nothing are told, or what this one has been told of it.
+    list: StartList,
+    /// The list before, which some are still being told.
+    last_list: StartList,
     /// The host that one which had too many to tell named instead of itself.
     referred_to: Option<net::SocketAddr>,
     source: ReadSource,
@@ -214,7 +222,9 @@
             peers,
             choice: SourceChoice::new(settings.address),
             start: StartPlan::new(peer_book::order_number(settings.address), asks_others),
-            telling: TellingLimit::default(),
+            places: TellingPlaces::default(),
+            list: StartList::default(),
+            last_list: StartList::default(),
             referred_to: None,
             source: ReadSource::Store,
             pause: peer_exchange::IDLE_PAUSE,
@@ -300,10 +310,10 @@
     pub fn next_store_call(&mut self, now: Timestamp) -> StoreCall {
         self.choose_source(now);
         let age = now.since(self.heard_at);
+        if self.leaves_listing(now) {
+            return StoreCall::Pause(START_PERIOD);
+        }
         if self.knows_nothing() {
-            if self.start.waits_for_hosts(now) && self.peers.may_answer() {
-                return StoreCall::Pause(START_PERIOD);
-            }
             return self.reader.next_call(age);
         }
         let watching = self.reader.is_watching();
@@ -315,8 +325,18 @@
         }
     }
 
+    /// Whether this host leaves the store's list to others, which tell it.
+    fn leaves_listing(&mut self, now: Timestamp) -> bool {
+        if !self.start.waits_for_reader(now) {
+            return self.knows_nothing()
+                && self.start.waits_for_hosts(now)
+                && self.peers.may_answer();
+        }
+        self.knows_nothing() || self.choice.host_to_ask(&self.peers, now).is_some()
+    }
+
     /// Whether neither the store nor a host has told anything yet.
-    fn knows_nothing(&self) -> bool {
+    pub(super) fn knows_nothing(&self) -> bool {
         self.revision == StoreRevision::ZERO
     }
 
@@ -355,9 +375,30 @@
             _ => self.note_store_heard(now),
         }
         let follows = self.choice.host_to_ask(&self.peers, now).is_some();
+        self.adopt_listed_routes(&outcome);
+        let knew_nothing = self.knows_nothing();
         if let Some(step) = self.reader.handle(outcome, follows) {
             self.take_step(now, said_at, step);
         }
+        if knew_nothing && !self.knows_nothing() {
+            self.places.free_waiting();
+        }
+    }
+
+    /// A host that forwards takes a configuration over from the page that holds it: a list
+    /// of thousands of servers may take seconds, in which an older one would stay in force.
+    fn adopt_listed_routes(&mut self, outcome: &StoreOutcome) {
+        let StoreOutcome::Page { items, .. } = outcome else {
+            return;
+        };
+        if self.knows_nothing() {
+            return;
+        }
+        for item in items {
+            if let StoreChange::Routes(document) = item {
+                self.adopt_routes(document.clone());
+            }
+        }
     }
 
     /// Where a listing takes several pages, it is as old as the first one.
@@ -417,5 +458,10 @@
         if !self.reports.is_empty() {
             sync::Arc::make_mut(&mut self.reports).age(now);
         }
+        for list in [&mut self.list, &mut self.last_list] {
+            if list.is_outdated(now) {
+                *list = StartList::default();
+            }
+        }
     }
 }
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_exchange.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_exchange.rs
@@ -1,6 +1,7 @@
 //! What a host asks other hosts, what it makes of their answers, and what it
 //! answers itself.
 
+use std::mem;
 use std::net;
 use std::sync;
 use std::time;
@@ -11,8 +12,9 @@
     PeerEvacuation, PeerHost, PeerQuestion, PeerServer, PeerWord,
 };
 use crate::forwarding::beliefs::start::TellingChoice;
+use crate::forwarding::beliefs::start_list::{ListPart, StartList};
 use crate::forwarding::beliefs::store_call::StoreRevision;
-use crate::forwarding::beliefs::{BeliefChange, BeliefEngine};
+use crate::forwarding::beliefs::{BeliefChange, BeliefEngine, peer_book};
 use crate::forwarding::directory::{ServerPhase, ServerRecord};
 use crate::forwarding::evacuations::EvacuationRecord;
 
@@ -26,6 +28,8 @@
 /// The pause after an answer that brought reports about servers and nothing else, in which
 /// further ones gather.
 const REPORT_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// The pause after an answer that tells only that somebody reads everything from the store.
+const READER_PAUSE: time::Duration = time::Duration::from_millis(100);
 /// The pause after an answer that was of no use, before another host is asked.
 const MISS_PAUSE: time::Duration = time::Duration::from_millis(100);
 /// The pause where the last answer told nothing new, or nobody is to be asked.
@@ -48,7 +52,7 @@
 const YOUNG_HOSTS_PERIOD: time::Duration = time::Duration::from_millis(300);
 
 /// How much an answer tells.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 enum WordExtent {
     /// Neither routes nor servers.
     Nothing {
@@ -57,8 +61,19 @@
     },
     /// What changed since what the asker knows.
     Difference,
-    /// Everything.
-    All,
+    /// A part of everything; with the last one, all but servers.
+    Part(ListPart),
+}
+
+impl WordExtent {
+    /// Whether routes and evacuations are told.
+    const fn tells_rest(&self) -> bool {
+        match self {
+            Self::Nothing { .. } => false,
+            Self::Difference => true,
+            Self::Part(part) => part.is_last,
+        }
+    }
 }
 
 impl BeliefEngine {
@@ -86,6 +101,7 @@
             age: now.since(self.heard_at),
             wait,
             reports_known: self.reports_known_of(peer),
+            list: self.list.end(),
             hosts,
             host: PeerHost {
                 address: self.settings.address,
@@ -171,6 +187,7 @@
             None => IDLE_PAUSE,
             Some(_) if is_useful && learned => QUESTION_PAUSE,
             Some(_) if is_useful && reported => REPORT_PAUSE,
+            Some(_) if is_useful && self.start.waits_for_reader(now) => READER_PAUSE,
             Some(_) if is_useful => IDLE_PAUSE,
             Some(_) => MISS_PAUSE,
         };
@@ -187,8 +204,34 @@
         let silent_at = word.store_silent_for.map(|ago| now.before(ago));
         self.silent_at = self.silent_at.max(silent_at);
         let revision = word.revision;
+        if let Some(ago) = word.reader_heard {
+            self.start.note_reader(now.before(ago));
+        }
+        let servers = word.servers.into_iter();
+        let mut servers: Vec<_> = servers.map(|server| server.into_record(now)).collect();
+        if let Some(begin) = word.list {
+            let said_at = self.said_at(now, word.waited);
+            let fits = self.list.take(ListPart {
+                begin,
+                servers,
+                is_last: word.all_servers,
+                heard_at: said_at.before(word.age),
+            });
+            // The next part, what changed since, or all again.
+            self.referred_to = Some(peer);
+            self.start.note_reader(now);
+            if !fits {
+                self.list = StartList::default();
+                return;
+            }
+            servers = self.list.servers().to_vec();
+        }
         if revision == StoreRevision::ZERO {
-            self.referred_to = word.ask_instead;
+            if word.list.is_none() {
+                // Who waits at a host that is to be told everything keeps its place there.
+                let keeps_place = self.start.waits_for_reader(now).then_some(peer);
+                self.referred_to = word.ask_instead.or(keeps_place);
+            }
             return;
         }
         self.knows_left |= word.all_servers || self.asked_revision > StoreRevision::ZERO;
@@ -200,9 +243,10 @@
             sync::Arc::make_mut(&mut self.routes).apply(difference);
             self.note_configuration();
         }
-        let servers = word.servers.into_iter();
-        let servers: Vec<_> = servers.map(|server| server.into_record(now)).collect();
         if revision > self.revision {
+            if word.reader_heard.is_none() {
+                self.start.forget_reader();
+            }
             self.note_era(now, revision);
             let evacuations = word.evacuations.into_iter();
             let evacuations: Vec<_> = evacuations.map(|one| one.into_record(now)).collect();
@@ -266,8 +310,11 @@
         let directory = sync::Arc::make_mut(&mut self.directory);
         directory.merge(servers, all, revision, now);
         self.review_own_servers();
+        if self.knows_nothing() {
+            self.places.free_waiting();
+        }
         self.revision = revision;
-        self.reader.skip_to(revision, all);
+        self.reader.skip_to(revision);
     }
 
     /// Takes over servers that have left, as a peer remembers them. They count as
@@ -292,24 +339,66 @@
     /// few that the settings name, whose links and memory it would fill if each were told
     /// everything at once; the others are told whom else to ask.
     fn extent_for(&mut self, now: Timestamp, question: &PeerQuestion) -> WordExtent {
-        let knows_nothing = question.revision == StoreRevision::ZERO;
-        // The asker may know what this host never heard of, and the store has lost.
-        let is_of_earlier_era = question.revision.era() < self.revision.era();
-        let needs_all = knows_nothing || is_of_earlier_era;
-        if !needs_all && self.directory.changed_after(question.revision).is_some() {
+        let knows_changes =
+            || self.directory.changed_after(question.revision).is_some() && !self.knows_nothing();
+        if !self.needs_all(question) && knows_changes() {
             return WordExtent::Difference;
         }
-        if self.knows_nothing() {
+        if self.knows_nothing() && !question.knows_nothing() {
             return WordExtent::Nothing { ask_instead: None };
         }
-        match self.telling.choose(question.host.address, now) {
-            TellingChoice::Tell => WordExtent::All,
+        match self.places.choose(question.host.address, now) {
+            TellingChoice::Tell => self.part_for(now, question),
             TellingChoice::Refer(host) => WordExtent::Nothing {
                 ask_instead: Some(host),
             },
         }
     }
 
+    /// Whether what changed does not suffice for whoever asks `question`. It may know what
+    /// this host never heard of, and the store has lost.
+    fn needs_all(&self, question: &PeerQuestion) -> bool {
+        question.knows_nothing() || question.revision.era() < self.revision.era()
+    }
+
+    /// The next part of the list that whoever asks `question` is being told.
+    fn part_for(&mut self, now: Timestamp, question: &PeerQuestion) -> WordExtent {
+        let limit = self.settings.list_part;
+        let is_earlier = question.list.is_some_and(|from| self.last_list.holds(from));
+        let is_known = question.list.is_some_and(|from| self.list.holds(from));
+        let part = if is_earlier {
+            self.last_list.part_after(question.list, limit)
+        } else {
+            if !self.knows_nothing() && !is_known && !self.list.may_begin(self.revision, now) {
+                self.begin_list();
+            }
+            self.list.part_after(question.list, limit)
+        };
+        if let Some(part) = &part {
+            self.places.note_told(question.host.address, part.is_last);
+        }
+        let nothing = WordExtent::Nothing { ask_instead: None };
+        part.map_or(nothing, WordExtent::Part)
+    }
+
+    fn begin_list(&mut self) {
+        let host = peer_book::order_number(self.settings.address);
+        let servers = self.directory.iter().cloned().collect();
+        let list = StartList::of_servers(host, self.revision, servers, self.heard_at);
+        self.last_list = mem::replace(&mut self.list, list);
+    }
+
+    /// Whether there is a part for whoever asks `question`, which this host has been told.
+    pub(super) fn has_part_for(&self, question: &PeerQuestion) -> bool {
+        let part = self.list.part_after(question.list, self.settings.list_part);
+        part.is_some_and(|part| !part.servers.is_empty())
+    }
+
+    /// Whether whoever asks `question` may wait here to be told everything.
+    pub(super) fn gives_place(&mut self, question: &PeerQuestion, now: Timestamp) -> bool {
+        self.places.choose(question.host.address, now) == TellingChoice::Tell
+    }
+
     /// Answers a peer. It also learns that the peer is there.
     pub fn answer_peer(&mut self, now: Timestamp, question: &PeerQuestion) -> PeerWord {
         if self.peers.note_question(question.host, &question.hosts) {
@@ -318,7 +407,6 @@
         }
         let starting = !question.knows_left;
         let extent = self.extent_for(now, question);
-        let describe = |server| PeerServer::from_record(server, now);
         let same_domain = question.host.domain == Some(self.settings.domain);
         let hosts = if starting {
             self.peers.hosts()
@@ -328,20 +416,11 @@
             let domain = question.host.domain;
             domain.map_or_else(Vec::new, |domain| self.peers.hosts_in(domain))
         };
-        let servers: Vec<_> = match extent {
-            WordExtent::Nothing { .. } => Vec::new(),
-            WordExtent::All => self.directory.iter().map(describe).collect(),
-            WordExtent::Difference => {
-                let told = |server: &&ServerRecord| {
-                    server.changed > question.revision || (starting && !server.is_listed())
-                };
-                self.directory.iter().filter(told).map(describe).collect()
-            }
-        };
+        let tells_rest = extent.tells_rest();
         let evacuations = self.directory.evacuations().iter();
         let told = evacuations.filter(|one| match extent {
             WordExtent::Nothing { .. } => false,
-            WordExtent::All => true,
+            WordExtent::Part(_) => tells_rest,
             WordExtent::Difference => one.changed > question.revision,
         });
         let evacuations = told
@@ -353,30 +432,57 @@
         } else {
             (Vec::new(), question.reports_known)
         };
-        let routes = match extent {
-            WordExtent::Nothing { .. } => None,
-            _ => self.routes.difference(question.version),
-        };
-        PeerWord {
-            revision: match extent {
-                WordExtent::Nothing { .. } => StoreRevision::ZERO,
-                _ => self.revision,
-            },
+        let routes = tells_rest
+            .then(|| self.routes.difference(question.version))
+            .flatten();
+        let mut word = PeerWord {
+            revision: StoreRevision::ZERO,
             waited: time::Duration::ZERO,
             age: now.since(self.heard_at),
             store_silent_for: self.silent_at.map(|at| now.since(at)),
             routes,
-            servers,
-            all_servers: extent == WordExtent::All,
+            servers: Vec::new(),
+            list: None,
+            all_servers: false,
             evacuations,
             reports,
             reports_serial,
             hosts_digest: same_domain.then(|| self.peers.digest()),
             hosts,
-            ask_instead: match extent {
-                WordExtent::Nothing { ask_instead } => ask_instead,
-                WordExtent::Difference | WordExtent::All => None,
-            },
+            ask_instead: None,
+            reader_heard: self.reader_heard(now),
+        };
+        let describe = |server: &ServerRecord| PeerServer::from_record(server, now);
+        match extent {
+            WordExtent::Nothing { ask_instead } => word.ask_instead = ask_instead,
+            WordExtent::Difference => {
+                let told = |server: &&ServerRecord| {
+                    server.changed > question.revision || (starting && !server.is_listed())
+                };
+                word.revision = self.revision;
+                word.servers = self.directory.iter().filter(told).map(describe).collect();
+            }
+            WordExtent::Part(part) => {
+                if part.is_last {
+                    word.revision = part.begin.revision;
+                }
+                word.all_servers = part.is_last;
+                word.list = Some(part.begin);
+                word.age = now.since(part.heard_at);
+                word.servers = part.servers.iter().map(describe).collect();
+            }
+        }
+        word
+    }
+
+    /// How long ago a host was heard of that reads everything from the store, which this one
+    /// waits for: it may be one itself.
+    pub(super) fn reader_heard(&mut self, now: Timestamp) -> Option<time::Duration> {
+        let lists = !self.reader.is_watching() && !self.leaves_listing(now);
+        let reads = lists && self.silent_since.is_none();
+        if reads {
+            return Some(time::Duration::ZERO);
         }
+        self.start.reader_heard(now)
     }
 }
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_word.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_word.rs
@@ -7,6 +7,7 @@
     BackendId, ConfigurationVersion, DomainId, ServiceId, SlotCount, Timestamp,
 };
 
+use crate::forwarding::beliefs::start_list::ListPosition;
 use crate::forwarding::beliefs::store_call::{ServerStart, StoreRevision};
 use crate::forwarding::directory::{ServerPhase, ServerRecord};
 use crate::forwarding::evacuations::{EvacuationPhase, EvacuationRecord};
@@ -32,12 +33,30 @@
     pub wait: time::Duration,
     /// How far the asked host has told its reports about servers.
     pub reports_known: ReportSerial,
+    /// What it has of a list of all servers that it is being told.
+    pub list: Option<ListPosition>,
     /// The hosts of its failure domain that it knows, where it asks for others.
     pub hosts: Vec<PeerHost>,
     /// The host itself.
     pub host: PeerHost,
 }
 
+/// How long an answer may take beyond the time that it may wait. A peer that is up
+/// answers within milliseconds.
+const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(400);
+
+impl PeerQuestion {
+    /// Whether the asker knows nothing yet.
+    pub fn knows_nothing(&self) -> bool {
+        self.revision == StoreRevision::ZERO
+    }
+
+    /// How long the asker waits for the whole answer.
+    pub fn timeout(&self) -> time::Duration {
+        self.wait + ANSWER_TIMEOUT
+    }
+}
+
 /// A host that can be asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PeerHost {
@@ -238,7 +257,10 @@
     pub routes: Option<RouteDifference>,
     /// The servers that changed since the revision of the asker, or all.
     pub servers: Vec<PeerServer>,
-    /// Whether these are all servers and evacuations that it knows.
+    /// Where the servers stand in a list of all that is told in parts, if they do.
+    pub list: Option<ListPosition>,
+    /// Whether these are, with earlier parts of the list, all servers that it knows, and
+    /// the evacuations are all.
     pub all_servers: bool,
     /// The evacuations that changed since the revision of the asker, or all.
     pub evacuations: Vec<PeerEvacuation>,
@@ -252,6 +274,9 @@
     /// Hosts that it knows, where the asker does not know the same.
     pub hosts: Vec<PeerHost>,
     /// A host to ask instead, where the asker knows nothing and this one has told
-    /// everything to too many.
+    /// everything to too many, or has too many that wait.
     pub ask_instead: Option<net::SocketAddr>,
+    /// How long ago a host that reads everything from the store was heard of, where this one
+    /// knows nothing yet.
+    pub reader_heard: Option<time::Duration>,
 }
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_changes.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_changes.rs
@@ -177,7 +177,7 @@
         }
     }
 
-    fn adopt_routes(&mut self, document: RouteDocument) {
+    pub(super) fn adopt_routes(&mut self, document: RouteDocument) {
         if document.version <= self.routes.version() {
             return;
         }
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_reader.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_reader.rs
@@ -155,15 +155,14 @@
         }
     }
 
-    /// A peer has told what changed up to `revision`, or `all` that there is: a watch
-    /// goes on from there, and what was listed so far is not needed.
-    pub fn skip_to(&mut self, revision: StoreRevision, all: bool) {
+    /// A peer has told all that there is up to `revision`, or what this host did not know
+    /// of it: a watch goes on from there, and what was listed so far is not needed.
+    pub fn skip_to(&mut self, revision: StoreRevision) {
         match &mut self.state {
             ReaderState::Watching { after } => *after = revision.max(*after),
-            ReaderState::Listing { .. } if all => {
+            ReaderState::Listing { .. } => {
                 self.state = ReaderState::Watching { after: revision };
             }
-            ReaderState::Listing { .. } => {}
         }
     }
 
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/waiting_questions.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/waiting_questions.rs
@@ -23,13 +23,20 @@
 }
 
 impl<A> WaitingQuestion<A> {
-    fn is_due(&self, engine: &BeliefEngine, now: Timestamp) -> bool {
+    fn is_due(&self, engine: &mut BeliefEngine, now: Timestamp) -> bool {
         let question = &self.question;
+        if question.knows_nothing() && engine.knows_nothing() {
+            let is_referred = !engine.gives_place(question, now);
+            if is_referred || engine.has_part_for(question) {
+                return true;
+            }
+        }
         let asker_heard_at = self.asked_at.before(question.age);
         now.since(self.asked_at) >= question.wait
             || engine.knows_more_than(question)
             || engine.heard_at() >= asker_heard_at.after(FRESHNESS_STEP)
             || engine.silent_at().is_some_and(|at| at > self.asked_at)
+            || (!engine.knows_nothing() && engine.reader_heard(now).is_some())
     }
 }
 
@@ -69,7 +76,7 @@
     }
 
     /// Takes out the questions that are to be answered now.
-    pub fn take_due(&mut self, engine: &BeliefEngine, now: Timestamp) -> Vec<DueQuestion<A>> {
+    pub fn take_due(&mut self, engine: &mut BeliefEngine, now: Timestamp) -> Vec<DueQuestion<A>> {
         let excess = self.questions.len().saturating_sub(WAITING_LIMIT);
         let mut index = 0;
         let due = self.questions.extract_if(.., |waiting| {
--- a/crates/cardamomwinch_coordination/tests/forwarding_beliefs.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_beliefs.rs
@@ -30,6 +30,7 @@
         seeds: vec![host_address(1), host_address(2), host_address(3)],
         flow_lifetime: millis(60_000),
         watch_wait: millis(3_000),
+        list_part: start_list::PART_LIMIT,
     };
     BeliefEngine::new(settings, number.into())
 }
@@ -116,6 +117,7 @@
         seeds: Vec::new(),
         flow_lifetime: millis(60_000),
         watch_wait: millis(20_000),
+        list_part: start_list::PART_LIMIT,
     };
     let mut engine = BeliefEngine::new(settings, 1);
     engine.handle_store(at(0), page(vec![routes(1)], 10));
@@ -346,20 +348,36 @@
         let mut host = engine(number);
         let word = ask(&mut peer, &mut host, 10);
         host.handle_peer(at(10), host_address(2), Some(word.clone()));
-        assert_eq!(host.view().is_usable(), word.all_servers);
-        assert!(word.all_servers || (word.servers.is_empty() && word.routes.is_none()));
-        assert_eq!(word.ask_instead.is_some(), !word.all_servers);
+        let is_told = word.list.is_some();
+        assert!(is_told || (word.servers.is_empty() && word.routes.is_none()));
+        assert_eq!(word.ask_instead.is_some(), !is_told);
+        if is_told {
+            assert_eq!(ask_on(&mut peer, &mut host, 10), word.servers.len());
+        }
+        assert_eq!(host.view().is_usable(), is_told);
         if let Some(other) = word.ask_instead {
             let (asked, _) = host.next_peer(at(40)).unwrap();
             assert_eq!(asked, other, "one that was told");
             assert!((10..14).map(host_address).any(|told| told == other));
         }
-        told.push(word.all_servers);
+        told.push(is_told);
     }
     assert_eq!(told.iter().filter(|all| **all).count(), 4);
     assert!(told[..4].iter().all(|all| *all));
     let mut later = engine(30);
-    assert!(ask(&mut peer, &mut later, 300).all_servers);
+    assert!(ask(&mut peer, &mut later, 300).list.is_some());
+}
+
+/// Has `host` ask `peer` for all further parts of the list of 2,000 servers, and returns
+/// how many the first one held.
+fn ask_on(peer: &mut BeliefEngine, host: &mut BeliefEngine, moment: u64) -> usize {
+    let mut others = 0;
+    while !host.view().is_usable() && others < 2_000 {
+        let word = ask(peer, host, moment);
+        others += word.servers.len();
+        host.handle_peer(at(moment), host_address(2), Some(word));
+    }
+    2_000 - others
 }
 
 /// Four hosts ask one that is starting, too, and are answered in vain. A moment later it
@@ -425,8 +443,7 @@
     let mut peer = host_of_many(2_000);
     let mut host = engine(1);
     host.handle_store(at(5), StoreOutcome::Failed);
-    let word = ask(&mut peer, &mut host, 10);
-    host.handle_peer(at(10), host_address(2), Some(word));
+    ask_on(&mut peer, &mut host, 10);
     assert!(host.view().is_usable());
     assert_eq!(host.view().directory.len(), 2_000);
 }
--- a/crates/cardamomwinch_coordination/tests/forwarding_reports.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_reports.rs
@@ -465,6 +465,7 @@
         seeds: vec![([10, 1, 0, 1], 8166).into(), ([10, 1, 0, 2], 8166).into()],
         flow_lifetime: millis(60_000),
         watch_wait: millis(2_000),
+        list_part: start_list::PART_LIMIT,
     };
     let mut engine = BeliefEngine::new(settings, number.into());
     let items = vec![server_entry(1, 5, false)];
--- a/crates/cardamomwinch_coordination/tests/forwarding_restarts.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_restarts.rs
@@ -105,6 +105,7 @@
         seeds: Vec::new(),
         flow_lifetime: millis(60_000),
         watch_wait: millis(3_000),
+        list_part: start_list::PART_LIMIT,
     };
     let mut engine = BeliefEngine::new(settings, 1);
     let routes = document(1, vec![(service_address(), route(true))]);
--- a/crates/cardamomwinch_coordination/tests/forwarding_support/fleet.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_support/fleet.rs
@@ -59,6 +59,8 @@
     pub tell_at: u64,
     /// When its process is to start, where it has not yet.
     pub starts_at: Option<u64>,
+    /// Until then its link is full with parts of the list.
+    pub sends_until: u64,
 }
 
 /// Hosts of one domain and a store.
@@ -80,12 +82,71 @@
     /// How often each host told another one everything.
     pub told_all: Vec<usize>,
     pub domains: usize,
+    pub weight: DirectoryWeight,
+    /// The store no longer tells changes up to this revision.
+    pub history_begins: u64,
+    /// Until then watches hear nothing, in milliseconds.
+    pub watches_silent_until: u64,
+    /// Parts of the list that are on their way.
+    sent: Vec<SentWord>,
+}
+
+/// What it takes to hand on all servers, in milliseconds.
+#[derive(Debug, Clone, Copy)]
+pub struct DirectoryWeight {
+    /// Pages of the store's list.
+    pub pages: u64,
+    /// What a page takes on the link of its reader.
+    pub page_time: u64,
+    /// Parts in which hosts tell the list. Each is one server here.
+    pub parts: u64,
+    /// What a part takes on the link of its sender.
+    pub part_time: u64,
+}
+
+impl DirectoryWeight {
+    const NONE: Self = Self {
+        pages: 1,
+        page_time: 0,
+        parts: 2,
+        part_time: 0,
+    };
+
+    /// So many servers, where a page holds 500 of them at 500 bytes each, a part as many as
+    /// hosts tell at a time at `wire_bytes` each, and links have 20 Mbit/s.
+    pub const fn of_servers(servers: u64, wire_bytes: u64) -> Self {
+        const BYTES_PER_MS: u64 = 2_500;
+        let part = start_list::PART_LIMIT as u64;
+        Self {
+            pages: servers.div_ceil(500),
+            page_time: 500 * 500 / BYTES_PER_MS,
+            parts: servers.div_ceil(part),
+            part_time: (part * wire_bytes).div_ceil(BYTES_PER_MS),
+        }
+    }
+}
+
+/// A word on its way.
+struct SentWord {
+    arrives_at: u64,
+    teller: usize,
+    asker: usize,
+    word: PeerWord,
 }
 
 pub fn address(index: usize) -> net::SocketAddr {
     net::SocketAddr::from(([10, 1, (index / 250) as u8, (index % 250) as u8], 8166))
 }
 
+/// The host at `address`.
+fn index_of(address: net::SocketAddr) -> usize {
+    let net::IpAddr::V4(ip) = address.ip() else {
+        unreachable!("hosts have addresses of version 4");
+    };
+    let [_, _, high, low] = ip.octets();
+    usize::from(high) * 250 + usize::from(low)
+}
+
 impl Fleet {
     pub fn new(count: usize) -> Self {
         Self::of_domains(count, 1)
@@ -106,6 +167,10 @@
             reports_told: vec![0; count],
             told_all: vec![0; count],
             domains,
+            weight: DirectoryWeight::NONE,
+            history_begins: 0,
+            watches_silent_until: 0,
+            sent: Vec::new(),
         }
     }
 
@@ -135,6 +200,15 @@
         }
     }
 
+    /// Lists so many servers as `weight` says, from the start.
+    pub fn with_weight(mut self, weight: DirectoryWeight) -> Self {
+        self.weight = weight;
+        for number in 3..=weight.parts {
+            self.write(number, false);
+        }
+        self
+    }
+
     /// Forgets what was counted.
     pub fn count_anew(&mut self) {
         self.calls = 0;
@@ -192,6 +266,7 @@
     pub fn run_until(&mut self, end: u64) {
         while self.now < end {
             self.now += STEP;
+            self.deliver_sent();
             for index in 0..self.hosts.len() {
                 if self.hosts[index].starts_at == Some(self.now) {
                     self.restart(index);
@@ -226,7 +301,19 @@
         };
         match &call.call {
             StoreCall::Pause(_) => (self.now >= call.until).then_some(StoreOutcome::Paused),
-            StoreCall::List { .. } => {
+            StoreCall::List { after } => {
+                let page = after.as_ref().map_or(0, |key| key.parse().unwrap());
+                if self.now < call.since + self.weight.page_time {
+                    return None;
+                }
+                if page + 1 < self.weight.pages {
+                    let (items, next) = (Vec::new(), Some((page + 1).to_string()));
+                    return Some(StoreOutcome::Page {
+                        items,
+                        revision,
+                        next,
+                    });
+                }
                 let routes = document(1, vec![(service_address(), route(true))]);
                 let items = since(0).chain([StoreChange::Routes(routes)]).collect();
                 let next = None;
@@ -239,6 +326,10 @@
             StoreCall::Watch { after, .. } if after.get() > self.revision => {
                 Some(StoreOutcome::HistoryGone)
             }
+            StoreCall::Watch { .. } if self.now < self.watches_silent_until => None,
+            StoreCall::Watch { after, .. } if after.get() < self.history_begins => {
+                Some(StoreOutcome::HistoryGone)
+            }
             StoreCall::Watch { after, .. } => {
                 let changes: Vec<_> = since(after.get()).collect();
                 let due = !changes.is_empty() || self.now >= call.until;
@@ -265,7 +356,7 @@
                 StoreCall::List { .. } => 0,
             };
             self.calls += usize::from(!matches!(call, StoreCall::Pause(_)));
-            self.listings += usize::from(matches!(call, StoreCall::List { .. }));
+            self.listings += usize::from(matches!(call, StoreCall::List { after: None }));
             host.call = Some(PendingCall {
                 call,
                 since: self.now,
@@ -292,15 +383,14 @@
             host.ask_at = self.now + host.engine.peer_pause().as_millis() as u64;
             return;
         };
-        let asked = (0..self.hosts.len()).find(|other| address(*other) == peer);
-        let asked = asked.unwrap();
+        let asked = index_of(peer);
         self.questions[asked] += 1;
         let reachable = |index: usize| self.hosts[index].condition != Condition::Cut;
         let connects = reachable(index) && reachable(asked);
         let limit = if !connects && question.revision == StoreRevision::ZERO {
             START_CONNECT
         } else {
-            question.wait.as_millis() as u64 + 400
+            question.timeout().as_millis() as u64
         };
         let limit = self.now + limit;
         self.hosts[index].question = Some(PendingQuestion { host: asked, limit });
@@ -320,8 +410,7 @@
         };
         host.tell_at = self.now + REPORT_PAUSE;
         self.reports_told[index] += reports.len();
-        let told = (0..self.hosts.len()).find(|other| address(*other) == peer);
-        let told = told.unwrap();
+        let told = index_of(peer);
         let in_reach = |index: usize| {
             !matches!(
                 self.hosts[index].condition,
@@ -342,7 +431,7 @@
     pub fn answer(&mut self, index: usize) {
         let now = at(self.now);
         let host = &mut self.hosts[index];
-        let due = host.waiting.take_due(&host.engine, now);
+        let due = host.waiting.take_due(&mut host.engine, now);
         let words: Vec<_> = due
             .into_iter()
             .map(|due| {
@@ -352,13 +441,41 @@
             })
             .collect();
         for (asker, word) in words {
-            self.told_all[index] += usize::from(word.all_servers);
-            let waits = self.hosts[asker].question.as_ref();
-            let cut = [index, asker].map(|one| self.hosts[one].condition == Condition::Cut);
-            if waits.is_some_and(|question| question.host == index) && cut == [false; 2] {
-                self.hosts[asker].question = None;
-                self.take_word(asker, index, Some(word));
+            if word.list.is_some() {
+                self.send_part(index, asker, word);
+                continue;
             }
+            self.deliver(index, asker, word);
+        }
+    }
+
+    /// A part of the list leaves after those that are on its teller's link.
+    fn send_part(&mut self, teller: usize, asker: usize, word: PeerWord) {
+        self.told_all[teller] += usize::from(word.all_servers);
+        let host = &mut self.hosts[teller];
+        host.sends_until = host.sends_until.max(self.now) + self.weight.part_time;
+        self.sent.push(SentWord {
+            arrives_at: host.sends_until,
+            teller,
+            asker,
+            word,
+        });
+    }
+
+    fn deliver_sent(&mut self) {
+        let now = self.now;
+        let arrived = self.sent.extract_if(.., |sent| sent.arrives_at <= now);
+        for sent in arrived.collect::<Vec<_>>() {
+            self.deliver(sent.teller, sent.asker, sent.word);
+        }
+    }
+
+    fn deliver(&mut self, teller: usize, asker: usize, word: PeerWord) {
+        let waits = self.hosts[asker].question.as_ref();
+        let cut = [teller, asker].map(|one| self.hosts[one].condition == Condition::Cut);
+        if waits.is_some_and(|question| question.host == teller) && cut == [false; 2] {
+            self.hosts[asker].question = None;
+            self.take_word(asker, teller, Some(word));
         }
     }
 
@@ -424,6 +541,7 @@
         seeds: vec![address(0), address(1), address(2)],
         flow_lifetime: millis(60_000),
         watch_wait: millis(WATCH),
+        list_part: 1,
     };
     SimulatedHost {
         engine: BeliefEngine::new(settings, index as u64),
@@ -434,5 +552,6 @@
         ask_at: 0,
         tell_at: 0,
         starts_at: None,
+        sends_until: 0,
     }
 }
--- a/crates/cardamomwinch_coordination/tests/forwarding_support/mod.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_support/mod.rs
@@ -7,6 +7,7 @@
 use std::sync;
 use std::time;
 
+pub use cardamomwinch_coordination::forwarding::beliefs::start_list;
 use cardamomwinch_coordination::forwarding::beliefs::store_call::{
     ServerEntry, StoreChange, StoreRevision,
 };
@@ -65,6 +66,7 @@
         seeds: vec![host_address(1), host_address(2)],
         flow_lifetime: millis(60_000),
         watch_wait: millis(2_000),
+        list_part: start_list::PART_LIMIT,
     };
     BeliefEngine::new(settings, number.into())
 }
--- /dev/null
+++ b/crates/cardamomwinch_coordination/tests/forwarding_whole_fleet.rs
@@ -0,0 +1,104 @@
+//! Five domains of 117 hosts before 6,000 servers, and twice as many of both: whatever all
+//! hosts do at once must not take calls, questions or time by the product of the two.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod forwarding_support;
+
+use forwarding_support::fleet::*;
+use yare::parameterized;
+
+const DOMAINS: usize = 5;
+const SERVERS_PER_HOST: u64 = 10;
+/// What a server takes on the wire, in bytes.
+const WIRE_BYTES: u64 = 50;
+/// Within this time all hosts start, in milliseconds.
+const SPREAD: u64 = 300;
+/// Hosts that another one tells the list at a time, over the same link.
+const TOLD_AT_ONCE: u64 = 4;
+/// What steps from host to host may take besides, in milliseconds.
+const PASSING_ON: u64 = 600;
+/// How long watches hear nothing before the store drops its history, in milliseconds.
+const SILENCE: u64 = 1_000;
+/// For so long what hosts ask of the store is counted, in milliseconds.
+const COUNTED: u64 = 12_000;
+
+fn weight(hosts: usize) -> DirectoryWeight {
+    DirectoryWeight::of_servers(hosts as u64 * SERVERS_PER_HOST, WIRE_BYTES)
+}
+
+/// How long it takes to read the store's list, in milliseconds.
+fn reading_time(weight: DirectoryWeight) -> u64 {
+    weight.pages * weight.page_time
+}
+
+/// How long it takes to read the list and to tell it others, in milliseconds.
+fn telling_time(weight: DirectoryWeight) -> u64 {
+    reading_time(weight) + TOLD_AT_ONCE * weight.parts * weight.part_time
+}
+
+/// Guards against hosts that each read the list of thousands of servers at their start,
+/// because it takes the few that are to tell them longer than they wait.
+#[parameterized(
+    whole_fleet = { 585 },
+    twice_the_fleet = { 1_170 },
+)]
+fn hosts_that_start_together_leave_a_long_list_to_few(hosts: usize) {
+    let weight = weight(hosts);
+    let mut fleet = Fleet::of_domains(hosts, DOMAINS).with_weight(weight);
+    let time = fleet.time_to_serve();
+    assert!(time <= telling_time(weight) + PASSING_ON, "{time} ms");
+    assert!(fleet.listings <= 12, "{} listings", fleet.listings);
+    assert!(fleet.calls <= hosts / 2, "{} calls", fleet.calls);
+    let asked = *fleet.questions.iter().max().unwrap();
+    assert!(asked <= hosts, "{asked} questions to one host");
+    let told = *fleet.told_all.iter().max().unwrap();
+    assert!(told <= 8, "one host told {told}");
+}
+
+/// Guards against the same where more than half of the hosts lose power, the named ones
+/// among them, and against a list that is told whole: it takes a narrow link a quarter of a
+/// second for each host.
+#[parameterized(
+    whole_fleet = { 585 },
+    twice_the_fleet = { 1_170 },
+)]
+fn hosts_that_lost_power_together_leave_a_long_list_to_few(hosts: usize) {
+    let weight = weight(hosts);
+    let mut fleet = Fleet::starting_within(hosts, DOMAINS, SPREAD).with_weight(weight);
+    fleet.run_until(SETTLED / 2);
+    fleet.count_anew();
+    for index in (0..hosts).filter(|index| index % 20 < 11) {
+        fleet.restart(index);
+    }
+    let time = fleet.time_to_serve();
+    assert!(time <= telling_time(weight) + PASSING_ON, "{time} ms");
+    assert!(fleet.listings <= 12, "{} listings", fleet.listings);
+    assert!(fleet.calls <= hosts / 2, "{} calls", fleet.calls);
+}
+
+/// Guards against an old configuration that stays in force for ten seconds after the store
+/// has dropped its history: every host read the whole list anew, over the same links.
+#[parameterized(
+    whole_fleet = { 585 },
+    twice_the_fleet = { 1_170 },
+)]
+fn a_history_that_is_gone_is_made_good_by_few_listings(hosts: usize) {
+    let weight = weight(hosts);
+    let mut fleet = Fleet::starting_within(hosts, DOMAINS, SPREAD).with_weight(weight);
+    fleet.run_until(SETTLED / 2);
+    fleet.count_anew();
+    let begun = fleet.now;
+    fleet.watches_silent_until = begun + SILENCE;
+    fleet.run_until(begun + SILENCE / 4);
+    fleet.write(1, true);
+    fleet.history_begins = fleet.revision;
+    fleet.run_until(begun + SILENCE);
+    while !fleet.ignorant(1).is_empty() && fleet.now < begun + COUNTED {
+        fleet.run_until(fleet.now + STEP);
+    }
+    let time = fleet.now - begun - SILENCE;
+    assert!(time <= reading_time(weight) + 2 * PASSING_ON, "{time} ms");
+    fleet.run_until(begun + COUNTED);
+    assert!(fleet.listings <= hosts / 20, "{} listings", fleet.listings);
+    assert!(fleet.calls <= hosts / 2, "{} calls", fleet.calls);
+}
--- a/crates/cardamomwinch_forwarder/src/control_thread.rs
+++ b/crates/cardamomwinch_forwarder/src/control_thread.rs
@@ -103,7 +103,7 @@
 
     /// Answers the peers that waited for what is known now.
     fn answer_due(&mut self, now: Timestamp) {
-        for due in self.waiting.take_due(&self.engine, now) {
+        for due in self.waiting.take_due(&mut self.engine, now) {
             let mut word = self.engine.answer_peer(now, &due.question);
             word.waited = due.waited;
             // Whoever asked may have left since.
--- a/crates/cardamomwinch_forwarder/src/launch.rs
+++ b/crates/cardamomwinch_forwarder/src/launch.rs
@@ -10,6 +10,7 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use cardamomwinch_configuration::prelude::ForwarderSettings;
+use cardamomwinch_coordination::forwarding::beliefs::start_list;
 use cardamomwinch_coordination::forwarding::beliefs::{BeliefEngine, BeliefSettings};
 use cardamomwinch_coordination::forwarding::engine::ForwardingEngine;
 use cardamomwinch_coordination::forwarding::server_reports::ReporterId;
@@ -206,6 +207,7 @@
             seeds: self.settings.seeds.clone(),
             flow_lifetime: self.settings.flow_lifetime,
             watch_wait: self.settings.platform.watch,
+            list_part: start_list::PART_LIMIT,
         };
         BeliefEngine::new(settings, HostId::from_name(&self.settings.host).get())
     }
--- a/crates/cardamomwinch_forwarder/src/peer_calls.rs
+++ b/crates/cardamomwinch_forwarder/src/peer_calls.rs
@@ -7,7 +7,6 @@
 use cardamomwinch_coordination::forwarding::beliefs::peer_word::{
     PeerQuestion, PeerReport, PeerWord,
 };
-use cardamomwinch_coordination::forwarding::beliefs::store_call::StoreRevision;
 use cardamomwinch_transport::prelude::{CallLimits, PeerClient, PeerRpcError};
 use jsonrpsee::RpcModule;
 use jsonrpsee::core::RegisterMethodError;
@@ -21,9 +20,8 @@
 const BELIEFS_METHOD: &str = "beliefs";
 /// The method by which a host tells another one what was seen of servers.
 const REPORTS_METHOD: &str = "reports";
-/// How long an answer may take beyond the time that it may wait. A peer that is up
-/// answers within milliseconds.
-const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(400);
+/// How long a host may take to take reports. One that is up does within milliseconds.
+const TELLING_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 
 /// How long a host that knows nothing yet waits for another one to take its connection.
 /// Hosts of a region are a few milliseconds apart. One that is without power answers
@@ -60,8 +58,8 @@
     peer: net::SocketAddr,
     question: PeerQuestion,
 ) -> Result<PeerWord, PeerCallError> {
-    let mut limits = CallLimits::whole(question.wait + ANSWER_TIMEOUT);
-    if question.revision == StoreRevision::ZERO {
+    let mut limits = CallLimits::whole(question.timeout());
+    if question.knows_nothing() {
         limits.connect = START_CONNECT;
     }
     let params = (WireQuestion::from(question),);
@@ -81,7 +79,7 @@
 ) -> Result<(), PeerCallError> {
     let reports: Vec<_> = reports.into_iter().map(WireReport::from).collect();
     let params = (reports,);
-    let limits = CallLimits::whole(ANSWER_TIMEOUT);
+    let limits = CallLimits::whole(TELLING_TIMEOUT);
     let told = client.call_within(peer, REPORTS_METHOD, &params, limits);
     Ok(told.await?)
 }
--- a/crates/cardamomwinch_forwarder/src/peer_wire/mod.rs
+++ b/crates/cardamomwinch_forwarder/src/peer_wire/mod.rs
@@ -1,4 +1,4 @@
-//! What hosts say to each other, as JSON.
+//! What hosts say to each other, as JSON, with servers in a shorter form.
 //!
 //! What many routes or servers have in common is told once, and each refers to it by
 //! its place. Hosts with narrow links pass a configuration on to several others; told
@@ -6,6 +6,7 @@
 //! callers were lost meanwhile.
 
 mod kinds;
+mod packed;
 mod reports;
 mod routes;
 mod servers;
@@ -16,6 +17,7 @@
 use cardamomwinch_coordination::forwarding::beliefs::peer_word::{
     PeerEvacuation, PeerHost, PeerQuestion, PeerWord,
 };
+use cardamomwinch_coordination::forwarding::beliefs::start_list::{ListId, ListPosition};
 use cardamomwinch_coordination::forwarding::beliefs::store_call::StoreRevision;
 use cardamomwinch_coordination::forwarding::routes::RouteDifference;
 use cardamomwinch_coordination::forwarding::server_reports::ReportSerial;
@@ -53,6 +55,35 @@
     }
 }
 
+/// A place in a list of all servers that is told in parts.
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize, Deserialize)]
+pub struct WirePosition {
+    list: u64,
+    revision: StoreRevision,
+    servers: usize,
+}
+
+impl From<ListPosition> for WirePosition {
+    fn from(position: ListPosition) -> Self {
+        Self {
+            list: position.list.get(),
+            revision: position.revision,
+            servers: position.servers,
+        }
+    }
+}
+
+impl From<WirePosition> for ListPosition {
+    fn from(position: WirePosition) -> Self {
+        Self {
+            list: ListId::new(position.list),
+            revision: position.revision,
+            servers: position.servers,
+        }
+    }
+}
+
 /// What a host that asks knows already.
 #[derive(Debug, Clone)]
 #[derive(Serialize, Deserialize)]
@@ -65,6 +96,8 @@
     wait_ms: u64,
     #[serde(default)]
     reports_known: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    list: Option<WirePosition>,
     hosts: Vec<WireHost>,
     host: WireHost,
 }
@@ -79,6 +112,7 @@
             age_ms: question.age.as_millis() as u64,
             wait_ms: question.wait.as_millis() as u64,
             reports_known: question.reports_known.get(),
+            list: question.list.map(WirePosition::from),
             hosts: question.hosts.into_iter().map(WireHost::from).collect(),
             host: question.host.into(),
         }
@@ -95,6 +129,7 @@
             age: time::Duration::from_millis(question.age_ms),
             wait: time::Duration::from_millis(question.wait_ms),
             reports_known: ReportSerial::new(question.reports_known),
+            list: question.list.map(ListPosition::from),
             hosts: question.hosts.into_iter().map(PeerHost::from).collect(),
             host: question.host.into(),
         }
@@ -145,6 +180,8 @@
     store_silent_for_ms: Option<u64>,
     routes: Option<WireRoutes>,
     servers: WireServers,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    list: Option<WirePosition>,
     all_servers: bool,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     evacuations: Vec<WireEvacuation>,
@@ -156,6 +193,8 @@
     hosts: Vec<WireHost>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     ask_instead: Option<net::SocketAddr>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    reader_heard_ms: Option<u64>,
 }
 
 impl From<PeerWord> for WireWord {
@@ -167,6 +206,7 @@
             store_silent_for_ms: word.store_silent_for.map(|ago| ago.as_millis() as u64),
             routes: word.routes.map(WireRoutes::from),
             servers: word.servers.into(),
+            list: word.list.map(WirePosition::from),
             all_servers: word.all_servers,
             evacuations: word.evacuations.into_iter().map(Into::into).collect(),
             reports: word.reports.into_iter().map(Into::into).collect(),
@@ -174,6 +214,7 @@
             hosts_digest: word.hosts_digest,
             hosts: word.hosts.into_iter().map(WireHost::from).collect(),
             ask_instead: word.ask_instead,
+            reader_heard_ms: word.reader_heard.map(|ago| ago.as_millis() as u64),
         }
     }
 }
@@ -189,6 +230,7 @@
             store_silent_for: word.store_silent_for_ms.map(time::Duration::from_millis),
             routes: word.routes.map(RouteDifference::try_from).transpose()?,
             servers: word.servers.try_into()?,
+            list: word.list.map(ListPosition::from),
             all_servers: word.all_servers,
             evacuations: word.evacuations.into_iter().map(Into::into).collect(),
             reports: word.reports.into_iter().map(Into::into).collect(),
@@ -196,6 +238,7 @@
             hosts_digest: word.hosts_digest,
             hosts: word.hosts.into_iter().map(PeerHost::from).collect(),
             ask_instead: word.ask_instead,
+            reader_heard: word.reader_heard_ms.map(time::Duration::from_millis),
         })
     }
 }
--- a/crates/cardamomwinch_forwarder/src/peer_wire/servers.rs
+++ b/crates/cardamomwinch_forwarder/src/peer_wire/servers.rs
@@ -4,11 +4,14 @@
 use std::time;
 
 use cardamomwinch_coordination::forwarding::beliefs::peer_word::PeerServer;
-use cardamomwinch_coordination::forwarding::beliefs::store_call::{ServerStart, StoreRevision};
+use cardamomwinch_coordination::forwarding::beliefs::store_call::{
+    ServerStart, StoreEra, StoreRevision,
+};
 use cardamomwinch_state::prelude::{BackendId, DomainId, ServiceId, SlotCount};
 use serde::{Deserialize, Serialize};
 
 use crate::peer_wire::kinds::{self, UnknownKindError};
+use crate::peer_wire::packed;
 
 /// What servers of one service and failure domain have in common.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -19,40 +22,52 @@
     slots: SlotCount,
 }
 
-/// A server. What is absent is as it is with a server that takes flows and has been
-/// up for long.
+/// A revision in full: the packed form cannot tell short ones from long ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+struct WireRevision {
+    era: u64,
+    number: u64,
+}
+
+impl From<StoreRevision> for WireRevision {
+    fn from(revision: StoreRevision) -> Self {
+        Self {
+            era: revision.era().get(),
+            number: revision.get(),
+        }
+    }
+}
+
+impl From<WireRevision> for StoreRevision {
+    fn from(revision: WireRevision) -> Self {
+        Self::in_era(StoreEra::new(revision.era), revision.number)
+    }
+}
+
+/// A server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 struct WireServer {
     id: BackendId,
     address: net::SocketAddr,
     kind: usize,
-    changed: StoreRevision,
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    changed: WireRevision,
     started: Option<ServerStart>,
-    #[serde(default, skip_serializing_if = "is_default")]
     draining: bool,
-    #[serde(default, skip_serializing_if = "is_default")]
     unreadable: bool,
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     unlisted_for_ms: Option<u64>,
-    #[serde(default, skip_serializing_if = "is_default")]
     vanished: bool,
-    #[serde(default, skip_serializing_if = "is_default")]
     cold_left_ms: u64,
 }
 
-fn is_default<T: Default + PartialEq>(value: &T) -> bool {
-    *value == T::default()
-}
-
 /// Servers that a host tells of.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct WireServers {
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     kinds: Vec<WireServerKind>,
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(default, skip_serializing_if = "Vec::is_empty", with = "packed")]
     servers: Vec<WireServer>,
 }
 
@@ -78,7 +93,7 @@
             id: server.id,
             address: server.address,
             kind,
-            changed: server.changed,
+            changed: server.changed.into(),
             started: server.started,
             draining: server.draining,
             unreadable: server.unreadable,
@@ -101,7 +116,7 @@
             unlisted_for: self.unlisted_for_ms.map(time::Duration::from_millis),
             vanished: self.vanished,
             cold_left: time::Duration::from_millis(self.cold_left_ms),
-            changed: self.changed,
+            changed: self.changed.into(),
         }
     }
 }
--- a/crates/cardamomwinch_forwarder/tests/peer_wire.rs
+++ b/crates/cardamomwinch_forwarder/tests/peer_wire.rs
@@ -7,6 +7,7 @@
 use cardamomwinch_coordination::forwarding::beliefs::peer_word::{
     PeerEvacuation, PeerReport, PeerServer, PeerWord,
 };
+use cardamomwinch_coordination::forwarding::beliefs::start_list::{ListId, ListPosition};
 use cardamomwinch_coordination::forwarding::beliefs::store_call::{
     ServerStart, StoreEra, StoreRevision,
 };
@@ -69,6 +70,11 @@
             idle_timeout: time::Duration::from_secs(15),
         }),
         servers,
+        list: Some(ListPosition {
+            list: ListId::new(12_345_678_901),
+            revision: StoreRevision::new(70),
+            servers: 512,
+        }),
         all_servers: false,
         evacuations: Vec::new(),
         reports: Vec::new(),
@@ -76,6 +82,7 @@
         hosts_digest: Some(5),
         hosts: Vec::new(),
         ask_instead: Some(net::SocketAddr::from(([10, 1, 0, 7], 8166))),
+        reader_heard: Some(time::Duration::from_millis(310)),
     }
 }
 
@@ -149,17 +156,32 @@
 /// What a host learns at its start grows with the servers; it must stay within what
 /// the store itself would send of them.
 #[test]
-fn a_server_takes_a_hundred_bytes_at_most() {
-    let bytes = |count| encoded(word(0, (0..count).map(server).collect())).len();
+fn a_server_takes_fifty_bytes_at_most() {
+    let started = |number| PeerServer {
+        started: Some(ServerStart::new(1_796_298_587_472 + number)),
+        ..server(number)
+    };
+    let bytes = |count| encoded(word(0, (0..count).map(started).collect())).len();
     let each = (bytes(250) - bytes(50)) / 200;
     println!("{each} bytes a server");
-    assert!(each <= 100, "{each} bytes a server");
+    assert!(each <= 50, "{each} bytes a server");
 }
 
 /// A peer of another version refers to a kind that it does not tell. That must be a
 /// failed call, like one that cannot be read, and no route to nowhere.
 #[test]
 fn a_word_with_an_unknown_kind_is_refused() {
-    let text = encoded(word(1, vec![server(1)])).replace("\"kind\":0", "\"kind\":9");
-    assert_eq!(decoded(&text), None);
+    let text = encoded(word(0, vec![server(1)]));
+    let without_kinds = text.replace("\"kinds\":[{\"service\"", "\"others\":[{\"service\"");
+    assert_ne!(text, without_kinds);
+    assert_eq!(decoded(&without_kinds), None);
+}
+
+/// Bytes that are cut off in between must be a failed call, too.
+#[test]
+fn servers_that_cannot_be_read_are_refused() {
+    let text = encoded(word(0, vec![server(1), server(2)]));
+    let begin = text.find("\"servers\":\"").unwrap() + "\"servers\":\"".len();
+    let cut = format!("{}{}", &text[..begin], &text[begin + 8..]);
+    assert!(serde_json::from_str::<WireWord>(&cut).is_err());
 }
