Say which replies a caller calls malformed

The soak of the own interface counted 19 of them once, 18 another time, and nothing told what they were. Callers keep the first four: unreadable, of another flow, or about a request that they have not sent; a failing run prints them.

--- a/crates/cardamomwinch_standin/src/caller.rs
+++ b/crates/cardamomwinch_standin/src/caller.rs
@@ -15,7 +15,9 @@
 use snafu::ResultExt;
 
 use crate::caller_state::CallerState;
-pub use crate::caller_state::{CallerCounters, NoticeSummary, OpenOutcome, RequestOutcome};
+pub use crate::caller_state::{
+    CallerCounters, NoticeSummary, OpenOutcome, RequestOutcome, StrayReply,
+};
 use crate::error::{EncodeSnafu, StandinError};
 use crate::fabric;
 use crate::runtime::{self, ChangeNotice, TaskExecutor};
@@ -170,6 +172,11 @@
         runtime::locked(&self.shared.state).counters
     }
 
+    /// The first stray replies.
+    pub fn strays(&self) -> Vec<StrayReply> {
+        runtime::locked(&self.shared.state).strays.clone()
+    }
+
     /// The requests to which both an answer and "not run" came.
     pub fn contradicted(&self) -> Vec<RequestId> {
         runtime::locked(&self.shared.state).contradicted()
@@ -196,7 +203,8 @@
             let mut state = runtime::locked(&self.state);
             match decoded {
                 Ok(reply) if reply.flow == self.flow => state.handle(&reply),
-                _ => state.counters.malformed += 1,
+                Ok(reply) => state.note_stray(StrayReply::OtherFlow(reply.flow)),
+                Err(_) => state.note_stray(StrayReply::Unreadable),
             }
             drop(state);
             self.change.notify();
--- a/crates/cardamomwinch_standin/src/caller_state.rs
+++ b/crates/cardamomwinch_standin/src/caller_state.rs
@@ -7,11 +7,13 @@
     AttemptNumber, CallerReply, CallerReplyKind, PartNumber, RefusalReason, ResetReason,
     RoutingToken,
 };
-use cardamomwinch_state::prelude::{RequestId, SortedVector};
+use cardamomwinch_state::prelude::{FlowKey, RequestId, SortedVector};
 use serde::{Deserialize, Serialize};
 
 /// The largest number of parts that an answer may claim.
 const PART_LIMIT: u32 = 4096;
+/// Stray replies that are remembered.
+const STRAY_LIMIT: usize = 4;
 
 /// What became of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -77,6 +79,17 @@
     pub missing: u64,
 }
 
+/// A reply that a caller should not get.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StrayReply {
+    /// It could not be understood.
+    Unreadable,
+    /// It belongs to another flow.
+    OtherFlow(FlowKey),
+    /// It is about a request that this caller has not sent.
+    OtherRequest(RequestId),
+}
+
 /// What a caller should never see, and what it may see.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -122,6 +135,8 @@
     pub opening: Option<OpenOutcome>,
     /// Counters.
     pub counters: CallerCounters,
+    /// The first stray replies.
+    pub strays: Vec<StrayReply>,
     requests: SortedVector<RequestId, TrackedRequest>,
     notices: SortedVector<u64, ()>,
     duplicate_notices: u64,
@@ -157,6 +172,14 @@
         }
     }
 
+    /// Counts a stray reply.
+    pub fn note_stray(&mut self, stray: StrayReply) {
+        self.counters.malformed += 1;
+        if self.strays.len() < STRAY_LIMIT {
+            self.strays.push(stray);
+        }
+    }
+
     /// Takes in a reply about this flow.
     pub fn handle(&mut self, reply: &CallerReply<'_>) {
         match reply.kind {
@@ -196,8 +219,7 @@
         payload: &[u8],
     ) {
         let Some(tracked) = self.requests.get_mut(&request) else {
-            self.counters.malformed += 1;
-            return;
+            return self.note_stray(StrayReply::OtherRequest(request));
         };
         let answer = tracked
             .answers
@@ -275,7 +297,7 @@
     fn settle(&mut self, request: RequestId, outcome: RequestOutcome) {
         match self.requests.get_mut(&request) {
             Some(tracked) => drop(tracked.outcome.get_or_insert(outcome)),
-            None => self.counters.malformed += 1,
+            None => self.note_stray(StrayReply::OtherRequest(request)),
         }
     }
 }
--- a/tests/support/requests.rs
+++ b/tests/support/requests.rs
@@ -179,6 +179,9 @@
             .extend(contradicted.into_iter().map(|id| (flow, id)));
         book.conflicting_parts += counters.conflicting_parts;
         book.malformed += counters.malformed;
+        if counters.malformed > 0 {
+            println!("{}: {:?}", client.flow(), client.strays());
+        }
         drop(book);
         clients.push(client);
     }
