Tell who sent a reply that a caller cannot read

Runs of at_most_once beside four soaks and other load: one caller counted four replies, all unreadable, so that no reply of the caller's own flow can be meant. Who sent them is what is missing to tell another deployment's datagrams from one of this one; a failing run names the addresses of its hosts now, too.

--- a/crates/cardamomwinch_standin/src/caller.rs
+++ b/crates/cardamomwinch_standin/src/caller.rs
@@ -196,7 +196,7 @@
         let mut buffer = [0; codec::DATAGRAM_LIMIT];
         loop {
             // Failures are those of earlier sends, reported late; the next receive goes on.
-            let Ok((length, _)) = self.socket.recv_from(&mut buffer).await else {
+            let Ok((length, sender)) = self.socket.recv_from(&mut buffer).await else {
                 continue;
             };
             let decoded = codec::decode::<CallerReply<'_>>(&buffer[..length]);
@@ -204,7 +204,7 @@
             match decoded {
                 Ok(reply) if reply.flow == self.flow => state.handle(&reply),
                 Ok(reply) => state.note_stray(StrayReply::OtherFlow(reply.flow)),
-                Err(_) => state.note_stray(StrayReply::Unreadable),
+                Err(_) => state.note_stray(StrayReply::Unreadable { sender, length }),
             }
             drop(state);
             self.change.notify();
--- a/crates/cardamomwinch_standin/src/caller_state.rs
+++ b/crates/cardamomwinch_standin/src/caller_state.rs
@@ -1,6 +1,7 @@
 //! What a caller remembers of its flow: the token, what became of each
 //! request, and which notices came.
 
+use std::net;
 use std::time;
 
 use cardamomwinch_protocol::prelude::{
@@ -83,7 +84,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StrayReply {
     /// It could not be understood.
-    Unreadable,
+    Unreadable {
+        /// Who sent it.
+        sender: net::SocketAddr,
+        /// Its length in bytes.
+        length: usize,
+    },
     /// It belongs to another flow.
     OtherFlow(FlowKey),
     /// It is about a request that this caller has not sent.
--- a/tests/support/requests.rs
+++ b/tests/support/requests.rs
@@ -202,6 +202,9 @@
         if violations.is_empty() {
             return;
         }
+        for host in &faulty.deployment.hosts {
+            println!("{}: {}", host.name, host.process.ready());
+        }
         print_decisions(faulty, &reports, &self.book.contradicted);
         let listed = violations.iter().take(LISTED).cloned().collect::<Vec<_>>();
         panic!("{} violations: {}", violations.len(), listed.join("; "));
