--- a/crates/cardamomwinch_standin/src/caller.rs
+++ b/crates/cardamomwinch_standin/src/caller.rs
@@ -2,6 +2,7 @@
 //! under the same identifier, until it knows what became of it.
 
 use std::net;
+use std::process;
 use std::sync;
 use std::sync::atomic;
 use std::time;
@@ -65,7 +66,8 @@
 }
 
 impl CallerClient {
-    /// Binds a socket on the address family of the fabric. Nothing is sent yet.
+    /// Binds a socket on the address family of the fabric. On the loopback network callers
+    /// of a process have an address of their own. Nothing is sent yet.
     ///
     /// # Errors
     /// Fails where no port is free.
@@ -73,8 +75,8 @@
         executor: &TaskExecutor,
         settings: CallerSettings,
     ) -> Result<Self, StandinError> {
-        let any = net::SocketAddr::new(settings.fabric.ip(), 0);
-        let (socket, caller) = fabric::bind_datagrams(any).await?;
+        let own = net::SocketAddr::new(own_address(settings.fabric.ip()), 0);
+        let (socket, caller) = fabric::bind_datagrams(own).await?;
         let shared = sync::Arc::new(SharedCaller {
             settings,
             flow: FlowKey {
@@ -274,3 +276,15 @@
         Ok(())
     }
 }
+
+/// Where callers of this process are, with a fabric at `fabric`.
+///
+/// Guards against ports that are used again: a caller that got the port of a host which was
+/// just killed took what others still sent to that host for replies.
+fn own_address(fabric: net::IpAddr) -> net::IpAddr {
+    if fabric != net::IpAddr::V4(net::Ipv4Addr::LOCALHOST) {
+        return fabric;
+    }
+    let [_, _, high, low] = process::id().to_be_bytes();
+    net::Ipv4Addr::new(127, 1, high, low).into()
+}
