--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -307,7 +307,7 @@
     first_paused_and_stopped = { 302 },
     second_paused_and_stopped = { 315 },
 )]
-fn seeds_that_once_failed(seed: u64) {
+fn seeds_of_the_own_interface_that_once_failed(seed: u64) {
     play(seed, LONG_STEPS);
 }
 
