--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -311,7 +311,7 @@
     play(seed, LONG_STEPS);
 }
 
-/// Processes that a soak has started once its hosts come up: the surroundings and six hosts.
+/// Processes that a soak starts before its hosts: platform, fabric, proxy and nine servers.
 const SOAK_PROCESSES: usize = 12;
 
 /// Guards against hosts and servers that run on, beside whatever is tested next, after the
