--- a/tests/graceful_stop.rs
+++ b/tests/graceful_stop.rs
@@ -19,7 +19,7 @@
 const LIFETIME_MS: u64 = 6000;
 const DEADLINE: time::Duration = time::Duration::from_millis(5500);
 
-/// A request and what its caller was told first.
+/// A request and what its caller was told.
 #[derive(Debug)]
 struct SentRequest {
     client: CallerClient,
@@ -27,11 +27,8 @@
 }
 
 impl SentRequest {
-    /// Whether its caller has the answer. It may have come after the word that the outcome
-    /// is unknown: a home says so where a server's load report is faster than its answer.
     fn is_answered(&self) -> bool {
-        let is_late = self.client.counters().late_answers > 0;
-        is_late || matches!(self.outcome, RequestOutcome::Answered { .. })
+        matches!(self.outcome, RequestOutcome::Answered { .. })
     }
 
     fn is_settled(&self) -> bool {
