Tell why a home gives a request up, and when a server's run began and ended

A caller was told "outcome unknown" 16 ms before its answer came, and no line told which of three rules said so (a load report that counts fewer requests, a request that takes longer than others, a deadline that is near), or on what. Change: one line before the caller's word, with the rule and what it knew: how long ago the request was sent, how many run, the last load report and its age. The stand-in server's list of runs says when each began and was answered, and graceful_stop prints both for a failing run.

--- a/crates/cardamomwinch_coordination/src/control/home_dispatch.rs
+++ b/crates/cardamomwinch_coordination/src/control/home_dispatch.rs
@@ -101,6 +101,7 @@
             backend: None,
             peer: Some(home),
             shard: Some(shard),
+            evidence: None,
         }
     }
 
--- a/crates/cardamomwinch_coordination/src/decision.rs
+++ b/crates/cardamomwinch_coordination/src/decision.rs
@@ -1,6 +1,7 @@
 //! Records of routing and placement decisions, for the decision log.
 
 use std::fmt;
+use std::time;
 
 use cardamomwinch_state::prelude::{
     BackendId, ConfigurationVersion, DomainId, FlowKey, HostId, RequestId, ServiceId, ShardId,
@@ -49,6 +50,9 @@
     Refused,
     /// Answered that the outcome is not known.
     OutcomeUnknown,
+    /// The home does not expect the answer of a request that it sent in time, for this
+    /// reason.
+    GivenUp(GivingUpCause),
     /// A copy of a request that is known already.
     Duplicate,
     /// No host knows the flow.
@@ -92,6 +96,9 @@
             Self::Retried => "retried",
             Self::Refused => "refused",
             Self::OutcomeUnknown => "outcome_unknown",
+            Self::GivenUp(GivingUpCause::Uncounted) => "given_up_uncounted",
+            Self::GivenUp(GivingUpCause::Overdue) => "given_up_overdue",
+            Self::GivenUp(GivingUpCause::BeforeDeadline) => "given_up_before_deadline",
             Self::Duplicate => "duplicate",
             Self::UnknownFlow => "unknown_flow",
             Self::ReassignedAddress => "reassigned_address",
@@ -112,6 +119,32 @@
     }
 }
 
+/// Why a home gives up a request that it sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum GivingUpCause {
+    /// The server says that it is busy with fewer requests than it was sent.
+    Uncounted,
+    /// It takes much longer than others, and no load report vouches for it.
+    Overdue,
+    /// Its deadline is near.
+    BeforeDeadline,
+}
+
+/// What a home knows of a request that it gives up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunEvidence {
+    /// How long ago it was sent.
+    pub sent_ago: time::Duration,
+    /// Requests that the home has sent to the server and not seen end.
+    pub running: u32,
+    /// How long ago the last load report came, where there is one.
+    pub report_age: Option<time::Duration>,
+    /// Requests that it said are running.
+    pub reported_busy: Option<u32>,
+}
+
 /// One decision.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DecisionRecord {
@@ -135,4 +168,6 @@
     pub peer: Option<HostId>,
     /// The shard, where the decision concerns one.
     pub shard: Option<ShardId>,
+    /// What is known of the run, where a request is given up.
+    pub evidence: Option<RunEvidence>,
 }
--- a/crates/cardamomwinch_coordination/src/traffic/context.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/context.rs
@@ -13,7 +13,7 @@
 };
 
 use crate::counter::Counter;
-use crate::decision::{DecisionReason, DecisionRecord};
+use crate::decision::{DecisionReason, DecisionRecord, RunEvidence};
 use crate::identity::HostIdentity;
 use crate::snapshot::RoutingSnapshot;
 use crate::traffic::effect::{TrafficEffect, TrafficSink};
@@ -45,6 +45,7 @@
     pub(crate) backend: Option<BackendId>,
     pub(crate) peer: Option<HostId>,
     pub(crate) shard: Option<ShardId>,
+    pub(crate) evidence: Option<RunEvidence>,
 }
 
 impl<S: TrafficSink> EventContext<'_, S> {
@@ -64,6 +65,7 @@
             backend: subject.backend,
             peer: subject.peer,
             shard: subject.shard,
+            evidence: subject.evidence,
         };
         self.sink.emit(TrafficEffect::Decide(record));
     }
--- a/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
@@ -9,13 +9,13 @@
 use cardamomwinch_state::prelude::{BackendId, FlowKey, ShardId};
 
 use crate::counter::Counter;
-use crate::decision::DecisionReason;
+use crate::decision::{DecisionReason, RunEvidence};
 use crate::traffic::TrafficEngine;
 use crate::traffic::caller_datagrams::RETRY_AFTER;
 use crate::traffic::context::{DecisionSubject, EventContext};
 use crate::traffic::dispatching;
 use crate::traffic::effect::TrafficSink;
-use crate::traffic::ledger::{QueueEntry, RunningSlot, WaitingRequest};
+use crate::traffic::ledger::{DoubtedRun, QueueEntry, RunningSlot, WaitingRequest};
 use crate::traffic::requests::{HeldRequest, RequestState};
 
 /// A request is sent to its server at most this often.
@@ -44,8 +44,8 @@
             let mut doubted = ledger.take_report(context.now, slots, view);
             ledger.release_overdue(context.now);
             doubted.extend(ledger.due_words(context.now));
-            for slot in doubted {
-                self.give_up_running(context, backend, slot.entry);
+            for run in doubted {
+                self.give_up_running(context, backend, run);
             }
             self.release_strayed(context, backend);
             self.refuse_waiting(context, backend);
@@ -93,9 +93,9 @@
         &mut self,
         context: &mut EventContext<'_, S>,
         backend: BackendId,
-        entry: QueueEntry,
+        run: DoubtedRun,
     ) {
-        let QueueEntry { hash, key } = entry;
+        let QueueEntry { hash, key } = run.slot.entry;
         let given_up = self.requests.change(hash, &key, |record| {
             let RequestState::Running(running) = &mut record.state else {
                 return false;
@@ -104,11 +104,34 @@
         });
         if given_up == Some(true) {
             context.count(Counter::RequestGivenUp);
+            let subject = DecisionSubject {
+                flow: Some(key.flow),
+                request: Some(key.id),
+                backend: Some(backend),
+                evidence: Some(self.evidence_of(context, backend, &run.slot)),
+                ..DecisionSubject::default()
+            };
+            context.decide(DecisionReason::GivenUp(run.cause), subject);
             let wait = self.ledgers.of(backend).service_times.attempt_timeout();
             context.outcome_unknown(key.flow, key.id, wait.max(RETRY_AFTER));
         }
     }
 
+    fn evidence_of<S: TrafficSink>(
+        &mut self,
+        context: &EventContext<'_, S>,
+        backend: BackendId,
+        slot: &RunningSlot,
+    ) -> RunEvidence {
+        let report = context.snapshot.view(backend).report;
+        RunEvidence {
+            sent_ago: context.now.since(slot.sent),
+            running: self.ledgers.of(backend).busy(),
+            report_age: report.map(|report| context.now.since(report.made)),
+            reported_busy: report.map(|report| report.busy_slots),
+        }
+    }
+
     /// Frees the slot of a request that may still run on. How long is not known;
     /// with heavy-tailed times the best guess is as long again as it has run.
     fn free_lingering<S: TrafficSink>(
--- a/crates/cardamomwinch_coordination/src/traffic/ledger.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/ledger.rs
@@ -8,6 +8,7 @@
     BackendEntry, BackendId, FlowHash, FlowKey, SortedVector, Timestamp,
 };
 
+use crate::decision::GivingUpCause;
 use crate::snapshot::BackendView;
 use crate::traffic::requests::RequestKey;
 use crate::traffic::service_time::ServiceTimes;
@@ -73,6 +74,15 @@
     pub counted_until: Timestamp,
 }
 
+/// A request that is given up, and why.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DoubtedRun {
+    /// Which.
+    pub slot: RunningSlot,
+    /// Why.
+    pub cause: GivingUpCause,
+}
+
 impl RunningSlot {
     /// When its caller must have got the last word, so that it arrives in time.
     pub fn last_word(&self) -> Timestamp {
@@ -289,7 +299,7 @@
         now: Timestamp,
         slots: u32,
         view: BackendView,
-    ) -> Vec<RunningSlot> {
+    ) -> Vec<DoubtedRun> {
         let Some(report) = view.report.filter(|report| {
             report.made > self.reconciled && now.since(report.made) >= NETWORK_ALLOWANCE
         }) else {
@@ -318,7 +328,9 @@
                 self.uncounted += 1;
             }
         }
-        slots
+        let cause = GivingUpCause::Uncounted;
+        let lost = slots.into_iter();
+        lost.map(|slot| DoubtedRun { slot, cause }).collect()
     }
 
     /// Stops counting the requests that have been overdue for long.
@@ -338,12 +350,19 @@
     /// The requests whose callers must get their last word now: those that do
     /// not count any more, unless a load report vouches for them, and those whose
     /// deadline is near.
-    pub fn due_words(&self, now: Timestamp) -> Vec<RunningSlot> {
-        let due = self.running.iter().filter(|slot| {
-            let released = !slot.counted && !self.is_vouched(now, slot);
-            released || slot.last_word() <= now
+    pub fn due_words(&self, now: Timestamp) -> Vec<DoubtedRun> {
+        let due = self.running.iter().filter_map(|slot| {
+            let cause = self.due_word(now, slot)?;
+            Some(DoubtedRun { slot: *slot, cause })
         });
-        due.copied().collect()
+        due.collect()
+    }
+
+    fn due_word(&self, now: Timestamp, slot: &RunningSlot) -> Option<GivingUpCause> {
+        if !slot.counted && !self.is_vouched(now, slot) {
+            return Some(GivingUpCause::Overdue);
+        }
+        (slot.last_word() <= now).then_some(GivingUpCause::BeforeDeadline)
     }
 
     /// Whether the server says that it is busy with all that was sent to it when
--- a/crates/cardamomwinch_daemon/src/decision_line.rs
+++ b/crates/cardamomwinch_daemon/src/decision_line.rs
@@ -1,5 +1,6 @@
 //! Decisions as log lines, with names where the configuration has them.
 
+use cardamomwinch_coordination::decision::RunEvidence;
 use cardamomwinch_coordination::prelude::{DecisionReason, DecisionRecord, RoutingSnapshot};
 use cardamomwinch_state::prelude::RequestId;
 use cardamomwinch_transport::prelude as transport;
@@ -36,6 +37,36 @@
     /// The shard.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub shard: Option<String>,
+    /// What is known of the run of a request that is given up.
+    #[serde(flatten, skip_serializing_if = "Option::is_none")]
+    pub evidence: Option<EvidenceFields>,
+}
+
+/// [`RunEvidence`] as it is logged.
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize)]
+pub struct EvidenceFields {
+    /// How long ago the request was sent, in milliseconds.
+    pub sent_ago_ms: u64,
+    /// Requests that the home has sent to the server and not seen end.
+    pub running: u32,
+    /// How long ago the last load report came, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub report_age_ms: Option<u64>,
+    /// Requests that it said are running.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub reported_busy: Option<u32>,
+}
+
+impl From<RunEvidence> for EvidenceFields {
+    fn from(evidence: RunEvidence) -> Self {
+        Self {
+            sent_ago_ms: evidence.sent_ago.as_millis() as u64,
+            running: evidence.running,
+            report_age_ms: evidence.report_age.map(|age| age.as_millis() as u64),
+            reported_busy: evidence.reported_busy,
+        }
+    }
 }
 
 impl DecisionLine {
@@ -70,6 +101,7 @@
             peer,
             domain,
             shard: record.shard.map(|shard| shard.to_string()),
+            evidence: record.evidence.map(EvidenceFields::from),
         }
     }
 }
--- a/crates/cardamomwinch_daemon/tests/decision_line.rs
+++ b/crates/cardamomwinch_daemon/tests/decision_line.rs
@@ -65,6 +65,7 @@
         backend,
         peer: None,
         shard: None,
+        evidence: None,
     };
     let line = DecisionLine::new("bud-angyal-1", &record, &snapshot());
     serde_json::to_value(line).unwrap()
--- a/crates/cardamomwinch_standin/src/backend.rs
+++ b/crates/cardamomwinch_standin/src/backend.rs
@@ -321,6 +321,7 @@
     }
 
     async fn answer(&self, job: &RequestJob) {
+        runtime::locked(&self.state).note_answer(job, runtime::now());
         let mut whole = b"echo:".to_vec();
         whole.extend_from_slice(&job.payload);
         whole.extend_from_slice(self.settings.name.as_bytes());
--- a/crates/cardamomwinch_standin/src/backend_state.rs
+++ b/crates/cardamomwinch_standin/src/backend_state.rs
@@ -66,6 +66,10 @@
     pub request: RequestId,
     /// How often it ran.
     pub count: u64,
+    /// When its last run began.
+    pub begun: Timestamp,
+    /// When its answer was sent last; zero where none was.
+    pub answered: Timestamp,
     /// The payload of its first run; bytes that are not UTF-8 are replaced.
     pub payload: String,
 }
@@ -251,7 +255,7 @@
         }
         if self.busy < self.slots.get() {
             self.busy += 1;
-            self.record(&job);
+            self.record(&job, now);
             return Admission::Run(job);
         }
         if self.queue.len() < self.queue_limit {
@@ -274,7 +278,7 @@
             return Some(Admission::Shed(job));
         }
         self.busy += 1;
-        self.record(&job);
+        self.record(&job, now);
         Some(Admission::Run(job))
     }
 
@@ -287,11 +291,12 @@
         self.queue.remove(position)
     }
 
-    fn record(&mut self, job: &RequestJob) {
+    fn record(&mut self, job: &RequestJob, now: Timestamp) {
         self.counters.total += 1;
         let key = (job.route.flow, job.request.id);
         if let Some(runs) = self.runs.get_mut(&key) {
             runs.count += 1;
+            runs.begun = now;
         } else if self.runs.len() >= RUN_LIMIT {
             self.counters.unlisted += 1;
         } else {
@@ -299,12 +304,22 @@
                 flow: key.0,
                 request: key.1,
                 count: 1,
+                begun: now,
+                answered: Timestamp::ZERO,
                 payload: String::from_utf8_lossy(&job.payload).into_owned(),
             };
             self.runs.insert(key, runs);
         }
     }
 
+    /// Notes that the answer to `job` is sent.
+    pub fn note_answer(&mut self, job: &RequestJob, now: Timestamp) {
+        let key = (job.route.flow, job.request.id);
+        if let Some(runs) = self.runs.get_mut(&key) {
+            runs.answered = now;
+        }
+    }
+
     /// Counts a notice for each open flow and returns them.
     pub fn next_notices(&mut self) -> Vec<OpenFlow> {
         let flows = self.flows.iter_mut().map(|(_, flow)| {
--- a/tests/graceful_stop.rs
+++ b/tests/graceful_stop.rs
@@ -6,6 +6,7 @@
 use std::time;
 
 use cardamomwinch_standin::prelude::*;
+use serde_json::Value;
 use support::network::{self, FaultyDeployment};
 use support::{LIMIT, last, requests};
 
@@ -36,12 +37,19 @@
     }
 }
 
-/// Prints what the hosts decided about the flows of `requests`.
-fn print_decisions(faulty: &FaultyDeployment, requests: &[&SentRequest]) {
+/// Prints what the hosts decided about the flows of `requests`, and when servers ran them.
+fn print_decisions(faulty: &FaultyDeployment, requests: &[&SentRequest], reports: &[Value]) {
     let flows: Vec<_> = requests
         .iter()
         .map(|one| one.client.flow().to_string())
         .collect();
+    let runs = reports.iter().flat_map(|report| report["runs"].as_array());
+    for run in runs.flatten() {
+        let caller = run["flow"]["caller"].as_str();
+        if caller.is_some_and(|caller| flows.iter().any(|flow| flow.starts_with(caller))) {
+            println!("{run}");
+        }
+    }
     for host in &faulty.deployment.hosts {
         while let Some(line) = host.process.next_line(time::Duration::ZERO) {
             if flows.iter().any(|flow| line.contains(flow)) || line.contains("home_changed") {
@@ -128,7 +136,7 @@
         }
         let reports = faulty.final_run_reports().await;
         let unsettled: Vec<_> = requests.iter().filter(|one| !one.is_settled()).collect();
-        print_decisions(&faulty, &unsettled);
+        print_decisions(&faulty, &unsettled, &reports);
         let answered = requests.iter().filter(|one| one.is_answered());
         assert_eq!(
             answered.count() as u64,
