Leave a request that was handed over as much time at its next home as any other

Cause: the next home counted what it took over until the moment of the hand-over. Change: what is taken over is watched from that moment on like a request that the home sends itself; one function makes both.

--- a/crates/cardamomwinch_coordination/src/traffic/dispatching.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/dispatching.rs
@@ -12,15 +12,12 @@
 use crate::traffic::caller_datagrams::RETRY_AFTER;
 use crate::traffic::context::{BackendMessage, EventContext};
 use crate::traffic::effect::TrafficSink;
-use crate::traffic::ledger::{QueueEntry, RunningSlot};
+use crate::traffic::ledger::QueueEntry;
 use crate::traffic::requests::{
     HeldRequest, PartTracker, RequestKey, RequestState, RunningRequest,
 };
 use crate::traffic::resolve;
 
-/// A request without progress counts as taking a slot for this many timeouts.
-const COUNTED_TIMEOUTS: u32 = 2;
-
 impl TrafficEngine {
     /// Whether this thread may send requests to the servers of `shard`. Guards
     /// against a home that acts after its time: an answer or a tick may free a
@@ -109,16 +106,7 @@
             AttemptNumber(_) => Counter::RequestRetried,
         });
         let ledger = self.ledgers.of(claim.backend);
-        let timeout = ledger.service_times.attempt_timeout();
-        ledger.start(RunningSlot {
-            entry: queued,
-            sent: now,
-            progress: now,
-            deadline,
-            overdue: false,
-            counted: true,
-            counted_until: now.after(timeout * COUNTED_TIMEOUTS),
-        });
+        ledger.start(now, queued, now, deadline);
     }
 
     /// Sends what waits for `backend`, after a slot has come free.
--- a/crates/cardamomwinch_coordination/src/traffic/ledger.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/ledger.rs
@@ -20,6 +20,8 @@
 /// that has become fast again is found out.
 const LONGEST_RETRY: time::Duration = time::Duration::from_secs(5);
 
+/// A request without progress counts as taking a slot for this many timeouts.
+const COUNTED_TIMEOUTS: u32 = 2;
 /// A load report vouches for the requests that it counts for this long: until the
 /// next one is due, and some more.
 const VOUCHED_FOR: time::Duration = time::Duration::from_millis(1500);
@@ -234,8 +236,24 @@
         self.queue.len() < before
     }
 
-    /// Notes that a request was sent.
-    pub fn start(&mut self, slot: RunningSlot) {
+    /// Notes that a request was sent, here or by an earlier home. From `now` on it has as
+    /// long to make progress as any other.
+    pub fn start(
+        &mut self,
+        now: Timestamp,
+        entry: QueueEntry,
+        sent: Timestamp,
+        deadline: Timestamp,
+    ) {
+        let slot = RunningSlot {
+            entry,
+            sent,
+            progress: now,
+            deadline,
+            overdue: false,
+            counted: true,
+            counted_until: now.after(self.service_times.attempt_timeout() * COUNTED_TIMEOUTS),
+        };
         match self.slot_position(&slot.entry.key) {
             Ok(position) => self.running[position] = slot,
             Err(position) => self.running.insert(position, slot),
--- a/crates/cardamomwinch_coordination/src/traffic/taking_over.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/taking_over.rs
@@ -7,7 +7,7 @@
 use crate::traffic::TrafficEngine;
 use crate::traffic::context::EventContext;
 use crate::traffic::effect::TrafficSink;
-use crate::traffic::ledger::{QueueEntry, RunningSlot, WaitingRequest};
+use crate::traffic::ledger::{QueueEntry, WaitingRequest};
 use crate::traffic::requests::RunningRequest;
 use crate::traffic::serving;
 
@@ -47,15 +47,8 @@
     ) {
         let ledger = self.ledgers.of(running.backend);
         ledger.taken_over = Some(context.now);
-        ledger.start(RunningSlot {
-            entry,
-            sent: running.sent,
-            progress: context.now,
-            deadline: running.held.header.deadline,
-            overdue: false,
-            counted: true,
-            counted_until: context.now,
-        });
+        let deadline = running.held.header.deadline;
+        ledger.start(context.now, entry, running.sent, deadline);
     }
 
     /// Whether nothing may be decided about what waits or runs at `backend`,
--- a/crates/cardamomwinch_coordination/tests/requests_handed_over.rs
+++ b/crates/cardamomwinch_coordination/tests/requests_handed_over.rs
@@ -8,6 +8,7 @@
 
 use admission_support::{Bench, Sent, Told, flow, host, request};
 use cardamomwinch_coordination::prelude::*;
+use cardamomwinch_coordination::snapshot::{BackendView, ReportedLoad};
 use cardamomwinch_coordination::traffic;
 use cardamomwinch_protocol::peer::homes::HandOverId;
 use cardamomwinch_protocol::prelude::*;
@@ -133,6 +134,43 @@
     );
 }
 
+/// Guards against a request that is handed over just after it was sent being given up when
+/// the server answers another one.
+#[test]
+fn a_request_handed_over_soon_after_it_was_sent_is_not_given_up_beside_an_answer() {
+    let mut first = Bench::new(1, 2);
+    let tokens = [1, 2].map(|number| first.open(number));
+    for (number, token) in (1..).zip(tokens) {
+        let header = first.header(number.into(), false, 5500);
+        first.ask(number, token, header);
+    }
+    let sent: Vec<_> = first.take().runs().into_iter().cloned().collect();
+    let mut second = Bench::of_host("muc-nord-2", 1, 2, TrafficBounds::default());
+    second.lose_home(Some(host("muc-nord-1")));
+    first.pass_ms(60);
+    second.pass_ms(60);
+    hand_over(&mut first, &mut second);
+    second.renews_lease = true;
+    second.pass_ms(100);
+    let backend = second.server();
+    second.view(
+        backend,
+        BackendView {
+            report: Some(ReportedLoad {
+                made: second.now,
+                busy_slots: 2,
+            }),
+            ..BackendView::default()
+        },
+    );
+    second.pass_ms(840);
+    second.answer(1, &sent[0]);
+    second.pass_ms(50);
+    assert_eq!(second.take().finals(request(2)), Vec::<&Told>::new());
+    second.answer(2, &sent[1]);
+    assert_eq!(second.take().count(Counter::RequestAnswered), 1);
+}
+
 /// A host is added and takes shards over. The old home has released one and takes
 /// the new host for its home; the new host has not been granted it yet and takes the
 /// old one for its home. A request of an open session went to and fro between them
