Call a request overdue to its caller by what its server is known to take now

What callers see: two requests of a second run beside each other at a server that its home has not measured yet; the answer of the one arrives, and the caller of the other hears "outcome unknown" at the next tick, a moment before its answer. Cause: the point at which a slot stops counting is fixed when the request is sent, from an assumed 50 ms, and once the server is heard of again it was the caller's word as well. The answer that made the home speak shows that the server takes a second. Change: the caller's word takes the request to be longer than the server is known to take at that moment. Slots count as before. Test: a_request_that_takes_as_long_as_the_one_beside_it_is_not_given_up failed before (outcome unknown, 818.75 ms), passes now.

--- a/crates/cardamomwinch_coordination/src/traffic/ledger.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/ledger.rs
@@ -365,9 +365,9 @@
         }
     }
 
-    /// The requests whose callers must get their last word now: those that do
-    /// not count any more, unless a load report vouches for them, and those whose
-    /// deadline is near.
+    /// The requests whose callers must get their last word now: those that do not count
+    /// any more and take longer than others, unless a load report vouches for them, and
+    /// those whose deadline is near.
     pub fn due_words(&self, now: Timestamp) -> Vec<DoubtedRun> {
         let due = self.running.iter().filter_map(|slot| {
             let cause = self.due_word(now, slot)?;
@@ -377,12 +377,19 @@
     }
 
     fn due_word(&self, now: Timestamp, slot: &RunningSlot) -> Option<GivingUpCause> {
-        if !slot.counted && !self.is_vouched(now, slot) {
+        if !slot.counted && self.takes_longer(now, slot) && !self.is_vouched(now, slot) {
             return Some(GivingUpCause::Overdue);
         }
         (slot.last_word() <= now).then_some(GivingUpCause::BeforeDeadline)
     }
 
+    /// Whether a request takes longer than the server does by what is measured now. Its
+    /// slot stops counting by what was known when it was sent, which for the first
+    /// requests is nothing.
+    fn takes_longer(&self, now: Timestamp, slot: &RunningSlot) -> bool {
+        now.since(slot.sent) > self.service_times.attempt_timeout() * COUNTED_TIMEOUTS
+    }
+
     /// Whether the server says that it is busy with all that was sent to it when
     /// this was, and that is plausible: a report counts requests, not which.
     fn is_vouched(&self, now: Timestamp, slot: &RunningSlot) -> bool {
--- a/crates/cardamomwinch_coordination/tests/requests_given_up.rs
+++ b/crates/cardamomwinch_coordination/tests/requests_given_up.rs
@@ -307,6 +307,25 @@
     assert_eq!(bench.take().count(Counter::RequestAnswered), 1);
 }
 
+/// Guards against a request being given up for taking a little longer than the first one
+/// that its server ever answered here, before any load report speaks of either.
+#[test]
+fn a_request_that_takes_as_long_as_the_one_beside_it_is_not_given_up() {
+    let mut bench = Bench::new(1, 2);
+    let tokens = [1, 2].map(|number| bench.open(number));
+    for (number, token) in (1..).zip(tokens) {
+        let header = bench.header(number.into(), false, 5500);
+        bench.ask(number, token, header);
+    }
+    let sent: Vec<_> = bench.take().runs().into_iter().cloned().collect();
+    bench.pass_ms(1000);
+    bench.answer(1, &sent[0]);
+    bench.pass_ms(50);
+    assert_eq!(bench.take().finals(request(2)), Vec::<&Told>::new());
+    bench.answer(2, &sent[1]);
+    assert_eq!(bench.take().count(Counter::RequestAnswered), 1);
+}
+
 /// The answer to a finding that was given up comes late. It must reach the
 /// caller, and free the slot, and a copy that comes later must get it too.
 #[test]
