Wait for answers that a server has sent before a request is called lost

What callers see: told "outcome unknown" although the server has answered, where the answer is more than 50 ms on its way. Cause: a load report is asked for directly and overtakes answers, which come through the fabric, any host and a relay. "The server does not run it" was taken for "its answer will not come" once the report was 50 ms old. Nothing told a request that never arrived from one that was answered a moment before. Ways weighed: a longer allowance (callers of lost requests wait for it too, and a slower way passes it); two reports in each case (the same wait); the server asked about the one request by datagrams (exact, but a new message for servers); the server's count of answers beside those that came. The last one is kept: one optional number in the load report. Change: a server may say how many answers it has sent. Where that grew beyond what the home has seen since the last report, nothing is given up for being uncounted or overdue until the next report; what is still missing then is given up as before. A request that the server neither runs nor has answered is given up at once, as before, and so is everything at a server that does not count.

--- a/crates/cardamomwinch_coordination/examples/admission_cost.rs
+++ b/crates/cardamomwinch_coordination/examples/admission_cost.rs
@@ -488,6 +488,7 @@
                 let report = ReportedLoad {
                     made: now,
                     busy_slots: server.busy,
+                    answers: None,
                 };
                 let view = BackendView {
                     report: Some(report),
--- a/crates/cardamomwinch_coordination/examples/health_cost.rs
+++ b/crates/cardamomwinch_coordination/examples/health_cost.rs
@@ -92,6 +92,7 @@
                 connections: 100,
                 healthy: true,
                 draining: false,
+                answers: None,
             };
             table.take_load(now, question.backend, Ok(report));
         }
--- a/crates/cardamomwinch_coordination/src/control/health/server.rs
+++ b/crates/cardamomwinch_coordination/src/control/health/server.rs
@@ -94,6 +94,7 @@
         self.report = Some(ReportedLoad {
             made: now,
             busy_slots: load.busy_slots,
+            answers: load.answers,
         });
     }
 
--- a/crates/cardamomwinch_coordination/src/snapshot.rs
+++ b/crates/cardamomwinch_coordination/src/snapshot.rs
@@ -48,6 +48,8 @@
     pub made: Timestamp,
     /// Requests that it says are running.
     pub busy_slots: u32,
+    /// Answers that it has sent since it started, where it counts them.
+    pub answers: Option<u64>,
 }
 
 /// What is known about the health and load of a backend server.
--- a/crates/cardamomwinch_coordination/src/traffic/ledger.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/ledger.rs
@@ -10,6 +10,7 @@
 
 use crate::decision::GivingUpCause;
 use crate::snapshot::BackendView;
+use crate::traffic::answer_count::AnswerCount;
 use crate::traffic::requests::RequestKey;
 use crate::traffic::service_time::ServiceTimes;
 use crate::traffic::slots::SlotEstimate;
@@ -122,6 +123,10 @@
     /// What was sent before this point is vouched for by a load report: the
     /// server is busy with as many requests as this home counts.
     pub vouched: Timestamp,
+    /// The answers that the server has sent, beside those that came.
+    pub answers: AnswerCount,
+    /// Whether answers were under way when the last load report was made.
+    answers_under_way: bool,
     /// When an earlier home handed requests over, until the lease has followed.
     pub taken_over: Option<Timestamp>,
     running: Vec<RunningSlot>,
@@ -310,7 +315,8 @@
     /// was lost: the slot would stay taken, and the caller without a word. Only
     /// overdue ones are doubted, and none for a datagram that is still under way
     /// in either direction, so that a long request is not taken for a lost one
-    /// while the server counts it. Nor is one doubted while all `slots` are busy:
+    /// while the server counts it. None is doubted either where the server has sent
+    /// answers that have not come yet: they have until the next report. Nor is one doubted while all `slots` are busy:
     /// the server may have it in a queue of its own, which it does not report.
     pub fn take_report(
         &mut self,
@@ -324,6 +330,9 @@
             return Vec::new();
         };
         self.reconciled = report.made;
+        let running = self.busy();
+        let answers = &mut self.answers;
+        self.answers_under_way = answers.take_report(report.answers, running, report.busy_slots);
         if report.busy_slots >= slots {
             self.vouched = report.made.before(NETWORK_ALLOWANCE);
             return Vec::new();
@@ -335,6 +344,9 @@
         if report.busy_slots > 0 && slots.len() <= report.busy_slots as usize {
             self.vouched = reached;
         }
+        if self.answers_under_way {
+            return Vec::new();
+        }
         let excess = slots.len().saturating_sub(report.busy_slots as usize);
         slots.retain(|slot| slot.overdue && slot.progress < reached);
         slots.sort_by_key(|slot| slot.sent);
@@ -377,7 +389,8 @@
     }
 
     fn due_word(&self, now: Timestamp, slot: &RunningSlot) -> Option<GivingUpCause> {
-        if !slot.counted && self.takes_longer(now, slot) && !self.is_vouched(now, slot) {
+        let is_explained = self.is_vouched(now, slot) || self.is_awaiting_answers(now);
+        if !slot.counted && self.takes_longer(now, slot) && !is_explained {
             return Some(GivingUpCause::Overdue);
         }
         (slot.last_word() <= now).then_some(GivingUpCause::BeforeDeadline)
@@ -390,6 +403,10 @@
         now.since(slot.sent) > self.service_times.attempt_timeout() * COUNTED_TIMEOUTS
     }
 
+    fn is_awaiting_answers(&self, now: Timestamp) -> bool {
+        self.answers_under_way && now.since(self.reconciled) < VOUCHED_FOR
+    }
+
     /// Whether the server says that it is busy with all that was sent to it when
     /// this was, and that is plausible: a report counts requests, not which.
     fn is_vouched(&self, now: Timestamp, slot: &RunningSlot) -> bool {
--- a/crates/cardamomwinch_coordination/src/traffic/mod.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/mod.rs
@@ -2,6 +2,7 @@
 //! which host is its home, and whether the request that it carries runs.
 
 pub(crate) mod announcing;
+pub mod answer_count;
 pub(crate) mod caller_datagrams;
 pub(crate) mod context;
 pub(crate) mod dispatching;
--- a/crates/cardamomwinch_coordination/src/traffic/reply_effects.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/reply_effects.rs
@@ -96,6 +96,7 @@
                     context.count(Counter::RequestAnsweredLate);
                 }
                 let ledger = self.ledgers.of(backend);
+                ledger.answers.note_seen();
                 if let Some(slot) = ledger.finish(key) {
                     ledger.note_answer(context.now, context.now.since(slot.sent));
                 }
@@ -104,6 +105,7 @@
             PartOutcome::Superseded { attempt, deadline } => {
                 context.count(Counter::RequestAnswered);
                 let ledger = self.ledgers.of(backend);
+                ledger.answers.note_seen();
                 ledger.leave_queue(key);
                 ledger.finish(key);
                 if let Some(attempt) = attempt {
--- a/crates/cardamomwinch_coordination/tests/admission_slots.rs
+++ b/crates/cardamomwinch_coordination/tests/admission_slots.rs
@@ -95,6 +95,7 @@
         report: Some(ReportedLoad {
             made: bench.now,
             busy_slots,
+            answers: None,
         }),
         ..BackendView::default()
     };
--- a/crates/cardamomwinch_coordination/tests/health_draining.rs
+++ b/crates/cardamomwinch_coordination/tests/health_draining.rs
@@ -82,6 +82,7 @@
                 connections: 0,
                 healthy: true,
                 draining: self.draining == Some(address),
+                answers: None,
             });
             self.control(ControlEvent::Load { backend, result });
         }
--- a/crates/cardamomwinch_coordination/tests/health_ejection.rs
+++ b/crates/cardamomwinch_coordination/tests/health_ejection.rs
@@ -20,6 +20,7 @@
     connections: 0,
     healthy: true,
     draining: false,
+    answers: None,
 };
 
 /// How a server of the test behaves.
--- a/crates/cardamomwinch_coordination/tests/requests_given_up.rs
+++ b/crates/cardamomwinch_coordination/tests/requests_given_up.rs
@@ -6,7 +6,7 @@
 
 use std::time;
 
-use admission_support::{Bench, Told, host, request};
+use admission_support::{Bench, Sent, Told, host, request};
 use cardamomwinch_coordination::prelude::*;
 use cardamomwinch_coordination::snapshot::{BackendView, ReportedLoad};
 use cardamomwinch_protocol::prelude::*;
@@ -352,12 +352,87 @@
     assert_eq!(bench.take().finals(request(7)), Vec::<&Told>::new());
 }
 
+/// A server that has sent no answer when its home first asks it, and a request on it that
+/// ran for a second.
+fn ask_counted_server(bench: &mut Bench) -> Sent {
+    report_answers(bench, 0, Some(0));
+    bench.pass_ms(100);
+    let token = bench.open(1);
+    let header = bench.header(7, false, 9000);
+    bench.ask(1, token, header);
+    let sent = bench.take().runs()[0].clone();
+    bench.pass_ms(1000);
+    sent
+}
+
+/// Guards against a request being given up although its answer is on its way, because the
+/// load report that was asked for meanwhile does not count it any more.
+#[test]
+fn a_request_whose_answer_is_on_its_way_is_not_given_up() {
+    let mut bench = Bench::new(1, 2);
+    let sent = ask_counted_server(&mut bench);
+    report_answers(&mut bench, 0, Some(1));
+    bench.pass_ms(150);
+    assert_eq!(bench.take().finals(request(7)), Vec::<&Told>::new());
+    bench.answer(1, &sent);
+    bench.pass_ms(1000);
+    report_answers(&mut bench, 0, Some(1));
+    bench.pass_ms(100);
+    let wanted = bench.take();
+    assert_eq!(wanted.count(Counter::RequestAnswered), 1);
+    assert_eq!(wanted.finals(request(7)), Vec::<&Told>::new());
+}
+
+/// Guards against a caller waiting for its deadline where the answer was lost: it is given
+/// up at the second report that knows of the answer.
+#[test]
+fn a_request_whose_answer_does_not_come_until_the_next_report_is_given_up() {
+    let mut bench = Bench::new(1, 2);
+    ask_counted_server(&mut bench);
+    report_answers(&mut bench, 0, Some(1));
+    bench.pass_ms(1000);
+    assert_eq!(bench.take().finals(request(7)), Vec::<&Told>::new());
+    report_answers(&mut bench, 0, Some(1));
+    bench.pass_ms(100);
+    assert_eq!(bench.take().finals(request(7)).len(), 1);
+}
+
+/// Guards against a caller waiting for a second report where the request never reached its
+/// server, which the first one shows: it counts neither a run nor an answer.
+#[test]
+fn a_request_that_its_server_has_neither_run_nor_answered_is_given_up_at_once() {
+    let mut bench = Bench::new(1, 2);
+    ask_counted_server(&mut bench);
+    report_answers(&mut bench, 0, Some(0));
+    bench.pass_ms(100);
+    assert_eq!(bench.take().finals(request(7)).len(), 1);
+}
+
+/// Guards against the count of a server that started again: it begins anew, and the answer
+/// of a request that is on its way must not be waited for in vain for ever.
+#[test]
+fn a_server_that_counts_anew_is_believed_from_then_on() {
+    let mut bench = Bench::new(1, 2);
+    report_answers(&mut bench, 0, Some(500));
+    bench.pass_ms(100);
+    ask_counted_server(&mut bench);
+    report_answers(&mut bench, 0, Some(0));
+    bench.pass_ms(100);
+    assert_eq!(bench.take().finals(request(7)).len(), 1);
+}
+
 /// The server says now how many slots are busy.
 fn report(bench: &mut Bench, busy_slots: u32) {
+    report_answers(bench, busy_slots, None);
+}
+
+/// The server says now how many slots are busy, and how many answers it has sent.
+fn report_answers(bench: &mut Bench, busy_slots: u32, answers: Option<u64>) {
     let view = BackendView {
         report: Some(ReportedLoad {
             made: bench.now,
             busy_slots,
+            answers,
         }),
         ..BackendView::default()
     };
--- a/crates/cardamomwinch_coordination/tests/requests_handed_over.rs
+++ b/crates/cardamomwinch_coordination/tests/requests_handed_over.rs
@@ -159,6 +159,7 @@
             report: Some(ReportedLoad {
                 made: second.now,
                 busy_slots: 2,
+                answers: None,
             }),
             ..BackendView::default()
         },
--- a/crates/cardamomwinch_daemon/tests/decision_line.rs
+++ b/crates/cardamomwinch_daemon/tests/decision_line.rs
@@ -149,6 +149,7 @@
         report: Some(ReportedLoad {
             made: Timestamp::ZERO,
             busy_slots: 0,
+            answers: None,
         }),
         ..BackendView::default()
     }
--- a/crates/cardamomwinch_experiment/src/backends.rs
+++ b/crates/cardamomwinch_experiment/src/backends.rs
@@ -82,6 +82,7 @@
     running: Vec<ActiveRun>,
     waiting: collections::VecDeque<ServerRequest>,
     run_count: u64,
+    answers: u64,
     /// The service that it serves.
     pub service: usize,
     /// Whether it is about to leave.
@@ -98,6 +99,7 @@
             running: Vec::new(),
             waiting: collections::VecDeque::new(),
             run_count: 0,
+            answers: 0,
             service,
             draining: false,
         }
@@ -125,6 +127,7 @@
             connections: self.flows.len() as u32,
             healthy: true,
             draining: self.draining,
+            answers: Some(self.answers),
         }
     }
 
@@ -240,6 +243,7 @@
         for index in 0..total {
             outputs.push(answer(&run.request, PartNumber { index, total }));
         }
+        self.answers += 1;
         self.begin_waiting(now, outputs);
     }
 
--- a/crates/cardamomwinch_protocol/src/backend.rs
+++ b/crates/cardamomwinch_protocol/src/backend.rs
@@ -124,4 +124,7 @@
     pub healthy: bool,
     /// Whether the server calls itself draining.
     pub draining: bool,
+    /// Requests whose whole answer it has sent since it started, where it counts them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub answers: Option<u64>,
 }
--- a/crates/cardamomwinch_standin/src/backend_state.rs
+++ b/crates/cardamomwinch_standin/src/backend_state.rs
@@ -141,6 +141,7 @@
                     connections: 0,
                     healthy: true,
                     draining: false,
+                    answers: None,
                 },
             }),
             _ => Err(HealthParseError),
@@ -176,6 +177,7 @@
     connections: ConnectionCount,
     queue_limit: usize,
     busy: u32,
+    answers: u64,
     queue: VecDeque<RequestJob>,
     flows: SortedVector<FlowKey, OpenFlow>,
     runs: SortedVector<(FlowKey, RequestId), RequestRuns>,
@@ -201,6 +203,7 @@
             connections,
             queue_limit,
             busy: 0,
+            answers: 0,
             queue: VecDeque::new(),
             flows: SortedVector::new(),
             runs: SortedVector::new(),
@@ -314,6 +317,7 @@
 
     /// Notes that the answer to `job` is sent.
     pub fn note_answer(&mut self, job: &RequestJob, now: Timestamp) {
+        self.answers += 1;
         let key = (job.route.flow, job.request.id);
         if let Some(runs) = self.runs.get_mut(&key) {
             runs.answered = now;
@@ -347,6 +351,7 @@
             connections: u32::try_from(self.flows.len()).unwrap_or(u32::MAX),
             healthy: true,
             draining: self.draining,
+            answers: Some(self.answers),
         };
         match self.health {
             HealthMode::Truth => truth,
--- a/crates/cardamomwinch_standin/tests/caller_path.rs
+++ b/crates/cardamomwinch_standin/tests/caller_path.rs
@@ -247,6 +247,7 @@
             connections: 9,
             healthy: false,
             draining: true,
+            answers: None,
         };
         let lie = serde_json::json!({"mode": "lie", "report": report}).to_string();
         let set = http::request(address, "POST", "/health", lie)
--- a/examples/capacity_slopes.rs
+++ b/examples/capacity_slopes.rs
@@ -368,6 +368,7 @@
                 connections: 100,
                 healthy: true,
                 draining: false,
+                answers: None,
             });
             calls.extend(self.control(ControlEvent::Load { backend, result }));
         }
