Show what reaches a port that was a host's, and that no caller reads it

On the code since the same is the new test: raw sockets on these ports receive, callers on ports of the same number do not. Change: a test, and a setting of the stand-in's callers for the port.

--- a/crates/cardamomwinch_standin/src/caller.rs
+++ b/crates/cardamomwinch_standin/src/caller.rs
@@ -30,6 +30,8 @@
     pub fabric: net::SocketAddr,
     /// The public address of the service.
     pub service: net::SocketAddr,
+    /// The port that it takes; zero for any that is free.
+    pub port: u16,
     /// Whether it echoes the first token it is given.
     pub echoes_token: bool,
     /// How long it waits before it sends the same datagram again.
@@ -42,6 +44,7 @@
         Self {
             fabric,
             service,
+            port: 0,
             echoes_token: true,
             resend_interval: time::Duration::from_millis(200),
         }
@@ -75,7 +78,7 @@
         executor: &TaskExecutor,
         settings: CallerSettings,
     ) -> Result<Self, StandinError> {
-        let own = net::SocketAddr::new(own_address(settings.fabric.ip()), 0);
+        let own = net::SocketAddr::new(own_address(settings.fabric.ip()), settings.port);
         let (socket, caller) = fabric::bind_datagrams(own).await?;
         let shared = sync::Arc::new(SharedCaller {
             settings,
--- /dev/null
+++ b/tests/reused_ports.rs
@@ -0,0 +1,77 @@
+//! What reaches a port that was a host's, and who reads it.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod support;
+
+use std::time;
+
+use async_net::UdpSocket;
+use cardamomwinch_standin::faults::CutMode;
+use cardamomwinch_standin::prelude::*;
+use support::network::{self, FaultyDeployment};
+use support::requests::RequestLoad;
+use support::{LIMIT, last};
+
+/// The ports to which hosts send; the fabric hears at once of a host's end.
+const PORTS: [&str; 2] = ["peer_address", "relay_address"];
+/// How long hosts go on sending to the host that was killed.
+const LISTENED_MS: u64 = 3_000;
+
+/// Guards against callers that take a port of a host that was killed: other hosts that do
+/// not hear of its end go on sending to it, which the caller counts as malformed replies.
+#[test]
+fn a_caller_on_a_port_of_a_killed_host_reads_nothing_of_what_hosts_send_there() {
+    support::run(async |executor| {
+        let mut faulty = FaultyDeployment::start(network::small_plan()).await;
+        let load = RequestLoad::start(executor, &faulty.deployment, 4);
+        load.wait_for_answers(20).await;
+        let all = faulty.hosts(None);
+        faulty.cut_platform(&all, CutMode::Hold).await;
+        let killed = faulty.take_out(&all[0]).await;
+        let ports = PORTS.map(|field| killed.address(field).unwrap());
+        drop(killed);
+        let mut clients = Vec::new();
+        let mut sockets = Vec::new();
+        for address in ports {
+            clients.push(open_on_port(executor, &faulty, address.port()).await);
+            sockets.push(UdpSocket::bind(address).await.unwrap());
+        }
+        last(LISTENED_MS).await;
+        for socket in &sockets {
+            assert!(has_received(socket).await, "nothing is sent there any more");
+        }
+        for client in &clients {
+            assert_eq!(client.counters().malformed, 0, "{:?}", client.strays());
+        }
+        faulty
+            .cut_platform(&faulty.hosts(None), CutMode::None)
+            .await;
+        load.finish().await.check(&faulty).await;
+    });
+}
+
+/// A caller on `port`, whose flow is open.
+async fn open_on_port(
+    executor: &TaskExecutor,
+    faulty: &FaultyDeployment,
+    port: u16,
+) -> CallerClient {
+    let fabric = faulty.deployment.fabric_address("callers").unwrap();
+    let service = faulty.deployment.plan.services[0].address;
+    let mut settings = CallerSettings::new(fabric, service);
+    settings.port = port;
+    let client = CallerClient::bind(executor, settings).await.unwrap();
+    assert_eq!(client.open(b"", LIMIT).await.unwrap(), OpenOutcome::Opened);
+    assert_eq!(client.flow().caller.port(), port);
+    client
+}
+
+/// Whether a datagram has come to `socket`.
+async fn has_received(socket: &UdpSocket) -> bool {
+    let received = async { socket.recv_from(&mut [0; 1]).await.is_ok() };
+    let timeout = async {
+        async_io::Timer::after(time::Duration::from_millis(100)).await;
+        false
+    };
+    futures_lite::future::or(received, timeout).await
+}
