Date what a load report says by when it was asked for

What callers see: told "outcome unknown" of a request that runs, where the answer to "what runs there" took long to come to its home. Found by reading, for the same fault elsewhere; not seen in a run of real processes. Cause: a report was dated by when it came. What it says may be so from the moment it was asked for, so that a request that was sent in between was missed in it. Change: a report tells both moments. Test: a_request_that_was_sent_after_the_report_was_asked_for_is_not_given_up failed before (outcome unknown, 250 ms), passes now.

--- a/crates/cardamomwinch_coordination/examples/admission_cost.rs
+++ b/crates/cardamomwinch_coordination/examples/admission_cost.rs
@@ -486,6 +486,7 @@
             self.reported = self.now;
             for (server, entry) in self.servers.iter().zip(&self.entries) {
                 let report = ReportedLoad {
+                    asked: now,
                     made: now,
                     busy_slots: server.busy,
                     answers: None,
--- a/crates/cardamomwinch_coordination/src/control/health/asking.rs
+++ b/crates/cardamomwinch_coordination/src/control/health/asking.rs
@@ -16,6 +16,8 @@
 /// The schedule of one server's questions.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct AskSchedule {
+    /// When the endpoint was asked last.
+    pub(crate) asked: Timestamp,
     next: Timestamp,
     interval: time::Duration,
     seed: u64,
@@ -28,6 +30,7 @@
 impl AskSchedule {
     pub(crate) fn new(now: Timestamp, backend: BackendId) -> Self {
         Self {
+            asked: now,
             next: now,
             interval: ASK_INTERVAL,
             seed: backend.get(),
@@ -45,6 +48,7 @@
         // A question that was never answered at all counts as failed.
         self.failures += u32::from(self.open);
         self.open = true;
+        self.asked = now;
         self.next = now.after(self.jittered());
         if self.backs_off {
             self.interval = (self.interval * 2).min(LONGEST_INTERVAL);
--- a/crates/cardamomwinch_coordination/src/control/health/server.rs
+++ b/crates/cardamomwinch_coordination/src/control/health/server.rs
@@ -92,6 +92,7 @@
         self.says_unhealthy = !load.healthy;
         self.draining = load.draining;
         self.report = Some(ReportedLoad {
+            asked: self.asking.asked,
             made: now,
             busy_slots: load.busy_slots,
             answers: load.answers,
--- a/crates/cardamomwinch_coordination/src/snapshot.rs
+++ b/crates/cardamomwinch_coordination/src/snapshot.rs
@@ -44,7 +44,9 @@
 /// What the load endpoint of a backend server said last.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReportedLoad {
-    /// When it said so.
+    /// When it was asked; what it says is so at some point since.
+    pub asked: Timestamp,
+    /// When its answer came.
     pub made: Timestamp,
     /// Requests that it says are running.
     pub busy_slots: u32,
--- a/crates/cardamomwinch_coordination/src/traffic/ledger.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/ledger.rs
@@ -333,11 +333,11 @@
         let running = self.busy();
         let answers = &mut self.answers;
         self.answers_under_way = answers.take_report(report.answers, running, report.busy_slots);
+        let reached = report.asked.before(NETWORK_ALLOWANCE);
         if report.busy_slots >= slots {
-            self.vouched = report.made.before(NETWORK_ALLOWANCE);
+            self.vouched = reached;
             return Vec::new();
         }
-        let reached = report.made.before(NETWORK_ALLOWANCE);
         let counted = self.running.iter().filter(|slot| slot.counted);
         let counted = counted.filter(|slot| slot.sent < reached);
         let mut slots: Vec<RunningSlot> = counted.copied().collect();
--- a/crates/cardamomwinch_coordination/tests/admission_slots.rs
+++ b/crates/cardamomwinch_coordination/tests/admission_slots.rs
@@ -93,6 +93,7 @@
     let server = bench.server();
     let view = BackendView {
         report: Some(ReportedLoad {
+            asked: bench.now,
             made: bench.now,
             busy_slots,
             answers: None,
--- a/crates/cardamomwinch_coordination/tests/requests_given_up.rs
+++ b/crates/cardamomwinch_coordination/tests/requests_given_up.rs
@@ -408,6 +408,34 @@
     assert_eq!(bench.take().finals(request(7)).len(), 1);
 }
 
+/// Guards against a request being given up by a report that was made before it was sent and
+/// came much later, as where the control thread of its home has no processor time.
+#[test]
+fn a_request_that_was_sent_after_the_report_was_asked_for_is_not_given_up() {
+    let mut bench = Bench::new(1, 2);
+    let token = bench.open(1);
+    bench.take();
+    let asked = bench.now;
+    bench.pass_ms(20);
+    let header = bench.header(7, false, 9000);
+    bench.ask(1, token, header);
+    bench.pass_ms(500);
+    let backend = bench.server();
+    let report = ReportedLoad {
+        asked,
+        made: bench.now,
+        busy_slots: 0,
+        answers: None,
+    };
+    let view = BackendView {
+        report: Some(report),
+        ..BackendView::default()
+    };
+    bench.view(backend, view);
+    bench.pass_ms(100);
+    assert_eq!(bench.take().finals(request(7)), Vec::<&Told>::new());
+}
+
 /// Guards against the count of a server that started again: it begins anew, and the answer
 /// of a request that is on its way must not be waited for in vain for ever.
 #[test]
@@ -430,6 +458,7 @@
 fn report_answers(bench: &mut Bench, busy_slots: u32, answers: Option<u64>) {
     let view = BackendView {
         report: Some(ReportedLoad {
+            asked: bench.now,
             made: bench.now,
             busy_slots,
             answers,
--- a/crates/cardamomwinch_coordination/tests/requests_handed_over.rs
+++ b/crates/cardamomwinch_coordination/tests/requests_handed_over.rs
@@ -157,6 +157,7 @@
         backend,
         BackendView {
             report: Some(ReportedLoad {
+                asked: second.now,
                 made: second.now,
                 busy_slots: 2,
                 answers: None,
--- a/crates/cardamomwinch_daemon/tests/decision_line.rs
+++ b/crates/cardamomwinch_daemon/tests/decision_line.rs
@@ -147,6 +147,7 @@
 fn reported() -> BackendView {
     BackendView {
         report: Some(ReportedLoad {
+            asked: Timestamp::ZERO,
             made: Timestamp::ZERO,
             busy_slots: 0,
             answers: None,
