--- a/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
@@ -15,8 +15,9 @@
 use crate::traffic::context::{DecisionSubject, EventContext};
 use crate::traffic::dispatching;
 use crate::traffic::effect::TrafficSink;
-use crate::traffic::ledger::{DoubtedRun, QueueEntry, RunningSlot, WaitingRequest};
+use crate::traffic::ledger::{QueueEntry, WaitingRequest};
 use crate::traffic::requests::{HeldRequest, RequestState};
+use crate::traffic::running_slot::{DoubtedRun, RunningSlot};
 
 /// A request is sent to its server at most this often.
 const ATTEMPT_LIMIT: u8 = 4;
--- a/crates/cardamomwinch_coordination/src/traffic/serving.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/serving.rs
@@ -19,9 +19,9 @@
 use crate::traffic::caller_datagrams::{self, RETRY_AFTER, RoutedDatagram};
 use crate::traffic::context::EventContext;
 use crate::traffic::effect::TrafficSink;
-use crate::traffic::ledger::{self, QueueEntry, ServerLedger, WaitingRequest};
+use crate::traffic::ledger::{QueueEntry, ServerLedger, WaitingRequest};
 use crate::traffic::requests::{HeldRequest, RequestKey, RequestRecord, RequestState};
-use crate::traffic::resolve;
+use crate::traffic::{resolve, running_slot};
 
 /// A request waits for at least this long before it is refused.
 const SHORTEST_PATIENCE: time::Duration = time::Duration::from_millis(500);
@@ -423,7 +423,7 @@
     let expected = ledger.expected_wait(now, entry, view);
     let patience = (expected * PATIENCE_FACTOR).max(SHORTEST_PATIENCE);
     let latest = deadline.before(ledger.service_times.mean());
-    let latest = latest.min(ledger::last_word(now, deadline));
+    let latest = latest.min(running_slot::last_word(now, deadline));
     now.after(patience).min(latest)
 }
 
