--- a/crates/cardamomwinch_coordination/src/traffic/doubts.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/doubts.rs
@@ -18,6 +18,7 @@
 const VOUCHED_FACTOR: u32 = 4;
 /// A datagram is taken to have arrived, or to be lost, after this long.
 const NETWORK_ALLOWANCE: time::Duration = time::Duration::from_millis(50);
+
 impl ServerLedger {
     /// Takes in a load report and returns the requests that the server cannot be
     /// working on: of those sent well before the report, as many of the oldest
@@ -116,6 +117,8 @@
         now.since(slot.sent) > self.service_times.attempt_timeout() * COUNTED_TIMEOUTS
     }
 
+    /// Whether the last load report, where it is no older than the next one may be, told of
+    /// answers that have not come.
     fn is_awaiting_answers(&self, now: Timestamp) -> bool {
         self.answers_under_way && now.since(self.reconciled) < VOUCHED_FOR
     }
--- a/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
@@ -15,7 +15,7 @@
 use crate::traffic::context::{DecisionSubject, EventContext};
 use crate::traffic::dispatching;
 use crate::traffic::effect::TrafficSink;
-use crate::traffic::ledger::{QueueEntry, WaitingRequest};
+use crate::traffic::ledger::{QueueEntry, ServerLedger, WaitingRequest};
 use crate::traffic::requests::{HeldRequest, RequestState};
 use crate::traffic::running_slot::{DoubtedRun, RunningSlot};
 
@@ -119,7 +119,7 @@
     }
 
     fn evidence_of<S: TrafficSink>(
-        &mut self,
+        &self,
         context: &EventContext<'_, S>,
         backend: BackendId,
         slot: &RunningSlot,
@@ -127,7 +127,7 @@
         let report = context.snapshot.view(backend).report;
         RunEvidence {
             sent_ago: context.now.since(slot.sent),
-            running: self.ledgers.of(backend).busy(),
+            running: self.ledgers.get(backend).map_or(0, ServerLedger::busy),
             report_age: report.map(|report| context.now.since(report.made)),
             reported_busy: report.map(|report| report.busy_slots),
         }
--- a/crates/cardamomwinch_daemon/tests/decision_line.rs
+++ b/crates/cardamomwinch_daemon/tests/decision_line.rs
@@ -3,8 +3,10 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 use std::sync;
+use std::time;
 
 use cardamomwinch_coordination::control::membership::Reachability;
+use cardamomwinch_coordination::decision::{GivingUpCause, RunEvidence};
 use cardamomwinch_coordination::prelude::{DecisionReason, DecisionRecord, RoutingSnapshot};
 use cardamomwinch_coordination::snapshot::{BackendView, ReportedLoad};
 use cardamomwinch_daemon::administration::explain::FlowQuestion;
@@ -54,6 +56,14 @@
 }
 
 fn line(reason: DecisionReason, backend: Option<BackendId>) -> Value {
+    line_with(reason, backend, None)
+}
+
+fn line_with(
+    reason: DecisionReason,
+    backend: Option<BackendId>,
+    evidence: Option<RunEvidence>,
+) -> Value {
     let record = DecisionRecord {
         time: Timestamp::ZERO,
         host: HostId::from_name("bud-angyal-1"),
@@ -65,7 +75,7 @@
         backend,
         peer: None,
         shard: None,
-        evidence: None,
+        evidence,
     };
     let line = DecisionLine::new("bud-angyal-1", &record, &snapshot());
     serde_json::to_value(line).unwrap()
@@ -89,6 +99,24 @@
     assert_eq!(line(reason, None)["domain"], json!("bud-angyal"));
 }
 
+/// Guards against "outcome unknown" that nobody can explain afterwards.
+#[test]
+fn a_line_about_a_request_that_is_given_up_tells_what_was_known_of_it() {
+    let evidence = RunEvidence {
+        sent_ago: time::Duration::from_millis(1003),
+        running: 1,
+        report_age: Some(time::Duration::from_millis(841)),
+        reported_busy: Some(2),
+    };
+    let reason = DecisionReason::GivenUp(GivingUpCause::Overdue);
+    let line = line_with(reason, None, Some(evidence));
+    assert_eq!(line["reason"], json!("given_up_overdue"));
+    assert_eq!(line["sent_ago_ms"], json!(1003));
+    assert_eq!(line["running"], json!(1));
+    assert_eq!(line["report_age_ms"], json!(841));
+    assert_eq!(line["reported_busy"], json!(2));
+}
+
 /// Server names are unique only within a service. A line about the health of
 /// `dv-1` without its service leaves the operator to guess which one is meant.
 #[test]
