Part the tests of silent servers, and say in a line what each guards against

forwarding_silence.rs had 684 lines and two subjects: servers that are silent or gone, and servers that only seem so. Stories of tests that spoke of one customer's callers are a line in the field's terms; late_answers.rs imports what it names.

--- a/crates/cardamomwinch_coordination/tests/forwarding_silence.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_silence.rs
@@ -4,48 +4,10 @@
 mod forwarding_support;
 
 use cardamomwinch_coordination::forwarding::beliefs::store_call::StoreRevision;
-use cardamomwinch_coordination::forwarding::directory::{ServerPhase, ServerRecord};
 use cardamomwinch_coordination::forwarding::record::ForwardingOutcome;
-use cardamomwinch_state::prelude::*;
+use forwarding_support::watched_flows::*;
 use forwarding_support::*;
 
-/// A host with two servers and flows on both.
-fn host_of_two(flows: u16) -> TestHost {
-    let mut host = TestHost::new(vec![near_server(1), near_server(2)]);
-    for port in 1..=flows {
-        host.establish(at(0), port);
-    }
-    host
-}
-
-/// The ports of the flows on `server`, as the engine watches them.
-fn ports_on(host: &TestHost, server: BackendId) -> Vec<u16> {
-    let watch = host.engine.watch();
-    let on_server = |port: &u16| {
-        let flow = flow(*port);
-        let watched = watch.get(watch.hash(&flow), &flow);
-        watched.is_some_and(|watched| watched.server == server)
-    };
-    (1..100).filter(on_server).collect()
-}
-
-/// A flow on `server` makes progress.
-fn show_life(host: &mut TestHost, moment: u64, server: BackendId) {
-    let port = ports_on(host, server)[0];
-    let acknowledged = 9_000 + 2_000 * moment as u32;
-    host.handle(at(moment), &data(port, server, 500, acknowledged, 0));
-}
-
-/// A caller of `server` asks at `moment` and is answered: what this host sends at that
-/// time arrives.
-fn show_delivery(host: &mut TestHost, moment: u64, server: BackendId) {
-    let port = ports_on(host, server)[0];
-    let (sequence, answered) = (1_000 + moment as u32, 9_000 + 2_000 * moment as u32);
-    host.handle(at(moment), &data(port, server, sequence, answered, 80));
-    let answer = data(port, server, sequence + 80, answered + 1_300, 0);
-    host.handle(at(moment + 3), &answer);
-}
-
 /// A backend server is gone but still listed, because the store is down. Each
 /// opening sent to it comes back to the caller as a reset, past the host. Its
 /// flows end, so it has the fewest, and draws every new flow: callers use up
@@ -148,45 +110,6 @@
     }
 }
 
-/// One flow loses packets while the other flows of its server go on. Its caller
-/// sends again; nothing is wrong with the server.
-#[test]
-fn one_flow_that_repeats_itself_is_not_reset() {
-    let mut host = TestHost::new(vec![near_server(1)]);
-    let server = near_server(1).id;
-    host.establish(at(0), 1);
-    host.establish(at(0), 2);
-    for (round, moment) in [1_000, 1_200, 1_600, 2_400].into_iter().enumerate() {
-        let sink = host.handle(at(moment), &data(1, server, 500, 1, 80));
-        assert_eq!(sink.resets, 0);
-        let progress = 1 + 2_000 * (round as u32 + 1);
-        host.handle(at(moment + 10), &data(2, server, 600, progress, 0));
-    }
-}
-
-/// The host itself stood still while packets piled up. What it finds then looks
-/// like servers that were silent for seconds, and all flows would be reset.
-#[test]
-fn a_host_that_slept_suspects_nobody() {
-    let mut host = TestHost::new(vec![near_server(1)]);
-    let server = near_server(1).id;
-    for port in 1..4 {
-        host.establish(at(0), port);
-    }
-    host.tick(at(500));
-    for port in 1..4 {
-        host.handle(at(600), &data(port, server, 500, 1, 80));
-    }
-    host.sleep_until(at(4_500));
-    assert_eq!(host.tick(at(4_500)).ended, []);
-    for port in 1..4 {
-        for moment in [4_501, 4_502, 4_503] {
-            let sink = host.handle(at(moment), &data(port, server, 500, 1, 80));
-            assert_eq!(sink.resets, 0);
-        }
-    }
-}
-
 /// Flows outlive their server's entry in the store by their lifetime, because an
 /// entry may lapse though its server lives. Where the server is silent too, one
 /// repetition is enough.
@@ -325,34 +248,6 @@
     assert_eq!(ended.len(), on_it.len());
 }
 
-/// The store was down and entries lapsed, though their servers live and serve.
-#[test]
-fn flows_are_kept_where_entries_lapsed_with_the_store() {
-    let mut host = host_of_two(8);
-    let server = near_server(1).id;
-    host.view.silent_at = Some(at(900));
-    host.change(|directory| directory.note_removed(server, StoreRevision::new(2), at(1_000)));
-    host.view.heard_at = at(1_000);
-    assert_eq!(host.tick(at(1_100)).ended, []);
-}
-
-/// A server said that it leaves and is taken off the list. It serves the flows that
-/// it has to their end.
-#[test]
-fn flows_of_a_server_that_left_are_kept() {
-    let mut host = host_of_two(8);
-    let leaving = ServerRecord {
-        phase: ServerPhase::Draining,
-        ..near_server(1)
-    };
-    host.change(|directory| {
-        directory.note(leaving.clone());
-        directory.note_removed(leaving.id, StoreRevision::new(2), at(1_000));
-    });
-    host.view.heard_at = at(1_000);
-    assert_eq!(host.tick(at(1_100)).ended, []);
-}
-
 /// The store has taken a server off its list, and a caller repeats itself once. It
 /// need not wait for a second time.
 #[test]
@@ -367,67 +262,6 @@
     assert_eq!(sink.outcomes, [ForwardingOutcome::SilentServerReset]);
 }
 
-/// A server restarts its work after a pause and its flows go on. They must not
-/// be taken as lost because of what was seen before.
-#[test]
-fn flows_of_a_server_that_goes_on_are_kept() {
-    let mut host = host_of_two(16);
-    let server = near_server(1).id;
-    let on_it = ports_on(&host, server);
-    for moment in [1_000, 1_200] {
-        for port in &on_it[..5] {
-            host.handle(at(moment), &data(*port, server, 500, 1, 80));
-        }
-    }
-    show_life(&mut host, 1_235, near_server(2).id);
-    host.handle(at(1_240), &data(on_it[5], server, 500, 9_000, 0));
-    assert_eq!(host.tick(at(1_250)).ended, []);
-    assert_eq!(host.tick(at(4_000)).ended, []);
-}
-
-/// The host's own link is full of something else. All that goes through it is
-/// late, callers repeat themselves on flows of all servers, and flows that are
-/// fine would be reset by dozens.
-#[test]
-fn a_host_that_is_slow_itself_ends_no_flows() {
-    let mut host = host_of_two(12);
-    for moment in [1_000, 1_200, 1_600] {
-        for server in [near_server(1).id, near_server(2).id] {
-            for port in ports_on(&host, server) {
-                let sink = host.handle(at(moment), &data(port, server, 500, 1, 80));
-                assert_eq!(sink.resets, 0);
-            }
-        }
-        assert_eq!(host.tick(at(moment + 100)).ended, []);
-    }
-}
-
-/// Two flows alone repeat themselves once on a server that serves few, with each
-/// of their requests. Chance does that; nobody else can say whether the server
-/// lives.
-#[test]
-fn two_flows_that_repeat_themselves_once_say_too_little() {
-    let mut host = host_of_two(4);
-    let server = near_server(1).id;
-    let on_it = ports_on(&host, server);
-    for round in 0..4_u32 {
-        let start = 1_000 + 2_000 * u64::from(round);
-        let (sequence, acknowledged) = (500 + 80 * round, 1 + 2_000 * round);
-        for moment in [start, start + 200] {
-            show_life(&mut host, moment - 1, near_server(2).id);
-            for port in &on_it {
-                let packet = data(*port, server, sequence, acknowledged, 80);
-                assert_eq!(host.handle(at(moment), &packet).resets, 0);
-            }
-        }
-        for port in &on_it {
-            let answered = data(*port, server, sequence, acknowledged + 900, 0);
-            host.handle(at(start + 590), &answered);
-        }
-        assert_eq!(host.tick(at(start + 1_400)).ended, []);
-    }
-}
-
 /// A server of a large fleet loses power. This host sees a single flow of it, so
 /// that no other one can tell. Its caller has sent the same data three times, and
 /// would wait until its deadline.
@@ -452,77 +286,6 @@
     assert_eq!(outcomes, expected);
 }
 
-/// A large configuration fills the link of this host, because others ask it for it. What
-/// the host forwards meanwhile is lost, to all servers alike; before and after it all
-/// arrives. Callers that repeat themselves must not be told that their servers are gone.
-#[test]
-fn losses_while_nothing_that_this_host_sends_arrives_say_nothing() {
-    let mut host = host_of_two(8);
-    let (server, other) = (near_server(1).id, near_server(2).id);
-    let waiting = ports_on(&host, server);
-    show_delivery(&mut host, 800, other);
-    for port in &waiting {
-        host.handle(at(1_000), &data(*port, server, 500, 1, 80));
-    }
-    for port in &waiting {
-        let sink = host.handle(at(1_180), &data(*port, server, 500, 1, 80));
-        assert_eq!(sink.resets, 0);
-    }
-    show_delivery(&mut host, 1_400, other);
-    for port in &waiting {
-        let sink = host.handle(at(1_600), &data(*port, server, 500, 1, 80));
-        assert_eq!(
-            sink.resets, 0,
-            "two losses, and nothing else arrived either"
-        );
-    }
-    assert_eq!(host.tick(at(2_100)).ended, []);
-}
-
-/// The same, but the full link lets a part through, so that what is lost is lost next to
-/// what arrives. Servers that answer repetitions give the host away.
-#[test]
-fn a_host_whose_servers_answer_repetitions_doubts_itself() {
-    let mut host = TestHost::new((1..=4).map(near_server).collect());
-    for port in 1..=8 {
-        host.establish(at(0), port);
-    }
-    let server = near_server(1).id;
-    let port = ports_on(&host, server)[0];
-    for moment in [1_000, 1_200, 1_600] {
-        show_delivery(&mut host, moment - 4, near_server(2).id);
-        for late in [3, 4].map(|number| near_server(number).id) {
-            let request = 500 + moment as u32 / 400;
-            host.handle(
-                at(moment),
-                &data(ports_on(&host, late)[0], late, request, 1, 80),
-            );
-        }
-        if moment == 1_200 {
-            for late in [3, 4].map(|number| near_server(number).id) {
-                let answered = data(ports_on(&host, late)[0], late, 583, 2_000, 0);
-                host.handle(at(1_300), &answered);
-            }
-        }
-        let sink = host.handle(at(moment + 1), &data(port, server, 500, 1, 80));
-        assert_eq!(sink.resets, 0, "at {moment}");
-    }
-}
-
-/// Like above, but the host has no other server that shows life: its own link may
-/// be full. Then it cannot tell, and the flow may be fine.
-#[test]
-fn the_only_flow_of_a_host_that_hears_of_nobody_is_kept() {
-    let mut host = host_of_two(4);
-    let repeating = [near_server(1).id, near_server(2).id].map(|id| (ports_on(&host, id)[0], id));
-    for moment in [1_000, 1_200, 1_600, 2_400] {
-        for (port, server) in repeating {
-            let sink = host.handle(at(moment), &data(port, server, 500, 1, 80));
-            assert_eq!(sink.resets, 0);
-        }
-    }
-}
-
 /// A request takes three packets, and its server is silent. All three come again
 /// in each round, the furthest not first. Unless each round counts as one, the
 /// silence shows late, and the log tells of new requests where there are none.
@@ -563,122 +326,3 @@
     third.flow.caller.set_port(3);
     assert_eq!(host.handle(at(7), &third).sent[0].0, near, "it lives");
 }
-
-/// A host that stood still finds the packets that waited before its timers run.
-/// Callers had repeated themselves meanwhile, on flows that are fine.
-#[test]
-fn packets_that_waited_for_a_host_that_slept_reset_nothing() {
-    let mut host = host_of_two(12);
-    let server = near_server(1).id;
-    let on_it = ports_on(&host, server);
-    host.tick(at(500));
-    for port in &on_it {
-        host.handle(at(600), &data(*port, server, 500, 1, 80));
-    }
-    host.sleep_until(at(4_600));
-    show_life(&mut host, 4_600, near_server(2).id);
-    for port in &on_it {
-        let sink = host.handle(at(4_601), &data(*port, server, 500, 1, 80));
-        assert_eq!(sink.resets, 0);
-    }
-    assert_eq!(host.tick(at(4_602)).ended, []);
-}
-
-/// The host gets no processor time for 400 ms while others use it. Requests and
-/// their copies wait for it together and then show three flows that repeat
-/// themselves on a server that has made no progress since: a flow was reset one
-/// millisecond after its server had taken a packet of it.
-#[test]
-fn a_host_that_stalled_for_a_moment_resets_nothing() {
-    let mut host = host_of_two(12);
-    let server = near_server(1).id;
-    let on_it = ports_on(&host, server);
-    for moment in [700, 800, 900, 1_000] {
-        host.tick(at(moment));
-        show_life(&mut host, moment, server);
-        show_life(&mut host, moment, near_server(2).id);
-    }
-    host.sleep_until(at(1_400));
-    for copies in 0..2 {
-        for port in &on_it {
-            let sink = host.handle(at(1_400), &data(*port, server, 500, 1, 80));
-            assert_eq!(sink.resets, 0, "copies: {copies}");
-        }
-    }
-    show_life(&mut host, 1_450, near_server(2).id);
-    for port in &on_it {
-        let sink = host.handle(at(1_460), &data(*port, server, 500, 1, 80));
-        assert_eq!(sink.resets, 0);
-    }
-}
-
-/// A request takes six packets, and they arrive in another order on a flow that
-/// had rested. Its server answers a moment later, but idle flows of other callers
-/// on that server were reset: each packet had counted as a flow without answer.
-#[test]
-fn packets_in_another_order_are_no_repetition() {
-    let mut host = host_of_two(8);
-    let server = near_server(1).id;
-    let port = ports_on(&host, server)[0];
-    show_life(&mut host, 3_000, near_server(2).id);
-    for sequence in [6_500, 1_700, 500, 2_900, 5_300, 4_100] {
-        let sink = host.handle(at(3_001), &data(port, server, sequence, 1, 1_200));
-        assert_eq!(sink.outcomes, [ForwardingOutcome::Forwarded]);
-    }
-    assert_eq!(host.tick(at(3_010)).ended, []);
-}
-
-/// One caller loses its way to a server that serves the others, which rest. It
-/// repeats six packets in a round. That is one flow without an answer, however
-/// many packets it sends; the others must not be reset for it.
-#[test]
-fn one_flow_counts_once_however_many_packets_it_repeats() {
-    let mut host = host_of_two(8);
-    let server = near_server(1).id;
-    let port = ports_on(&host, server)[0];
-    for moment in [3_000, 3_200] {
-        show_life(&mut host, moment, near_server(2).id);
-        for sequence in [500, 1_700, 2_900, 4_100, 5_300, 6_500] {
-            let sink = host.handle(at(moment), &data(port, server, sequence, 1, 1_200));
-            assert_eq!(sink.resets, 0, "at {moment}");
-        }
-    }
-    for moment in [3_210, 3_320, 3_430] {
-        show_life(&mut host, moment, near_server(2).id);
-        host.handle(at(moment), &data(port, server, 500, 1, 1_200));
-        assert_eq!(host.tick(at(moment + 10)).ended, [], "at {moment}");
-    }
-}
-
-/// A configuration grows by 1,700 routes, and a host with a link of 10 Mbit/s passes it
-/// on to four others for three seconds. Now and then what it forwards is lost, to three
-/// servers at first, which answer the repetitions; a second and a half later it loses
-/// the same data of one flow twice, while other packets arrive. The server served all
-/// the while, for fifteen other hosts; the flow was reset, and others that rested there.
-#[test]
-fn a_host_that_lost_packets_a_moment_ago_resets_nothing() {
-    let mut host = TestHost::new((1..=5).map(near_server).collect());
-    for port in 1..=15 {
-        host.establish(at(0), port);
-    }
-    let servers = [1, 2, 3].map(|number| near_server(number).id);
-    for moment in [1_000, 1_200] {
-        for server in servers {
-            let port = ports_on(&host, server)[0];
-            host.handle(at(moment), &data(port, server, 500, 1, 80));
-        }
-        show_delivery(&mut host, moment + 2, near_server(4).id);
-    }
-    for server in servers {
-        let port = ports_on(&host, server)[0];
-        host.handle(at(1_300), &data(port, server, 580, 2_000, 0));
-    }
-    let (server, port) = (servers[0], ports_on(&host, servers[0])[1]);
-    for moment in [2_164, 2_364, 2_764] {
-        show_delivery(&mut host, moment - 4, near_server(5).id);
-        let sink = host.handle(at(moment), &data(port, server, 500, 1, 80));
-        assert_eq!(sink.resets, 0, "at {moment}");
-        show_delivery(&mut host, moment + 4, near_server(4).id);
-        assert_eq!(host.tick(at(moment + 10)).ended, [], "at {moment}");
-    }
-}
--- /dev/null
+++ b/crates/cardamomwinch_coordination/tests/forwarding_support/watched_flows.rs
@@ -0,0 +1,42 @@
+//! Flows on two servers that a host watches, and what shows that they make progress.
+
+use cardamomwinch_state::prelude::*;
+
+use crate::forwarding_support::*;
+
+/// A host with two servers and flows on both.
+pub fn host_of_two(flows: u16) -> TestHost {
+    let mut host = TestHost::new(vec![near_server(1), near_server(2)]);
+    for port in 1..=flows {
+        host.establish(at(0), port);
+    }
+    host
+}
+
+/// The ports of the flows on `server`, as the engine watches them.
+pub fn ports_on(host: &TestHost, server: BackendId) -> Vec<u16> {
+    let watch = host.engine.watch();
+    let on_server = |port: &u16| {
+        let flow = flow(*port);
+        let watched = watch.get(watch.hash(&flow), &flow);
+        watched.is_some_and(|watched| watched.server == server)
+    };
+    (1..100).filter(on_server).collect()
+}
+
+/// A flow on `server` makes progress.
+pub fn show_life(host: &mut TestHost, moment: u64, server: BackendId) {
+    let port = ports_on(host, server)[0];
+    let acknowledged = 9_000 + 2_000 * moment as u32;
+    host.handle(at(moment), &data(port, server, 500, acknowledged, 0));
+}
+
+/// A caller of `server` asks at `moment` and is answered: what this host sends at that
+/// time arrives.
+pub fn show_delivery(host: &mut TestHost, moment: u64, server: BackendId) {
+    let port = ports_on(host, server)[0];
+    let (sequence, answered) = (1_000 + moment as u32, 9_000 + 2_000 * moment as u32);
+    host.handle(at(moment), &data(port, server, sequence, answered, 80));
+    let answer = data(port, server, sequence + 80, answered + 1_300, 0);
+    host.handle(at(moment + 3), &answer);
+}
--- a/crates/cardamomwinch_coordination/tests/homes_hand_over.rs
+++ b/crates/cardamomwinch_coordination/tests/homes_hand_over.rs
@@ -259,10 +259,8 @@
     }
 }
 
-/// An inspector submits a finding; its home is stopped for maintenance while
-/// the server works on it, and the tablet sends the finding again, by way of
-/// other hosts. The finding runs once, and the copy sent after the answer gets
-/// that answer. Cause of what could go wrong: only the old home knew of it.
+/// Guards against a copy that runs again at the next home, since only the old one knew that
+/// the request ran while it stopped.
 #[test]
 fn a_request_that_runs_during_a_stop_is_not_run_again() {
     let mut bench = Bench::new(1, 2);
@@ -311,9 +309,8 @@
     );
 }
 
-/// Two findings wait for one slot when their home stops. The next home knows
-/// that the slot is taken, runs the waiting one once the first is answered, and
-/// runs each once.
+/// Guards against a waiting request that the next home sends although the slot is taken, or
+/// sends twice.
 #[test]
 fn a_request_that_waits_during_a_stop_runs_once_at_the_next_home() {
     let mut bench = Bench::new(2, 1);
@@ -345,11 +342,8 @@
     );
 }
 
-/// A finding runs when its home stops for maintenance; the shard is handed over
-/// and the old home exits. At once the server's answer comes to a host of
-/// another domain. Were it relayed to the old home, nobody would free the slot
-/// or remember the answer until the finding's deadline.
-/// Cause: hosts of other domains missed only the heartbeats of a stopped host.
+/// Guards against an answer that a host of another domain relays to the old home, which has
+/// stopped: nobody would free the slot or remember the answer.
 #[test]
 fn an_answer_by_another_domain_just_after_a_stop_reaches_the_next_home() {
     for seed in 20..30 {
@@ -397,8 +391,7 @@
     }
 }
 
-/// A home dies while a finding runs, without a word. Copies of the finding reach
-/// the next home: it cannot know, says so, and does not run it.
+/// Guards against a copy that runs again at the next home of one that died without a word.
 #[test]
 fn a_request_of_a_home_that_died_is_answered_as_unknown() {
     let mut bench = Bench::new(3, 2);
@@ -502,10 +495,8 @@
     }
 }
 
-/// A home stops, but the acknowledgements of its successors are lost, so that
-/// the hand-over is broken off again and again. The answer that came meanwhile
-/// is not lost, the waiting finding runs here, and when the home then dies, the
-/// next one, which had been sent that finding as waiting, does not run it again.
+/// Guards against answers and waiting requests that are lost, or run twice, because
+/// hand-overs are broken off for want of acknowledgements.
 #[test]
 fn a_hand_over_that_is_broken_off_leaves_everything_with_the_home() {
     let mut bench = Bench::with_limits(5, 1, 2_000, 5_000);
@@ -539,8 +530,7 @@
     assert_eq!((bench.dispatched(1), bench.dispatched(2)), (1, 1));
 }
 
-/// More findings run at a home than a hand-over may carry. The next home knows
-/// that it does not know all: copies of those left out do not run again.
+/// Guards against copies that run again because a hand-over had no room for their requests.
 #[test]
 fn what_does_not_fit_into_a_hand_over_does_not_run_again() {
     let mut bench = Bench::with_limits(6, 1_000, 2_000, 10_000);
@@ -581,10 +571,8 @@
     assert!(bench.not_run.is_empty());
 }
 
-/// Hosts are replaced in turn, by plan or by a crash, while callers send every
-/// finding two or three times through any host, messages between hosts are lost
-/// and datagrams to servers are held up. No finding runs twice, and none runs
-/// of which a caller was told that it was not run.
+/// Guards against requests that run twice, or run although they were called "not run", while
+/// hosts are replaced in turn and messages are lost or held up.
 #[test]
 fn nothing_runs_twice_while_homes_move() {
     let mut totals = (0, 0, 0, 0);
--- a/crates/cardamomwinch_coordination/tests/requests_at_most_once.rs
+++ b/crates/cardamomwinch_coordination/tests/requests_at_most_once.rs
@@ -46,9 +46,8 @@
     bench.take();
 }
 
-/// The fabric doubles a datagram that carries a signed finding, and the caller
-/// resends it through another host. Wherever the first copy has got, the second
-/// must not run, and must not be told anything else than the first.
+/// Guards against a doubled datagram that runs twice, or is told something else than the
+/// first copy, wherever that one has got.
 #[parameterized(
     queued = { Stage::Queued },
     running = { Stage::Running },
--- a/crates/cardamomwinch_coordination/tests/requests_given_up.rs
+++ b/crates/cardamomwinch_coordination/tests/requests_given_up.rs
@@ -11,11 +11,8 @@
 use cardamomwinch_coordination::snapshot::{BackendView, ReportedLoad};
 use cardamomwinch_protocol::prelude::*;
 
-/// An inspector signs a finding; the server takes it and falls silent. The
-/// tablet shows a spinner for ever, because the word sent at the deadline comes
-/// after it. It must hear "outcome unknown" before the deadline, by enough that
-/// the word arrives, once, and not long before; and the server must hear at the
-/// deadline that nobody waits.
+/// Guards against a caller that hears nothing of a request whose server fell silent, because
+/// the word sent at the deadline comes after it.
 #[test]
 fn a_request_that_runs_until_its_deadline_gets_its_last_word_before() {
     let mut bench = Bench::new(1, 2);
@@ -222,9 +219,8 @@
     }
 }
 
-/// A home died without a hand-over, and the next one cannot know whether a
-/// finding has run. The caller is told that, with a time to come back. If it
-/// came back earlier, its next finding would end in the same way.
+/// Guards against a caller of a new home that comes back too early, so that its next request
+/// ends with an unknown outcome as well.
 #[test]
 fn a_caller_of_a_new_home_is_told_when_the_home_will_know() {
     let mut bench = Bench::new(1, 2);
@@ -249,12 +245,8 @@
     );
 }
 
-/// An inspector signs a finding; the one datagram that carries it to the server
-/// is lost. The server answers others and reports that it works on nothing, but
-/// the tablet hears nothing until its deadline, because its copies are taken for
-/// copies of a request that runs. It must hear "outcome unknown" as soon as the
-/// home sees that the server does not work on it, with a time to come back, and
-/// so must a copy.
+/// Guards against a caller that waits until its deadline because the one datagram to the
+/// server was lost, and its copies are taken for copies of a request that runs.
 #[test]
 fn a_request_that_the_server_does_not_work_on_is_given_up_at_once() {
     let mut bench = Bench::new(1, 2);
@@ -326,8 +318,8 @@
     assert_eq!(bench.take().count(Counter::RequestAnswered), 1);
 }
 
-/// The answer to a finding that was given up comes late. It must reach the
-/// caller, and free the slot, and a copy that comes later must get it too.
+/// Guards against a late answer that is lost because its request was given up, and against
+/// a slot that it leaves taken.
 #[test]
 fn a_late_answer_of_a_request_given_up_reaches_the_caller() {
     let mut bench = Bench::new(1, 1);
--- a/crates/cardamomwinch_coordination/tests/requests_handed_over.rs
+++ b/crates/cardamomwinch_coordination/tests/requests_handed_over.rs
@@ -64,10 +64,8 @@
     second.take();
 }
 
-/// A host is replaced in a rolling restart while a finding waits for a slot and
-/// another runs. The next home has what was handed over before it has the
-/// lease: until then it must neither send the request nor say anything. Then it
-/// sends it once, as soon as the slot is free.
+/// Guards against a waiting request that the next home sends, or speaks of, before it has
+/// the lease, or sends twice.
 #[test]
 fn a_waiting_request_runs_once_at_the_next_home() {
     let (mut first, mut second, running) = before_hand_over();
--- a/crates/cardamomwinch_coordination/tests/requests_random.rs
+++ b/crates/cardamomwinch_coordination/tests/requests_random.rs
@@ -296,11 +296,8 @@
     }
 }
 
-/// Callers send signed findings and queries, some twice; servers answer, shed,
-/// fall silent and lose flows; replies come late, doubled, out of order or never;
-/// the lease comes and goes; tables are far too small. Whatever happens, no
-/// finding runs twice, nothing that was called "not run" has run or runs, every
-/// caller hears something, and nothing stays counted.
+/// Guards against requests that run twice, run although they were called "not run", end
+/// without a word or stay counted, whatever servers, replies, leases and tables do.
 #[test]
 fn every_request_ends_once_and_truly() {
     for seed in 0..STORIES {
--- a/crates/cardamomwinch_coordination/tests/routing_addresses.rs
+++ b/crates/cardamomwinch_coordination/tests/routing_addresses.rs
@@ -89,9 +89,8 @@
     fleet.hand(2, &datagram);
 }
 
-// The address of a renewal server is given to the archive. An inspector's
-// tablet, which still holds its token or is still pinned, goes on sending. Its
-// packets would reach the archive. None may, whatever the packet does.
+/// Guards against datagrams that reach a server of another service, to which the address
+/// of an earlier server was given, by a token or a pin that is still held.
 #[parameterized(
     plain_by_token = { plain, true },
     plain_by_pin = { plain, false },
@@ -215,9 +214,8 @@
     );
 }
 
-// A server leaves the configuration while an inspector's tablet is connected
-// to it. A host that starts only afterwards never knew the server; the token
-// names it in full, and the tablet stays connected.
+/// Guards against a session that breaks at a host that started after its server had left the
+/// configuration; the token names the server in full.
 #[test]
 fn token_serves_where_the_server_was_never_known() {
     let mut fleet = Fleet::new(HOSTS, &before());
--- a/tests/backend_servers.rs
+++ b/tests/backend_servers.rs
@@ -119,10 +119,8 @@
     });
 }
 
-/// Deadline peak: far more findings are sent than the servers can run. Each
-/// caller must get one word about each, long before its deadline: the answer, or
-/// "not run" with a time to come back. What was answered ran once, and what was
-/// refused never ran.
+/// Guards against requests that hear nothing, or not the truth, where far more are sent than
+/// the servers can run.
 #[test]
 fn under_overload_each_request_is_answered_or_refused_and_runs_accordingly() {
     run(async |executor| {
@@ -130,7 +128,7 @@
         let clients = open_flows(executor, &deployment, 60).await;
         let tasks: Vec<_> = clients
             .into_iter()
-            .map(|client| executor.spawn(send_findings(client)))
+            .map(|client| executor.spawn(send_requests(client)))
             .collect();
         let mut outcomes = Vec::new();
         for task in tasks {
@@ -161,10 +159,10 @@
     });
 }
 
-async fn send_findings(client: CallerClient) -> Vec<RequestOutcome> {
+async fn send_requests(client: CallerClient) -> Vec<RequestOutcome> {
     let mut outcomes = Vec::new();
     for number in 0..8 {
-        let payload = format!("finding-{number}");
+        let payload = format!("request-{number}");
         let outcome = client.request(payload.as_bytes(), false, DEADLINE).await;
         outcomes.push(outcome.unwrap());
     }
--- a/tests/late_answers.rs
+++ b/tests/late_answers.rs
@@ -5,6 +5,7 @@
 
 use std::time;
 
+use cardamomwinch_standin::faults::CutMode;
 use cardamomwinch_standin::prelude::*;
 use support::network::{self, FaultyDeployment};
 use support::{LIMIT, last, requests};
@@ -20,7 +21,7 @@
     delay_ms: 150,
     delay_ms_max: 100,
     reorder: 0.0,
-    cut: cardamomwinch_standin::faults::CutMode::None,
+    cut: CutMode::None,
 };
 /// The longest time between first sending and deadline.
 const LIFETIME_MS: u64 = 6000;
--- a/tests/sessions.rs
+++ b/tests/sessions.rs
@@ -51,10 +51,8 @@
     faulty.deployment.publish_root().await.unwrap()
 }
 
-/// An inspector's tablet is open while operators switch to the preset of a
-/// deadline, which turns all weights around, while one of the servers drains
-/// and a host joins; then they switch back. Each change moves the tablet's
-/// place in the lookup table, and hosts hold different tables for a while.
+/// Guards against sessions that break while a preset turns all weights around, a server
+/// drains and a host joins, so that hosts hold different tables for a while.
 #[test]
 fn sessions_outlive_a_preset_switch_while_a_server_drains_and_a_host_joins() {
     support::run(async |executor| {
