--- a/crates/cardamomwinch_coordination/tests/forwarding_many_servers.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_many_servers.rs
@@ -10,6 +10,7 @@
     StoreChange, StoreOutcome, StoreRevision,
 };
 use cardamomwinch_coordination::forwarding::beliefs::{BeliefEngine, BeliefSettings};
+use cardamomwinch_coordination::forwarding::directory::ServerPhase;
 use cardamomwinch_coordination::forwarding::regions::DomainRegions;
 use cardamomwinch_state::flow;
 use forwarding_support::*;
@@ -20,7 +21,7 @@
 /// Each is measured so often, and the fastest one counts: others may use the processor.
 const TRIES: usize = 3;
 /// So many times what it takes to read all servers at once.
-const FACTOR: u32 = 30;
+const FACTOR: u32 = 10;
 /// The revision before any server is known.
 const EMPTY: u64 = 1;
 
@@ -205,3 +206,23 @@
     assert!(!view.directory.get(near_server(1).id).unwrap().is_listed());
     assert!(view.directory.get(near_server(2).id).unwrap().is_listed());
 }
+
+/// Two entries of a new server in one answer: the later one counts, in whichever order.
+#[test]
+fn the_latest_entry_of_a_new_server_counts() {
+    let revision = StoreRevision::new;
+    let mut engine = engine(1, Vec::new(), EMPTY);
+    let changes = vec![
+        server_entry_at(1, revision(2), false),
+        server_entry_at(1, revision(4), true),
+        server_entry_at(2, revision(5), true),
+        server_entry_at(2, revision(3), false),
+    ];
+    let revision = revision(5);
+    engine.handle_store(at(1_000), StoreOutcome::Changes { changes, revision });
+    let view = engine.view();
+    for number in [1, 2] {
+        let server = view.directory.get(near_server(number).id).unwrap();
+        assert_eq!(server.phase, ServerPhase::Draining);
+    }
+}
