--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_exchange.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/peer_exchange.rs
@@ -323,16 +323,16 @@
     fn remember_left(&mut self, servers: Vec<ServerRecord>) {
         let unknown =
             |server: &ServerRecord| !server.is_listed() && self.directory.get(server.id).is_none();
-        let mut left: Vec<_> = servers.into_iter().filter(unknown).collect();
-        if left.is_empty() {
-            return;
-        }
-        for server in &mut left {
-            if let ServerPhase::Vanished { since } = server.phase {
-                server.phase = ServerPhase::Left { since };
+        let left: Vec<_> = servers.into_iter().filter(unknown).collect();
+        if !left.is_empty() {
+            let directory = sync::Arc::make_mut(&mut self.directory);
+            for mut server in left {
+                if let ServerPhase::Vanished { since } = server.phase {
+                    server.phase = ServerPhase::Left { since };
+                }
+                directory.note(server);
             }
         }
-        sync::Arc::make_mut(&mut self.directory).note_all(left);
     }
 
     /// How much to tell whoever asks `question`. Many hosts that start together ask the
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_call.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_call.rs
@@ -126,17 +126,6 @@
     },
 }
 
-impl StoreChange {
-    /// The server that it is about.
-    pub const fn server(&self) -> Option<BackendId> {
-        match self {
-            Self::Server(entry) => Some(entry.id),
-            Self::ServerUnreadable { id, .. } | Self::ServerRemoved { id, .. } => Some(*id),
-            Self::Routes(_) | Self::EvacuationBegun { .. } | Self::EvacuationEnded { .. } => None,
-        }
-    }
-}
-
 /// What came of a call.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoreOutcome {
--- a/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_changes.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/beliefs/store_changes.rs
@@ -1,7 +1,6 @@
 //! What a host makes of what the store says: listings and changes of routes, servers and
 //! evacuations.
 
-use std::mem;
 use std::sync;
 
 use cardamomwinch_state::prelude::{BackendId, DomainId, Timestamp};
@@ -33,7 +32,9 @@
                 self.advance(said_at, revision);
             }
             store_reader::ReadStep::Changes { changes, revision } => {
-                self.apply_all(now, changes);
+                for change in changes {
+                    self.apply(now, change);
+                }
                 self.advance(said_at, revision);
             }
         }
@@ -102,30 +103,10 @@
         self.heard_at = self.heard_at.max(said_at);
     }
 
-    /// Takes over changes in their order. Entries of servers are noted together, because
-    /// the directory makes its indexes anew each time: made for each entry, thousands of
-    /// servers that start keep a host busy for seconds.
-    fn apply_all(&mut self, now: Timestamp, changes: Vec<StoreChange>) {
-        let mut written: Vec<ServerRecord> = Vec::new();
-        for change in changes {
-            let server = change.server();
-            match change {
-                StoreChange::Server(entry) => written.push(entry.into_record(now)),
-                change => {
-                    if written.iter().any(|record| Some(record.id) == server) {
-                        self.note_servers(mem::take(&mut written));
-                    }
-                    self.apply(now, change);
-                }
-            }
-        }
-        self.note_servers(written);
-    }
-
     fn apply(&mut self, now: Timestamp, change: StoreChange) {
         match change {
             StoreChange::Routes(document) => self.adopt_routes(document),
-            StoreChange::Server(entry) => self.note_servers(vec![entry.into_record(now)]),
+            StoreChange::Server(entry) => self.note_server(entry, now),
             StoreChange::ServerUnreadable { id, revision } => {
                 sync::Arc::make_mut(&mut self.directory).note_unreadable(id, revision);
                 self.tell_server(id);
@@ -174,20 +155,16 @@
         }
     }
 
-    fn note_servers(&mut self, servers: Vec<ServerRecord>) {
-        let is_outdated = |server: &ServerRecord| self.directory.knows_later(server);
-        let (outdated, servers): (Vec<_>, Vec<_>) = servers.into_iter().partition(is_outdated);
-        for server in &outdated {
-            self.tell_outdated(server);
-        }
-        if servers.is_empty() {
+    fn note_server(&mut self, entry: ServerEntry, now: Timestamp) {
+        let server = entry.into_record(now);
+        let directory = sync::Arc::make_mut(&mut self.directory);
+        if directory.knows_later(&server) {
+            self.tell_outdated(&server);
             return;
         }
-        let noted: Vec<_> = servers.iter().map(|server| server.id).collect();
-        sync::Arc::make_mut(&mut self.directory).note_all(servers);
-        for id in noted {
-            self.tell_server(id);
-        }
+        let id = server.id;
+        directory.note(server);
+        self.tell_server(id);
     }
 
     fn tell_outdated(&mut self, server: &ServerRecord) {
--- a/crates/cardamomwinch_coordination/src/forwarding/directory.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/directory.rs
@@ -246,32 +246,21 @@
     /// of them. The indexes are made once: made for each server, what a peer tells of
     /// hundreds would keep a host of a large fleet busy for seconds.
     pub fn note_all(&mut self, records: impl IntoIterator<Item = ServerRecord>) {
-        let is_known = |record: &ServerRecord| self.servers.contains_key(&record.id);
-        let (known, mut new): (Vec<_>, Vec<_>) = records.into_iter().partition(is_known);
-        let mut moved = !new.is_empty();
-        for record in known {
-            moved |= self.note_known(record);
+        let mut moved = false;
+        for record in records {
+            if self.knows_later(&record) {
+                continue;
+            }
+            let record = self.keep_drain(record);
+            let place = (record.service, record.domain);
+            let known = self.servers.insert(record.id, record);
+            moved |= known.is_none_or(|known| (known.service, known.domain) != place);
         }
-        new.sort_by_key(|record| record.changed);
-        self.servers
-            .extend(new.into_iter().map(|record| (record.id, record)));
         if moved {
             self.index();
         }
     }
 
-    /// Takes over what is said of a known server, unless something later is known. Returns
-    /// whether it has another place in the indexes now.
-    fn note_known(&mut self, record: ServerRecord) -> bool {
-        if self.knows_later(&record) {
-            return false;
-        }
-        let record = self.keep_drain(record);
-        let place = (record.service, record.domain);
-        let earlier = self.servers.insert(record.id, record);
-        earlier.is_none_or(|earlier| (earlier.service, earlier.domain) != place)
-    }
-
     /// Whether something later than `record` is known of its server.
     pub fn knows_later(&self, record: &ServerRecord) -> bool {
         let known = self.servers.get(&record.id);
--- a/crates/cardamomwinch_state/src/sorted_vector.rs
+++ b/crates/cardamomwinch_state/src/sorted_vector.rs
@@ -1,7 +1,5 @@
 //! A map kept as one vector sorted by key: compact, and found by binary search.
 
-use std::mem;
-
 /// Entries sorted by key, without duplicates.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SortedVector<K, V> {
@@ -131,21 +129,6 @@
     }
 }
 
-impl<K: Ord, V> Extend<(K, V)> for SortedVector<K, V> {
-    /// Adds entries by ordering all once; of equal keys the last one wins.
-    fn extend<I: IntoIterator<Item = (K, V)>>(&mut self, entries: I) {
-        self.entries.extend(entries);
-        self.entries.sort_by(|left, right| left.0.cmp(&right.0));
-        self.entries.dedup_by(|later, earlier| {
-            let is_same = later.0 == earlier.0;
-            if is_same {
-                mem::swap(later, earlier);
-            }
-            is_same
-        });
-    }
-}
-
 impl<K: Ord, V> FromIterator<(K, V)> for SortedVector<K, V> {
     /// Collects entries; of equal keys the last one wins.
     fn from_iter<I: IntoIterator<Item = (K, V)>>(entries: I) -> Self {
