Log what a home sends and takes over, and list each run at a server

The known failure (a request ran twice while its home stopped) could not be traced: nothing told when the second run began, which host asked for it, or whether both runs were of one flow; and the log of the stopped host ended with the process.

- The home logs `dispatched`, `answered`, `shed`, `taken_over_waiting` and `taken_over_running`, with the attempt; a request that was sent normally left no line at its home before.
- The stand-in server lists for each run and each shed the time, the host that sent it, the attempt, the latest start and its own id.
- The tests keep the logs of hosts that were removed, and print, for each payload that ran more than once, all runs with their flows, the sheds and the lines of all hosts that ever ran.
What is checked is unchanged.

--- a/crates/cardamomwinch_coordination/src/control/decision_records.rs
+++ b/crates/cardamomwinch_coordination/src/control/decision_records.rs
@@ -51,6 +51,7 @@
             backend: None,
             peer: None,
             shard: None,
+            attempt: None,
             evidence: None,
         }
     }
--- a/crates/cardamomwinch_coordination/src/control/home_dispatch.rs
+++ b/crates/cardamomwinch_coordination/src/control/home_dispatch.rs
@@ -103,6 +103,7 @@
             backend: None,
             peer: Some(home),
             shard: Some(shard),
+            attempt: None,
             evidence: None,
         }
     }
--- a/crates/cardamomwinch_coordination/src/decision.rs
+++ b/crates/cardamomwinch_coordination/src/decision.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::time;
 
+use cardamomwinch_protocol::prelude::AttemptNumber;
 use cardamomwinch_state::prelude::{
     BackendId, ConfigurationVersion, DomainId, FlowKey, HostId, RequestId, ServiceId, ShardId,
     Timestamp,
@@ -45,9 +46,19 @@
     PlacedAroundCut,
     /// Relayed because the state of this host is not confirmed.
     RelayedUnconfirmed,
+    /// Sent to its backend server.
+    Dispatched,
     /// Sent to a backend server again, because the earlier attempt did not run or
     /// the request may run twice.
     Retried,
+    /// The whole answer reached the home.
+    Answered,
+    /// The backend server did not run it and does not hold it.
+    Shed,
+    /// Waits here for a slot after it was handed over by the earlier home.
+    TakenOverWaiting,
+    /// Was sent to its server by the earlier home, which handed it over.
+    TakenOverRunning,
     /// Refused; the request did not run.
     Refused,
     /// Answered with "outcome unknown".
@@ -94,7 +105,12 @@
             Self::Redirected => "redirected",
             Self::PlacedAroundCut => "placed_around_cut",
             Self::RelayedUnconfirmed => "relayed_unconfirmed",
+            Self::Dispatched => "dispatched",
             Self::Retried => "retried",
+            Self::Answered => "answered",
+            Self::Shed => "shed",
+            Self::TakenOverWaiting => "taken_over_waiting",
+            Self::TakenOverRunning => "taken_over_running",
             Self::Refused => "refused",
             Self::OutcomeUnknown => "outcome_unknown",
             Self::GivenUp(GivingUpCause::Uncounted) => "given_up_uncounted",
@@ -171,6 +187,8 @@
     pub peer: Option<HostId>,
     /// The shard, if the decision concerns one.
     pub shard: Option<ShardId>,
+    /// The attempt to run the request, if the decision concerns one.
+    pub attempt: Option<AttemptNumber>,
     /// What is known about the request, if one is given up.
     pub evidence: Option<RunEvidence>,
 }
--- a/crates/cardamomwinch_coordination/src/traffic/context.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/context.rs
@@ -5,8 +5,8 @@
 
 use cardamomwinch_protocol::backend::BackendRequest;
 use cardamomwinch_protocol::prelude::{
-    BackendDatagram, BackendKind, CallerReply, CallerReplyKind, RefusalReason, RelayEnvelope,
-    RelayFrame, TokenClaim,
+    AttemptNumber, BackendDatagram, BackendKind, CallerReply, CallerReplyKind, RefusalReason,
+    RelayEnvelope, RelayFrame, TokenClaim,
 };
 use cardamomwinch_state::prelude::{
     BackendId, FlowKey, HostId, RequestId, ServiceId, ShardId, Timestamp,
@@ -17,6 +17,7 @@
 use crate::identity::HostIdentity;
 use crate::snapshot::RoutingSnapshot;
 use crate::traffic::effect::{TrafficEffect, TrafficSink};
+use crate::traffic::requests::RequestKey;
 
 /// The time, the snapshot and the sink of one event.
 pub(crate) struct EventContext<'c, S> {
@@ -45,6 +46,7 @@
     pub(crate) backend: Option<BackendId>,
     pub(crate) peer: Option<HostId>,
     pub(crate) shard: Option<ShardId>,
+    pub(crate) attempt: Option<AttemptNumber>,
     pub(crate) evidence: Option<RunEvidence>,
 }
 
@@ -53,6 +55,24 @@
         self.sink.emit(TrafficEffect::Count(counter));
     }
 
+    /// Records a decision about an attempt to run the request `key` on `backend`.
+    pub(crate) fn decide_attempt(
+        &mut self,
+        reason: DecisionReason,
+        key: &RequestKey,
+        backend: BackendId,
+        attempt: AttemptNumber,
+    ) {
+        let subject = DecisionSubject {
+            flow: Some(key.flow),
+            request: Some(key.id),
+            backend: Some(backend),
+            attempt: Some(attempt),
+            ..DecisionSubject::default()
+        };
+        self.decide(reason, subject);
+    }
+
     pub(crate) fn decide(&mut self, reason: DecisionReason, subject: DecisionSubject) {
         let record = DecisionRecord {
             time: self.now,
@@ -65,6 +85,7 @@
             backend: subject.backend,
             peer: subject.peer,
             shard: subject.shard,
+            attempt: subject.attempt,
             evidence: subject.evidence,
         };
         self.sink.emit(TrafficEffect::Decide(record));
--- a/crates/cardamomwinch_coordination/src/traffic/dispatching.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/dispatching.rs
@@ -8,6 +8,7 @@
 use cardamomwinch_state::prelude::{BackendEntry, BackendId, ShardId, Timestamp};
 
 use crate::counter::Counter;
+use crate::decision::DecisionReason;
 use crate::traffic::TrafficEngine;
 use crate::traffic::caller_datagrams::RETRY_AFTER;
 use crate::traffic::context::{BackendMessage, EventContext};
@@ -100,6 +101,8 @@
         let Some((attempt, deadline)) = started.flatten() else {
             return;
         };
+        let reason = DecisionReason::Dispatched;
+        context.decide_attempt(reason, &queued.key, claim.backend, attempt);
         context.count(match attempt {
             AttemptNumber(0) => Counter::RequestDispatched,
             AttemptNumber(_) => Counter::RequestRetried,
--- a/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/giving_up.rs
@@ -220,10 +220,11 @@
         pause: time::Duration,
     ) {
         let QueueEntry { hash, key } = slot.entry;
-        self.requests.change(hash, &key, |record| {
+        let next = self.requests.change(hash, &key, |record| {
             let RequestState::Running(running) = &mut record.state else {
-                return;
+                return None;
             };
+            let next = AttemptNumber(running.attempt.0.saturating_add(1));
             let held = HeldRequest {
                 header: running.held.header,
                 kind: running.held.kind,
@@ -231,17 +232,14 @@
             };
             record.state = RequestState::Queued {
                 backend,
-                attempt: AttemptNumber(running.attempt.0.saturating_add(1)),
+                attempt: next,
                 held,
             };
+            Some(next)
         });
-        let subject = DecisionSubject {
-            flow: Some(key.flow),
-            request: Some(key.id),
-            backend: Some(backend),
-            ..DecisionSubject::default()
-        };
-        context.decide(DecisionReason::Retried, subject);
+        if let Some(next) = next.flatten() {
+            context.decide_attempt(DecisionReason::Retried, &key, backend, next);
+        }
         let ledger = self.ledgers.get_or_create(backend);
         let max_wait = pause + ledger.service_times.attempt_timeout();
         ledger.queue.push_front(WaitingRequest {
--- a/crates/cardamomwinch_coordination/src/traffic/handover.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/handover.rs
@@ -391,8 +391,12 @@
             return false;
         }
         match waits {
-            RequestState::Queued { backend, held, .. } => {
-                self.import_waiting(context, backend, queued, held.header.deadline);
+            RequestState::Queued {
+                backend,
+                attempt,
+                held,
+            } => {
+                self.import_waiting(context, backend, queued, attempt, held.header.deadline);
             }
             RequestState::Running(running) => self.import_running(context, queued, &running),
             _ => {}
--- a/crates/cardamomwinch_coordination/src/traffic/reply_effects.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/reply_effects.rs
@@ -87,7 +87,12 @@
             };
             context.decide(DecisionReason::ReplyUnmatched, subject);
         }
-        match noted.unwrap_or(PartOutcome::Ignored) {
+        let noted = noted.unwrap_or(PartOutcome::Ignored);
+        if let PartOutcome::Whole | PartOutcome::Superseded { .. } = noted {
+            let reason = DecisionReason::Answered;
+            context.decide_attempt(reason, key, backend, answered.attempt);
+        }
+        match noted {
             PartOutcome::Ignored => {}
             PartOutcome::Progress => self
                 .ledgers
@@ -137,6 +142,7 @@
         if running.attempt != attempt || !running.tracker.is_empty() {
             return;
         }
+        context.decide_attempt(DecisionReason::Shed, key, backend, attempt);
         let opens = running.held.kind == CallerKind::Open;
         let given_up = running.given_up;
         let ledger = self.ledgers.get_or_create(backend);
--- a/crates/cardamomwinch_coordination/src/traffic/taking_over.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/taking_over.rs
@@ -2,8 +2,10 @@
 
 use std::time;
 
+use cardamomwinch_protocol::prelude::AttemptNumber;
 use cardamomwinch_state::prelude::{BackendId, ShardId, Timestamp};
 
+use crate::decision::DecisionReason;
 use crate::traffic::TrafficEngine;
 use crate::traffic::context::EventContext;
 use crate::traffic::effect::TrafficSink;
@@ -18,11 +20,14 @@
     /// Queues a request that waited at the earlier home.
     pub(crate) fn import_waiting<S: TrafficSink>(
         &mut self,
-        context: &EventContext<'_, S>,
+        context: &mut EventContext<'_, S>,
         backend: BackendId,
         entry: QueueEntry,
+        attempt: AttemptNumber,
         deadline: Timestamp,
     ) {
+        let reason = DecisionReason::TakenOverWaiting;
+        context.decide_attempt(reason, &entry.key, backend, attempt);
         let now = context.now;
         let view = context.snapshot.view(backend);
         let ledger = self.ledgers.get_or_create(backend);
@@ -41,10 +46,12 @@
     /// Counts a request that the earlier home has sent.
     pub(crate) fn import_running<S: TrafficSink>(
         &mut self,
-        context: &EventContext<'_, S>,
+        context: &mut EventContext<'_, S>,
         entry: QueueEntry,
         running: &RunningRequest,
     ) {
+        let reason = DecisionReason::TakenOverRunning;
+        context.decide_attempt(reason, &entry.key, running.backend, running.attempt);
         let ledger = self.ledgers.get_or_create(running.backend);
         ledger.taken_over_at = Some(context.now);
         let deadline = running.held.header.deadline;
--- a/crates/cardamomwinch_daemon/src/decision_line.rs
+++ b/crates/cardamomwinch_daemon/src/decision_line.rs
@@ -37,6 +37,9 @@
     /// The shard.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub shard: Option<String>,
+    /// The attempt to run the request, from zero.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub attempt: Option<u8>,
     /// What is known about the run of a request that was given up.
     #[serde(flatten, skip_serializing_if = "Option::is_none")]
     pub evidence: Option<EvidenceFields>,
@@ -101,6 +104,7 @@
             peer,
             domain,
             shard: record.shard.map(|shard| shard.to_string()),
+            attempt: record.attempt.map(|attempt| attempt.0),
             evidence: record.evidence.map(EvidenceFields::from),
         }
     }
--- a/crates/cardamomwinch_daemon/tests/decision_line.rs
+++ b/crates/cardamomwinch_daemon/tests/decision_line.rs
@@ -75,6 +75,7 @@
         backend,
         peer: None,
         shard: None,
+        attempt: None,
         evidence,
     };
     let line = DecisionLine::new("bud-angyal-1", &record, &snapshot());
--- a/crates/cardamomwinch_standin/src/backend_state.rs
+++ b/crates/cardamomwinch_standin/src/backend_state.rs
@@ -6,7 +6,7 @@
 use std::time;
 
 use cardamomwinch_protocol::backend::BackendRequest;
-use cardamomwinch_protocol::prelude::{BackendDatagram, LoadReport};
+use cardamomwinch_protocol::prelude::{AttemptNumber, BackendDatagram, LoadReport};
 use cardamomwinch_state::prelude::{
     BackendId, ConnectionCount, FlowKey, HostId, RequestId, SlotCount, SortedVector, Timestamp,
 };
@@ -16,6 +16,10 @@
 /// The number of requests whose runs are listed; the runs of further requests
 /// are only counted.
 pub const MAX_LISTED_RUNS: usize = 100_000;
+/// The number of sheds that are listed; further ones are only counted.
+pub const MAX_LISTED_SHEDS: usize = 10_000;
+/// The number of runs of one request that are listed one by one.
+pub const MAX_LISTED_STARTS: usize = 16;
 
 /// The flow, server and host that replies about a flow carry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,6 +60,46 @@
     }
 }
 
+/// The datagram by which a request was started or shed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RequestOrder {
+    /// When the request was started or shed.
+    pub at: Timestamp,
+    /// The host that sent the datagram.
+    pub via: HostId,
+    /// The server's id in the datagram.
+    pub backend: BackendId,
+    /// The attempt.
+    pub attempt: AttemptNumber,
+    /// The time after which it must not be started.
+    pub start_before: Timestamp,
+}
+
+impl RequestOrder {
+    fn new(job: &RequestJob, at: Timestamp) -> Self {
+        Self {
+            at,
+            via: job.route.via,
+            backend: job.route.backend,
+            attempt: job.request.attempt,
+            start_before: job.request.start_before,
+        }
+    }
+}
+
+/// A request that was shed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RequestShed {
+    /// The flow.
+    pub flow: FlowKey,
+    /// The request.
+    pub request: RequestId,
+    /// What was shed, and when.
+    pub order: RequestOrder,
+}
+
 /// The runs of one request on this server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -68,6 +112,8 @@
     pub count: u64,
     /// When its last run started.
     pub begun: Timestamp,
+    /// The first runs, up to [`MAX_LISTED_STARTS`].
+    pub starts: Vec<RequestOrder>,
     /// When its last answer was sent; zero if there was none.
     pub answered: Timestamp,
     /// The payload of its first run; bytes that are not UTF-8 are replaced.
@@ -99,6 +145,8 @@
     pub repeated: Vec<RequestRuns>,
     /// Each request that ran, up to [`MAX_LISTED_RUNS`].
     pub runs: Vec<RequestRuns>,
+    /// The first requests that were shed, up to [`MAX_LISTED_SHEDS`].
+    pub sheds: Vec<RequestShed>,
 }
 
 /// What the load endpoint reports.
@@ -255,7 +303,7 @@
     /// Gives `job` a slot, queues it, or sheds it.
     pub fn admit(&mut self, job: RequestJob, now: Timestamp) -> Admission {
         if job.is_late(now) {
-            self.counters.shed += 1;
+            self.note_shed(&job, now);
             return Admission::Shed(job);
         }
         if self.busy < self.slots.get() {
@@ -267,10 +315,21 @@
             self.queue.push_back(job);
             return Admission::Queued;
         }
-        self.counters.shed += 1;
+        self.note_shed(&job, now);
         Admission::Shed(job)
     }
 
+    fn note_shed(&mut self, job: &RequestJob, now: Timestamp) {
+        self.counters.shed += 1;
+        if self.counters.sheds.len() < MAX_LISTED_SHEDS {
+            self.counters.sheds.push(RequestShed {
+                flow: job.route.flow,
+                request: job.request.id,
+                order: RequestOrder::new(job, now),
+            });
+        }
+    }
+
     /// Frees a slot and returns the next queued request, which is shed if it is
     /// too late. Call it again until it returns no request to shed.
     pub fn next_job(&mut self, now: Timestamp) -> Option<Admission> {
@@ -279,7 +338,7 @@
         if job.is_late(now) {
             // The next call frees the slot again, for the request behind this one.
             self.busy += 1;
-            self.counters.shed += 1;
+            self.note_shed(&job, now);
             return Some(Admission::Shed(job));
         }
         self.busy += 1;
@@ -302,6 +361,9 @@
         if let Some(runs) = self.runs.get_mut(&key) {
             runs.count += 1;
             runs.begun = now;
+            if runs.starts.len() < MAX_LISTED_STARTS {
+                runs.starts.push(RequestOrder::new(job, now));
+            }
         } else if self.runs.len() >= MAX_LISTED_RUNS {
             self.counters.unlisted += 1;
         } else {
@@ -310,6 +372,7 @@
                 request: key.1,
                 count: 1,
                 begun: now,
+                starts: vec![RequestOrder::new(job, now)],
                 answered: Timestamp::ZERO,
                 payload: String::from_utf8_lossy(&job.payload).into_owned(),
             };
--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -42,6 +42,14 @@
     cuts: Vec<NetworkCut>,
     /// The last run reports of backend servers that were removed.
     retired: Vec<Value>,
+    /// Hosts that were removed; their logs are needed to explain a failure.
+    removed: Vec<RemovedHost>,
+}
+
+/// A host that was removed and has ended.
+struct RemovedHost {
+    name: String,
+    process: ChildProcess,
 }
 
 /// Prints the end of the log of a process that failed.
@@ -103,6 +111,7 @@
             platform,
             cuts: Vec::new(),
             retired: Vec::new(),
+            removed: Vec::new(),
         };
         for service in 0..started.deployment.plan.services.len() {
             for index in 0..started.deployment.plan.services[service].backends {
@@ -201,7 +210,28 @@
     /// Removes the host `name` from the published list and the fabric, and ends its
     /// process if it still runs.
     pub(crate) async fn remove_host(&mut self, name: &str) {
-        self.unpublish_host(name).await;
+        let mut process = self.unpublish_host(name).await;
+        process.kill().unwrap();
+        self.removed.push(RemovedHost {
+            name: name.to_owned(),
+            process,
+        });
+    }
+
+    /// The names of all hosts that ran, those that were removed among them.
+    pub(crate) fn all_host_names(&self) -> Vec<String> {
+        let removed = self.removed.iter().map(|host| host.name.clone());
+        removed.chain(self.hosts(None)).collect()
+    }
+
+    /// The log lines not read so far of all hosts that ran.
+    pub(crate) fn log_lines(&self) -> Vec<String> {
+        let removed = self.removed.iter().map(|host| &host.process);
+        let running = self.deployment.hosts.iter().map(|host| &host.process);
+        let processes = removed.chain(running);
+        let lines = processes
+            .flat_map(|process| std::iter::from_fn(|| process.next_line(time::Duration::ZERO)));
+        lines.collect()
     }
 
     /// Removes the host `name` from the published list and the fabric, and returns its
--- a/tests/support/requests.rs
+++ b/tests/support/requests.rs
@@ -9,7 +9,7 @@
 use async_executor::Task;
 use cardamomwinch_standin::prelude::*;
 use cardamomwinch_standin::runtime;
-use cardamomwinch_state::prelude::{FlowKey, RequestId, SortedVector};
+use cardamomwinch_state::prelude::{FlowKey, HostId, RequestId, SortedVector};
 use serde_json::Value;
 
 use crate::support;
@@ -272,42 +272,61 @@
     }
 }
 
-/// Prints the log lines of the hosts about the first flow with a request that ran
-/// twice, and about flows with contradicted requests, to explain a failure.
+/// Prints what servers and hosts know of requests that ran twice and of contradicted
+/// requests, to explain a failure: each run and shed, and the log lines about their flows.
 fn print_decisions(
     faulty: &FaultyDeployment,
     reports: &[Value],
     contradicted: &[(FlowKey, RequestId)],
 ) {
-    let mut flows: Vec<String> = first_doubled_flow(reports).into_iter().collect();
+    let mut flows = print_doubled_runs(reports);
     for (flow, request) in contradicted {
         println!("contradicted: request {request} of {flow}");
         flows.push(flow.to_string());
     }
-    for host in &faulty.deployment.hosts {
-        while let Some(line) = host.process.next_line(time::Duration::ZERO) {
-            if flows.iter().any(|flow| line.contains(flow)) || line.contains("home_changed") {
-                println!("{line}");
+    print_sheds(reports, &flows);
+    for name in faulty.all_host_names() {
+        println!("{name} is {}", HostId::from_name(&name));
+    }
+    for line in faulty.log_lines() {
+        if flows.iter().any(|flow| line.contains(flow)) || line.contains("home_changed") {
+            println!("{line}");
+        }
+    }
+}
+
+/// Prints each run of payloads that ran more than once, and returns their flows, which
+/// differ if another caller sent the same payload.
+fn print_doubled_runs(reports: &[Value]) -> Vec<String> {
+    let counts = runs_by_payload(reports);
+    let mut flows = Vec::new();
+    for report in reports {
+        for run in report["runs"].as_array().unwrap() {
+            let payload = run["payload"].as_str().unwrap().to_owned();
+            if counts.get(&payload).map_or(0, Vec::len) > 1 {
+                println!("{}: {run}", report["server"]);
+                flows.push(flow_text(run));
             }
         }
     }
+    flows
 }
 
-/// The first flow with a request that ran twice.
-fn first_doubled_flow(reports: &[Value]) -> Option<String> {
-    let mut known: SortedVector<String, ()> = SortedVector::new();
-    let runs = reports
-        .iter()
-        .filter_map(|report| report["runs"].as_array());
-    for run in runs.flatten() {
-        let payload = run["payload"].as_str().unwrap().to_owned();
-        if known.insert(payload, ()).is_some() || run["count"].as_u64() > Some(1) {
-            let flow = &run["flow"];
-            let (caller, service) = (flow["caller"].as_str(), flow["service"].as_str());
-            return Some(format!("{}->{}", caller.unwrap(), service.unwrap()));
+/// Prints the sheds of requests of `flows`.
+fn print_sheds(reports: &[Value], flows: &[String]) {
+    for report in reports {
+        let sheds = report["sheds"].as_array().unwrap().iter();
+        for shed in sheds.filter(|shed| flows.contains(&flow_text(shed))) {
+            println!("{}: shed {shed}", report["server"]);
         }
     }
-    None
+}
+
+/// The flow of an entry of a run report, written as in the log.
+fn flow_text(entry: &Value) -> String {
+    let flow = &entry["flow"];
+    let (caller, service) = (flow["caller"].as_str(), flow["service"].as_str());
+    format!("{}->{}", caller.unwrap(), service.unwrap())
 }
 
 fn outcome_name(outcome: &RequestOutcome) -> String {
