Hand over the pins of all flows that were opened recently

What callers saw: a request that must not run twice ran on two servers, where its flow was opened with the request and the home of the flow handed its shard over within the life of the request.

Cause: `pins_of` left out the pin of a caller that echoes its token where the flow is on the server that the lookup table selects. The next home had the record of the request, but no pin, and placed a late copy of the opening anew; where its own server had no room by then it redirected the copy to another home, which had no record and ran it.

The change: the pin of each flow opened within a request's lifetime and the clock skew is among those that the next home needs; what does not fit moves the point up to which the next home answers "outcome unknown", as before. A copy then meets the pin and the record.

--- a/crates/cardamomwinch_coordination/src/traffic/handover.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/handover.rs
@@ -139,10 +139,10 @@
 
     /// The pins of flows that move with `shard`: flows on its servers, and flows on other
     /// servers for which the lookup table selects a server of the shard. The first list
-    /// holds the pins that the next home needs. Their flows are not on the server that the
-    /// table selects, and either the caller echoes no token, or the flow was opened so
-    /// recently that a copy of the opening may still arrive, which would be placed and run
-    /// again.
+    /// holds the pins that the next home needs: those of flows opened so recently that a
+    /// copy of the opening may still arrive, and those of callers that echo no token whose
+    /// flows are not on the server that the table selects. Without its pin, a copy of an
+    /// opening would be placed again, also elsewhere if the server of the table is full.
     fn pins_of<S: TrafficSink>(
         &self,
         context: &EventContext<'_, S>,
@@ -168,7 +168,7 @@
             let recent = context.now.since(pin.since) < copies_for;
             let item = pin_item(flow, pin, counted && pin.counted);
             let unlike_table = off_table || pin.role == PinRole::Redirect;
-            match unlike_table && (recent || !pin.echoes_token) {
+            match recent || (unlike_table && !pin.echoes_token) {
                 true => needed.push(item),
                 false => other.push(item),
             }
