Look for the record of a request before its opening is placed

What callers saw: a request that was refused as not run ran on another server and was answered.

Cause: the home of an opening's candidate looked only for a pin. Closing a flow removes its pin; the record of the request stays. A copy of the opening that came later was placed anew, and redirected to a home without a record where the first one's servers had no room.

The change: a home that remembers the request of an opening gives the copy the remembered outcome, whatever became of the pin.

--- a/crates/cardamomwinch_coordination/src/traffic/duplicates.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/duplicates.rs
@@ -42,7 +42,7 @@
             }
             _ => {
                 let retry_after = self.retry_after(context, claim.backend, arriving.hash);
-                self.resend_outcome(context, arriving, retry_after);
+                self.resend_outcome(context, arriving.hash, arriving.key, retry_after);
             }
         }
     }
@@ -62,13 +62,34 @@
         ledger.retry_after(context.now, entry, view, hash)
     }
 
+    /// Handles a copy of a request that is remembered here, whichever server it went to.
+    /// Returns whether it is.
+    pub(crate) fn resend_remembered<S: TrafficSink>(
+        &mut self,
+        context: &mut EventContext<'_, S>,
+        routed: &RoutedDatagram<'_, '_>,
+    ) -> bool {
+        let Some(header) = routed.datagram.request else {
+            return false;
+        };
+        let key = RequestKey {
+            flow: routed.datagram.flow,
+            id: header.id,
+        };
+        let known = self.requests.get(routed.hash, &key).is_some();
+        if known {
+            self.resend_outcome(context, routed.hash, key, RETRY_AFTER);
+        }
+        known
+    }
+
     pub(crate) fn resend_outcome<S: TrafficSink>(
         &mut self,
         context: &mut EventContext<'_, S>,
-        arriving: &ArrivingRequest,
+        hash: FlowHash,
+        key: RequestKey,
         retry_after: time::Duration,
     ) {
-        let key = arriving.key;
         context.count(Counter::RequestDuplicate);
         let subject = DecisionSubject {
             flow: Some(key.flow),
@@ -76,7 +97,7 @@
             ..DecisionSubject::default()
         };
         context.decide(DecisionReason::Duplicate, subject);
-        let Some(record) = self.requests.get(arriving.hash, &key) else {
+        let Some(record) = self.requests.get(hash, &key) else {
             return;
         };
         match &record.state {
--- a/crates/cardamomwinch_coordination/src/traffic/opening.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/opening.rs
@@ -62,6 +62,10 @@
         routed: &RoutedDatagram<'_, '_>,
         mut search: FlowSearch,
     ) {
+        if self.resend_remembered(context, routed) {
+            // A copy whose flow is closed has no pin left that keeps it here.
+            return;
+        }
         let snapshot = context.snapshot;
         let list = snapshot.opening_candidates(routed.service.id, routed.hash);
         // The sender started recently and knows no older generation, or this home has an
--- a/crates/cardamomwinch_coordination/src/traffic/serving.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/serving.rs
@@ -303,7 +303,7 @@
             server: ServerKnowledge::Known,
         };
         if self.requests.get(routed.hash, &arriving.key).is_some() {
-            return self.resend_outcome(context, &arriving, RETRY_AFTER);
+            return self.resend_outcome(context, arriving.hash, arriving.key, RETRY_AFTER);
         }
         // The checks before a request runs also apply before the reply "not run".
         if header.deadline <= context.now {
--- a/crates/cardamomwinch_coordination/tests/requests_played.rs
+++ b/crates/cardamomwinch_coordination/tests/requests_played.rs
@@ -97,3 +97,10 @@
 fn a_copy_of_an_opening_is_not_placed_again_after_a_shed(seed: u64) {
     check(plans::with_openings, [seed].into_iter());
 }
+
+/// Guards against a copy of an opening that is placed and run elsewhere, because the flow was
+/// closed and its home looked only for the pin, not for the record of the request.
+#[test]
+fn a_copy_of_an_opening_is_not_placed_again_after_the_flow_is_closed() {
+    check(plans::with_openings, [1315].into_iter());
+}
