Publish the loss of a lease before the traffic thread forgets the shard

"Do not begin after" does not help, as the old lease is still running, and the next home holds the record of the first sending only.

--- a/crates/cardamomwinch_coordination/src/control/homes/handing_over.rs
+++ b/crates/cardamomwinch_coordination/src/control/homes/handing_over.rs
@@ -147,9 +147,11 @@
     }
 
     /// Gives up the lease once the successor has acknowledged all chunks. The order
-    /// matters: this host stops using the lease, the traffic thread forgets the
-    /// shard, the successor may use the chunks that it has buffered, and the voters
-    /// may grant the shard to the successor.
+    /// matters: this host stops using the lease, also in the snapshot, the traffic
+    /// thread forgets the shard, the successor may use the chunks that it has
+    /// buffered, and the voters may grant the shard to the successor. With the lease
+    /// still in its snapshot, a traffic thread that has forgotten the shard would take
+    /// a copy of a request for a new one and run it again.
     pub(super) fn commit(
         &mut self,
         now: Timestamp,
@@ -165,10 +167,10 @@
         };
         self.leases.give_up(shard);
         self.claims.remove(&shard);
+        out.push(HomeAction::Publish);
         out.push(HomeAction::ForgetShard { shard });
         let home = ready.successor;
         out.push(HomeAction::HomeChanged { shard, home });
-        out.push(HomeAction::Publish);
         let commit = HandOverCommit {
             hand_over: ready.id,
             released: now,
--- a/crates/cardamomwinch_coordination/src/traffic/handover.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/handover.rs
@@ -53,6 +53,13 @@
             .is_some_and(|frozen| now < frozen.until)
     }
 
+    /// Whether `shard` is being handed over by this host, which has not forgotten it yet.
+    pub(crate) fn is_handing_over(&self, shard: ShardId, now: Timestamp) -> bool {
+        self.shards
+            .get(&shard)
+            .is_some_and(|frozen| !frozen.handed_over && now < frozen.until)
+    }
+
     /// Whether `shard` was recently handed over by or to this host, so that its next lease
     /// is expected soon.
     pub(crate) fn is_moving(&self, shard: ShardId, now: Timestamp) -> bool {
--- a/crates/cardamomwinch_coordination/src/traffic/replies.rs
+++ b/crates/cardamomwinch_coordination/src/traffic/replies.rs
@@ -158,6 +158,10 @@
             shard,
             hops: hops.saturating_add(1),
         };
+        // The next home may not have imported the records yet, although the snapshot names it.
+        if self.place.owns(shard) && self.frozen.is_handing_over(shard, context.now) {
+            return self.frozen.hold_back(shard, reply);
+        }
         let this_host = self.identity.host;
         let assumed_home = context.snapshot.shard(shard).home;
         let home = assumed_home
--- a/crates/cardamomwinch_coordination/tests/play_support/faults.rs
+++ b/crates/cardamomwinch_coordination/tests/play_support/faults.rs
@@ -34,6 +34,7 @@
     /// Perhaps begins a fault; ends those that are over.
     pub fn step(&mut self, play: &mut Play) {
         let host = play.rng.random_range(0..6);
+        let host = play.lists.last().unwrap()[host % play.lists.last().unwrap().len()];
         match play.rng.random_range(0..self.rarity) {
             0..6 => self.stop(play, host),
             6..8 => self.kill(play, host),
@@ -64,7 +65,8 @@
     }
 
     fn stop(&mut self, play: &mut Play, host: usize) {
-        if self.busy(host) || self.replaced.len() >= 2 {
+        let most = if play.plan.replaces_hosts { 1 } else { 2 };
+        if self.busy(host) || self.replaced.len() >= most {
             return;
         }
         play.stop_host(host);
@@ -106,6 +108,14 @@
             let host = replaced.host;
             if play.hosts[host].drained && play.hosts[host].is_up() {
                 play.crash_host(host);
+                if play.plan.replaces_hosts {
+                    unlist(play, host);
+                }
+            }
+            let is_listed = play.lists.last().unwrap().contains(&host);
+            if play.now >= replaced.again_at && !is_listed {
+                list_another(play, host);
+                continue;
             }
             if play.now >= replaced.again_at && !play.hosts[host].is_up() {
                 play.start_host(host);
@@ -118,3 +128,24 @@
         }
     }
 }
+
+fn unlist(play: &mut Play, host: usize) {
+    let listed = play.lists.last().unwrap().iter().copied();
+    let rest = listed.filter(|other| *other != host).collect();
+    play.publish(rest);
+}
+
+/// Starts a host of the failure domain of `host` that is not listed, and lists it.
+fn list_another(play: &mut Play, host: usize) {
+    let mut listed = play.lists.last().unwrap().clone();
+    let mut hosts = (0..play.hosts.len()).rev();
+    let spare = hosts.find(|other| {
+        let same_domain = play.hosts[*other].domain == play.hosts[host].domain;
+        same_domain && !listed.contains(other)
+    });
+    let spare = spare.unwrap();
+    play.start_host(spare);
+    listed.push(spare);
+    play.publish(listed);
+    play.fabric_hosts.push(spare);
+}
--- a/crates/cardamomwinch_coordination/tests/play_support/hosts.rs
+++ b/crates/cardamomwinch_coordination/tests/play_support/hosts.rs
@@ -19,6 +19,8 @@
 const TRAFFIC_TICK: u64 = 50 * MILLIS;
 /// A message between the threads of a host takes up to this, in microseconds.
 const CHANNEL_DELAY: u64 = MILLIS / 2;
+/// The longest time that a thread is kept from the processor, in microseconds.
+const MAX_PREEMPTION: u64 = 100 * MILLIS;
 
 /// The engines of a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -291,15 +293,36 @@
         let Some(mut engines) = self.hosts[host].engines.take() else {
             return;
         };
-        let RunningEngines {
-            control, snapshot, ..
-        } = &mut *engines;
-        let mut sink = |effect: ControlEffect| match effect {
-            ControlEffect::Publish(published) => *snapshot = published,
-            effect => self.carry_out_control(host, effect),
-        };
-        control.handle(local, event, &mut sink);
+        let mut effects = Vec::new();
+        let mut sink = |effect: ControlEffect| effects.push(effect);
+        engines.control.handle(local, event, &mut sink);
         self.hosts[host].engines = Some(engines);
+        let preempted = self.plan.preempted;
+        if preempted > 0.0 && effects.len() > 1 && self.rng.random_bool(preempted) {
+            let later = effects.split_off(self.rng.random_range(1..effects.len()));
+            let micros = self.rng.random_range(0..MAX_PREEMPTION);
+            self.hosts[host].stalled_until[EngineKind::Control as usize] = self.now + micros + 1;
+            let incarnation = self.hosts[host].incarnation;
+            let event = PlayEvent::Effects {
+                host,
+                incarnation,
+                effects: later,
+            };
+            self.schedule(micros, event);
+        }
+        for effect in effects {
+            self.carry_out_control(host, effect);
+        }
+    }
+
+    pub fn resume_effects(&mut self, host: usize, incarnation: u64, effects: Vec<ControlEffect>) {
+        let played = &self.hosts[host];
+        if !played.is_up() || played.incarnation != incarnation {
+            return;
+        }
+        for effect in effects {
+            self.carry_out_control(host, effect);
+        }
     }
 
     fn traffic(&mut self, host: usize, event: TrafficEvent<'_>) {
@@ -322,6 +345,11 @@
 
     fn carry_out_control(&mut self, host: usize, effect: ControlEffect) {
         match effect {
+            ControlEffect::Publish(published) => {
+                if let Some(engines) = &mut self.hosts[host].engines {
+                    engines.snapshot = published;
+                }
+            }
             ControlEffect::ToPeer {
                 host: to, envelope, ..
             } => {
--- a/crates/cardamomwinch_coordination/tests/play_support/mod.rs
+++ b/crates/cardamomwinch_coordination/tests/play_support/mod.rs
@@ -98,6 +98,12 @@
     pub fabric: LinkFaults,
     pub between_hosts: LinkFaults,
     pub to_servers: LinkFaults,
+    /// Whether a host that has stopped is removed from the published list, and another one
+    /// is listed later.
+    pub replaces_hosts: bool,
+    /// The share of control events during which the control thread loses the processor, so
+    /// that some effects of the event are carried out later than others.
+    pub preempted: f64,
     /// The mean service time in microseconds.
     pub service_time: u64,
 }
@@ -110,6 +116,12 @@
         incarnation: u64,
         input: EngineInput,
     },
+    /// The control thread of a host goes on with the effects of an event.
+    Effects {
+        host: usize,
+        incarnation: u64,
+        effects: Vec<ControlEffect>,
+    },
     Tick {
         host: usize,
         incarnation: u64,
@@ -212,6 +224,11 @@
                 incarnation,
                 input,
             } => self.handle_input(host, incarnation, input),
+            PlayEvent::Effects {
+                host,
+                incarnation,
+                effects,
+            } => self.resume_effects(host, incarnation, effects),
             PlayEvent::Tick {
                 host,
                 incarnation,
--- a/crates/cardamomwinch_coordination/tests/play_support/plans.rs
+++ b/crates/cardamomwinch_coordination/tests/play_support/plans.rs
@@ -27,6 +27,8 @@
         callers: 8,
         pending: 1,
         opening_requests: 0.3,
+        replaces_hosts: false,
+        preempted: 0.0,
         fabric: LinkFaults {
             loss: 0.05,
             doubled: 0.1,
@@ -88,3 +90,19 @@
         ..with_openings(rng)
     }
 }
+
+/// Established flows while hosts are replaced by others, which changes the published list.
+pub fn with_replaced_hosts(rng: &mut impl Rng) -> PlayPlan {
+    PlayPlan {
+        replaces_hosts: true,
+        ..without_openings(rng)
+    }
+}
+
+/// The same, while the processor is taken from control threads.
+pub fn with_preempted_threads(rng: &mut impl Rng) -> PlayPlan {
+    PlayPlan {
+        preempted: 0.05,
+        ..with_replaced_hosts(rng)
+    }
+}
--- a/crates/cardamomwinch_coordination/tests/requests_played.rs
+++ b/crates/cardamomwinch_coordination/tests/requests_played.rs
@@ -68,6 +68,8 @@
 #[parameterized(
     openings = { plans::with_openings },
     established_flows = { plans::without_openings },
+    replaced_hosts = { plans::with_replaced_hosts },
+    preempted_threads = { plans::with_preempted_threads },
 )]
 fn played_requests_run_at_most_once(shape: Shape) {
     check(shape, 1..11);
@@ -77,6 +79,8 @@
 #[parameterized(
     openings = { plans::with_openings },
     established_flows = { plans::without_openings },
+    replaced_hosts = { plans::with_replaced_hosts },
+    preempted_threads = { plans::with_preempted_threads },
 )]
 fn further_played_requests_run_at_most_once(shape: Shape) {
     let range = env::var("PLAYS").unwrap();
@@ -104,3 +108,16 @@
 fn a_copy_of_an_opening_is_not_placed_again_after_the_flow_is_closed() {
     check(plans::with_openings, [1315].into_iter());
 }
+
+/// Guards against a home that takes a copy of a request for a new one, because it forgets a
+/// shard while its snapshot still has the lease: the control thread lost the processor.
+#[parameterized(
+    first = { 50095 },
+    running = { 50178 },
+    third = { 50180 },
+    refused_elsewhere = { 50224 },
+    answered_and_refused = { 50236 },
+)]
+fn a_request_does_not_run_again_at_the_home_that_handed_it_over(seed: u64) {
+    check(plans::with_preempted_threads, [seed].into_iter());
+}
