Give each deployment of a test a signing key of its own

Cause: deployments that run side by side have hosts of the same names and had the same key. A port of a killed host may become the peer port of a host of another deployment; what the killed one's peers still send there is authentic for it. It adopts their documents, whose revisions are higher, with their list of hosts, and the deployment splits.

Evidence: `hosts_on_a_port_of_a_killed_host_of_another_deployment_agree_on_their_homes` gives the freed peer and relay ports to a host of a second deployment. It failed with the same timeout; the homes that each host reports, which a failed start prints now, show that the host on the port names other homes than its five peers.

The change is in the tests' deployment only: operators have one key a deployment. With it the new test passes.

The same kind: `a_version_spreads_although_a_host_is_killed_meanwhile` failed once of 12 whole runs of the program, three at a time (load 37 to 49): "127.0.0.1:44455: 5 to 0". The watch of a killed host asked its old port, where a host of another deployment was starting. It now judges the incarnation that it was begun with, which is a number in every status, and fails if its host has never answered: for the watched host the check is as before, and stricter where a host never answers.

--- a/crates/cardamomwinch_standin/src/deployment.rs
+++ b/crates/cardamomwinch_standin/src/deployment.rs
@@ -23,9 +23,6 @@
 
 pub use plan::{DeploymentPlan, DomainPlan, ProgramDirectory, ServicePlan};
 
-/// The signing key of all hosts of a deployment; used only in tests.
-const SIGNING_KEY: &str = "0101010101010101010101010101010101010101010101010101010101010101";
-
 static DEPLOYMENTS: atomic::AtomicU32 = atomic::AtomicU32::new(0);
 
 /// A backend server process.
@@ -103,6 +100,8 @@
     pub keys: Value,
     /// The platform's address in the settings of hosts.
     pub platform_address: net::SocketAddr,
+    /// Addresses of the next host, by field of its settings; the system chooses the others.
+    pub next_addresses: SortedVector<String, net::SocketAddr>,
     revisions: SortedVector<String, u64>,
     programs: ProgramDirectory,
     directory: path::PathBuf,
@@ -171,8 +170,9 @@
             hosts: Vec::new(),
             preset: "ordinary".to_owned(),
             presets: SortedVector::new(),
-            keys: json!({"signing": SIGNING_KEY}),
+            keys: json!({"signing": signing_key(number)}),
             platform_address,
+            next_addresses: SortedVector::new(),
             revisions: SortedVector::new(),
             programs,
             directory,
@@ -218,7 +218,7 @@
     pub fn start_host(&mut self, domain: usize, index: usize) -> Result<usize, StandinError> {
         let domain = self.plan.domains[domain].name;
         let name = format!("{domain}-{index}");
-        let settings = json!({
+        let mut settings = json!({
             "host": name,
             "domain": domain,
             "traffic_address": "127.0.0.1:0",
@@ -230,6 +230,9 @@
             "traffic_threads": self.plan.traffic_threads,
             "log": self.plan.log,
         });
+        for (field, address) in std::mem::take(&mut self.next_addresses).iter() {
+            settings[field.as_str()] = json!(address);
+        }
         let file = self.directory.join(format!("{name}.jsonc"));
         let action = "write the settings of a host";
         fs::write(&file, settings.to_string()).context(FileSnafu { action })?;
@@ -286,6 +289,15 @@
     }
 }
 
+/// The signing key of deployment `number` of this process.
+///
+/// Each has a key of its own: hosts of different deployments have the same names, and a port
+/// of a host that ended may become that of a host of another deployment, which would take
+/// what the peers of the former still send for messages of its own peers.
+fn signing_key(number: u32) -> String {
+    format!("{:032x}{number:032x}", process::id())
+}
+
 fn expect_success(status: u16) -> Result<(), StandinError> {
     snafu::ensure!((200..300).contains(&status), StatusSnafu { status });
     Ok(())
--- a/tests/adoption.rs
+++ b/tests/adoption.rs
@@ -59,19 +59,26 @@
 ) {
     let body = json!({"jsonrpc": "2.0", "id": 1, "method": "status"}).to_string();
     let mut highest = 0;
+    let mut watched = None;
     while !stop.load(atomic::Ordering::Relaxed) {
         pause(20).await;
         // A killed host doesn't answer, which is no revert.
         let Ok(reply) = http::request(admin, "POST", "/", body.clone()).await else {
             continue;
         };
-        let version = reply.json().unwrap()["result"]["version"].as_u64();
-        let version = version.unwrap_or_default();
+        let status = reply.json().unwrap()["result"].take();
+        let incarnation = status["incarnation"].as_u64();
+        // After a kill, a host of another deployment may have got the port.
+        if incarnation.is_none() || *watched.get_or_insert(incarnation) != incarnation {
+            continue;
+        }
+        let version = status["version"].as_u64().unwrap_or_default();
         if version < highest {
             runtime::locked(&reverts).push(format!("{admin}: {highest} to {version}"));
         }
         highest = highest.max(version);
     }
+    assert!(watched.is_some(), "{admin} has never answered");
 }
 
 async fn start() -> FaultyDeployment {
--- a/tests/forged_messages.rs
+++ b/tests/forged_messages.rs
@@ -88,8 +88,9 @@
 /// Whether a host drops and counts a replay of `datagram`. Messages about the
 /// configuration may arrive out of order, so their copies are merged instead, which
 /// changes nothing either.
-fn counts_as_replayed(datagram: &[u8]) -> bool {
-    let keys = AuthenticationKeys::new(SecretKey::new([1; 32]), None);
+fn counts_as_replayed(deployment: &Deployment, datagram: &[u8]) -> bool {
+    let signing = deployment.keys["signing"].as_str().unwrap();
+    let keys = AuthenticationKeys::new(signing.parse().unwrap(), None);
     let envelope: PeerEnvelope = keys.open(PEER_CONTEXT, datagram).unwrap();
     !matches!(envelope.message, PeerMessage::Configuration(_))
 }
@@ -218,7 +219,7 @@
         let metric_before = metric(tapped.admin, REPLAYED).await;
         let mut sent = 0;
         for recorded in tapped.peer.recorded().await {
-            sent += u64::from(counts_as_replayed(&recorded));
+            sent += u64::from(counts_as_replayed(&tapped.faulty.deployment, &recorded));
             tapped.peer.send(&recorded).await;
             pause(1).await;
         }
--- a/tests/reused_ports.rs
+++ b/tests/reused_ports.rs
@@ -69,6 +69,32 @@
     });
 }
 
+/// Guards against hosts that take messages of another deployment for their own: a host of
+/// the same name got the port of a killed one, to which that one's peers still send.
+#[test]
+fn hosts_on_a_port_of_a_killed_host_of_another_deployment_agree_on_their_homes() {
+    support::run(async |_| {
+        let mut first = FaultyDeployment::start(network::small_plan()).await;
+        let mut version = 0;
+        for preset in ["deadline-peak", "ordinary", "deadline-peak"] {
+            first.deployment.preset = preset.to_owned();
+            version = first.deployment.publish_root().await.unwrap();
+        }
+        first.wait_for_version(version).await;
+        let all = first.hosts(None);
+        first.cut_platform(&all, CutMode::Hold).await;
+        let killed = first.unpublish_host(&all[0]).await;
+        let freed = PORTS.map(|field| (field, killed.address(field).unwrap()));
+        drop(killed);
+        let mut second = FaultyDeployment::start_without_hosts(network::small_plan()).await;
+        for (field, address) in freed {
+            let addresses = &mut second.deployment.next_addresses;
+            addresses.insert(field.to_owned(), address);
+        }
+        second.start_hosts().await;
+    });
+}
+
 /// Binds a caller to `port`.
 async fn bind_to_port(
     executor: &TaskExecutor,
--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -85,16 +85,44 @@
     /// Starts `plan` and waits until each host is ready and knows all homes.
     pub(crate) async fn start(plan: DeploymentPlan) -> Self {
         let mut started = Self::start_without_hosts(plan).await;
-        for domain in 0..started.deployment.plan.domains.len() {
-            for index in 0..started.deployment.plan.domains[domain].hosts {
-                started.start_host(domain, index).await;
+        started.start_hosts().await;
+        started
+    }
+
+    /// Starts the hosts of the plan, publishes everything, and waits until each host is
+    /// ready and knows all homes.
+    pub(crate) async fn start_hosts(&mut self) {
+        for domain in 0..self.deployment.plan.domains.len() {
+            for index in 0..self.deployment.plan.domains[domain].hosts {
+                self.start_host(domain, index).await;
             }
         }
-        started.deployment.publish_everything().await.unwrap();
-        started.deployment.wait_until_ready(LIMIT).await.unwrap();
-        let agreed = started.deployment.wait_until_homes_agree(LIMIT).await;
+        self.deployment.publish_everything().await.unwrap();
+        self.deployment.wait_until_ready(LIMIT).await.unwrap();
+        let agreed = self.deployment.wait_until_homes_agree(LIMIT).await;
+        if agreed.is_err() {
+            self.print_homes().await;
+        }
         agreed.unwrap();
-        started
+    }
+
+    /// Prints the homes as each host reports them, and the log lines about homes and hosts.
+    async fn print_homes(&self) {
+        for name in self.hosts(None) {
+            let backends = self.call(&name, "backends").await.unwrap_or_default();
+            for backend in backends.as_array().into_iter().flatten() {
+                let (server, home) = (&backend["name"], &backend["home_host"]);
+                println!(
+                    "{name}: {server} home {home} held {}",
+                    backend["holds_home"]
+                );
+            }
+        }
+        for line in self.log_lines() {
+            if line.contains("\"control\"") {
+                println!("{line}");
+            }
+        }
     }
 
     /// Starts everything in `plan` except the hosts, and publishes nothing.
