Add switches for decisions under load and the observation of answers

Decisions under load need two things that did not exist: what a host sees of an answer in one place (bytes and time, also of answers whose time is unknown), and settings that switch each decision on, so that a deployment whose settings do not ask for them is served as before. No decision uses either yet.

Tests of settings and of forwarding pass; the switches are false by default.

--- a/crates/cardamomwinch_configuration/src/forwarder_settings.rs
+++ b/crates/cardamomwinch_configuration/src/forwarder_settings.rs
@@ -50,6 +50,39 @@
     pub stop_within: time::Duration,
     /// What is logged.
     pub log: LogSettings,
+    /// Which decisions under load the host makes.
+    pub load: LoadSettings,
+}
+
+/// The decisions under load that a forwarding host makes beyond those of every host. A
+/// key that is missing is false.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct LoadSettings {
+    /// Whether it opens flows within a small window of the servers of each domain.
+    pub windows: bool,
+    /// Whether it sends flows to other domains before the queues of its own one fill.
+    pub spill: bool,
+    /// Whether it refuses less urgent requests first if there is room for too few.
+    pub priorities: bool,
+    /// Whether it keeps new flows away from servers that do worse than the others.
+    pub outliers: bool,
+}
+
+impl LoadSettings {
+    fn read(checker: &mut DocumentChecker<'_>, node: &ValueNode<'_>) -> Option<Self> {
+        let object = node.object(checker)?;
+        object.check_keys(checker, keys::LOAD);
+        let windows = object.optional(checker, "windows", false, values::boolean);
+        let spill = object.optional(checker, "spill", false, values::boolean);
+        let priorities = object.optional(checker, "priorities", false, values::boolean);
+        let outliers = object.optional(checker, "outliers", false, values::boolean);
+        Some(Self {
+            windows: windows?,
+            spill: spill?,
+            priorities: priorities?,
+            outliers: outliers?,
+        })
+    }
 }
 
 impl ForwarderSettings {
@@ -91,6 +124,7 @@
         let flow_lifetime = rules::FLOW_LIFETIME.read_seconds(checker, object);
         let stop_within = rules::STOP_WITHIN.read_seconds(checker, object);
         let log = object.optional(checker, "log", LogSettings::default(), LogSettings::read);
+        let load = object.optional(checker, "load", LoadSettings::default(), LoadSettings::read);
         let [traffic, readiness, peer, admin] = addresses?;
         Some(Self {
             host: host?,
@@ -107,6 +141,7 @@
             flow_lifetime: flow_lifetime?,
             stop_within: stop_within?,
             log: log?,
+            load: load?,
         })
     }
 }
--- a/crates/cardamomwinch_configuration/src/keys.rs
+++ b/crates/cardamomwinch_configuration/src/keys.rs
@@ -32,6 +32,7 @@
     "flow_lifetime_s",
     "stop_within_s",
     "log",
+    "load",
 ];
 /// Keys of `platform` in the settings.
 pub const PLATFORM: &[&str] = &["addresses", "timeout_ms", "watch_ms"];
@@ -39,6 +40,8 @@
 pub const SECRETS: &[&str] = &["signing", "accepted"];
 /// Keys of `bounds` in the settings.
 pub const BOUNDS: &[&str] = &["flows", "requests", "request_records", "datagram_queue"];
+/// Keys of `load` in the settings of a forwarding host.
+pub const LOAD: &[&str] = &["windows", "spill", "priorities", "outliers"];
 /// Keys of `log` in the settings.
 pub const LOG: &[&str] = &["level", "decisions_per_second"];
 
@@ -104,6 +107,7 @@
     ObjectKeys::new("`keys`", SECRETS),
     ObjectKeys::new("`bounds`", BOUNDS),
     ObjectKeys::new("`log`", LOG),
+    ObjectKeys::new("`load`", LOAD),
     ObjectKeys::new("Top level of the root document", ROOT),
     ObjectKeys::new("`limits`", LIMITS),
     ObjectKeys::new("Top level of a fragment", FRAGMENT),
--- a/crates/cardamomwinch_configuration/src/lib.rs
+++ b/crates/cardamomwinch_configuration/src/lib.rs
@@ -45,7 +45,7 @@
     pub use crate::compare::{ConfigurationDifference, ValueChange, compare};
     pub use crate::document_kind::DocumentKind;
     pub use crate::flow_share::FlowShare;
-    pub use crate::forwarder_settings::ForwarderSettings;
+    pub use crate::forwarder_settings::{ForwarderSettings, LoadSettings};
     pub use crate::fragment::{BackendDefinition, ServiceDefinition, TeamFragment};
     pub use crate::host_list;
     pub use crate::preset::{BackendOverride, PresetOverrides};
--- a/crates/cardamomwinch_configuration/src/node.rs
+++ b/crates/cardamomwinch_configuration/src/node.rs
@@ -45,6 +45,11 @@
         object
     }
 
+    /// Returns the value as a boolean, or `None` without a report.
+    pub(crate) fn as_boolean(&self) -> Option<bool> {
+        self.value.as_boolean_lit().map(|literal| literal.value)
+    }
+
     /// Returns the value as an object, or `None` without a report.
     pub(crate) fn as_object(&self) -> Option<ObjectNode<'d>> {
         let object = self.value.as_object()?;
--- a/crates/cardamomwinch_configuration/src/values.rs
+++ b/crates/cardamomwinch_configuration/src/values.rs
@@ -56,6 +56,15 @@
     Reachable,
 }
 
+/// Reads `true` or `false`.
+pub(crate) fn boolean(checker: &mut DocumentChecker<'_>, node: &ValueNode<'_>) -> Option<bool> {
+    let value = node.as_boolean();
+    if value.is_none() {
+        node.report_kind(checker, ValueKind::Boolean);
+    }
+    value
+}
+
 /// Reads a string.
 pub(crate) fn text<'d>(checker: &mut DocumentChecker<'_>, node: &ValueNode<'d>) -> Option<&'d str> {
     let literal = node.value.as_string_lit();
--- a/crates/cardamomwinch_configuration/tests/forwarder_settings.rs
+++ b/crates/cardamomwinch_configuration/tests/forwarder_settings.rs
@@ -3,7 +3,7 @@
 
 use std::time;
 
-use cardamomwinch_configuration::prelude::ForwarderSettings;
+use cardamomwinch_configuration::prelude::{ForwarderSettings, LoadSettings};
 use yare::parameterized;
 
 const TEMPLATE: &str = include_str!("../../../deploy/settings.jsonc");
@@ -58,9 +58,31 @@
     time_out_of_range = { r#""stop_within_s": 6"#, r#""stop_within_s": 0"#, "stop_within_s" },
     address_taken = { "10.1.0.10:8167", "10.1.0.10:8172", "readiness_address" },
     level_unknown = { r#""info""#, r#""loud""#, "log.level" },
+    load_switch_of_another_type = { r#""spill": true"#, r#""spill": 1"#, "load.spill" },
+    load_switch_unknown = { r#""spill""#, r#""spil""#, "load.spil" },
 )]
 fn a_wrong_value_is_named(from: &str, to: &str, named: &str) {
     let report = ForwarderSettings::parse("f", &filled().replace(from, to)).unwrap_err();
     let text = report.to_string();
     assert!(text.contains(named), "{text}");
 }
+
+/// Guards against a host that decides differently than before although its settings do not ask
+/// for it.
+#[test]
+fn decisions_under_load_are_off_unless_the_settings_switch_them_on() {
+    let settings = ForwarderSettings::parse("f", &filled()).unwrap();
+    let all = LoadSettings {
+        windows: true,
+        spill: true,
+        priorities: true,
+        outliers: true,
+    };
+    assert_eq!(settings.load, all);
+    let text = filled();
+    let start = text.find(r#""load""#).unwrap();
+    let end = start + text[start..].find('}').unwrap() + 1;
+    let without = format!("{}{}", &text[..start], &text[end..]);
+    let settings = ForwarderSettings::parse("f", &without).unwrap();
+    assert_eq!(settings.load, LoadSettings::default());
+}
--- a/crates/cardamomwinch_coordination/src/forwarding/engine.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine.rs
@@ -1,5 +1,6 @@
 //! Decides what to do with each packet: send it to a server, hold it or reset its flow.
 
+mod load_observations;
 mod maintenance;
 mod open_flows;
 mod openings;
@@ -26,6 +27,7 @@
 use crate::forwarding::server_starts::ServerStarts;
 use crate::forwarding::unknown_flows::UnknownFlows;
 use crate::forwarding::view::ForwardingView;
+use crate::load::LoadPolicy;
 
 /// The interval at which [`ForwardingEngine::tick`] must be called.
 pub const TICK_PERIOD: time::Duration = time::Duration::from_millis(100);
@@ -71,6 +73,7 @@
     server_reach: ServerReach,
     overdue_timeout: OverdueTimeout,
     own_reports: OwnReports,
+    load_policy: LoadPolicy,
     ticks: u32,
     last_run_at: Option<Timestamp>,
 }
@@ -135,11 +138,19 @@
             server_reach: ServerReach::default(),
             overdue_timeout: OverdueTimeout::default(),
             own_reports: OwnReports::new(reporter),
+            load_policy: LoadPolicy::default(),
             ticks: 0,
             last_run_at: None,
         }
     }
 
+    /// Sets which decisions under load the engine makes.
+    #[must_use]
+    pub const fn with_load_policy(mut self, policy: LoadPolicy) -> Self {
+        self.load_policy = policy;
+        self
+    }
+
     /// The flows that are watched.
     pub const fn watch(&self) -> &FlowWatch {
         &self.watch
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/open_flows.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/open_flows.rs
@@ -58,6 +58,7 @@
             watched.counted = true;
             self.progress.add_flow(server.id, now);
         }
+        let mut answer = None;
         if watched.note_acknowledged(packet.acknowledged) {
             self.progress.note_progress(server.id, now);
             self.server_reach.note_progress(now);
@@ -71,23 +72,25 @@
             if watched.has_answer() {
                 self.progress.note_answer(server.id, now);
             }
-            if let Some(response) = watched.take_response_time(closing, now) {
-                sink.measure_response(response);
-                self.overdue_timeout.note_response(response);
-                self.progress.note_response(server.id, response, now);
-            }
-        }
-        if packet.length == 0 {
-            return FlowSilence::default();
+            answer = watched.take_answer(closing, now);
         }
-        let silence = watched.note_data(packet.sequence, now, &self.deliveries);
-        if silence.copies == 0 {
+        let has_data = packet.length > 0;
+        let silence = if has_data {
+            watched.note_data(packet.sequence, now, &self.deliveries)
+        } else {
+            FlowSilence::default()
+        };
+        if has_data && silence.copies == 0 {
             watched.note_request(now);
         }
+        let became_silent = silence.losses > 0 && watched.count_silence_once();
+        if let Some(answer) = answer {
+            self.note_answer(context, server, answer, sink);
+        }
         if silence.copies > 0 {
             self.server_reach.note_repetition(server.id, silence.since);
         }
-        if silence.losses > 0 && watched.count_silence_once() {
+        if became_silent {
             self.progress
                 .note_silent_flow(server.id, silence.since, now);
             self.report_silence(server.id, now);
--- a/crates/cardamomwinch_coordination/src/forwarding/flow_watch.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/flow_watch.rs
@@ -98,6 +98,16 @@
     overdue: bool,
 }
 
+/// An answer that the caller of a watched flow has begun to acknowledge.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WatchedAnswer {
+    /// How much of it the caller has acknowledged, in bytes.
+    pub bytes: u32,
+    /// The time from the request to the acknowledgement; `None` if it shows nothing about
+    /// the server.
+    pub response: Option<time::Duration>,
+}
+
 impl WatchedFlow {
     /// Creates a flow whose opening is sent to `server`.
     pub const fn opening(server: BackendId, copy: u32, idempotent: bool, now: Timestamp) -> Self {
@@ -208,17 +218,20 @@
         is_overdue.then_some(pending.sent_at)
     }
 
-    /// The time from the request to its answer, once the caller has acknowledged more than
-    /// one packet of the answer, or closes the flow. Other answers of one packet cannot be
-    /// measured, because callers acknowledge them only with the next request.
-    pub fn take_response_time(&mut self, closing: bool, now: Timestamp) -> Option<time::Duration> {
+    /// The answer to the pending request, once the caller has acknowledged a part of it.
+    ///
+    /// Its time is known if the caller has acknowledged more than one packet, or closes the
+    /// flow. Callers acknowledge other answers of one packet only with the next request.
+    pub fn take_answer(&mut self, closing: bool, now: Timestamp) -> Option<WatchedAnswer> {
         let pending = self.pending?;
-        let advance = self.acknowledged.wrapping_sub(pending.acknowledged);
-        if advance == 0 {
+        let bytes = self.acknowledged.wrapping_sub(pending.acknowledged);
+        if bytes == 0 {
             return None;
         }
         self.pending = None;
-        (closing || advance > MAX_PACKET_BYTES).then(|| now.since(pending.sent_at))
+        let is_prompt = closing || bytes > MAX_PACKET_BYTES;
+        let response = is_prompt.then(|| now.since(pending.sent_at));
+        Some(WatchedAnswer { bytes, response })
     }
 
     /// Whether a reset loses no request that may run only once.
--- a/crates/cardamomwinch_coordination/src/lib.rs
+++ b/crates/cardamomwinch_coordination/src/lib.rs
@@ -9,6 +9,7 @@
 //!   [`snapshot::RoutingSnapshot`] that control publishes.
 //! - [`forwarding`] decides about flows whose contents only the caller and the
 //!   backend server can read.
+//! - [`load`] contains the decisions under load that `forwarding` and `traffic` share.
 //! - [`routing`] contains the selection of backend servers and homes.
 //!
 //! ```
@@ -37,6 +38,7 @@
 pub mod forwarding;
 pub mod host_engine;
 pub mod identity;
+pub mod load;
 pub mod routing;
 pub mod snapshot;
 pub mod traffic;
@@ -54,6 +56,7 @@
     pub use crate::forwarding::view::ForwardingView;
     pub use crate::host_engine::{HostBuilder, HostEffect, HostEngine, HostEvent, HostSink};
     pub use crate::identity::{HostIdentity, ThreadPlace};
+    pub use crate::load::LoadPolicy;
     pub use crate::snapshot::{HomeLease, RoutingSnapshot, ServingPhase};
     pub use crate::traffic::TrafficEngine;
     pub use crate::traffic::effect::{TrafficEffect, TrafficSink};
--- a/crates/cardamomwinch_forwarder/src/launch.rs
+++ b/crates/cardamomwinch_forwarder/src/launch.rs
@@ -14,6 +14,7 @@
 use cardamomwinch_coordination::forwarding::discovery::{DiscoveryEngine, DiscoverySettings};
 use cardamomwinch_coordination::forwarding::engine::ForwardingEngine;
 use cardamomwinch_coordination::forwarding::server_reports::ReporterId;
+use cardamomwinch_coordination::load::LoadPolicy;
 use cardamomwinch_daemon::log_level;
 use cardamomwinch_daemon::start_line::StartLine;
 use cardamomwinch_platform::prelude::StoreClient;
@@ -182,7 +183,8 @@
         let level = log_level::level_filter(self.settings.log.level);
         let limit = self.settings.log.decisions_per_second;
         TrafficThread {
-            engine: ForwardingEngine::new(self.settings.flows, FLOW_HASH_SEED, self.reporter()),
+            engine: ForwardingEngine::new(self.settings.flows, FLOW_HASH_SEED, self.reporter())
+                .with_load_policy(self.load_policy()),
             control,
             socket,
             caller_port: traffic_address.port(),
@@ -193,6 +195,16 @@
         }
     }
 
+    fn load_policy(&self) -> LoadPolicy {
+        let load = self.settings.load;
+        LoadPolicy {
+            windows: load.windows,
+            spill: load.spill,
+            priorities: load.priorities,
+            outliers: load.outliers,
+        }
+    }
+
     /// The identifier under which this process reports. It differs for a process that is
     /// restarted at the same address.
     fn reporter(&self) -> ReporterId {
