--- a/crates/cardamomwinch_coordination/src/load/mod.rs
+++ b/crates/cardamomwinch_coordination/src/load/mod.rs
@@ -5,8 +5,10 @@
 //! observed, and asks for decisions.
 //!
 //! - [`answer`] is what an engine has seen of one answer.
+//! - [`domain_wait`] is how long requests wait in a failure domain.
 
 pub mod answer;
+pub mod domain_wait;
 
 /// Which decisions under load a host makes. Without any, it chooses servers by its own
 /// flows, prefers its own failure domain and refuses nothing.
