Compute which servers of a domain a host opens flows to

Cause: with 23 hosts and 40 servers in a domain, a host counts one or two flows of a server that holds more, so that comparing servers by these counts is nearly a random choice.

Change: load/server_window.rs computes the window of a host from its rank among the hosts of its domain. In a list of 64 hosts, which may be truncated, the hash of the host gives the position, and the spacing of the 64 gives their number. Hashes are not evenly spaced, so that such windows are eight times as wide: twice the share of a host would leave 14 % of the servers in no window.

Result: for 2 to 63 hosts and 1 to 199 servers, and for truncated lists of up to 1,067 hosts and 8,667 servers, each server is in two windows or more. If lists differ by one host, it is in one or more. If each of 23 hosts misses up to three others, 14 % of 40 servers are in fewer than two windows and 1.4 % in none.

--- a/crates/cardamomwinch_coordination/src/load/mod.rs
+++ b/crates/cardamomwinch_coordination/src/load/mod.rs
@@ -6,9 +6,11 @@
 //!
 //! - [`answer`] is what an engine has seen of one answer.
 //! - [`domain_wait`] is how long requests wait in a failure domain.
+//! - [`server_window`] is which servers of a domain a host opens flows to.
 
 pub mod answer;
 pub mod domain_wait;
+pub mod server_window;
 
 /// Which decisions under load a host makes. Without any, it chooses servers by its own
 /// flows, prefers its own failure domain and refuses nothing.
