Deliver replies to callers of a cut domain in load tests

Cause: callers reach the hosts and get the replies of all domains while domains are cut from each other; the playground dropped these replies.

Change: a cut affects the way from hosts to servers only. Servers get a mode in which they reset whatever they get, as a crashed process does.

--- a/crates/cardamomwinch_coordination/tests/load_support/backends.rs
+++ b/crates/cardamomwinch_coordination/tests/load_support/backends.rs
@@ -29,6 +29,8 @@
     Hanging,
     /// It fails this share of the requests.
     Failing(f64),
+    /// It resets whatever it gets, and has forgotten its flows.
+    Crashed,
     /// It does nothing, and has forgotten its flows.
     Dead,
 }
@@ -71,7 +73,8 @@
     }
 
     pub fn set_mode(&mut self, mode: ServerMode) {
-        if self.mode == ServerMode::Dead || mode == ServerMode::Dead {
+        let stopped = [ServerMode::Dead, ServerMode::Crashed];
+        if stopped.contains(&self.mode) || stopped.contains(&mode) {
             self.flows.clear();
             self.queue.clear();
             self.busy = 0;
@@ -83,11 +86,13 @@
 
 impl LoadWorld {
     pub(crate) fn handle_at_server(&mut self, number: usize, packet: CallerPacket) {
-        let server = &mut self.servers[number];
-        if server.mode == ServerMode::Dead {
-            return;
-        }
         let flow = packet.number;
+        match self.servers[number].mode {
+            ServerMode::Dead => return,
+            ServerMode::Crashed => return self.reply(number, flow, CallerMessage::ServerReset),
+            _ => {}
+        }
+        let server = &mut self.servers[number];
         if matches!(packet.kind, PacketKind::Opening { .. }) {
             server.flows.entry(flow).or_default();
             let message = CallerMessage::Opened { server: number };
@@ -120,7 +125,7 @@
     fn take_request(&mut self, number: usize, flow: FlowNumber) {
         let server = &mut self.servers[number];
         let fate = match server.mode {
-            ServerMode::Dead | ServerMode::Hanging => ArrivalFate::Accepted,
+            ServerMode::Hanging => ArrivalFate::Accepted,
             ServerMode::Failing(share) if self.random.random_bool(share) => {
                 self.answer_later(number, flow, CallerMessage::Failed, FAILURE_TIME);
                 ArrivalFate::Accepted
@@ -204,11 +209,11 @@
         }
     }
 
+    /// Replies reach callers on their own way, also if domains are cut from each other.
     fn reply(&mut self, server: usize, flow: FlowNumber, message: CallerMessage) {
-        let domain = self.callers[flow.caller].domain;
-        if let Some(delay) = self.delay(self.servers[server].domain, domain) {
-            let at = self.now + delay + CALLER_DELAY;
-            self.events.push(at, LoadEvent::AtCaller { flow, message });
-        }
+        let caller = self.callers[flow.caller].domain;
+        let delay = self.distance(self.servers[server].domain, caller);
+        let at = self.now + delay + CALLER_DELAY;
+        self.events.push(at, LoadEvent::AtCaller { flow, message });
     }
 }
--- a/crates/cardamomwinch_coordination/tests/load_support/hosts.rs
+++ b/crates/cardamomwinch_coordination/tests/load_support/hosts.rs
@@ -260,7 +260,7 @@
     fn send_to_server(&mut self, domain: usize, id: BackendId, packet: CallerPacket) {
         let server = routes::server_number(id);
         let target = self.servers[server].domain;
-        if let Some(delay) = self.delay(domain, target) {
+        if let Some(delay) = self.host_delay(domain, target) {
             let at = self.now + delay;
             self.events.push(at, LoadEvent::AtServer { server, packet });
         }
--- a/crates/cardamomwinch_coordination/tests/load_support/mod.rs
+++ b/crates/cardamomwinch_coordination/tests/load_support/mod.rs
@@ -138,18 +138,24 @@
         self.now = end;
     }
 
-    /// The one-way delay between two domains; `None` if they are cut from each other.
-    pub fn delay(&self, one: usize, other: usize) -> Option<u64> {
-        let pair = (one.min(other), one.max(other));
-        let delay = if one == other {
+    /// The one-way delay between two domains.
+    pub(crate) const fn distance(&self, one: usize, other: usize) -> u64 {
+        if one == other {
             NEAR_DELAY
         } else {
             self.domain_delay
-        };
-        (!self.cuts.contains(&pair)).then_some(delay)
+        }
+    }
+
+    /// The one-way delay from a host of a domain to a server of another; `None` if these
+    /// are cut from each other.
+    pub(crate) fn host_delay(&self, one: usize, other: usize) -> Option<u64> {
+        let is_cut = self.cuts.contains(&(one.min(other), one.max(other)));
+        (!is_cut).then(|| self.distance(one, other))
     }
 
-    /// Cuts two domains from each other. Callers still reach the hosts of both.
+    /// Cuts the hosts of each of two domains from the servers of the other. Callers still
+    /// reach the hosts of both, and get replies of the servers of both.
     pub fn cut(&mut self, one: usize, other: usize) {
         self.cuts.insert((one.min(other), one.max(other)));
     }
