Place new flows within the window of the host

Cause: hosts compare servers by their own flows only. With 23 hosts and 40 servers per domain that is one or two flows each, and some servers shed requests while others idle.

Change: if the policy says so and the route has a latency goal, a flow goes to the best server of the host's window in its domain. Placement without windows is unchanged, and is used if the window covers the domain, if no server of the domain can take the flow, or if the flow spills over by response times.

Windows placed by hash have at least eight servers.

--- a/crates/cardamomwinch_coordination/src/forwarding/directory.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/directory.rs
@@ -91,12 +91,24 @@
 /// The sort key of a server: by service, and within a service by failure domain.
 type ServiceKey = (ServiceId, DomainId, BackendId);
 
+/// The part of the sorted `keys` that is of `service`, and in `domain` if one is given.
+fn keys_within(keys: &[ServiceKey], service: ServiceId, domain: Option<DomainId>) -> &[ServiceKey] {
+    let is_before = |key: &ServiceKey| {
+        key.0 < service || (key.0 == service && domain.is_some_and(|domain| key.1 < domain))
+    };
+    let fits = |key: &ServiceKey| key.0 == service && domain.is_none_or(|domain| key.1 == domain);
+    let keys = &keys[keys.partition_point(is_before)..];
+    &keys[..keys.partition_point(fits)]
+}
+
 /// All known servers, indexed by token and by service.
 #[derive(Debug, Clone, Default)]
 pub struct ServerDirectory {
     servers: SortedVector<BackendId, ServerRecord>,
     tokens: Vec<(FlowToken, BackendId)>,
     services: Vec<ServiceKey>,
+    /// The keys of the active servers.
+    active: Vec<ServiceKey>,
     evacuations: EvacuationTable,
     /// The highest revision that changed a server, or ended an evacuation, that was removed
     /// from this directory since.
@@ -170,18 +182,37 @@
         } else {
             0
         };
+        self.rotated(keys, start).take(limit)
+    }
+
+    /// The number of active servers of `service` in `domain`.
+    pub fn active_count(&self, service: ServiceId, domain: DomainId) -> usize {
+        keys_within(&self.active, service, Some(domain)).len()
+    }
+
+    /// The active servers of `service` in `domain`, in the order of the directory, from the
+    /// one at `position` on. Positions wrap around.
+    pub fn active_from(
+        &self,
+        service: ServiceId,
+        domain: DomainId,
+        position: usize,
+    ) -> impl Iterator<Item = &ServerRecord> {
+        let keys = keys_within(&self.active, service, Some(domain));
+        self.rotated(keys, position.checked_rem(keys.len()).unwrap_or(0))
+    }
+
+    fn rotated<'a>(
+        &'a self,
+        keys: &'a [ServiceKey],
+        start: usize,
+    ) -> impl Iterator<Item = &'a ServerRecord> {
         let (before, after) = keys.split_at(start);
-        self.records(after).chain(self.records(before)).take(limit)
+        self.records(after).chain(self.records(before))
     }
 
     fn keys_of(&self, service: ServiceId, domain: Option<DomainId>) -> &[ServiceKey] {
-        let is_before = |key: &ServiceKey| {
-            key.0 < service || (key.0 == service && domain.is_some_and(|domain| key.1 < domain))
-        };
-        let fits =
-            |key: &ServiceKey| key.0 == service && domain.is_none_or(|domain| key.1 == domain);
-        let keys = &self.services[self.services.partition_point(is_before)..];
-        &keys[..keys.partition_point(fits)]
+        keys_within(&self.services, service, domain)
     }
 
     fn records<'a>(&'a self, keys: &'a [ServiceKey]) -> impl Iterator<Item = &'a ServerRecord> {
@@ -247,9 +278,12 @@
                 continue;
             }
             let record = self.keep_draining(record);
-            let key = (record.service, record.domain);
-            let known = self.servers.insert(record.id, record);
+            let (id, key) = (record.id, (record.service, record.domain));
+            let known = self.servers.insert(id, record);
             moved |= known.is_none_or(|known| (known.service, known.domain) != key);
+            if !moved {
+                self.index_active(id);
+            }
         }
         if moved {
             self.rebuild_indexes();
@@ -285,6 +319,11 @@
     /// Records that the entry of `id` cannot be parsed since `revision`, unless a later
     /// record is known. A server that was not known before stays unknown.
     pub fn note_unreadable(&mut self, id: BackendId, revision: StoreRevision) {
+        self.set_unreadable(id, revision);
+        self.index_active(id);
+    }
+
+    fn set_unreadable(&mut self, id: BackendId, revision: StoreRevision) {
         let known = self.servers.get_mut(&id);
         if let Some(server) = known.filter(|one| one.changed < revision) {
             server.changed = revision;
@@ -295,6 +334,11 @@
     /// Records that the store has no entry of `id` since `revision`, unless a later record
     /// is known.
     pub fn note_removed(&mut self, id: BackendId, revision: StoreRevision, now: Timestamp) {
+        self.set_removed(id, revision, now);
+        self.index_active(id);
+    }
+
+    fn set_removed(&mut self, id: BackendId, revision: StoreRevision, now: Timestamp) {
         let listed = |one: &&mut ServerRecord| one.is_listed() && one.changed <= revision;
         if let Some(server) = self.servers.get_mut(&id).filter(listed) {
             server.changed = revision;
@@ -328,10 +372,10 @@
         let missing = self.servers.keys().filter(|id| !is_listed(id));
         let missing: Vec<BackendId> = missing.copied().collect();
         for (id, changed) in unreadable {
-            self.note_unreadable(*id, *changed);
+            self.set_unreadable(*id, *changed);
         }
         for id in missing {
-            self.note_removed(id, revision, now);
+            self.set_removed(id, revision, now);
         }
         for record in listed.values() {
             if !self.has_later_record(record) {
@@ -410,5 +454,24 @@
         let key = |server: &ServerRecord| (server.service, server.domain, server.id);
         self.services = self.servers.values().map(key).collect();
         self.services.sort_unstable();
+        let is_active = |server: &&ServerRecord| server.phase == ServerPhase::Active;
+        self.active = self.servers.values().filter(is_active).map(key).collect();
+        self.active.sort_unstable();
+    }
+
+    /// Adds the server `id` to the index of active servers, or removes it.
+    fn index_active(&mut self, id: BackendId) {
+        let Some(server) = self.servers.get(&id) else {
+            return;
+        };
+        let is_active = server.phase == ServerPhase::Active;
+        let key = (server.service, server.domain, id);
+        match self.active.binary_search(&key) {
+            Ok(position) if !is_active => {
+                self.active.remove(position);
+            }
+            Err(position) if is_active => self.active.insert(position, key),
+            _ => {}
+        }
     }
 }
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/openings.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/openings.rs
@@ -11,6 +11,7 @@
 use crate::forwarding::placement::PlacementInput;
 use crate::forwarding::record::ForwardingOutcome;
 use crate::forwarding::routes;
+use crate::forwarding::view::ForwardingView;
 
 /// The number of the last copy of an opening that a caller sends.
 const LAST_OPENING_COPY: u32 = 2;
@@ -117,6 +118,21 @@
         }
     }
 
+    /// The server for the flow of `input`: in the window of this host, if windows are on and
+    /// the host knows the others of its domain.
+    fn choose_server<'a>(
+        &self,
+        input: &'a PlacementInput<'_>,
+        view: &ForwardingView,
+        avoid: impl Fn(BackendId) -> bool,
+    ) -> Option<&'a ServerRecord> {
+        let share = view.cold_share.as_ref();
+        match share.filter(|_| self.load_policy.windows) {
+            Some(share) => input.choose_in_window(share, avoid),
+            None => input.choose(avoid),
+        }
+    }
+
     fn place<S: ForwardingSink>(
         &mut self,
         context: &PacketContext<'_>,
@@ -127,7 +143,7 @@
         let input = self.placement_input(context, service);
         let caller = context.caller();
         let avoid = |id: BackendId| self.recent_openings.contains(caller, id, context.now);
-        let Some(server) = input.choose(avoid).cloned() else {
+        let Some(server) = self.choose_server(&input, context.view, avoid).cloned() else {
             return self.refuse_server(context, Some(service), copy, sink);
         };
         let watched = WatchedFlow::opening(server.id, copy, context.is_idempotent(), context.now);
@@ -175,7 +191,7 @@
         };
         let known = context.view.directory.get(earlier).filter(still_active);
         let chosen = if is_copy || known.is_none() {
-            input.choose(avoid)
+            self.choose_server(&input, context.view, avoid)
         } else {
             known
         };
--- a/crates/cardamomwinch_coordination/src/forwarding/placement.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/placement.rs
@@ -1,5 +1,7 @@
 //! Chooses the server of a new flow.
 
+mod windows;
+
 use std::time;
 
 use cardamomwinch_state::flow;
@@ -130,19 +132,28 @@
         costs: PlacementCosts,
         avoid: impl Fn(BackendId) -> bool,
     ) -> Option<(ServerKey, &'s ServerRecord)> {
-        let key = |server: &ServerRecord| {
-            Some(ServerKey {
-                avoided: avoid(server.id),
-                rank: self.rank(server, spill_over_limit)?,
-                load: self.load(server, costs),
-                tie: u64::MAX - rendezvous::score(server.id.get(), self.subject),
-            })
-        };
+        let key = |server| self.key(server, spill_over_limit, costs, &avoid);
         servers
             .filter_map(|server| Some((key(server)?, server)))
             .min_by_key(|(key, _)| *key)
     }
 
+    /// The key by which `server` is compared, if it may take the flow.
+    fn key(
+        &self,
+        server: &ServerRecord,
+        spill_over_limit: Option<time::Duration>,
+        costs: PlacementCosts,
+        avoid: impl Fn(BackendId) -> bool,
+    ) -> Option<ServerKey> {
+        Some(ServerKey {
+            avoided: avoid(server.id),
+            rank: self.rank(server, spill_over_limit)?,
+            load: self.load(server, costs),
+            tie: u64::MAX - rendezvous::score(server.id.get(), self.subject),
+        })
+    }
+
     /// Whether no server outside the samples can be much better.
     fn is_good_enough(&self, key: &ServerKey) -> bool {
         let covers_own_domain = || {
--- a/crates/cardamomwinch_coordination/src/load/server_window.rs
+++ b/crates/cardamomwinch_coordination/src/load/server_window.rs
@@ -7,6 +7,10 @@
 /// The smallest window. Fewer servers leave too little choice if one of them is slow or does
 /// not answer.
 const MIN_SERVERS: usize = 4;
+/// The smallest window if positions are hashes. With 195 hosts and 40 servers at 70 % of all
+/// slots, windows of four servers shed more than none, because some servers are in twice as
+/// many windows as others, and no host has enough flows to notice.
+const MIN_HASHED_SERVERS: usize = 8;
 /// The number of hosts that share a server if the ranks of all hosts are known: with two, no
 /// server is left without a host when one host fails.
 const RANKED_COVERAGE: u128 = 2;
@@ -27,6 +31,7 @@
     parts: u128,
     hosts: u128,
     coverage: u128,
+    min_servers: usize,
 }
 
 impl HostPosition {
@@ -43,6 +48,7 @@
                 parts: HASH_RANGE,
                 hosts: estimated_hosts(hosts),
                 coverage: HASHED_COVERAGE,
+                min_servers: MIN_HASHED_SERVERS,
             };
         }
         let rank = hosts.iter().filter(|hash| **hash < own).count();
@@ -53,6 +59,7 @@
             parts: count,
             hosts: count,
             coverage: RANKED_COVERAGE,
+            min_servers: MIN_SERVERS,
         }
     }
 
@@ -63,7 +70,9 @@
         let share = (self.coverage * count).div_ceil(self.hosts);
         ServerWindow {
             start: start as usize,
-            size: (share.min(count) as usize).max(MIN_SERVERS).min(servers),
+            size: (share.min(count) as usize)
+                .max(self.min_servers)
+                .min(servers),
             servers,
         }
     }
