Measure the wait and the refused answers of failure domains

Cause: spill and admission need to know how busy a domain is before its queues are full. The mean response of a server says nothing about refused answers, differs by route and follows slowly.

The module is new, so that the tests did not compile before.

--- a/crates/cardamomwinch_coordination/src/load/mod.rs
+++ b/crates/cardamomwinch_coordination/src/load/mod.rs
@@ -6,9 +6,14 @@
 //!
 //! - [`answer`] is what an engine has seen of one answer.
 //! - [`domain_wait`] is how long requests wait in a failure domain.
+//! - [`domain_load`] measures it; [`base_response`] and [`typical_answer`] are what answers are
+//!   compared with.
 
 pub mod answer;
+pub mod base_response;
+pub mod domain_load;
 pub mod domain_wait;
+pub mod typical_answer;
 
 /// Which decisions under load a host makes. Without any, it chooses servers by its own
 /// flows, prefers its own failure domain and refuses nothing.
