Decide the share of new flows for each other failure domain

Cause: flows left a domain only when its mean response exceeded 40 % of the latency goal. By then its queues already shed, while other domains idled.

Means follow over 0.15 s instead of 0.2 s, because the first flows left a tenth of a second later.

--- a/crates/cardamomwinch_coordination/src/load/domain_load.rs
+++ b/crates/cardamomwinch_coordination/src/load/domain_load.rs
@@ -16,13 +16,13 @@
 
 /// An observation loses its weight with this time constant. Queues of a domain fill within
 /// 0.4 s of a step of load, and the mean has to follow before they are full.
-const DECAY: time::Duration = time::Duration::from_millis(200);
+const DECAY: time::Duration = time::Duration::from_millis(150);
 /// The same while few observations count, so that a host that sees few answers does not take
 /// the work of a single one for a queue.
-const SLOW_DECAY: time::Duration = time::Duration::from_millis(500);
+const SLOW_DECAY: time::Duration = time::Duration::from_millis(400);
 /// So many observations are few: the mean of six differs from the true one by a fifth of the
 /// work, if service times vary by half of it.
-const FEW_OBSERVATIONS: f64 = 6.0;
+const FEW_OBSERVATIONS: f64 = 3.0;
 /// A measurement expires this long after the last answer.
 const MEASUREMENT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 /// The number of answers of which a mean enters the base response.
@@ -30,6 +30,9 @@
 /// This many answers that were not refused are added to the measured ones, so that a single
 /// refusal does not look like a domain without room.
 const REFUSAL_PRIOR: f64 = 5.0;
+/// This many answers without a queue are added to the measured ones for the wait, so that it
+/// ends when hardly any requests come, whatever the last ones waited.
+const WAIT_PRIOR: f64 = 1.0;
 /// The maximum number of routes, and of services and domains, that are measured. Further ones
 /// are not measured, so that their flows stay in the own domain.
 const MEASURED_LIMIT: usize = 1_024;
@@ -139,6 +142,12 @@
         self.excess + self.refused * goal.as_secs_f64()
     }
 
+    /// The same with [`WAIT_PRIOR`]: for the domain that all flows go to by default.
+    pub fn damped_wait(&self, goal: time::Duration) -> f64 {
+        let trust = self.answers / (self.answers + WAIT_PRIOR);
+        trust * self.excess + self.refused * goal.as_secs_f64()
+    }
+
     /// What requests with the latency goal `goal` cost in the domain, in seconds.
     pub fn cost(&self, goal: time::Duration) -> f64 {
         self.base + self.wait(goal)
@@ -236,6 +245,11 @@
         Some(answers)
     }
 
+    /// Ends all measurements. Base responses and usual sizes of answers stay known.
+    pub fn clear_measurements(&mut self) {
+        self.domains.clear();
+    }
+
     /// What was measured of `service` in `domain`; `None` without an answer in the last second
     /// that shows it.
     pub fn measurement(
--- a/crates/cardamomwinch_coordination/src/load/mod.rs
+++ b/crates/cardamomwinch_coordination/src/load/mod.rs
@@ -8,11 +8,13 @@
 //! - [`domain_wait`] is how long requests wait in a failure domain.
 //! - [`domain_load`] measures it; [`base_response`] and [`typical_answer`] are what answers are
 //!   compared with.
+//! - [`spill_shares`] is which new flows go to other failure domains.
 
 pub mod answer;
 pub mod base_response;
 pub mod domain_load;
 pub mod domain_wait;
+pub mod spill_shares;
 pub mod typical_answer;
 
 /// Which decisions under load a host makes. Without any, it chooses servers by its own
