Send flows to other domains by the measured shares

Cause: with two thirds of the callers in one domain, its servers shed a part of what arrived at 70 % of all slots, while the servers of other domains idled.

Change: with the switch "spill", an opening on a route with a latency goal first gets a domain by the shares, and then a server there. The limit by mean response and the extra load of other domains are not used then. A copy of an opening stays in the own domain. Unconfirmed openings and overdue requests count as refused. Answers to requests from before a pause of the process count without their time. PlacementInput has two new fields, which its test now sets to their off values.

--- a/crates/cardamomwinch_coordination/src/forwarding/directory.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/directory.rs
@@ -174,6 +174,21 @@
         self.records(after).chain(self.records(before)).take(limit)
     }
 
+    /// The failure domains with active servers of `service`, in ascending order.
+    pub fn active_domains(&self, service: ServiceId) -> Vec<DomainId> {
+        let mut keys = self.keys_of(service, None);
+        let mut domains = Vec::new();
+        while let Some((_, domain, _)) = keys.first() {
+            let (same, others) = keys.split_at(keys.partition_point(|key| key.1 == *domain));
+            let mut records = self.records(same);
+            if records.any(|server| server.phase == ServerPhase::Active) {
+                domains.push(*domain);
+            }
+            keys = others;
+        }
+        domains
+    }
+
     fn keys_of(&self, service: ServiceId, domain: Option<DomainId>) -> &[ServiceKey] {
         let is_before = |key: &ServiceKey| {
             key.0 < service || (key.0 == service && domain.is_some_and(|domain| key.1 < domain))
--- a/crates/cardamomwinch_coordination/src/forwarding/engine.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine.rs
@@ -4,6 +4,7 @@
 mod maintenance;
 mod open_flows;
 mod openings;
+mod spilling;
 
 use std::net;
 use std::time;
@@ -28,6 +29,8 @@
 use crate::forwarding::unknown_flows::UnknownFlows;
 use crate::forwarding::view::ForwardingView;
 use crate::load::LoadPolicy;
+use crate::load::domain_load::DomainLoads;
+use crate::load::spill_shares::{SpillShares, SpillTarget};
 
 /// The interval at which [`ForwardingEngine::tick`] must be called.
 pub const TICK_PERIOD: time::Duration = time::Duration::from_millis(100);
@@ -74,6 +77,10 @@
     overdue_timeout: OverdueTimeout,
     own_reports: OwnReports,
     load_policy: LoadPolicy,
+    domain_loads: DomainLoads,
+    spill_shares: SpillShares,
+    /// When this process ran again after its last pause.
+    resumed_at: Timestamp,
     ticks: u32,
     last_run_at: Option<Timestamp>,
 }
@@ -105,7 +112,17 @@
         server_flows: u32,
         sink: &mut S,
     ) {
-        sink.record(&ForwardingRecord {
+        sink.record(&self.make_record(outcome, server, copies, server_flows));
+    }
+
+    fn make_record(
+        &self,
+        outcome: ForwardingOutcome,
+        server: Option<&ServerRecord>,
+        copies: u32,
+        server_flows: u32,
+    ) -> ForwardingRecord<'_> {
+        ForwardingRecord {
             outcome,
             flow: self.packet.flow,
             request: self.packet.request,
@@ -113,11 +130,27 @@
             token: self.packet.token,
             server: server.map(|server| server.id),
             own_domain: server.map(|server| self.view.domain == Some(server.domain)),
+            spilled: None,
             copies,
             server_flows,
             version: self.view.routes.version(),
             view_age: self.view.age(self.now),
-        });
+        }
+    }
+
+    /// Records an opening, which has left the domain of this host if it was `spilled` to the
+    /// domain of `server`.
+    fn record_opening<S: ForwardingSink>(
+        &self,
+        outcome: ForwardingOutcome,
+        server: &ServerRecord,
+        (copy, server_flows): (u32, u32),
+        spilled: Option<SpillTarget>,
+        sink: &mut S,
+    ) {
+        let mut record = self.make_record(outcome, Some(server), copy, server_flows);
+        record.spilled = spilled.filter(|target| target.domain == server.domain);
+        sink.record(&record);
     }
 }
 
@@ -139,6 +172,9 @@
             overdue_timeout: OverdueTimeout::default(),
             own_reports: OwnReports::new(reporter),
             load_policy: LoadPolicy::default(),
+            domain_loads: DomainLoads::default(),
+            spill_shares: SpillShares::default(),
+            resumed_at: Timestamp::ZERO,
             ticks: 0,
             last_run_at: None,
         }
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/load_observations.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/load_observations.rs
@@ -34,10 +34,18 @@
     }
 
     /// Passes `observation` to the decisions under load that need it.
-    #[expect(
-        clippy::unused_self,
-        clippy::needless_pass_by_ref_mut,
-        reason = "no decision uses observations yet"
-    )]
-    fn note_observation(&mut self, _observation: &AnswerObservation) {}
+    ///
+    /// Guards against a wait that this host caused itself by a pause: the time of a request that
+    /// was sent before it shows nothing about servers.
+    fn note_observation(&mut self, observation: &AnswerObservation) {
+        if !self.load_policy.spill {
+            return;
+        }
+        let since_pause = observation.at.since(self.resumed_at);
+        let response = observation.response.filter(|time| *time <= since_pause);
+        self.domain_loads.note_answer(&AnswerObservation {
+            response,
+            ..*observation
+        });
+    }
 }
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/maintenance.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/maintenance.rs
@@ -29,8 +29,8 @@
         if self.server_reach.update(view, now) {
             self.progress.clear_suspicions(now);
         }
-        self.report_unconfirmed(now);
-        self.report_overdue(now);
+        self.report_unconfirmed(now, view);
+        self.report_overdue(now, view);
         self.refute_reports(view);
         while self.can_assess_servers(now)
             && let Some(server) = self.progress.take_dead_server(now)
@@ -41,6 +41,7 @@
         self.end_reported_flows(now, view, sink);
         self.end_vanished_flows(now, view, sink);
         self.end_restarted_flows(now, view, sink);
+        self.update_spill(now, view);
         self.ticks = (self.ticks + 1) % SWEEP_TICKS;
         if self.ticks == 0 {
             self.sweep(now, view);
@@ -54,6 +55,8 @@
             .is_some_and(|at| now.since(at) >= PAUSE_GAP);
         self.last_run_at = Some(now);
         if paused {
+            self.resumed_at = now;
+            self.domain_loads.clear_measurements();
             self.server_reach.clear();
             self.progress.clear_suspicions(now);
         }
@@ -71,6 +74,8 @@
         self.unknown_flows.sweep(now);
         self.recent_openings.sweep(now);
         self.deliveries.sweep(now);
+        self.domain_loads
+            .retain(|service| view.directory.count(service, None) > 0);
     }
 
     /// Reports servers that confirm no openings, if other servers do.
@@ -80,13 +85,14 @@
     /// found out by itself; callers use up their retries within milliseconds. These reports
     /// only keep new flows away from a server, because after a change of the rotation its
     /// confirmations may pass through other hosts.
-    fn report_unconfirmed(&mut self, now: Timestamp) {
+    fn report_unconfirmed(&mut self, now: Timestamp, view: &ForwardingView) {
         let unconfirmed = self.progress.take_unconfirmed(now);
         for (server, flows, since) in unconfirmed {
             if self.deliveries.was_delivering_at(since) && !self.deliveries.is_link_lossy(now) {
                 let silence = ServerSilence { flows, since };
                 let subject = ReportSubject::Openings;
                 self.own_reports.note_silence(server, subject, silence, now);
+                self.note_failure(server, now, view);
             }
         }
     }
@@ -119,7 +125,7 @@
     /// is not idempotent is lost. These reports only keep new flows away from a server: an
     /// acknowledgement may pass through another host, and ending the flow would then break
     /// a working session.
-    fn report_overdue(&mut self, now: Timestamp) {
+    fn report_overdue(&mut self, now: Timestamp, view: &ForwardingView) {
         if !self.ticks.is_multiple_of(OVERDUE_TICKS) {
             return;
         }
@@ -131,6 +137,9 @@
             }
         });
         for (server, sent_at) in overdue {
+            if !self.deliveries.is_link_lossy(now) {
+                self.note_failure(server, now, view);
+            }
             let subject = ReportSubject::Answers;
             let silence = self.progress.note_overdue(server, sent_at, now);
             let answered_at = self.progress.healthy_at(server, subject);
@@ -231,6 +240,7 @@
                 token: FlowToken::of_server(server),
                 server: Some(server),
                 own_domain: record.map(|record| view.domain == Some(record.domain)),
+                spilled: None,
                 copies: watched.copies,
                 server_flows: self.progress.flows(server),
                 version: view.routes.version(),
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/openings.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/openings.rs
@@ -11,6 +11,7 @@
 use crate::forwarding::placement::PlacementInput;
 use crate::forwarding::record::ForwardingOutcome;
 use crate::forwarding::routes;
+use crate::load::spill_shares::SpillTarget;
 
 /// The number of the last copy of an opening that a caller sends.
 const LAST_OPENING_COPY: u32 = 2;
@@ -101,6 +102,7 @@
         &'a self,
         context: &PacketContext<'a>,
         service: ServiceId,
+        spilled: Option<SpillTarget>,
     ) -> PlacementInput<'a> {
         let goal = context.route.map(|route| route.latency_goal);
         PlacementInput {
@@ -113,6 +115,8 @@
             subject: routes::server_subject(context.hash),
             latency_goal: goal.unwrap_or_default(),
             is_short: self.flow_lifetimes.are_short(&context.packet.flow.service),
+            spill_to: spilled.map(|target| target.domain),
+            spills_by_share: self.spills_by_share(context),
             now: context.now,
         }
     }
@@ -124,7 +128,8 @@
         copy: u32,
         sink: &mut S,
     ) {
-        let input = self.placement_input(context, service);
+        let spilled = self.choose_spill(context, service);
+        let input = self.placement_input(context, service, spilled);
         let caller = context.caller();
         let avoid = |id: BackendId| self.recent_openings.contains(caller, id, context.now);
         let Some(server) = input.choose(avoid).cloned() else {
@@ -138,7 +143,7 @@
         sink.send(&server, FlowToken::of_server(server.id));
         let flows = self.progress.flows(server.id);
         let outcome = ForwardingOutcome::OpeningPlaced;
-        context.record(outcome, Some(&server), copy, flows, sink);
+        context.record_opening(outcome, &server, (copy, flows), spilled, sink);
     }
 
     fn repeat_opening<S: ForwardingSink>(
@@ -167,7 +172,8 @@
                 self.report_silence(earlier, context.now);
             }
         }
-        let input = self.placement_input(context, service);
+        // Whoever got no answer from another domain stays: it may be cut off.
+        let input = self.placement_input(context, service, None);
         let avoid = |id: BackendId| is_copy && (id == earlier || watched.was_tried(id));
         let permission = self.permission(context, service);
         let still_active = |server: &&ServerRecord| {
--- /dev/null
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/spilling.rs
@@ -0,0 +1,82 @@
+//! Decides which new flows leave the failure domain of the host.
+
+use cardamomwinch_state::prelude::{BackendId, DomainId, ServiceId, Timestamp};
+
+use crate::forwarding::engine::{ForwardingEngine, PacketContext};
+use crate::forwarding::view::ForwardingView;
+use crate::load::domain_load::DomainLoads;
+use crate::load::spill_shares::{SpillShares, SpillTarget};
+
+/// Makes the decision to leave the domain independent of the choices of a service and a server.
+const SPILL_SALT: u64 = 0x0ff1_0ad5;
+
+impl ForwardingEngine {
+    /// What this host has measured of the load of failure domains.
+    pub const fn domain_loads(&self) -> &DomainLoads {
+        &self.domain_loads
+    }
+
+    /// The shares of new flows that this host sends to other failure domains.
+    pub const fn spill_shares(&self) -> &SpillShares {
+        &self.spill_shares
+    }
+
+    /// Whether shares decide which flows of the route leave the domain. Without a latency goal,
+    /// a wait cannot be judged.
+    pub(super) fn spills_by_share(&self, context: &PacketContext<'_>) -> bool {
+        let has_goal = |goal: std::time::Duration| !goal.is_zero();
+        let route = context.route;
+        self.load_policy.spill && route.is_some_and(|route| has_goal(route.latency_goal))
+    }
+
+    /// The domain that the flow which is now opened to `service` leaves for, if it leaves.
+    pub(super) fn choose_spill(
+        &mut self,
+        context: &PacketContext<'_>,
+        service: ServiceId,
+    ) -> Option<SpillTarget> {
+        let route = context.route.filter(|_| self.spills_by_share(context))?;
+        let own = context.view.domain?;
+        let shares = &mut self.spill_shares;
+        shares.note_opening(service, route.latency_goal, context.now);
+        let regions = &context.view.regions;
+        let evacuations = context.view.directory.evacuations();
+        let admits = |domain: DomainId| {
+            let is_allowed = |region| route.regions.contains(&region);
+            let in_region = route.regions.is_empty() || regions.of(domain).is_some_and(is_allowed);
+            domain != own && in_region && !evacuations.is_evacuated(domain)
+        };
+        shares.choose(service, context.hash.mixed_with(SPILL_SALT), admits)
+    }
+
+    /// Moves the shares by what was measured.
+    pub(super) fn update_spill(&mut self, now: Timestamp, view: &ForwardingView) {
+        let Some(own) = view.domain.filter(|_| self.load_policy.spill) else {
+            return;
+        };
+        let evacuations = view.directory.evacuations();
+        let shares = &mut self.spill_shares;
+        shares.update(own, &self.domain_loads, now, |service| {
+            let mut domains = view.directory.active_domains(service);
+            domains.retain(|domain| !evacuations.is_evacuated(*domain));
+            domains
+        });
+    }
+
+    /// Records that `server` did not confirm an opening, or did not answer a request in time.
+    pub(super) fn note_failure(
+        &mut self,
+        server: BackendId,
+        now: Timestamp,
+        view: &ForwardingView,
+    ) {
+        if let Some(server) = view
+            .directory
+            .get(server)
+            .filter(|_| self.load_policy.spill)
+        {
+            self.domain_loads
+                .note_failures(server.service, server.domain, 1, now);
+        }
+    }
+}
--- a/crates/cardamomwinch_coordination/src/forwarding/placement.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/placement.rs
@@ -45,6 +45,8 @@
 /// The order of preference among servers; the smallest value is preferred.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum ServerRank {
+    /// An active server in the domain that the flow leaves for.
+    SpillTarget,
     /// An active server in another domain, while the own domain is overloaded.
     SpillOver,
     /// An active server in the failure domain of this host. Flows within a domain survive
@@ -98,6 +100,11 @@
     pub latency_goal: time::Duration,
     /// Whether flows of this route usually last for one request only.
     pub is_short: bool,
+    /// The failure domain that the flow leaves for, if it does.
+    pub spill_to: Option<DomainId>,
+    /// Whether shares of flows decide which flows leave the domain, and not the responses and
+    /// flows of the servers.
+    pub spills_by_share: bool,
     /// The current time.
     pub now: Timestamp,
 }
@@ -111,9 +118,11 @@
         // A service that is no larger than the sample needs no second one of the own domain.
         let is_large = self.directory.count(self.service, None) > MAX_SAMPLE;
         let own_domain = self.own_domain_sample().filter(|_| is_large);
+        let spill_to = self.spill_to.filter(|_| is_large).into_iter();
+        let spill_to = spill_to.flat_map(|domain| self.sample(Some(domain)));
+        let near = own_domain.chain(spill_to);
         let any = self.sample(None);
-        if let Some((key, server)) =
-            self.best(own_domain.chain(any), spill_over_limit, costs, &avoid)
+        if let Some((key, server)) = self.best(near.chain(any), spill_over_limit, costs, &avoid)
             && self.is_good_enough(&key)
         {
             return Some(server);
@@ -156,7 +165,7 @@
                 .is_some_and(|domain| self.permission.admits_domain(domain))
         };
         let is_good = match key.rank {
-            ServerRank::SpillOver | ServerRank::Preferred => true,
+            ServerRank::SpillTarget | ServerRank::SpillOver | ServerRank::Preferred => true,
             ServerRank::OtherDomain => covers_own_domain() || !may_stay(),
             ServerRank::Vanished | ServerRank::Suspected => false,
         };
@@ -185,6 +194,9 @@
             _ if !self.permission.admits(server) => None,
             ServerPhase::Vanished { .. } => Some(ServerRank::Vanished),
             ServerPhase::Active if self.is_suspected(server.id) => Some(ServerRank::Suspected),
+            ServerPhase::Active if self.spill_to == Some(server.domain) => {
+                Some(ServerRank::SpillTarget)
+            }
             ServerPhase::Active if self.domain == Some(server.domain) => {
                 Some(ServerRank::Preferred)
             }
@@ -194,7 +206,7 @@
                     spill_over_limit.is_some_and(|limit| response.is_none_or(|one| one < limit));
                 Some(if takes_spill_over {
                     ServerRank::SpillOver
-                } else if self.is_short {
+                } else if self.is_short && !self.spills_by_share {
                     ServerRank::Preferred
                 } else {
                     ServerRank::OtherDomain
@@ -222,7 +234,7 @@
     /// other domains are half idle. Only a part of the flows spills over, so that hosts
     /// with the same measurements do not all switch back and forth together.
     fn spill_over_limit(&self) -> Option<time::Duration> {
-        if self.latency_goal.is_zero() {
+        if self.latency_goal.is_zero() || self.spills_by_share {
             return None;
         }
         let mean = self.own_domain_response()?;
@@ -251,7 +263,7 @@
         let responses = responses.filter_map(|one| self.progress.response(one.id, self.now));
         PlacementCosts {
             median: MedianResponse::of(responses),
-            crossing: if self.is_short {
+            crossing: if self.is_short && !self.spills_by_share {
                 self.crossing_load()
             } else {
                 0
--- a/crates/cardamomwinch_coordination/src/forwarding/record.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/record.rs
@@ -5,6 +5,7 @@
 use cardamomwinch_state::prelude::{BackendId, ConfigurationVersion, FlowKey};
 
 use crate::forwarding::packet::FlowToken;
+use crate::load::spill_shares::SpillTarget;
 
 /// What was decided about a packet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -123,6 +124,8 @@
     pub server: Option<BackendId>,
     /// Whether the server is in the failure domain of this host.
     pub own_domain: Option<bool>,
+    /// The failure domain that an opening left the domain of this host for, and why, if it did.
+    pub spilled: Option<SpillTarget>,
     /// The number of the copy of an opening, or how often data were sent again.
     pub copies: u32,
     /// The number of flows on the server that this host counts.
--- a/crates/cardamomwinch_coordination/tests/forwarding_placement.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_placement.rs
@@ -295,6 +295,8 @@
     let view = ForwardingView::default();
     let limiter = ColdLimiter::default();
     let input = PlacementInput {
+        spill_to: None,
+        spills_by_share: false,
         directory,
         progress,
         reports: &view.reports,
