Publish spilled flows, shares and measurements of domains

Cause: operators could not see which flows left their domain, and why.

Change: the forwarder counts spilled flows by domains and reason, and publishes shares, responses of domains and refused answers. The decision line of an opening names the domain that it left for and the reason.

--- a/crates/cardamomwinch_forwarder/src/decision_lines.rs
+++ b/crates/cardamomwinch_forwarder/src/decision_lines.rs
@@ -21,6 +21,11 @@
     server: Option<String>,
     #[serde(skip_serializing_if = "Option::is_none")]
     own_domain: Option<bool>,
+    /// The failure domain that the flow left the host's own one for.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    spilled_to: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    spill_reason: Option<&'static str>,
     copies: u32,
     server_flows: u32,
     version: u64,
@@ -37,6 +42,8 @@
             token: record.token.to_string(),
             server: record.server.map(|server| server.to_string()),
             own_domain: record.own_domain,
+            spilled_to: record.spilled.map(|target| target.domain.to_string()),
+            spill_reason: record.spilled.map(|target| target.reason.name()),
             copies: record.copies,
             server_flows: record.server_flows,
             version: record.version.get(),
--- a/crates/cardamomwinch_forwarder/src/lib.rs
+++ b/crates/cardamomwinch_forwarder/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod peer_calls;
 pub mod peer_wire;
 pub mod reload;
+pub mod spill_metrics;
 pub mod stopping;
 pub mod traffic_thread;
 pub mod view_cell;
--- a/crates/cardamomwinch_forwarder/src/traffic_thread.rs
+++ b/crates/cardamomwinch_forwarder/src/traffic_thread.rs
@@ -13,12 +13,13 @@
 use cardamomwinch_coordination::forwarding::record::ForwardingRecord;
 use cardamomwinch_coordination::forwarding::view::ForwardingView;
 use cardamomwinch_platform::packet;
-use cardamomwinch_state::prelude::{BackendId, FlowKey, Timestamp};
+use cardamomwinch_state::prelude::{BackendId, DomainId, FlowKey, Timestamp};
 use cardamomwinch_transport::prelude::{BlockingSocket, Clock, DecisionLogger, HostClock};
 
 use crate::control_thread::ControlMessage;
 use crate::decision_lines::DecisionLine;
 use crate::outcome_counters::OutcomeCounters;
+use crate::spill_metrics::SpillMetrics;
 use crate::view_cell::ViewCell;
 
 /// How long the thread waits for a packet before it checks whether a tick is due.
@@ -85,7 +86,10 @@
     /// Flows to reset, with the position that the caller acknowledged last.
     ended: Vec<(FlowKey, u32)>,
     now: Timestamp,
+    /// The failure domain of this host.
+    domain: Option<DomainId>,
     counters: &'a OutcomeCounters,
+    spill_metrics: &'a mut SpillMetrics,
     logger: &'a mut DecisionLogger<DecisionLine>,
 }
 
@@ -120,6 +124,9 @@
 
     fn record(&mut self, record: &ForwardingRecord<'_>) {
         self.counters.count(record.outcome);
+        if let (Some(from), Some(target)) = (self.domain, record.spilled) {
+            self.spill_metrics.count(from, target);
+        }
         if record.outcome.is_routine() || !self.logger.is_enabled() {
             return;
         }
@@ -139,6 +146,7 @@
     last_view: sync::Arc<ForwardingView>,
     tick_at: Timestamp,
     counters: OutcomeCounters,
+    spill_metrics: SpillMetrics,
     malformed: metrics::Counter,
     send_failures: metrics::Counter,
     watched: metrics::Gauge,
@@ -183,6 +191,7 @@
             last_view: sync::Arc::default(),
             tick_at: Timestamp::ZERO,
             counters: OutcomeCounters::default(),
+            spill_metrics: SpillMetrics::default(),
             malformed: metrics::counter!("cardamomwinch_forwarding_malformed_total"),
             send_failures: metrics::counter!("cardamomwinch_forwarding_send_failures_total"),
             watched: metrics::gauge!("cardamomwinch_forwarding_flows"),
@@ -269,7 +278,9 @@
             action: PacketAction::Drop,
             ended: Vec::new(),
             now,
+            domain: view.domain,
             counters: &self.counters,
+            spill_metrics: &mut self.spill_metrics,
             logger: &mut self.thread.logger,
         };
         self.thread.engine.handle(now, view, &decoded, &mut sink);
@@ -323,7 +334,9 @@
             action: PacketAction::Drop,
             ended: Vec::new(),
             now,
+            domain: self.last_view.domain,
             counters: &self.counters,
+            spill_metrics: &mut self.spill_metrics,
             logger: &mut self.thread.logger,
         };
         self.thread.engine.tick(now, &self.last_view, &mut sink);
@@ -331,6 +344,7 @@
             self.reset(&flow, acknowledged);
         }
         self.update_reachability();
+        self.spill_metrics.publish(&self.thread.engine, now);
         self.thread.logger.report_left_out(now);
         self.watched.set(self.thread.engine.watch().len() as f64);
         self.unwatched.absolute(self.thread.engine.unwatched());
