--- a/crates/cardamomwinch_coordination/src/forwarding/placement/windows.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/placement/windows.rs
@@ -25,9 +25,9 @@
         chosen.or_else(|| self.choose(avoid))
     }
 
-    /// The domain whose window is used.
-    const fn window_domain(&self) -> Option<DomainId> {
-        self.domain
+    /// The domain whose window is used: the one that the flow leaves for, or the own one.
+    fn window_domain(&self) -> Option<DomainId> {
+        self.spill_to.or(self.domain)
     }
 
     /// The window in `domain`; `None` if the flow is placed as without windows.
