--- a/crates/cardamomwinch_coordination/src/forwarding/engine/spilling.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/spilling.rs
@@ -5,6 +5,7 @@
 use cardamomwinch_state::prelude::{BackendId, DomainId, ServiceId, Timestamp};
 
 use crate::forwarding::engine::{ForwardingEngine, PacketContext};
+use crate::forwarding::permission::FlowPermission;
 use crate::forwarding::view::ForwardingView;
 use crate::load::domain_load::DomainLoads;
 use crate::load::spill_shares::{SpillShares, SpillTarget};
@@ -41,13 +42,9 @@
         let own = context.view.domain?;
         let shares = &mut self.spill_shares;
         shares.note_opening(service, route.latency_goal, context.now);
-        let regions = &context.view.regions;
-        let evacuations = context.view.directory.evacuations();
-        let admits = |domain: DomainId| {
-            let is_allowed = |region| route.regions.contains(&region);
-            let in_region = route.regions.is_empty() || regions.of(domain).is_some_and(is_allowed);
-            domain != own && in_region && !evacuations.is_evacuated(domain)
-        };
+        let (view, limiter) = (context.view, &self.cold_limiter);
+        let permission = FlowPermission::new(view, service, &route.regions, limiter, context.now);
+        let admits = |domain: DomainId| domain != own && permission.admits_domain(domain);
         shares.choose(service, context.hash.mixed_with(SPILL_SALT), admits)
     }
 
--- a/crates/cardamomwinch_coordination/src/load/spill_shares.rs
+++ b/crates/cardamomwinch_coordination/src/load/spill_shares.rs
@@ -100,7 +100,7 @@
 /// The shares of a service.
 #[derive(Debug, Clone)]
 struct ServiceShares {
-    /// The shortest latency goal of the routes that opened flows since the last step.
+    /// The shortest latency goal of the routes that opened flows.
     goal: time::Duration,
     opened_at: Timestamp,
     /// The wait in the own domain at the last step, in seconds.
