Detect within half a second that no server answers a host

Cause: a host leaves the rotation after 0.6 s of silence by three servers, as shown by copies of openings. A domain that goes dark, or that is cut off while its own servers are evacuated, loses all new requests until then.

Change: with the switch spill, sudden_silence looks at openings sent after the last packet that a server answered. Callers' copies tell lost openings from reset ones; servers that answered before tell a loss from dead servers that attract flows; a probe 0.25 s after the first one tells it from a short loss. Hosts with too little evidence leave as before.

--- a/crates/cardamomwinch_coordination/src/forwarding/engine/maintenance.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/maintenance.rs
@@ -26,7 +26,9 @@
     /// old entries. Must be called every [`super::TICK_PERIOD`].
     pub fn tick<S: ForwardingSink>(&mut self, now: Timestamp, view: &ForwardingView, sink: &mut S) {
         self.detect_pause(now);
-        if self.server_reach.update(view, now) {
+        // A link that loses packets delays confirmations beyond a sudden silence.
+        let early = self.load_policy.spill && !self.deliveries.is_link_lossy(now);
+        if self.server_reach.update(view, early, now) {
             self.progress.clear_suspicions(now);
         }
         self.report_unconfirmed(now);
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/open_flows.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/open_flows.rs
@@ -44,10 +44,12 @@
         };
         if matches!(watched.stage, FlowStage::Opening { .. }) {
             let time = now.since(watched.seen_at);
-            self.server_reach.note_opened(now);
+            let is_prompt = time < flow_watch::MIN_RESEND_INTERVAL;
+            let sent_at = if is_prompt { watched.seen_at } else { now };
+            self.server_reach.note_opened(sent_at, now);
             sink.measure_opening(time);
-            if time < flow_watch::MIN_RESEND_INTERVAL {
-                self.deliveries.note(watched.seen_at);
+            if is_prompt {
+                self.deliveries.note(sent_at);
             }
         }
         let closing = packet.kind == PacketKind::Closing;
@@ -61,7 +63,18 @@
         let mut answer = None;
         if watched.note_acknowledged(packet.acknowledged) {
             self.progress.note_progress(server.id, now);
+            let evacuations = context.view.directory.evacuations();
+            let takes_flows =
+                server.phase == ServerPhase::Active && !evacuations.is_evacuated(server.domain);
             self.server_reach.note_progress(now);
+            let answered_at = if was_repeated {
+                Some(now)
+            } else {
+                sent_once_at
+            };
+            if let Some(answered_at) = answered_at.filter(|_| takes_flows) {
+                self.server_reach.note_usable_server(answered_at);
+            }
             if let Some(sent_at) = sent_once_at {
                 self.deliveries.note(sent_at);
             }
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/openings.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/openings.rs
@@ -1,7 +1,7 @@
 //! Handling of openings: chooses a server for each new flow, and another one if the
 //! caller repeats an opening because the first server did not answer.
 
-use cardamomwinch_state::prelude::{BackendId, ServiceId};
+use cardamomwinch_state::prelude::{BackendId, ServiceId, Timestamp};
 
 use crate::forwarding::directory::{ServerPhase, ServerRecord};
 use crate::forwarding::engine::{ForwardingEngine, ForwardingSink, PacketContext};
@@ -11,6 +11,7 @@
 use crate::forwarding::placement::PlacementInput;
 use crate::forwarding::record::ForwardingOutcome;
 use crate::forwarding::routes;
+use crate::forwarding::server_reports::ReportSubject;
 
 /// The number of the last copy of an opening that a caller sends.
 const LAST_OPENING_COPY: u32 = 2;
@@ -133,7 +134,7 @@
         let watched = WatchedFlow::opening(server.id, copy, context.is_idempotent(), context.now);
         self.start_watching(context, watched);
         self.count_cold_opening(context, &server);
-        self.progress.note_opening(server.id, context.now);
+        self.note_opening(server.id, copy > 0, context.now);
         self.recent_openings.note(caller, server.id, context.now);
         sink.send(&server, FlowToken::of_server(server.id));
         let flows = self.progress.flows(server.id);
@@ -195,7 +196,7 @@
             ForwardingOutcome::OpeningMoved
         };
         watched.move_opening(server.id, copy);
-        self.progress.note_opening(server.id, context.now);
+        self.note_opening(server.id, copy > 0, context.now);
         if let Some(entry) = self.watch.get_mut(context.hash, &context.packet.flow) {
             *entry = watched;
         }
@@ -204,6 +205,16 @@
         context.record(outcome, Some(&server), copy, flows, sink);
     }
 
+    /// Records that an opening, or a copy of one, is sent to `server`.
+    fn note_opening(&mut self, server: BackendId, is_copy: bool, now: Timestamp) {
+        self.progress.note_opening(server, now);
+        if self.load_policy.spill {
+            let healthy_at = self.progress.healthy_at(server, ReportSubject::Openings);
+            self.server_reach
+                .note_opening(server, is_copy, healthy_at, now);
+        }
+    }
+
     /// Starts to watch a flow. If the table is full, the flow is still forwarded, but it does
     /// not count as load of its server.
     pub(super) fn start_watching(&mut self, context: &PacketContext<'_>, watched: WatchedFlow) {
--- a/crates/cardamomwinch_coordination/src/forwarding/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/mod.rs
@@ -15,6 +15,8 @@
 //! - [`placement`] chooses the server of a new flow.
 //! - [`progress`] detects silent servers by the packets that callers repeat, and
 //!   [`server_reports`] by what all hosts of a domain have observed.
+//! - [`server_reach`] detects that no server answers this host, and [`sudden_silence`] does so
+//!   within half a second.
 //! - [`engine`] decides about each packet.
 //! - [`explanation`] shows operators what would be decided.
 
@@ -42,5 +44,6 @@
 pub mod server_reach;
 pub mod server_reports;
 pub mod server_starts;
+pub mod sudden_silence;
 pub mod unknown_flows;
 pub mod view;
--- a/crates/cardamomwinch_coordination/src/forwarding/server_reach.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/server_reach.rs
@@ -10,6 +10,7 @@
 
 use cardamomwinch_state::prelude::{BackendId, SortedVector, Timestamp};
 
+use crate::forwarding::sudden_silence::SuddenSilence;
 use crate::forwarding::view::ForwardingView;
 
 /// The time for which several servers must have been silent and no server may have answered.
@@ -63,6 +64,7 @@
     openings: SilencePeriod,
     /// Silence towards all packets.
     packets: SilencePeriod,
+    sudden: SuddenSilence,
     lost_at: Option<Timestamp>,
 }
 
@@ -80,10 +82,11 @@
             && answered_at.is_some_and(|at| now.since(at) < MIN_SILENCE)
     }
 
-    /// Records that a server confirmed an opening.
-    pub fn note_opened(&mut self, now: Timestamp) {
+    /// Records that a server confirmed an opening sent at `sent_at`.
+    pub fn note_opened(&mut self, sent_at: Timestamp, now: Timestamp) {
         self.openings.note_answer(now);
         self.packets.note_answer(now);
+        self.sudden.note_answer(sent_at);
         self.lost_at = None;
     }
 
@@ -92,15 +95,34 @@
         self.packets.note_answer(now);
     }
 
+    /// Records that a server that receives new flows acknowledged data sent at `sent_at`.
+    pub fn note_usable_server(&mut self, sent_at: Timestamp) {
+        self.sudden.note_answer(sent_at);
+    }
+
+    /// Records that an opening, or a copy of one, is sent to `server`, which last answered at
+    /// `healthy_at`.
+    pub fn note_opening(
+        &mut self,
+        server: BackendId,
+        is_copy: bool,
+        healthy_at: Option<Timestamp>,
+        now: Timestamp,
+    ) {
+        self.sudden.note_sent(server, is_copy, healthy_at, now);
+    }
+
     /// Records that `server` did not answer an opening sent at `sent_at`.
     pub fn note_unanswered_opening(&mut self, server: BackendId, sent_at: Timestamp) {
         self.openings.note_repetition(server, sent_at);
         self.packets.note_repetition(server, sent_at);
+        self.sudden.note_copy(server, sent_at);
     }
 
     /// Records that data sent at `sent_at` had to be sent to `server` again.
     pub fn note_repetition(&mut self, server: BackendId, sent_at: Timestamp) {
         self.packets.note_repetition(server, sent_at);
+        self.sudden.note_repetition(server, sent_at);
     }
 
     /// Clears all observations, because this process was paused or servers may answer again.
@@ -108,11 +130,14 @@
         *self = Self::default();
     }
 
-    /// Checks whether servers answer. Returns whether the host has just returned to the
-    /// rotation, so that earlier observations of servers no longer count.
-    pub fn update(&mut self, view: &ForwardingView, now: Timestamp) -> bool {
+    /// Checks whether servers answer; `early` is whether a sudden silence is enough to
+    /// conclude that none does. Returns whether the host has just returned to the rotation, so
+    /// that earlier observations of servers no longer count.
+    pub fn update(&mut self, view: &ForwardingView, early: bool, now: Timestamp) -> bool {
         let Some(lost_at) = self.lost_at else {
-            let is_lost = self.openings.is_long(now) || self.packets.is_long(now);
+            let is_lost = self.openings.is_long(now)
+                || self.packets.is_long(now)
+                || (early && self.sudden.is_conclusive(now));
             self.lost_at = is_lost.then_some(now);
             return false;
         };
--- a/crates/cardamomwinch_coordination/tests/load_support/hosts.rs
+++ b/crates/cardamomwinch_coordination/tests/load_support/hosts.rs
@@ -6,7 +6,7 @@
 use cardamomwinch_coordination::forwarding::cold_starts::ColdShare;
 use cardamomwinch_coordination::forwarding::directory::ServerRecord;
 use cardamomwinch_coordination::forwarding::engine::{ForwardingEngine, ForwardingSink};
-use cardamomwinch_coordination::forwarding::packet::{FlowPacket, FlowToken};
+use cardamomwinch_coordination::forwarding::packet::{FlowPacket, FlowToken, PacketKind};
 use cardamomwinch_coordination::forwarding::record::ForwardingRecord;
 use cardamomwinch_coordination::forwarding::routes::RouteTable;
 use cardamomwinch_coordination::forwarding::server_reports::ReporterId;
@@ -39,6 +39,8 @@
     pub loses_packets: bool,
     /// Its process does not run until this time.
     pub paused_until: u64,
+    /// When its engine sent openings to servers.
+    pub opened_at: Vec<u64>,
     policy: LoadPolicy,
     reporter: ReporterId,
 }
@@ -54,6 +56,7 @@
             has_store: true,
             loses_packets: false,
             paused_until: 0,
+            opened_at: Vec::new(),
             policy,
             reporter,
         }
@@ -249,6 +252,9 @@
         let engine = &mut handling.engine;
         engine.handle(now, &handling.view, &flow_packet, &mut sink);
         let (domain, loses) = (handling.domain, handling.loses_packets);
+        if sink.server.is_some() && matches!(packet.kind, PacketKind::Opening { .. }) {
+            handling.opened_at.push(self.now);
+        }
         if sink.reset {
             self.send_host_reset(&key);
         }
