Press one failure domain in the soak of the forwarding hosts

Cause: the soak never gave servers more requests than they can serve, so the decisions under load were never made while hosts, servers and the store fail.

--- a/crates/cardamomwinch_forwarder/tests/soak/network.rs
+++ b/crates/cardamomwinch_forwarder/tests/soak/network.rs
@@ -33,6 +33,8 @@
     faults: DatagramFaults,
     /// Hosts whose packets to servers are lost.
     cut: Vec<net::SocketAddr>,
+    /// The domain in which a surge lasts.
+    surge: Option<usize>,
 }
 
 /// The network, which callers and servers share.
@@ -137,6 +139,16 @@
         }
     }
 
+    /// Sets the domain in which many callers open flows.
+    pub(crate) fn set_surge(&self, domain: Option<usize>) {
+        self.state().surge = domain;
+    }
+
+    /// The domain in which many callers open flows.
+    pub(crate) fn surge(&self) -> Option<usize> {
+        self.state().surge
+    }
+
     pub(crate) fn is_cut(&self, host: net::SocketAddr) -> bool {
         self.state().cut.contains(&host)
     }
--- a/crates/cardamomwinch_forwarder/tests/soak/plan.rs
+++ b/crates/cardamomwinch_forwarder/tests/soak/plan.rs
@@ -28,6 +28,12 @@
 const DRAIN_DELAY_MS: u64 = 5_700;
 /// Makes the drawing of restores independent of the other disruptions.
 const RESTORE_SALT: u64 = 0x7e57_0e7a;
+/// One surge is drawn for each span of this length.
+const SURGE_SPAN_MS: u64 = 5_000;
+/// The shortest and the longest duration of a surge.
+const SURGE_MS: std::ops::RangeInclusive<u64> = 1_000..=2_000;
+/// Makes the drawing of surges independent of the other disruptions.
+const SURGE_SALT: u64 = 0x5c_a1ab;
 /// The time without disruptions at the start.
 const QUIET_START_MS: u64 = 1_500;
 
@@ -80,10 +86,13 @@
     RouteDropped,
     /// Many versions of the configuration are published in succession.
     ConfigurationStorm,
+    /// Many more short flows are opened in one failure domain than its servers can serve.
+    DomainPressed,
 }
 
 impl DisruptionKind {
-    /// All kinds that are drawn together; [`Self::StoreRestored`] is drawn separately.
+    /// All kinds that are drawn together; [`Self::StoreRestored`] and [`Self::DomainPressed`]
+    /// are drawn separately.
     pub(crate) const DRAWN: [Self; 21] = [
         Self::HostKilled,
         Self::AllHostsKilled,
@@ -194,6 +203,23 @@
         plan
     }
 
+    /// Adds surges to the plan, drawn separately like restores.
+    pub(crate) fn with_surges(mut self) -> Self {
+        let mut random = SmallRng::seed_from_u64(self.seed ^ SURGE_SALT);
+        let spans = 1.max(self.length.as_millis() as u64 / SURGE_SPAN_MS);
+        for span in 0..spans {
+            let begin = span * SURGE_SPAN_MS + random.random_range(QUIET_START_MS..SURGE_SPAN_MS);
+            self.disruptions.push(PlannedDisruption {
+                at: time::Duration::from_millis(begin),
+                lasts: time::Duration::from_millis(random.random_range(SURGE_MS)),
+                kind: DisruptionKind::DomainPressed,
+                pick: random.random_range(0..1_000_000),
+            });
+        }
+        self.disruptions.sort_by_key(|one| one.at);
+        self
+    }
+
     /// Draws a plan. The same seed and length give the same plan.
     pub(crate) fn draw(seed: u64, length: time::Duration) -> Self {
         let mut random = SmallRng::seed_from_u64(seed);
