Judge servers by the evidence that they hang or refuse requests

Cause: hosts compare servers by response times only. A server that refuses requests answers fast, and one that answers nothing has no response time at all.

Change: the pure module load/outliers judges the servers of a service in a domain by the requests and refused answers of the others.

--- a/crates/cardamomwinch_coordination/src/load/mod.rs
+++ b/crates/cardamomwinch_coordination/src/load/mod.rs
@@ -6,9 +6,14 @@
 //!
 //! - [`answer`] is what an engine has seen of one answer.
 //! - [`domain_wait`] is how long requests wait in a failure domain.
+//! - [`outcome_counts`] counts the recent answers of a server, and tells refused ones apart.
+//! - [`outliers`] decides which servers get no new flows because they do worse than the
+//!   others of their service.
 
 pub mod answer;
 pub mod domain_wait;
+pub mod outcome_counts;
+pub mod outliers;
 
 /// Which decisions under load a host makes. Without any, it chooses servers by its own
 /// flows, prefers its own failure domain and refuses nothing.
