Exchange reports about outliers in a form that earlier builds ignore

Cause: a host cannot decode a message that has a report of an unknown subject, and would lose the reports of dead servers and everything else in it.

A peer without that method does not disturb the other reports.

An answer without the field is the same as one that never had reports about outliers.

--- a/crates/cardamomwinch_coordination/src/forwarding/progress.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/progress.rs
@@ -12,6 +12,7 @@
 use cardamomwinch_state::prelude::{BackendId, SortedVector, Timestamp};
 
 use crate::forwarding::server_reports::{ReportSubject, ServerSilence};
+use crate::load::outliers::OutlierTable;
 
 /// How long a server that did not answer an opening receives no further one. Callers send
 /// a copy of an opening after 200 ms; a server that is alive answers within a round trip.
@@ -134,6 +135,8 @@
     servers: SortedVector<BackendId, ServerProgress>,
     /// Until when repetitions are ignored.
     repetitions_ignored_until: Timestamp,
+    /// Which servers do worse than the others.
+    pub outliers: OutlierTable,
 }
 
 impl ProgressTable {
@@ -318,7 +321,8 @@
         let entry = self.servers.get(&server)?;
         match subject {
             ReportSubject::Delivery | ReportSubject::Openings => entry.observed_progress_at,
-            ReportSubject::Answers => entry.answered_at,
+            ReportSubject::Answers | ReportSubject::Hanging => entry.answered_at,
+            ReportSubject::Failing | ReportSubject::Slow => None,
         }
     }
 
@@ -381,6 +385,7 @@
     /// host, packets that were queued look as if servers had been silent.
     pub fn clear_suspicions(&mut self, now: Timestamp) {
         self.repetitions_ignored_until = now.after(IGNORED_AFTER_PAUSE);
+        self.outliers.clear_overdue();
         for (_, entry) in self.servers.iter_mut() {
             entry.progress_at = now;
             entry.silent_flows = 0;
@@ -395,11 +400,13 @@
     /// Removes all observations of `server`.
     pub fn remove(&mut self, server: BackendId) {
         self.servers.remove(&server);
+        self.outliers.remove(server);
     }
 
     /// Removes the servers without flows for which `keep` does not hold.
     pub fn retain(&mut self, mut keep: impl FnMut(BackendId) -> bool) {
         self.servers
             .retain(|id, entry| entry.flows > 0 || keep(*id));
+        self.outliers.retain(keep);
     }
 }
--- a/crates/cardamomwinch_coordination/src/forwarding/server_reports.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/server_reports.rs
@@ -10,6 +10,8 @@
 //! hosts and may arrive more than once and in any order; the number that the reporter gave
 //! them shows which one is later.
 
+pub mod outliers;
+
 use std::time;
 
 use cardamomwinch_state::prelude::{BackendId, SortedVector, Timestamp};
@@ -65,11 +67,28 @@
     /// to callers, even if its entry says that it is healthy. The acknowledgement of an answer
     /// may pass through another host.
     Answers,
+    /// Whether it accepts requests and never answers, in comparison with others. For this
+    /// subject and the following ones [`ServerSilence::flows`] is the weight of the evidence
+    /// in hundredths of a nat.
+    Hanging,
+    /// Whether it refuses or fails a large part of its requests, in comparison with others.
+    Failing,
+    /// Whether it takes much longer than others. [`ServerSilence::flows`] is its response
+    /// time in per cent of the median.
+    Slow,
 }
 
 impl ReportSubject {
-    /// Every subject.
+    /// The subjects that show whether a server is dead.
     pub const ALL: [Self; 3] = [Self::Delivery, Self::Openings, Self::Answers];
+    /// The subjects that compare a server with the others of its service. Hosts of earlier
+    /// builds do not know them.
+    pub const OUTLIERS: [Self; 3] = [Self::Hanging, Self::Failing, Self::Slow];
+
+    /// Whether reports about this subject compare a server with others.
+    pub const fn is_outlier(self) -> bool {
+        matches!(self, Self::Hanging | Self::Failing | Self::Slow)
+    }
 }
 
 /// The flows that got no answer from a server.
@@ -242,7 +261,8 @@
         let known = self.reports_about(report.server, report.subject);
         let silent = known.filter(|kept| kept.report.silence.is_some());
         let is_wanted = report.silence.is_none() || silent.count() < MAX_SILENT_REPORTS;
-        is_wanted && self.reports.len() < MAX_REPORTS
+        let has_space = !report.subject.is_outlier() || self.has_room_for_outlier();
+        is_wanted && has_space && self.reports.len() < MAX_REPORTS
     }
 
     fn reports_about(
--- a/crates/cardamomwinch_forwarder/src/peer_calls.rs
+++ b/crates/cardamomwinch_forwarder/src/peer_calls.rs
@@ -14,12 +14,15 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::control_thread::ControlMessage;
-use crate::peer_wire::{UnknownKindError, WireAnswer, WireQuery, WireReport};
+use crate::peer_wire::{UnknownKindError, WireAnswer, WireQuery, WireReport, reports};
 
 /// The method that returns what a host knows.
 const BELIEFS_METHOD: &str = "beliefs";
 /// The method that receives reports about servers.
 const REPORTS_METHOD: &str = "reports";
+/// The method that receives reports about outliers. Hosts of earlier builds have no such
+/// method and answer with an error.
+const OUTLIERS_METHOD: &str = "outliers";
 /// The timeout of a call that sends reports. A running host answers within milliseconds.
 const REPORTS_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 
@@ -67,7 +70,8 @@
     answer.try_into().context(MalformedSnafu { peer })
 }
 
-/// Sends reports about servers to `peer`.
+/// Sends reports about servers to `peer`. Reports about outliers that it does not accept are
+/// lost; while an outlier lasts, they are repeated.
 ///
 /// # Errors
 /// Fails if the peer cannot be reached or doesn't answer in time.
@@ -76,11 +80,27 @@
     peer: net::SocketAddr,
     reports: Vec<PeerReport>,
 ) -> Result<(), PeerCallError> {
-    let reports: Vec<_> = reports.into_iter().map(WireReport::from).collect();
+    let (reports, outliers) = reports::split(reports);
+    if !reports.is_empty() {
+        call(client, peer, REPORTS_METHOD, reports).await?;
+    }
+    if !outliers.is_empty()
+        && let Err(error) = call(client, peer, OUTLIERS_METHOD, outliers).await
+    {
+        log::debug!("reports about outliers are lost: {error}");
+    }
+    Ok(())
+}
+
+async fn call(
+    client: &PeerClient,
+    peer: net::SocketAddr,
+    method: &'static str,
+    reports: Vec<WireReport>,
+) -> Result<(), PeerRpcError> {
     let params = (reports,);
     let limits = CallLimits::whole(REPORTS_TIMEOUT);
-    let sent = client.call_within(peer, REPORTS_METHOD, &params, limits);
-    Ok(sent.await?)
+    client.call_within(peer, method, &params, limits).await
 }
 
 /// The methods that peers may call. Calls are passed to the control thread through
@@ -90,13 +110,15 @@
 /// Fails if a method is registered twice.
 pub fn peer_module(control: Sender<ControlMessage>) -> Result<RpcModule<()>, RegisterMethodError> {
     let mut module = RpcModule::new(());
-    let reports_control = control.clone();
-    module.register_method(REPORTS_METHOD, move |params, _, _| {
-        let reports: Vec<WireReport> = params.one()?;
-        let reports = reports.into_iter().map(PeerReport::from).collect();
-        let sent = reports_control.try_send(ControlMessage::PeerReports { reports });
-        sent.map_err(|_| ErrorObjectOwned::from(ErrorCode::ServerIsBusy))
-    })?;
+    for method in [REPORTS_METHOD, OUTLIERS_METHOD] {
+        let reports_control = control.clone();
+        module.register_method(method, move |params, _, _| {
+            let reports: Vec<WireReport> = params.one()?;
+            let reports = reports.into_iter().map(PeerReport::from).collect();
+            let sent = reports_control.try_send(ControlMessage::PeerReports { reports });
+            sent.map_err(|_| ErrorObjectOwned::from(ErrorCode::ServerIsBusy))
+        })?;
+    }
     module.register_async_method(BELIEFS_METHOD, move |params, _, _| {
         let control = control.clone();
         async move {
--- a/crates/cardamomwinch_forwarder/src/peer_wire/mod.rs
+++ b/crates/cardamomwinch_forwarder/src/peer_wire/mod.rs
@@ -7,7 +7,7 @@
 
 mod kinds;
 mod packed;
-mod reports;
+pub mod reports;
 mod routes;
 mod servers;
 
@@ -187,6 +187,8 @@
     evacuations: Vec<WireEvacuation>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     reports: Vec<WireReport>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    outliers: Vec<WireReport>,
     #[serde(default)]
     reports_serial: u64,
     hosts_digest: Option<u64>,
@@ -199,6 +201,7 @@
 
 impl From<PeerAnswer> for WireAnswer {
     fn from(answer: PeerAnswer) -> Self {
+        let (reports, outliers) = reports::split(answer.reports);
         Self {
             revision: answer.revision,
             waited_ms: answer.waited.as_millis() as u64,
@@ -209,7 +212,8 @@
             list: answer.list.map(WirePosition::from),
             all_servers: answer.all_servers,
             evacuations: answer.evacuations.into_iter().map(Into::into).collect(),
-            reports: answer.reports.into_iter().map(Into::into).collect(),
+            reports,
+            outliers,
             reports_serial: answer.reports_serial.get(),
             hosts_digest: answer.hosts_digest,
             hosts: answer.hosts.into_iter().map(WireHost::from).collect(),
@@ -233,7 +237,10 @@
             list: answer.list.map(ListPosition::from),
             all_servers: answer.all_servers,
             evacuations: answer.evacuations.into_iter().map(Into::into).collect(),
-            reports: answer.reports.into_iter().map(Into::into).collect(),
+            reports: {
+                let reports = answer.reports.into_iter().chain(answer.outliers);
+                reports.map(Into::into).collect()
+            },
             reports_serial: ReportSerial::new(answer.reports_serial),
             hosts_digest: answer.hosts_digest,
             hosts: answer.hosts.into_iter().map(PeerHost::from).collect(),
--- a/crates/cardamomwinch_forwarder/src/peer_wire/reports.rs
+++ b/crates/cardamomwinch_forwarder/src/peer_wire/reports.rs
@@ -1,4 +1,7 @@
 //! Reports about backend servers on the wire.
+//!
+//! Earlier builds cannot decode a message with a subject that they do not know. Reports about
+//! outliers are therefore sent in a field and with a method of their own, which they ignore.
 
 use std::time;
 
@@ -20,6 +23,15 @@
     /// Whether the server answers requests.
     #[serde(rename = "a")]
     Answers,
+    /// Whether the server hangs.
+    #[serde(rename = "h")]
+    Hanging,
+    /// Whether the server refuses a large part of its requests.
+    #[serde(rename = "f")]
+    Failing,
+    /// Whether the server is slow.
+    #[serde(rename = "s")]
+    Slow,
 }
 
 impl From<ReportSubject> for WireSubject {
@@ -28,6 +40,9 @@
             ReportSubject::Delivery => Self::Delivery,
             ReportSubject::Openings => Self::Openings,
             ReportSubject::Answers => Self::Answers,
+            ReportSubject::Hanging => Self::Hanging,
+            ReportSubject::Failing => Self::Failing,
+            ReportSubject::Slow => Self::Slow,
         }
     }
 }
@@ -38,13 +53,16 @@
             WireSubject::Delivery => Self::Delivery,
             WireSubject::Openings => Self::Openings,
             WireSubject::Answers => Self::Answers,
+            WireSubject::Hanging => Self::Hanging,
+            WireSubject::Failing => Self::Failing,
+            WireSubject::Slow => Self::Slow,
         }
     }
 }
 
 /// A report: the server, the subject, the reporter and its number for the report, the age
 /// in milliseconds, and, for a silent server, the number of waiting flows and how long they
-/// have waited, in milliseconds.
+/// have waited, in milliseconds. For an outlier the number is the weight of the evidence.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct WireReport(BackendId, WireSubject, u64, u64, u64, Option<(u32, u64)>);
@@ -76,3 +94,12 @@
         }
     }
 }
+
+/// Separates the reports that earlier builds can decode from those about outliers.
+pub fn split(reports: Vec<PeerReport>) -> (Vec<WireReport>, Vec<WireReport>) {
+    let (outliers, others): (Vec<_>, Vec<_>) = reports
+        .into_iter()
+        .partition(|report| report.subject.is_outlier());
+    let encode = |list: Vec<PeerReport>| list.into_iter().map(WireReport::from).collect();
+    (encode(others), encode(outliers))
+}
--- a/crates/cardamomwinch_forwarder/tests/peer_wire.rs
+++ b/crates/cardamomwinch_forwarder/tests/peer_wire.rs
@@ -16,7 +16,9 @@
 use cardamomwinch_coordination::forwarding::server_reports::{
     ReportSerial, ReportSubject, ReporterId,
 };
-use cardamomwinch_forwarder::peer_wire::WireAnswer;
+use cardamomwinch_forwarder::control_thread::ControlMessage;
+use cardamomwinch_forwarder::peer_calls;
+use cardamomwinch_forwarder::peer_wire::{WireAnswer, WireReport, reports};
 use cardamomwinch_state::prelude::*;
 
 /// What a link of 10 Mbit/s carries in a fifth of a second, in bytes.
@@ -185,3 +187,63 @@
     let cut = format!("{}{}", &text[..begin], &text[begin + 8..]);
     assert!(serde_json::from_str::<WireAnswer>(&cut).is_err());
 }
+
+fn outlier_report(subject: ReportSubject) -> PeerReport {
+    PeerReport {
+        server: server(1).id,
+        subject,
+        reporter: ReporterId::new(u64::MAX),
+        number: 12_345,
+        age: time::Duration::from_millis(1_234),
+        silence: Some((1_380, time::Duration::from_millis(45_000))),
+    }
+}
+
+/// An earlier build fails to decode a message with a subject that it does not know, and
+/// would lose its reports of dead servers and everything else in the answer.
+#[test]
+fn earlier_builds_see_no_reports_about_outliers() {
+    let mut original = answer(1, vec![server(1)]);
+    let dead = outlier_report(ReportSubject::Delivery);
+    original.reports = vec![dead];
+    let without = encoded(original.clone());
+    assert!(!without.contains("outliers"));
+    let outliers = ReportSubject::OUTLIERS.map(outlier_report);
+    original.reports.extend(outliers);
+    let mut text: serde_json::Value = serde_json::from_str(&encoded(original.clone())).unwrap();
+    let whole = decoded(&text.to_string());
+    assert_eq!(whole, Some(original));
+    let fields = text.as_object_mut().unwrap();
+    assert_eq!(
+        fields.remove("outliers").unwrap().as_array().unwrap().len(),
+        3
+    );
+    let earlier: serde_json::Value = serde_json::from_str(&without).unwrap();
+    assert_eq!(text, earlier);
+}
+
+/// Hosts renew their reports every 1.2 seconds while servers stand out. The control traffic
+/// of a host has 2 KB per second.
+#[test]
+fn a_report_about_an_outlier_takes_seventy_bytes() {
+    let report = WireReport::from(outlier_report(ReportSubject::Hanging));
+    let bytes = serde_json::to_string(&report).unwrap().len();
+    println!("{bytes} bytes for a report about an outlier");
+    assert!(bytes <= 70, "{bytes}");
+}
+
+/// Reports about outliers arrive by a method of their own, in the same form as others.
+#[test]
+fn reports_about_outliers_are_received_by_their_own_method() {
+    let (control, messages) = async_channel::bounded(4);
+    let module = peer_calls::peer_module(control).unwrap();
+    let sent = outlier_report(ReportSubject::Failing);
+    let (others, outliers) = reports::split(vec![sent, outlier_report(ReportSubject::Answers)]);
+    assert_eq!((others.len(), outliers.len()), (1, 1));
+    let called = async_io::block_on(module.call::<_, ()>("outliers", (outliers,)));
+    called.unwrap();
+    let Ok(ControlMessage::PeerReports { reports }) = messages.try_recv() else {
+        panic!("no reports were received");
+    };
+    assert_eq!(reports, vec![sent]);
+}
