Keep new flows away from servers that hang or refuse requests

Cause: a server that accepts requests and never answers, with a healthy entry in the store, was suspected for three seconds at a time and then took requests of all hosts again. A server that fails a part of its requests was not noticed at all.

Change: with the switch `outliers`, and for routes with a latency goal, engines pass answers and overdue requests to load/outliers, exchange its findings, rank ejected servers last, and send trials to them. A request that its caller repeats is no evidence: it was lost.

Seven of the tests fail with the switch off (hanging, failing, at most a third, recovery, recovery without idempotent requests, trials, flapping).

--- a/crates/cardamomwinch_coordination/src/forwarding/engine.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine.rs
@@ -4,6 +4,7 @@
 mod maintenance;
 mod open_flows;
 mod openings;
+mod outliers;
 
 use std::net;
 use std::time;
@@ -28,6 +29,7 @@
 use crate::forwarding::unknown_flows::UnknownFlows;
 use crate::forwarding::view::ForwardingView;
 use crate::load::LoadPolicy;
+use crate::load::outliers::OutlierChange;
 
 /// The interval at which [`ForwardingEngine::tick`] must be called.
 pub const TICK_PERIOD: time::Duration = time::Duration::from_millis(100);
@@ -74,6 +76,7 @@
     overdue_timeout: OverdueTimeout,
     own_reports: OwnReports,
     load_policy: LoadPolicy,
+    reporter: ReporterId,
     ticks: u32,
     last_run_at: Option<Timestamp>,
 }
@@ -139,6 +142,7 @@
             overdue_timeout: OverdueTimeout::default(),
             own_reports: OwnReports::new(reporter),
             load_policy: LoadPolicy::default(),
+            reporter,
             ticks: 0,
             last_run_at: None,
         }
@@ -177,6 +181,11 @@
         self.own_reports.take()
     }
 
+    /// Returns which servers were ejected as outliers, or returned, since the last call.
+    pub fn take_outlier_changes(&mut self) -> Vec<OutlierChange> {
+        self.progress.outliers.take_changes()
+    }
+
     /// Decides about `packet` and passes the decision to `sink`.
     pub fn handle<S: ForwardingSink>(
         &mut self,
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/maintenance.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/maintenance.rs
@@ -15,7 +15,7 @@
 /// Ticks between two sweeps over all flows: one second.
 const SWEEP_TICKS: u32 = 10;
 /// Ticks between two checks for requests that have waited too long.
-const OVERDUE_TICKS: u32 = 2;
+pub(super) const OVERDUE_TICKS: u32 = 2;
 /// A gap this long without a tick or a packet means that this process did not run.
 /// Packets that were queued during the gap show nothing about servers. Callers send again
 /// after 200 ms, so a shorter gap never delivers a packet together with its copy.
@@ -30,7 +30,8 @@
             self.progress.clear_suspicions(now);
         }
         self.report_unconfirmed(now);
-        self.report_overdue(now);
+        self.report_overdue(now, view);
+        self.judge_outliers(now, view);
         self.refute_reports(view);
         while self.can_assess_servers(now)
             && let Some(server) = self.progress.take_dead_server(now)
@@ -119,18 +120,23 @@
     /// is not idempotent is lost. These reports only keep new flows away from a server: an
     /// acknowledgement may pass through another host, and ending the flow would then break
     /// a working session.
-    fn report_overdue(&mut self, now: Timestamp) {
+    fn report_overdue(&mut self, now: Timestamp, view: &ForwardingView) {
         if !self.ticks.is_multiple_of(OVERDUE_TICKS) {
             return;
         }
         let timeout = self.overdue_timeout.timeout();
         let mut overdue = Vec::new();
-        self.watch.visit(|watched| {
+        self.watch.visit(|flow, watched| {
             if let Some(sent_at) = watched.take_overdue(timeout, now) {
-                overdue.push((watched.server, sent_at));
+                // A server that hangs acknowledges requests. Callers repeat lost ones.
+                let is_accepted = watched.copies == 0;
+                overdue.push((flow.service, watched.server, sent_at, is_accepted));
             }
         });
-        for (server, sent_at) in overdue {
+        for (address, server, sent_at, is_accepted) in overdue {
+            if is_accepted {
+                self.note_overdue_request(view, address, server, sent_at, now);
+            }
             let subject = ReportSubject::Answers;
             let silence = self.progress.note_overdue(server, sent_at, now);
             let answered_at = self.progress.healthy_at(server, subject);
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/openings.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/openings.rs
@@ -117,6 +117,25 @@
         }
     }
 
+    /// An outlier that this flow is to try, if one is due.
+    fn trial_server<'a>(
+        &self,
+        context: &PacketContext<'a>,
+        service: ServiceId,
+        avoid: impl Fn(BackendId) -> bool,
+    ) -> Option<&'a ServerRecord> {
+        let (outliers, now) = (&self.progress.outliers, context.now);
+        let mut trials = outliers.trials(service, context.is_idempotent(), now);
+        trials.find_map(|id| {
+            let server = context.view.directory.get(id)?;
+            let may_take = server.phase == ServerPhase::Active
+                && self.permission(context, service).admits(server)
+                && !self.progress.is_suspected(id, now)
+                && !avoid(id);
+            may_take.then_some(server)
+        })
+    }
+
     fn place<S: ForwardingSink>(
         &mut self,
         context: &PacketContext<'_>,
@@ -127,13 +146,15 @@
         let input = self.placement_input(context, service);
         let caller = context.caller();
         let avoid = |id: BackendId| self.recent_openings.contains(caller, id, context.now);
-        let Some(server) = input.choose(avoid).cloned() else {
+        let trial = self.trial_server(context, service, avoid);
+        let Some(server) = trial.or_else(|| input.choose(avoid)).cloned() else {
             return self.refuse_server(context, Some(service), copy, sink);
         };
         let watched = WatchedFlow::opening(server.id, copy, context.is_idempotent(), context.now);
         self.start_watching(context, watched);
         self.count_cold_opening(context, &server);
         self.progress.note_opening(server.id, context.now);
+        self.progress.outliers.note_opening(server.id, context.now);
         self.recent_openings.note(caller, server.id, context.now);
         sink.send(&server, FlowToken::of_server(server.id));
         let flows = self.progress.flows(server.id);
@@ -196,6 +217,7 @@
         };
         watched.move_opening(server.id, copy);
         self.progress.note_opening(server.id, context.now);
+        self.progress.outliers.note_opening(server.id, context.now);
         if let Some(entry) = self.watch.get_mut(context.hash, &context.packet.flow) {
             *entry = watched;
         }
--- a/crates/cardamomwinch_coordination/src/forwarding/flow_watch.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/flow_watch.rs
@@ -360,9 +360,9 @@
     }
 
     /// Calls `visit` for every flow.
-    pub fn visit(&mut self, mut visit: impl FnMut(&mut WatchedFlow)) {
-        self.table.retain(|_, watched| {
-            visit(watched);
+    pub fn visit(&mut self, mut visit: impl FnMut(&FlowKey, &mut WatchedFlow)) {
+        self.table.retain(|flow, watched| {
+            visit(flow, watched);
             true
         });
     }
--- a/crates/cardamomwinch_coordination/src/forwarding/placement.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/placement.rs
@@ -57,6 +57,8 @@
     Vanished,
     /// A server that recently did not answer; used only if there is no other.
     Suspected,
+    /// A server that hangs or fails, unlike the others; used only if there is no other.
+    Ejected,
 }
 
 /// The key by which servers are compared; the smallest value wins.
@@ -158,7 +160,7 @@
         let is_good = match key.rank {
             ServerRank::SpillOver | ServerRank::Preferred => true,
             ServerRank::OtherDomain => covers_own_domain() || !may_stay(),
-            ServerRank::Vanished | ServerRank::Suspected => false,
+            ServerRank::Vanished | ServerRank::Suspected | ServerRank::Ejected => false,
         };
         is_good && !key.avoided
     }
@@ -184,6 +186,9 @@
             ServerPhase::Draining | ServerPhase::Unreadable | ServerPhase::Left { .. } => None,
             _ if !self.permission.admits(server) => None,
             ServerPhase::Vanished { .. } => Some(ServerRank::Vanished),
+            ServerPhase::Active if self.progress.outliers.is_out(server.id) => {
+                Some(ServerRank::Ejected)
+            }
             ServerPhase::Active if self.is_suspected(server.id) => Some(ServerRank::Suspected),
             ServerPhase::Active if self.domain == Some(server.domain) => {
                 Some(ServerRank::Preferred)
@@ -298,7 +303,7 @@
         let response = self.progress.response(server.id, self.now);
         match (costs.median, response) {
             (Some(median), Some(response)) => median.weigh(load, response),
-            _ => load,
+            _ => self.progress.outliers.weigh_reported(server.id, load),
         }
     }
 }
