Log which servers are ejected and return, and count those that are out

Cause: operators could not see why a server with a healthy entry gets no new flows.

Change: the log lines server_ejected and server_returned with reason and evidence, within the bound of decision lines, and the gauge cardamomwinch_servers_out by reason.

--- a/crates/cardamomwinch_forwarder/src/launch.rs
+++ b/crates/cardamomwinch_forwarder/src/launch.rs
@@ -190,6 +190,7 @@
             caller_port: traffic_address.port(),
             views: self.views.clone(),
             logger: DecisionLogger::new(&self.log, limit).with_level(level),
+            outlier_logger: DecisionLogger::new(&self.log, limit).with_level(level),
             clock: *self.timers.clock(),
             last_packet: self.last_packet.clone(),
         }
--- a/crates/cardamomwinch_forwarder/src/lib.rs
+++ b/crates/cardamomwinch_forwarder/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod discovery_lines;
 pub mod launch;
 pub mod outcome_counters;
+pub mod outlier_lines;
 pub mod peer_calls;
 pub mod peer_wire;
 pub mod reload;
--- a/crates/cardamomwinch_forwarder/src/traffic_thread.rs
+++ b/crates/cardamomwinch_forwarder/src/traffic_thread.rs
@@ -19,6 +19,7 @@
 use crate::control_thread::ControlMessage;
 use crate::decision_lines::DecisionLine;
 use crate::outcome_counters::OutcomeCounters;
+use crate::outlier_lines::{OutlierGauges, OutlierLine};
 use crate::view_cell::ViewCell;
 
 /// How long the thread waits for a packet before it checks whether a tick is due.
@@ -61,6 +62,8 @@
     pub views: ViewCell,
     /// Logs decisions.
     pub logger: DecisionLogger<DecisionLine>,
+    /// Logs which servers are ejected as outliers.
+    pub outlier_logger: DecisionLogger<OutlierLine>,
     /// The clock.
     pub clock: HostClock,
     /// Records when the last packet was received.
@@ -144,6 +147,7 @@
     watched: metrics::Gauge,
     unwatched: metrics::Counter,
     isolations: metrics::Counter,
+    outliers: OutlierGauges,
 }
 
 /// Runs the thread until the process ends.
@@ -188,6 +192,7 @@
             watched: metrics::gauge!("cardamomwinch_forwarding_flows"),
             unwatched: metrics::counter!("cardamomwinch_forwarding_unwatched_total"),
             isolations: metrics::counter!("cardamomwinch_forwarding_isolations_total"),
+            outliers: OutlierGauges::default(),
         }
     }
 
@@ -317,6 +322,16 @@
         }
     }
 
+    fn log_outliers(&mut self, now: Timestamp) {
+        let changes = self.thread.engine.take_outlier_changes();
+        for change in &changes {
+            let line = OutlierLine::from(change);
+            self.thread.outlier_logger.log(now, &line);
+        }
+        self.thread.outlier_logger.report_left_out(now);
+        self.outliers.set(&self.thread.engine);
+    }
+
     fn tick(&mut self, now: Timestamp) {
         self.tick_at = now.after(engine::TICK_PERIOD);
         let mut sink = PacketSink {
@@ -331,6 +346,7 @@
             self.reset(&flow, acknowledged);
         }
         self.update_reachability();
+        self.log_outliers(now);
         self.thread.logger.report_left_out(now);
         self.watched.set(self.thread.engine.watch().len() as f64);
         self.unwatched.absolute(self.thread.engine.unwatched());
