--- a/crates/cardamomwinch_coordination/benches/placement.rs
+++ b/crates/cardamomwinch_coordination/benches/placement.rs
@@ -92,6 +92,8 @@
             service: service(0),
             subject: flow::mix(subject),
             is_short: true,
+            spill_to: None,
+            spills_by_share: true,
             latency_goal: time::Duration::from_millis(500),
             now: NOW,
         };
--- a/crates/cardamomwinch_coordination/src/forwarding/engine.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine.rs
@@ -4,6 +4,7 @@
 mod maintenance;
 mod open_flows;
 mod openings;
+mod outliers;
 mod spilling;
 
 use std::net;
@@ -30,6 +31,7 @@
 use crate::forwarding::view::ForwardingView;
 use crate::load::LoadPolicy;
 use crate::load::domain_load::DomainLoads;
+use crate::load::outliers::OutlierChange;
 use crate::load::spill_shares::{SpillShares, SpillTarget};
 
 /// The interval at which [`ForwardingEngine::tick`] must be called.
@@ -81,6 +83,7 @@
     spill_shares: SpillShares,
     /// When this process ran again after its last pause.
     resumed_at: Timestamp,
+    reporter: ReporterId,
     ticks: u32,
     last_run_at: Option<Timestamp>,
 }
@@ -175,6 +178,7 @@
             domain_loads: DomainLoads::default(),
             spill_shares: SpillShares::default(),
             resumed_at: Timestamp::ZERO,
+            reporter,
             ticks: 0,
             last_run_at: None,
         }
@@ -213,6 +217,11 @@
         self.own_reports.take()
     }
 
+    /// Returns which servers were ejected as outliers, or returned, since the last call.
+    pub fn take_outlier_changes(&mut self) -> Vec<OutlierChange> {
+        self.progress.outliers.take_changes()
+    }
+
     /// Decides about `packet` and passes the decision to `sink`.
     pub fn handle<S: ForwardingSink>(
         &mut self,
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/load_observations.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/load_observations.rs
@@ -21,7 +21,7 @@
             self.progress
                 .note_response(server.id, response, context.now);
         }
-        self.note_observation(&AnswerObservation {
+        let observation = AnswerObservation {
             server: server.id,
             service: server.service,
             domain: server.domain,
@@ -30,14 +30,18 @@
             response: answer.response,
             closing: context.packet.kind == PacketKind::Closing,
             at: context.now,
-        });
+        };
+        self.note_observation(context, &observation);
     }
 
     /// Passes `observation` to the decisions under load that need it.
     ///
     /// Guards against a wait that this host caused itself by a pause: the time of a request that
     /// was sent before it shows nothing about servers.
-    fn note_observation(&mut self, observation: &AnswerObservation) {
+    fn note_observation(&mut self, context: &PacketContext<'_>, observation: &AnswerObservation) {
+        if self.judges_outliers(context.route) {
+            self.progress.outliers.note_answer(observation);
+        }
         if !self.load_policy.spill {
             return;
         }
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/openings.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/openings.rs
@@ -138,6 +138,25 @@
         }
     }
 
+    /// An outlier that this flow is to try, if one is due.
+    fn trial_server<'a>(
+        &self,
+        context: &PacketContext<'a>,
+        service: ServiceId,
+        avoid: impl Fn(BackendId) -> bool,
+    ) -> Option<&'a ServerRecord> {
+        let (outliers, now) = (&self.progress.outliers, context.now);
+        let mut trials = outliers.trials(service, context.is_idempotent(), now);
+        trials.find_map(|id| {
+            let server = context.view.directory.get(id)?;
+            let may_take = server.phase == ServerPhase::Active
+                && self.permission(context, service).admits(server)
+                && !self.progress.is_suspected(id, now)
+                && !avoid(id);
+            may_take.then_some(server)
+        })
+    }
+
     fn place<S: ForwardingSink>(
         &mut self,
         context: &PacketContext<'_>,
@@ -149,7 +168,9 @@
         let input = self.placement_input(context, service, spilled);
         let caller = context.caller();
         let avoid = |id: BackendId| self.recent_openings.contains(caller, id, context.now);
-        let Some(server) = self.choose_server(&input, context.view, avoid).cloned() else {
+        let trial = self.trial_server(context, service, avoid);
+        let chosen = trial.or_else(|| self.choose_server(&input, context.view, avoid));
+        let Some(server) = chosen.cloned() else {
             return self.refuse_server(context, Some(service), copy, sink);
         };
         let watched = WatchedFlow::opening(server.id, copy, context.is_idempotent(), context.now);
@@ -230,6 +251,7 @@
     /// Records that an opening, or a copy of one, is sent to `server`.
     fn note_opening(&mut self, server: BackendId, is_copy: bool, now: Timestamp) {
         self.progress.note_opening(server, now);
+        self.progress.outliers.note_opening(server, now);
         if self.load_policy.spill {
             let healthy_at = self.progress.healthy_at(server, ReportSubject::Openings);
             self.server_reach
--- a/crates/cardamomwinch_coordination/src/load/mod.rs
+++ b/crates/cardamomwinch_coordination/src/load/mod.rs
@@ -8,6 +8,9 @@
 //! - [`domain_wait`] is how long requests wait in a failure domain.
 //! - [`domain_load`] measures it; [`base_response`] and [`typical_answer`] are what answers are
 //!   compared with.
+//! - [`outcome_counts`] counts the recent answers of a server.
+//! - [`outliers`] decides which servers get no new flows because they do worse than the
+//!   others of their service.
 //! - [`server_window`] is which servers of a domain a host opens flows to.
 //! - [`spill_shares`] is which new flows go to other failure domains.
 
@@ -15,6 +18,8 @@
 pub mod base_response;
 pub mod domain_load;
 pub mod domain_wait;
+pub mod outcome_counts;
+pub mod outliers;
 pub mod server_window;
 pub mod spill_shares;
 pub mod typical_answer;
