Carry the priority and the timeout of routes to the forwarding engine

Cause: the platform names `priority` and `timeout-ms` for each route, but the adapter ignored both, so that no host could tell urgent requests from others.

A missing or invalid priority counts as less urgent than any other, and is no reason to refuse others. Hosts send both with the kind of a route, once for all routes that share it, in fields that earlier builds ignore and whose absence means unknown. The table of routes knows the priorities that lead to each service.

Result: 1,000 routes with a priority take less than 200 bytes more than without one. The new tests did not compile before, because the fields did not exist.

--- a/crates/cardamomwinch_coordination/examples/forwarding_cost.rs
+++ b/crates/cardamomwinch_coordination/examples/forwarding_cost.rs
@@ -79,6 +79,8 @@
         idempotent: true,
         latency_goal: time::Duration::from_millis(150),
         regions: Vec::new(),
+        priority: None,
+        timeout: time::Duration::ZERO,
     }
 }
 
--- a/crates/cardamomwinch_coordination/src/forwarding/routes.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/routes.rs
@@ -7,7 +7,7 @@
 
 use cardamomwinch_state::flow;
 use cardamomwinch_state::prelude::{
-    ConfigurationVersion, FlowHash, RegionId, ServiceId, SortedVector, Weight,
+    ConfigurationVersion, FlowHash, RegionId, RoutePriority, ServiceId, SortedVector, Weight,
 };
 use serde::{Deserialize, Serialize};
 
@@ -48,6 +48,11 @@
     pub latency_goal: time::Duration,
     /// The regions whose servers may take its flows; if empty, all may.
     pub regions: Vec<RegionId>,
+    /// How urgent its requests are; `None`, which is less urgent than any priority, if the
+    /// configuration does not say so.
+    pub priority: Option<RoutePriority>,
+    /// How long its callers wait for an answer; zero if that is unknown.
+    pub timeout: time::Duration,
 }
 
 impl RouteEntry {
@@ -122,6 +127,9 @@
     /// changed this.
     cold_starts: SortedVector<ServiceId, ColdStart>,
     cold_starts_since: ConfigurationVersion,
+    /// The priorities of the routes to each service, in ascending order and without
+    /// duplicates. Routes without a priority, and targets that get no flows, do not count.
+    priorities: SortedVector<ServiceId, Vec<RoutePriority>>,
     idle_timeout: time::Duration,
 }
 
@@ -216,12 +224,35 @@
         self.limit_dropped();
         self.version = version;
         self.idle_timeout = idle_timeout;
+        self.collect_priorities();
         if self.past_versions.len() >= PAST_VERSIONS_LIMIT {
             self.past_versions.pop_front();
         }
         self.past_versions.push_back(version);
     }
 
+    fn collect_priorities(&mut self) {
+        let mut pairs = Vec::new();
+        for entry in self.routes.values().map(|route| &route.entry) {
+            let Some(priority) = entry.priority else {
+                continue;
+            };
+            let targets = entry.targets.iter();
+            let targets = targets.filter(|target| target.weight != Weight::ZERO);
+            pairs.extend(targets.map(|target| (target.service, priority)));
+        }
+        pairs.sort_unstable();
+        pairs.dedup();
+        let groups = pairs.chunk_by(|left, right| left.0 == right.0);
+        let groups = groups.map(|group| {
+            (
+                group[0].0,
+                group.iter().map(|pair| pair.1).collect::<Vec<_>>(),
+            )
+        });
+        self.priorities = groups.collect();
+    }
+
     /// The difference from version `earlier` to the version in force; `None` if `earlier` is
     /// not earlier.
     pub fn difference(&self, earlier: ConfigurationVersion) -> Option<RouteDifference> {
@@ -267,6 +298,12 @@
         self.routes.get(address).map(|route| &route.entry)
     }
 
+    /// The priorities of the routes that lead to `service`, in ascending order and without
+    /// duplicates. Routes without a priority do not count.
+    pub fn priorities(&self, service: ServiceId) -> &[RoutePriority] {
+        self.priorities.get(&service).map_or(&[], Vec::as_slice)
+    }
+
     /// How servers of `service` are treated after their start, if the configuration says so.
     pub fn cold_start(&self, service: ServiceId) -> Option<&ColdStart> {
         self.cold_starts.get(&service)
--- a/crates/cardamomwinch_coordination/tests/forwarding_routes.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_routes.rs
@@ -162,3 +162,41 @@
     let later = host.handle(at(1_600), &packet);
     assert_eq!(later.outcomes, [ForwardingOutcome::UnknownTokenReset]);
 }
+
+/// Admission by priority acts only for services that routes of different priorities lead to.
+/// Guards against refusals because of a route that names no priority or sends no flows, and
+/// against priorities of routes that were changed or dropped.
+#[test]
+fn the_table_knows_the_priorities_that_lead_to_each_service() {
+    let with = |priority: Option<u32>, name, weight| RouteEntry {
+        targets: vec![RouteTarget {
+            service: service(name),
+            weight: Weight::new(weight),
+        }],
+        priority: priority.map(RoutePriority::new),
+        ..route(true)
+    };
+    let mut table = RouteTable::default();
+    let routes = vec![
+        (address(1), with(Some(2), "desk", 1)),
+        (address(2), with(Some(1), "desk", 1)),
+        (address(3), with(Some(2), "desk", 1)),
+        (address(4), with(None, "desk", 1)),
+        (address(5), with(Some(0), "desk", 0)),
+        (address(6), with(Some(3), "mail", 1)),
+    ];
+    table.adopt(document(1, routes.clone()));
+    let numbers = |table: &RouteTable, name| {
+        let priorities = table.priorities(service(name)).iter();
+        priorities.map(|one| one.get()).collect::<Vec<_>>()
+    };
+    assert_eq!(numbers(&table, "desk"), [1, 2]);
+    assert_eq!(numbers(&table, "mail"), [3]);
+    assert!(numbers(&table, "none").is_empty());
+    let mut later = table.clone();
+    let changed = routes.into_iter().filter(|(one, _)| *one != address(2));
+    later.adopt(document(2, changed.collect()));
+    assert_eq!(numbers(&later, "desk"), [2]);
+    table.apply(later.difference(version(1)).unwrap());
+    assert_eq!(numbers(&table, "desk"), [2]);
+}
--- a/crates/cardamomwinch_coordination/tests/forwarding_support/mod.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_support/mod.rs
@@ -128,6 +128,8 @@
         idempotent,
         latency_goal: millis(150),
         regions: Vec::new(),
+        priority: None,
+        timeout: time::Duration::ZERO,
     }
 }
 
--- a/crates/cardamomwinch_forwarder/src/peer_wire/routes.rs
+++ b/crates/cardamomwinch_forwarder/src/peer_wire/routes.rs
@@ -5,7 +5,7 @@
 
 use cardamomwinch_coordination::forwarding::cold_starts::ColdStart;
 use cardamomwinch_coordination::forwarding::routes::{RouteDifference, RouteEntry, RouteTarget};
-use cardamomwinch_state::prelude::{ConfigurationVersion, RegionId};
+use cardamomwinch_state::prelude::{ConfigurationVersion, RegionId, RoutePriority};
 use serde::{Deserialize, Serialize};
 
 use crate::peer_wire::kinds::{self, UnknownKindError};
@@ -19,6 +19,21 @@
     latency_goal: time::Duration,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     regions: Vec<RegionId>,
+    /// Hosts of builds without admission by priority neither send nor read it; a route
+    /// without it is treated like one whose configuration has no priority.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    priority: Option<RoutePriority>,
+    /// Zero if the timeout is unknown; left out by the same builds.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    timeout_ms: u64,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
 
 /// A route: its address, its name, and the index of its kind.
@@ -50,6 +65,8 @@
                 idempotent: entry.idempotent,
                 latency_goal: entry.latency_goal,
                 regions: entry.regions,
+                priority: entry.priority,
+                timeout_ms: entry.timeout.as_millis() as u64,
             };
             let index = kinds::index_of(&mut kinds, kind);
             changed.push(WireRoute(address, entry.name, index));
@@ -79,6 +96,8 @@
                 idempotent: kind.idempotent,
                 latency_goal: kind.latency_goal,
                 regions: kind.regions,
+                priority: kind.priority,
+                timeout: time::Duration::from_millis(kind.timeout_ms),
             };
             changed.push((address, entry));
         }
--- a/crates/cardamomwinch_forwarder/tests/peer_wire.rs
+++ b/crates/cardamomwinch_forwarder/tests/peer_wire.rs
@@ -34,6 +34,8 @@
         idempotent: number.is_multiple_of(3),
         latency_goal: time::Duration::from_millis(150),
         regions: Vec::new(),
+        priority: None,
+        timeout: time::Duration::ZERO,
     };
     (address, entry)
 }
@@ -109,6 +111,8 @@
     let mut original = answer(5, vec![server(1), leaving, removed, cold]);
     let changes = original.routes.as_mut().unwrap();
     changes.changed[0].1.regions = vec![RegionId::from_name("bud")];
+    changes.changed[1].1.priority = Some(RoutePriority::ZERO);
+    changes.changed[1].1.timeout = time::Duration::from_millis(2_500);
     changes.cold_starts = Some(vec![ColdStart {
         service: ServiceId::from_name("docvault"),
         duration: time::Duration::from_secs(2),
@@ -185,3 +189,32 @@
     let cut = format!("{}{}", &text[..begin], &text[begin + 8..]);
     assert!(serde_json::from_str::<WireAnswer>(&cut).is_err());
 }
+
+/// Hosts are upgraded one after the other. A host of a build without priorities must be able
+/// to parse the routes of a newer one and the other way round; otherwise a release would
+/// leave half of a domain without a source.
+#[test]
+fn routes_without_a_priority_are_encoded_as_before_priorities_existed() {
+    let text = encoded(answer(3, Vec::new()));
+    assert!(!text.contains("priority") && !text.contains("timeout_ms\":0"));
+    let changes = decoded(&text).unwrap().routes.unwrap();
+    let unknown = |(_, entry): &(_, RouteEntry)| {
+        entry.priority.is_none() && entry.timeout == time::Duration::ZERO
+    };
+    assert!(changes.changed.iter().all(unknown));
+}
+
+/// Deployments have thousands of routes with a few priorities. Guards against a priority and
+/// a timeout in each route of a large change, which would fill narrow links.
+#[test]
+fn priorities_are_sent_once_for_all_routes_that_share_them() {
+    let mut urgent = answer(1_000, Vec::new());
+    let without = encoded(urgent.clone()).len();
+    for (_, entry) in &mut urgent.routes.as_mut().unwrap().changed {
+        entry.priority = Some(RoutePriority::new(2));
+        entry.timeout = time::Duration::from_millis(2_500);
+    }
+    let with = encoded(urgent.clone()).len();
+    assert_eq!(decoded(&encoded(urgent.clone())), Some(urgent));
+    assert!(with - without <= 200, "{} bytes more", with - without);
+}
--- a/crates/cardamomwinch_state/src/lib.rs
+++ b/crates/cardamomwinch_state/src/lib.rs
@@ -33,7 +33,7 @@
     pub use crate::parted_table::{FlowTable, PartedTable, TableFullError};
     pub use crate::quantities::{
         ByteCount, ConfigurationVersion, ConnectionCount, FragmentRevision, HostListVersion,
-        Incarnation, OpeningRate, RefutationCount, SlotCount, Timestamp, Weight,
+        Incarnation, OpeningRate, RefutationCount, RoutePriority, SlotCount, Timestamp, Weight,
     };
     pub use crate::service::ServiceEntry;
     pub use crate::sorted_vector::SortedVector;
--- a/crates/cardamomwinch_state/src/quantities.rs
+++ b/crates/cardamomwinch_state/src/quantities.rs
@@ -75,6 +75,10 @@
     /// The relative share of new flows that a backend server gets. Zero means none.
     Weight(u32)
 }
+quantity! {
+    /// The urgency of the requests of a route. Zero is the most urgent.
+    RoutePriority(u32)
+}
 quantity! {
     /// A size in bytes.
     ByteCount(u64)
