Decide by priority which openings are admitted

Cause: nothing tells hosts which requests to refuse first while callers ask for more than all slots. Full queues refuse urgent and other requests alike, refused callers return at once, and servers reset flows right after they opened.

Change: load/admission.rs decides about each opening.

The modules are new, so that the tests did not compile before.

--- a/crates/cardamomwinch_coordination/src/load/mod.rs
+++ b/crates/cardamomwinch_coordination/src/load/mod.rs
@@ -4,15 +4,19 @@
 //! The modules here know nothing of packets, views or messages. An engine passes what it has
 //! observed, and asks for decisions.
 //!
+//! - [`admission`] decides which requests are refused while there is room for too few.
 //! - [`answer`] is what an engine has seen of one answer.
 //! - [`domain_wait`] is how long requests wait in a failure domain.
 //! - [`domain_load`] measures it; [`base_response`] and [`typical_answer`] are what answers are
 //!   compared with.
+//! - [`moving_rate`] is the rate of recent events.
 
+pub mod admission;
 pub mod answer;
 pub mod base_response;
 pub mod domain_load;
 pub mod domain_wait;
+pub mod moving_rate;
 pub mod typical_answer;
 
 /// Which decisions under load a host makes. Without any, it chooses servers by its own
