--- a/crates/cardamomwinch_coordination/src/forwarding/engine.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine.rs
@@ -5,13 +5,12 @@
 mod maintenance;
 mod open_flows;
 mod openings;
+mod spilling;
 
 use std::net;
 use std::time;
 
-use cardamomwinch_state::prelude::{
-    DomainId, FlowHash, FlowKey, ServiceId, SortedVector, Timestamp,
-};
+use cardamomwinch_state::prelude::{FlowHash, FlowKey, Timestamp};
 
 use crate::forwarding::cold_starts::ColdLimiter;
 use crate::forwarding::deliveries::DeliveryRecord;
@@ -33,6 +32,7 @@
 use crate::load::LoadPolicy;
 use crate::load::admission::AdmissionControl;
 use crate::load::domain_load::DomainLoads;
+use crate::load::spill_shares::{SpillShares, SpillTarget};
 
 /// The interval at which [`ForwardingEngine::tick`] must be called.
 pub const TICK_PERIOD: time::Duration = time::Duration::from_millis(100);
@@ -81,8 +81,9 @@
     load_policy: LoadPolicy,
     domain_loads: DomainLoads,
     admission: AdmissionControl,
-    /// The domains with servers that accept flows, for services whose openings may be refused.
-    service_domains: SortedVector<ServiceId, Vec<DomainId>>,
+    spill_shares: SpillShares,
+    /// When this process ran again after its last pause.
+    resumed_at: Timestamp,
     ticks: u32,
     last_run_at: Option<Timestamp>,
 }
@@ -132,6 +133,7 @@
             token: self.packet.token,
             server: server.map(|server| server.id),
             own_domain: server.map(|server| self.view.domain == Some(server.domain)),
+            spilled: None,
             copies,
             server_flows,
             version: self.view.routes.version(),
@@ -139,6 +141,21 @@
             refusal: None,
         }
     }
+
+    /// Records an opening, which has left the domain of this host if it was `spilled` to the
+    /// domain of `server`.
+    fn record_opening<S: ForwardingSink>(
+        &self,
+        outcome: ForwardingOutcome,
+        server: &ServerRecord,
+        (copy, server_flows): (u32, u32),
+        spilled: Option<SpillTarget>,
+        sink: &mut S,
+    ) {
+        let mut record = self.make_record(outcome, Some(server), copy, server_flows);
+        record.spilled = spilled.filter(|target| target.domain == server.domain);
+        sink.record(&record);
+    }
 }
 
 impl ForwardingEngine {
@@ -161,7 +178,8 @@
             load_policy: LoadPolicy::default(),
             domain_loads: DomainLoads::default(),
             admission: AdmissionControl::default(),
-            service_domains: SortedVector::new(),
+            spill_shares: SpillShares::default(),
+            resumed_at: Timestamp::ZERO,
             ticks: 0,
             last_run_at: None,
         }
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/admissions.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/admissions.rs
@@ -2,14 +2,11 @@
 
 use cardamomwinch_state::prelude::{DomainId, RegionId, ServiceId, Timestamp};
 
-use crate::forwarding::directory::ServerPhase;
 use crate::forwarding::engine::{ForwardingEngine, ForwardingSink, PacketContext};
 use crate::forwarding::record::ForwardingOutcome;
 use crate::forwarding::routes::RouteEntry;
-use crate::forwarding::view::ForwardingView;
-use crate::load::admission::domain_waits::DomainWaits;
+use crate::load::admission::domain_waits::{DomainWaits, MeasuredWait};
 use crate::load::admission::{AdmissionControl, AdmissionRefusal, AdmissionRequest};
-use crate::load::answer::AnswerObservation;
 
 /// Identifies a set of regions.
 fn reach_of(regions: &[RegionId]) -> u64 {
@@ -65,7 +62,6 @@
         if !AdmissionControl::acts_for(priorities) {
             return Ok(());
         }
-        self.find_domains(context, service);
         let request = AdmissionRequest {
             flow: &context.packet.flow,
             hash: context.hash,
@@ -80,21 +76,6 @@
         self.admission.decide(&request, context.now)
     }
 
-    /// Finds the domains with servers of `service` that accept flows, unless they are known.
-    fn find_domains(&mut self, context: &PacketContext<'_>, service: ServiceId) {
-        let directory = &context.view.directory;
-        self.service_domains.get_or_insert_with(service, || {
-            let mut domains: Vec<DomainId> = directory
-                .of_service(service)
-                .filter(|server| server.phase == ServerPhase::Active)
-                .map(|server| server.domain)
-                .collect();
-            domains.sort_unstable();
-            domains.dedup();
-            domains
-        });
-    }
-
     /// What is measured of the domains that may take the current flow.
     fn domain_waits(
         &self,
@@ -103,10 +84,25 @@
         service: ServiceId,
     ) -> DomainWaits {
         let permission = self.permission(context, service);
-        let domains = self.service_domains.get(&service).into_iter().flatten();
-        let permitted = domains.filter(|domain| permission.admits_domain(**domain));
-        let waits = permitted.map(|domain| self.domain_loads.wait(service, *domain, context.now));
-        DomainWaits::of(waits, route.latency_goal)
+        let domains = context.view.directory.active_domains(service).into_iter();
+        let permitted = domains.filter(|domain| permission.admits_domain(*domain));
+        let waits: Vec<_> = permitted
+            .map(|domain| self.measured_wait(service, domain, context.now))
+            .collect();
+        DomainWaits::of(&waits, route.latency_goal)
+    }
+
+    fn measured_wait(
+        &self,
+        service: ServiceId,
+        domain: DomainId,
+        now: Timestamp,
+    ) -> Option<MeasuredWait> {
+        let measurement = self.domain_loads.measurement(service, domain, now)?;
+        Some(MeasuredWait {
+            wait: self.domain_loads.wait(service, domain, now)?,
+            answers: measurement.answers,
+        })
     }
 
     /// Records that the caller of the current flow sends a request to `service`.
@@ -121,33 +117,21 @@
         }
     }
 
-    /// Passes an answer on the current flow to the measurement of domains and to admission.
-    pub(super) fn measure_answer(
+    /// Records an answer on the current flow to `service`, which its server `refused` or not.
+    pub(super) fn note_admitted_answer(
         &mut self,
         context: &PacketContext<'_>,
-        observation: &AnswerObservation,
+        service: ServiceId,
+        refused: bool,
     ) {
-        let refused = self.domain_loads.refused_answers();
-        self.domain_loads.note_answer(observation);
-        let is_refused = self.domain_loads.refused_answers() > refused;
-        if let Some(route) = context.route {
-            let service = observation.service;
-            let priorities = context.view.routes.priorities(service);
-            let urgent = AdmissionControl::acts_for(priorities)
-                && route.priority.as_ref() == priorities.first();
-            let reach = reach_of(&route.regions);
-            self.admission
-                .note_answer(service, reach, is_refused, urgent);
-        }
-    }
-
-    /// Removes what admission no longer needs.
-    pub(super) fn sweep_admission(&mut self, view: &ForwardingView, now: Timestamp) {
-        let directory = &view.directory;
-        self.domain_loads
-            .retain(|service| directory.count(service, None) > 0);
-        self.service_domains.clear();
-        self.admission.sweep(now);
+        let Some(route) = context.route.filter(|_| self.load_policy.priorities) else {
+            return;
+        };
+        let priorities = context.view.routes.priorities(service);
+        let urgent =
+            AdmissionControl::acts_for(priorities) && route.priority.as_ref() == priorities.first();
+        let reach = reach_of(&route.regions);
+        self.admission.note_answer(service, reach, refused, urgent);
     }
 }
 
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/load_observations.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/load_observations.rs
@@ -35,9 +35,26 @@
     }
 
     /// Passes `observation` to the decisions under load that need it.
+    ///
+    /// Guards against a wait that this host caused itself by a pause: the time of a request that
+    /// was sent before it shows nothing about servers.
     fn note_observation(&mut self, context: &PacketContext<'_>, observation: &AnswerObservation) {
-        if self.load_policy.priorities {
-            self.measure_answer(context, observation);
+        if !self.measures_domains() {
+            return;
         }
+        let since_pause = observation.at.since(self.resumed_at);
+        let response = observation.response.filter(|time| *time <= since_pause);
+        let refused = self.domain_loads.refused_answers();
+        self.domain_loads.note_answer(&AnswerObservation {
+            response,
+            ..*observation
+        });
+        let is_refused = self.domain_loads.refused_answers() > refused;
+        self.note_admitted_answer(context, observation.service, is_refused);
+    }
+
+    /// Whether a decision under load needs the measurement of domains.
+    pub(super) const fn measures_domains(&self) -> bool {
+        self.load_policy.spill || self.load_policy.priorities
     }
 }
--- a/crates/cardamomwinch_coordination/src/load/mod.rs
+++ b/crates/cardamomwinch_coordination/src/load/mod.rs
@@ -10,6 +10,7 @@
 //! - [`domain_load`] measures it; [`base_response`] and [`typical_answer`] are what answers are
 //!   compared with.
 //! - [`moving_rate`] is the rate of recent events.
+//! - [`spill_shares`] is which new flows go to other failure domains.
 
 pub mod admission;
 pub mod answer;
@@ -17,6 +18,7 @@
 pub mod domain_load;
 pub mod domain_wait;
 pub mod moving_rate;
+pub mod spill_shares;
 pub mod typical_answer;
 
 /// Which decisions under load a host makes. Without any, it chooses servers by its own
