--- a/crates/cardamomwinch_coordination/src/forwarding/engine.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine.rs
@@ -1,5 +1,6 @@
 //! Decides what to do with each packet: send it to a server, hold it or reset its flow.
 
+mod admissions;
 mod load_observations;
 mod maintenance;
 mod open_flows;
@@ -30,6 +31,7 @@
 use crate::forwarding::unknown_flows::UnknownFlows;
 use crate::forwarding::view::ForwardingView;
 use crate::load::LoadPolicy;
+use crate::load::admission::AdmissionControl;
 use crate::load::domain_load::DomainLoads;
 use crate::load::outliers::OutlierChange;
 use crate::load::spill_shares::{SpillShares, SpillTarget};
@@ -80,6 +82,7 @@
     own_reports: OwnReports,
     load_policy: LoadPolicy,
     domain_loads: DomainLoads,
+    admission: AdmissionControl,
     spill_shares: SpillShares,
     /// When this process ran again after its last pause.
     resumed_at: Timestamp,
@@ -138,6 +141,7 @@
             server_flows,
             version: self.view.routes.version(),
             view_age: self.view.age(self.now),
+            refusal: None,
         }
     }
 
@@ -176,6 +180,7 @@
             own_reports: OwnReports::new(reporter),
             load_policy: LoadPolicy::default(),
             domain_loads: DomainLoads::default(),
+            admission: AdmissionControl::default(),
             spill_shares: SpillShares::default(),
             resumed_at: Timestamp::ZERO,
             reporter,
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/load_observations.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/load_observations.rs
@@ -42,14 +42,22 @@
         if self.judges_outliers(context.route) {
             self.progress.outliers.note_answer(observation);
         }
-        if !self.load_policy.spill {
+        if !self.measures_domains() {
             return;
         }
         let since_pause = observation.at.since(self.resumed_at);
         let response = observation.response.filter(|time| *time <= since_pause);
+        let refused = self.domain_loads.refused_answers();
         self.domain_loads.note_answer(&AnswerObservation {
             response,
             ..*observation
         });
+        let is_refused = self.domain_loads.refused_answers() > refused;
+        self.note_admitted_answer(context, observation.service, is_refused);
+    }
+
+    /// Whether a decision under load needs the measurement of domains.
+    pub(super) const fn measures_domains(&self) -> bool {
+        self.load_policy.spill || self.load_policy.priorities
     }
 }
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/maintenance.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/maintenance.rs
@@ -77,6 +77,7 @@
         self.unknown_flows.sweep(now);
         self.recent_openings.sweep(now);
         self.deliveries.sweep(now);
+        self.admission.sweep(now);
         self.domain_loads
             .retain(|service| view.directory.count(service, None) > 0);
     }
@@ -253,6 +254,7 @@
                 server_flows: self.progress.flows(server),
                 version: view.routes.version(),
                 view_age: view.age(now),
+                refusal: None,
             });
         }
     }
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/spilling.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/spilling.rs
@@ -72,7 +72,7 @@
         if let Some(server) = view
             .directory
             .get(server)
-            .filter(|_| self.load_policy.spill)
+            .filter(|_| self.measures_domains())
         {
             self.domain_loads
                 .note_failures(server.service, server.domain, 1, now);
--- a/crates/cardamomwinch_coordination/src/load/mod.rs
+++ b/crates/cardamomwinch_coordination/src/load/mod.rs
@@ -4,20 +4,24 @@
 //! The modules here know nothing of packets, views or messages. An engine passes what it has
 //! observed, and asks for decisions.
 //!
+//! - [`admission`] decides which requests are refused while there is room for too few.
 //! - [`answer`] is what an engine has seen of one answer.
 //! - [`domain_wait`] is how long requests wait in a failure domain.
 //! - [`domain_load`] measures it; [`base_response`] and [`typical_answer`] are what answers are
 //!   compared with.
+//! - [`moving_rate`] is the rate of recent events.
 //! - [`outcome_counts`] counts the recent answers of a server.
 //! - [`outliers`] decides which servers get no new flows because they do worse than the
 //!   others of their service.
 //! - [`server_window`] is which servers of a domain a host opens flows to.
 //! - [`spill_shares`] is which new flows go to other failure domains.
 
+pub mod admission;
 pub mod answer;
 pub mod base_response;
 pub mod domain_load;
 pub mod domain_wait;
+pub mod moving_rate;
 pub mod outcome_counts;
 pub mod outliers;
 pub mod server_window;
--- a/crates/cardamomwinch_forwarder/tests/decision_lines.rs
+++ b/crates/cardamomwinch_forwarder/tests/decision_lines.rs
@@ -23,6 +23,7 @@
         server_flows: 1,
         version: ConfigurationVersion::new(1),
         view_age: time::Duration::ZERO,
+        refusal: None,
     };
     serde_json::to_value(DecisionLine::from(&record)).unwrap()
 }
