Publish and log refused openings

Cause: operators could not tell why an opening was refused, or whether urgent requests suffer.

Change: the line of a refusal tells the reason, the priority, the probability of admission and what was measured. A forwarding host publishes refused openings by priority and reason, the admitted shares, and the share of urgent requests that was served.

--- a/crates/cardamomwinch_coordination/src/load/admission.rs
+++ b/crates/cardamomwinch_coordination/src/load/admission.rs
@@ -31,6 +31,7 @@
 use crate::load::admission::returning_callers::{CallerKey, ReturningCallers};
 use crate::load::admission::share_control::ShareControl;
 use crate::load::admission::urgent_service::UrgentService;
+use crate::load::domain_wait::DomainWait;
 
 /// The number of different priorities that are needed for a choice between them.
 const MIN_PRIORITIES: usize = 2;
@@ -119,6 +120,12 @@
 pub struct AdmissionRefusal {
     /// Why it was refused.
     pub reason: RefusalReason,
+    /// The priority of its route; `None` if the route has none.
+    pub priority: Option<RoutePriority>,
+    /// The probability with which it would have been admitted, in thousandths.
+    pub share_permille: u32,
+    /// What a request had to expect in the domains that may take it.
+    pub expected: DomainWait,
     /// The time after which the caller should try again.
     pub retry_after: time::Duration,
 }
@@ -213,6 +220,9 @@
         let wait = request.waits.shortest().unwrap_or_default();
         let refusal = AdmissionRefusal {
             reason,
+            priority: request.priority,
+            share_permille: (share * 1_000.0) as u32,
+            expected: request.waits.expected().unwrap_or_default(),
             retry_after: wait.max(MIN_RETRY_AFTER),
         };
         self.callers.note_refused(request.caller(), now);
--- a/crates/cardamomwinch_coordination/src/load/domain_wait.rs
+++ b/crates/cardamomwinch_coordination/src/load/domain_wait.rs
@@ -4,7 +4,7 @@
 
 /// What a host has measured of the requests that it recently sent to the servers of a service
 /// in a failure domain.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub struct DomainWait {
     /// The mean response time beyond what a request takes without a queue.
     pub wait: time::Duration,
--- a/crates/cardamomwinch_coordination/tests/load_admission_decisions.rs
+++ b/crates/cardamomwinch_coordination/tests/load_admission_decisions.rs
@@ -295,6 +295,9 @@
     let now = Timestamp::new(1_000_000);
     let refusal = AdmissionRefusal {
         reason: RefusalReason::Share,
+        priority: None,
+        share_permille: 200,
+        expected: DomainWait::default(),
         retry_after: millis(100),
     };
     let mut number = 0;
--- a/crates/cardamomwinch_forwarder/src/decision_lines.rs
+++ b/crates/cardamomwinch_forwarder/src/decision_lines.rs
@@ -1,6 +1,8 @@
 //! The log line of a decision about a packet.
 
 use cardamomwinch_coordination::forwarding::record::{ForwardingOutcome, ForwardingRecord};
+use cardamomwinch_coordination::load::admission::AdmissionRefusal;
+use cardamomwinch_state::prelude::RoutePriority;
 use cardamomwinch_transport::prelude::DecisionRecord;
 use serde::Serialize;
 
@@ -26,12 +28,44 @@
     spilled_to: Option<String>,
     #[serde(skip_serializing_if = "Option::is_none")]
     spill_reason: Option<&'static str>,
+    /// Why an opening was refused for lack of room, and what was known about it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    refusal: Option<RefusalLine>,
     copies: u32,
     server_flows: u32,
     version: u64,
     view_age_ms: u64,
 }
 
+/// The inputs of a refusal for lack of room.
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
+pub struct RefusalLine {
+    reason: &'static str,
+    /// Left out if the route has none.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    priority: Option<u32>,
+    /// The probability of admission, in thousandths.
+    share_permille: u32,
+    /// The wait and the refused answers in the best domain.
+    wait_ms: u64,
+    refused_permille: u32,
+    retry_after_ms: u64,
+}
+
+impl From<&AdmissionRefusal> for RefusalLine {
+    fn from(refusal: &AdmissionRefusal) -> Self {
+        Self {
+            reason: refusal.reason.name(),
+            priority: refusal.priority.map(RoutePriority::get),
+            share_permille: refusal.share_permille,
+            wait_ms: refusal.expected.wait.as_millis() as u64,
+            refused_permille: refusal.expected.refused_permille,
+            retry_after_ms: refusal.retry_after.as_millis() as u64,
+        }
+    }
+}
+
 impl From<&ForwardingRecord<'_>> for DecisionLine {
     fn from(record: &ForwardingRecord<'_>) -> Self {
         Self {
@@ -44,6 +78,7 @@
             own_domain: record.own_domain,
             spilled_to: record.spilled.map(|target| target.domain.to_string()),
             spill_reason: record.spilled.map(|target| target.reason.name()),
+            refusal: record.refusal.as_ref().map(RefusalLine::from),
             copies: record.copies,
             server_flows: record.server_flows,
             version: record.version.get(),
--- a/crates/cardamomwinch_forwarder/src/lib.rs
+++ b/crates/cardamomwinch_forwarder/src/lib.rs
@@ -13,6 +13,7 @@
 //! ```
 
 pub mod administration;
+pub mod admission_metrics;
 pub mod control_thread;
 pub mod decision_lines;
 pub mod discovery_lines;
--- a/crates/cardamomwinch_forwarder/src/traffic_thread.rs
+++ b/crates/cardamomwinch_forwarder/src/traffic_thread.rs
@@ -16,6 +16,7 @@
 use cardamomwinch_state::prelude::{BackendId, DomainId, FlowKey, Timestamp};
 use cardamomwinch_transport::prelude::{BlockingSocket, Clock, DecisionLogger, HostClock};
 
+use crate::admission_metrics::AdmissionMetrics;
 use crate::control_thread::ControlMessage;
 use crate::decision_lines::DecisionLine;
 use crate::outcome_counters::OutcomeCounters;
@@ -147,6 +148,7 @@
     tick_at: Timestamp,
     counters: OutcomeCounters,
     spill_metrics: SpillMetrics,
+    admission_metrics: AdmissionMetrics,
     malformed: metrics::Counter,
     send_failures: metrics::Counter,
     watched: metrics::Gauge,
@@ -192,6 +194,7 @@
             tick_at: Timestamp::ZERO,
             counters: OutcomeCounters::default(),
             spill_metrics: SpillMetrics::default(),
+            admission_metrics: AdmissionMetrics::default(),
             malformed: metrics::counter!("cardamomwinch_forwarding_malformed_total"),
             send_failures: metrics::counter!("cardamomwinch_forwarding_send_failures_total"),
             watched: metrics::gauge!("cardamomwinch_forwarding_flows"),
@@ -345,6 +348,8 @@
         }
         self.update_reachability();
         self.spill_metrics.publish(&self.thread.engine, now);
+        self.admission_metrics
+            .publish(&self.thread.engine, &self.last_view);
         self.thread.logger.report_left_out(now);
         self.watched.set(self.thread.engine.watch().len() as f64);
         self.unwatched.absolute(self.thread.engine.unwatched());
