--- /dev/null
+++ b/crates/cardamomwinch_forwarder/tests/decision_lines.rs
@@ -0,0 +1,54 @@
+//! The log lines of decisions.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use std::net;
+use std::time;
+
+use cardamomwinch_coordination::forwarding::packet::FlowToken;
+use cardamomwinch_coordination::forwarding::record::{ForwardingOutcome, ForwardingRecord};
+use cardamomwinch_coordination::load::admission::{AdmissionRefusal, RefusalReason};
+use cardamomwinch_coordination::load::domain_wait::DomainWait;
+use cardamomwinch_forwarder::decision_lines::DecisionLine;
+use cardamomwinch_state::prelude::*;
+
+fn record(refusal: Option<AdmissionRefusal>) -> ForwardingRecord<'static> {
+    ForwardingRecord {
+        outcome: ForwardingOutcome::AdmissionReset,
+        flow: FlowKey {
+            caller: net::SocketAddr::from(([100, 64, 0, 1], 20_000)),
+            service: net::SocketAddr::from(([198, 18, 0, 1], 8_443)),
+        },
+        request: None,
+        route: Some("r-views"),
+        token: FlowToken::NONE,
+        server: None,
+        own_domain: None,
+        spilled: None,
+        copies: 0,
+        server_flows: 0,
+        version: ConfigurationVersion::new(7),
+        view_age: time::Duration::ZERO,
+        refusal,
+    }
+}
+
+/// An operator looks for the cause of a refused opening. The line must name the reason and what
+/// the host had measured; lines of other decisions must not grow.
+#[test]
+fn the_line_of_a_refused_opening_tells_why() {
+    let refusal = AdmissionRefusal {
+        reason: RefusalReason::Share,
+        priority: Some(RoutePriority::new(2)),
+        share_permille: 310,
+        expected: DomainWait {
+            wait: time::Duration::from_millis(120),
+            refused_permille: 45,
+        },
+        retry_after: time::Duration::from_millis(150),
+    };
+    let text = |refusal| serde_json::to_string(&DecisionLine::from(&record(refusal))).unwrap();
+    let expected = r#""refusal":{"reason":"share","priority":2,"share_permille":310,"wait_ms":120,"refused_permille":45,"retry_after_ms":150}"#;
+    let line = text(Some(refusal));
+    assert!(line.contains(expected), "{line}");
+    assert!(!text(None).contains("refusal"));
+}
