--- a/crates/cardamomwinch_coordination/src/load/spill_shares.rs
+++ b/crates/cardamomwinch_coordination/src/load/spill_shares.rs
@@ -20,16 +20,16 @@
 /// An advantage counts as if so many more answers had shown none: service times vary, so that
 /// every other answer of a domain that is as busy is a fast one.
 const ADVANTAGE_PRIOR: f64 = 2.0;
-/// The step by a wait beyond the limit, per second of it: a tenth of a second of wait moves a
-/// seventh of the flows in a second.
+/// The step by a wait beyond the limit, per second of it: a tenth of a second of wait moves
+/// half of the flows in a second.
 const WAIT_GAIN: f64 = 0.6;
 /// The step by a change of the wait, per second of it: a rise of a tenth of a second moves a
-/// fifth of the flows at once.
+/// quarter of the flows at once.
 const CHANGE_GAIN: f64 = 2.5;
-/// The largest step. Three in a row halve the flows that stay, which balances a domain with
+/// The largest step. Two in a row halve the flows that stay, which balances a domain with
 /// twice its share of callers before its queues are full.
 const MAX_RISE: f64 = 0.4;
-/// The step back with no wait at all: eight of them end the largest share.
+/// The step back with no wait at all: five of them end the largest share.
 const MAX_RETURN: f64 = 0.35;
 /// The step by which a share falls, per second that the other domain costs more.
 const EXCESS_GAIN: f64 = 3.0;
