Test each guard of the early detection of lost servers

Cause: the tests of sudden_silence failed without four of its conditions, but not without those for a lossy link, for a host that nobody answered lately, and for a pause.

Change: unit tests for these, and a control that shows that the same evidence is sufficient otherwise.

--- a/crates/cardamomwinch_coordination/tests/forwarding_dark.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_dark.rs
@@ -300,21 +300,86 @@
     check_no_alarm(&ALL_LOADS, fail, |_| ());
 }
 
-/// A host with few requests loses what it sends in a fifth of a second, copies included. Nothing
-/// is sent to its servers for a while after that, so that nothing shows that they answer again.
-#[test]
-fn a_short_loss_without_later_openings_is_no_evidence() {
+/// A host that twelve servers have answered by 250 ms.
+fn known_host() -> TestHost {
     let mut host = TestHost::new((1..=12).map(near_server).collect());
     host.engine = ForwardingEngine::new(1_000, 0, ReporterId::new(1)).with_load_policy(spill());
     for port in 1..=12 {
         host.establish(at(u64::from(port) * 20), port);
     }
+    host
+}
+
+/// Sends six openings from `begin` on, one every 5 ms, and their first copies. No server answers.
+fn lose_openings(host: &mut TestHost, begin: u64) {
     for copy in [0, 1] {
-        for port in 21..=26 {
-            let moment = 1_000 + u64::from(copy) * 200 + u64::from(port - 20) * 5;
-            host.handle(at(moment), &opening(port, copy));
+        for index in 0..6 {
+            let moment = begin + u64::from(copy) * 200 + u64::from(index) * 5;
+            host.handle(at(moment), &opening(21 + index, copy));
+        }
+    }
+}
+
+/// A host with few requests loses what it sends in a fifth of a second, copies included. Nothing
+/// is sent to its servers for a while after that, so that nothing shows that they answer again.
+#[test]
+fn a_short_loss_without_later_openings_is_no_evidence() {
+    let mut host = known_host();
+    lose_openings(&mut host, 1_000);
+    host.run_until(at(1_590));
+    assert!(host.engine.reaches_servers());
+}
+
+/// Silent openings after the copies complete the evidence. Each test below adds one thing to
+/// this that makes it insufficient.
+#[test]
+fn a_longer_loss_is_evidence() {
+    let mut host = known_host();
+    lose_openings(&mut host, 1_000);
+    host.handle(at(1_300), &opening(30, 0));
+    host.run_until(at(1_500));
+    assert!(!host.engine.reaches_servers());
+}
+
+/// No server has answered the host for seconds, because it had nothing to send. What it loses
+/// then may have been lost for long, and other hosts may lose it as well.
+#[test]
+fn a_loss_after_an_idle_time_is_no_early_evidence() {
+    let mut host = known_host();
+    lose_openings(&mut host, 5_000);
+    host.handle(at(5_300), &opening(30, 0));
+    host.run_until(at(5_590));
+    assert!(host.engine.reaches_servers());
+}
+
+/// The link of the host has lost requests to two servers lately, which answered the repetitions.
+#[test]
+fn a_loss_on_a_lossy_link_is_no_early_evidence() {
+    let mut host = known_host();
+    for port in [1, 2] {
+        let flow = flow(port);
+        let watch = host.engine.watch();
+        let server = watch.get(watch.hash(&flow), &flow).unwrap().server;
+        for moment in [300, 600] {
+            host.handle(at(moment), &data(port, server, 500, 1, 80));
         }
+        host.handle(at(620), &data(port, server, 580, 3_001, 0));
     }
+    lose_openings(&mut host, 1_000);
+    host.handle(at(1_300), &opening(30, 0));
     host.run_until(at(1_590));
     assert!(host.engine.reaches_servers());
 }
+
+/// The host stands still for a quarter of a second. What callers sent meanwhile still waits, and
+/// may show that servers answer.
+#[test]
+fn openings_before_a_pause_are_no_evidence() {
+    let mut host = known_host();
+    lose_openings(&mut host, 1_000);
+    host.handle(at(1_300), &opening(30, 0));
+    host.pause_until(at(1_550));
+    host.tick(at(1_551));
+    host.run_until(at(1_750));
+    assert!(host.engine.reaches_servers());
+}
