--- a/crates/cardamomwinch_coordination/src/load/spill_shares.rs
+++ b/crates/cardamomwinch_coordination/src/load/spill_shares.rs
@@ -29,8 +29,8 @@
 /// The largest step. Two in a row halve the flows that stay, which balances a domain with
 /// twice its share of callers before its queues are full.
 const MAX_RISE: f64 = 0.4;
-/// The step back with no wait at all: five of them end the largest share.
-const MAX_RETURN: f64 = 0.35;
+/// The step back with no wait at all: eight of them end the largest share.
+const MAX_RETURN: f64 = 0.2;
 /// The step by which a share falls, per second that the other domain costs more.
 const EXCESS_GAIN: f64 = 3.0;
 /// A smaller share counts as none.
