Clarify comments on the decisions under load

A reader who is new to the code stumbled on these comments:

- Comments that did not fit the code: the unit of reports about slow servers, the reason of FEW_OBSERVATIONS, the wait in a log line of a refused opening, and the errors of send_reports.
- Missing units of the steps of spill shares, and of evidence in nats.
- Figurative words, such as flows that stay abroad, hosts that speak up, and a host that has lost its way.
- Comments that only repeated a name, such as that of RELAPSE_FACTOR.

The debug line about reports that cannot be sent names what failed. No other behaviour changes.

--- a/crates/cardamomwinch_coordination/src/forwarding/engine/maintenance.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/maintenance.rs
@@ -137,7 +137,8 @@
         let mut overdue = Vec::new();
         self.watch.visit(|flow, watched| {
             if let Some(sent_at) = watched.take_overdue(timeout, now) {
-                // A server that hangs acknowledges requests. Callers repeat lost ones.
+                // Callers repeat a request that was not acknowledged. One without a copy has
+                // reached its server, and only the answer is missing.
                 let is_accepted = watched.copies == 0;
                 overdue.push((flow.service, watched.server, sent_at, is_accepted));
             }
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/open_flows.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/open_flows.rs
@@ -44,6 +44,7 @@
         };
         if matches!(watched.stage, FlowStage::Opening { .. }) {
             let time = now.since(watched.seen_at);
+            // A later confirmation may answer a copy, so it does not show when its packet was sent.
             let is_prompt = time < flow_watch::MIN_RESEND_INTERVAL;
             let sent_at = if is_prompt { watched.seen_at } else { now };
             self.server_reach.note_opened(sent_at, now);
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/openings.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/openings.rs
@@ -141,7 +141,7 @@
         }
     }
 
-    /// An outlier that this flow is to try, if one is due.
+    /// An ejected server that the current flow is sent to as a trial, if one is due.
     fn trial_server<'a>(
         &self,
         context: &PacketContext<'a>,
@@ -213,7 +213,8 @@
                 self.report_silence(earlier, context.now);
             }
         }
-        // Whoever got no answer from another domain stays: it may be cut off.
+        // An opening that was sent before is not spilled again: a domain that did not answer may
+        // be cut off.
         let input = self.placement_input(context, service, None);
         let avoid = |id: BackendId| is_copy && (id == earlier || watched.was_tried(id));
         let permission = self.permission(context, service);
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/spilling.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/spilling.rs
@@ -32,7 +32,7 @@
         self.load_policy.spill && route.is_some_and(|route| has_goal(route.latency_goal))
     }
 
-    /// The domain that the flow which is now opened to `service` leaves for, if it leaves.
+    /// The other domain that the current new flow to `service` is sent to, if any.
     pub(super) fn choose_spill(
         &mut self,
         context: &PacketContext<'_>,
@@ -48,7 +48,7 @@
         shares.choose(service, context.hash.mixed_with(SPILL_SALT), admits)
     }
 
-    /// Moves the shares by what was measured.
+    /// Adjusts the shares to the current measurements.
     pub(super) fn update_spill(&mut self, now: Timestamp, view: &ForwardingView) {
         let Some(own) = view.domain.filter(|_| self.load_policy.spill) else {
             return;
--- a/crates/cardamomwinch_coordination/src/forwarding/placement.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/placement.rs
@@ -47,7 +47,7 @@
 /// The order of preference among servers; the smallest value is preferred.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum ServerRank {
-    /// An active server in the domain that the flow leaves for.
+    /// An active server in the domain that the flow is spilled to.
     SpillTarget,
     /// An active server in another domain, while the own domain is overloaded.
     SpillOver,
@@ -104,10 +104,10 @@
     pub latency_goal: time::Duration,
     /// Whether flows of this route usually last for one request only.
     pub is_short: bool,
-    /// The failure domain that the flow leaves for, if it does.
+    /// The other failure domain that the flow is spilled to, if any.
     pub spill_to: Option<DomainId>,
-    /// Whether shares of flows decide which flows leave the domain, and not the responses and
-    /// flows of the servers.
+    /// Whether [`crate::load::spill_shares`] decides which flows leave the domain. Otherwise the
+    /// response times and flow counts of the servers decide.
     pub spills_by_share: bool,
     /// The current time.
     pub now: Timestamp,
--- a/crates/cardamomwinch_coordination/src/forwarding/placement/windows.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/placement/windows.rs
@@ -25,7 +25,7 @@
         chosen.or_else(|| self.choose(avoid))
     }
 
-    /// The domain whose window is used: the one that the flow leaves for, or the own one.
+    /// The domain whose window is used: the one that the flow is spilled to, or the own one.
     fn window_domain(&self) -> Option<DomainId> {
         self.spill_to.or(self.domain)
     }
@@ -46,9 +46,9 @@
     /// its size. If the own flows of this host fill the slots of each server, the window
     /// doubles until it covers the domain, or [`MAX_SAMPLE`] servers if there are more.
     ///
-    /// With one flow more per server before it doubles, hosts whose lists of hosts differ
-    /// by three of 23 fill queues at 70 % of all slots: servers in four windows or more get
-    /// too many flows, while others are in none.
+    /// The window doubles before any server gets more flows than it has slots: while hosts
+    /// have different lists of hosts, some servers are in more windows than intended, and
+    /// their queues would fill.
     fn best_in_window(
         &self,
         domain: DomainId,
--- a/crates/cardamomwinch_coordination/src/forwarding/server_reports.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/server_reports.rs
@@ -68,7 +68,7 @@
     /// may pass through another host.
     Answers,
     /// Whether it accepts requests and never answers, in comparison with others. For this
-    /// subject and the following ones [`ServerSilence::flows`] is the weight of the evidence
+    /// subject and [`Self::Failing`], [`ServerSilence::flows`] is the weight of the evidence
     /// in hundredths of a nat.
     Hanging,
     /// Whether it refuses or fails a large part of its requests, in comparison with others.
--- a/crates/cardamomwinch_coordination/src/forwarding/server_reports/outliers.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/server_reports/outliers.rs
@@ -14,13 +14,13 @@
 /// has about 70 bytes and is repeated every 1.2 seconds, so that a host sends at most
 /// 1.4 KB of them per second to each host that it exchanges reports with.
 const MAX_OUTLIER_REPORTS: usize = 24;
-/// The number of hosts that watch a server while it is out; further ones leave it to them.
-/// One of them may be wrong, and another one may stop.
+/// The number of hosts that report and try a server while it is out; further ones only read
+/// their reports. One of the three may be wrong, and another one may stop.
 const WATCHING_HOSTS: usize = 3;
 
 /// The number of hosts that must report an outlier to convince others. Answers refute that a
-/// server hangs, but not that it refuses some requests; hosts that saw none refused do not
-/// report, so that a third host makes up for those that were unlucky.
+/// server hangs, but not that it refuses some requests. A host that saw no refused answer
+/// cannot contradict, so chance reports are excluded by a third host instead.
 const fn least_hosts(subject: ReportSubject) -> usize {
     match subject {
         ReportSubject::Failing => MIN_SILENT_HOSTS + 1,
--- a/crates/cardamomwinch_coordination/src/forwarding/sudden_silence.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/sudden_silence.rs
@@ -2,8 +2,8 @@
 //! that are neither confirmed nor reset.
 //!
 //! A server that is alive confirms an opening within a round trip. If openings to several
-//! servers that did so before are all left without an answer, the host has lost its way to
-//! them. Callers of such openings send copies. This tells the loss apart from servers that
+//! servers that did so before are all left without an answer, the host can no longer reach
+//! them. Callers of such openings send copies. This distinguishes the loss from servers that
 //! reset openings because they are full or were restarted: their callers send no copies,
 //! because they open other flows at once.
 
@@ -34,15 +34,16 @@
 /// Guards against some dead servers that are still listed: without flows, they attract all
 /// openings of a host for a while.
 const MIN_KNOWN_SERVERS: usize = 3;
-/// How long ago an answer of such a server may lie. The least busy hosts send a server one
+/// The maximum age of the last answer of such a server. The least busy hosts send a server one
 /// flow in five to ten seconds. The store removes dead servers within a few seconds.
 const KNOWN_RETENTION: time::Duration = time::Duration::from_secs(30);
-/// How long before the silence a server must have answered. A host that no server answered
-/// before shows no change.
+/// The maximum time between the last answered packet and the first silent opening. If no
+/// server answered before, the silence shows no change.
 const ANSWER_RETENTION: time::Duration = time::Duration::from_secs(2);
 /// How long openings are kept. Older ones show nothing about the present.
 const OPENING_RETENTION: time::Duration = time::Duration::from_secs(1);
-/// The number of silent openings that are kept: more than it takes to detect the loss.
+/// The maximum number of silent openings, and of repetitions, that are kept: more than it
+/// takes to detect the loss.
 const OPENING_LIMIT: usize = 64;
 
 /// An opening, or a copy of one, that was sent since the last answer.
--- a/crates/cardamomwinch_coordination/src/load/admission.rs
+++ b/crates/cardamomwinch_coordination/src/load/admission.rs
@@ -124,7 +124,7 @@
     pub priority: Option<RoutePriority>,
     /// The probability with which it would have been admitted, in thousandths.
     pub share_permille: u32,
-    /// What a request had to expect in the domains that may take it.
+    /// The wait and the refused answers that were expected in the domains that may take it.
     pub expected: DomainWait,
     /// The time after which the caller should try again.
     pub retry_after: time::Duration,
--- a/crates/cardamomwinch_coordination/src/load/admission/refused_flows.rs
+++ b/crates/cardamomwinch_coordination/src/load/admission/refused_flows.rs
@@ -1,6 +1,6 @@
 //! The openings that were refused a short time ago.
 //!
-//! Guards against a request that runs although its caller was told that it does not: the
+//! Guards against a request that runs although a reset has stated that it does not: the
 //! reset may be lost, and a later copy of the opening, or an earlier one that was delayed,
 //! would be sent to a server.
 
@@ -13,8 +13,8 @@
 /// How long copies of an opening may arrive after the first one: callers give up after 1.4 s,
 /// and the network may delay the last copy.
 pub const COPY_TIME: time::Duration = time::Duration::from_secs(3);
-/// The maximum number of refused openings: what a host refuses in [`COPY_TIME`] if 5,000 a
-/// second return at once. Others are admitted, because their refusal could not be repeated.
+/// The maximum number of refused openings: what a host refuses in [`COPY_TIME`] at 5,000
+/// refusals per second. Others are admitted, because their refusal could not be repeated.
 const FLOW_LIMIT: usize = 16_384;
 
 #[derive(Debug, Clone, Copy)]
--- a/crates/cardamomwinch_coordination/src/load/admission/returning_callers.rs
+++ b/crates/cardamomwinch_coordination/src/load/admission/returning_callers.rs
@@ -10,8 +10,8 @@
 use cardamomwinch_state::flow;
 use cardamomwinch_state::prelude::{FlowHash, PartedTable, Timestamp};
 
-/// The maximum number of callers: those of [`RETURN_TIME`] if 3,000 others are refused in a
-/// second. Retries of further ones are treated like first openings.
+/// The maximum number of callers: those refused in [`RETURN_TIME`] if 3,000 different ones
+/// are refused per second. Retries of further ones are treated like first openings.
 const CALLER_LIMIT: usize = 16_384;
 /// How long after a refusal another opening of the caller counts as a retry: a person tries
 /// again within some seconds.
--- a/crates/cardamomwinch_coordination/src/load/admission/share_control.rs
+++ b/crates/cardamomwinch_coordination/src/load/admission/share_control.rs
@@ -26,8 +26,9 @@
 /// Up to this wait, in per cent of the latency goal, a domain has room. A longer wait leaves
 /// too little of the goal for the work itself.
 pub const ROOM_PERCENT: u32 = 20;
-/// The share of refused answers at which the pressure is one, in thousandths. Random queues
-/// refuse a few requests while others are short; to avoid these, servers would have to idle.
+/// The share of refused answers at which the pressure is one, in thousandths. Arrivals
+/// are random, so that a few queues are full while others are short; to avoid every refusal,
+/// servers would have to idle.
 const REFUSED_PERMILLE: f64 = 40.0;
 /// The mean time over which arrivals are counted: shorter than waits are measured over, so
 /// that shares follow a burst or its end at once.
@@ -35,9 +36,10 @@
 /// The mean time over which admitted openings, requests and answers are counted. A host with
 /// 150 openings a second counts 45 of them, so that the capacity is right to a fifth.
 const SERVED_TIME: time::Duration = time::Duration::from_millis(300);
-/// The weight with which what was served enters the capacity in a period of high pressure.
+/// The weight of the served openings in the new capacity, in a period with a pressure above
+/// one.
 const SERVED_WEIGHT: f64 = 0.5;
-/// The highest ratio of answers to requests that is taken for queues that drain.
+/// The highest ratio of answers to requests that counts. It exceeds one while queues drain.
 const MAX_DRAIN_FACTOR: f64 = 1.5;
 /// The pressure above which a higher pressure changes nothing.
 const MAX_PRESSURE: f64 = 2.0;
@@ -78,7 +80,8 @@
     wait.max(refused).min(MAX_PRESSURE)
 }
 
-/// The admitted shares of one service.
+/// The admitted shares of one service. A *class* is the position of a priority among those of
+/// the service; routes without a priority are the last class.
 #[derive(Debug, Clone)]
 pub struct ShareControl {
     /// Openings for each class, since the period began.
@@ -89,8 +92,9 @@
     /// Openings in a period for each class, by how often their callers were refused before.
     arrivals: Vec<[MovingRate; MAX_RETURNS + 1]>,
     admitted: MovingRate,
-    /// Requests on admitted flows, and answers to them that were not refused.
+    /// Requests on admitted flows.
     requests: MovingRate,
+    /// Answers on admitted flows that were not refused.
     answers: MovingRate,
     /// The openings in a period that the servers can take; `None` if there is enough room.
     capacity: Option<f64>,
--- a/crates/cardamomwinch_coordination/src/load/admission/urgent_service.rs
+++ b/crates/cardamomwinch_coordination/src/load/admission/urgent_service.rs
@@ -9,7 +9,7 @@
 use crate::load::moving_rate::MovingRate;
 
 /// The time over which the share is measured: long enough for some urgent requests on a host
-/// with one in a second, and short enough to show an overload of some seconds.
+/// with one per second, and short enough to show an overload of some seconds.
 const MEAN_TIME: time::Duration = time::Duration::from_secs(10);
 /// The unit of the rates.
 const RATE_PERIOD: time::Duration = time::Duration::from_secs(1);
--- a/crates/cardamomwinch_coordination/src/load/domain_load.rs
+++ b/crates/cardamomwinch_coordination/src/load/domain_load.rs
@@ -20,8 +20,9 @@
 /// The same while few observations count, so that a host that sees few answers does not take
 /// the work of a single one for a queue.
 const SLOW_DECAY: time::Duration = time::Duration::from_millis(400);
-/// So many observations are few: the mean of six differs from the true one by a fifth of the
-/// work, if service times vary by half of it.
+/// A smaller sum of weights counts as few observations. With exponential weights, a sum of
+/// three is as exact as a plain mean of six, which differs from the true one by a fifth of the
+/// work if service times vary by half of it.
 const FEW_OBSERVATIONS: f64 = 3.0;
 /// A measurement expires this long after the last answer.
 const MEASUREMENT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
@@ -110,7 +111,7 @@
         self.measured_at.is_some_and(is_recent)
     }
 
-    /// Without any timed answer, the response is not known and counts as the base.
+    /// `sum` per timed answer; zero without any, so that an unknown response shows no wait.
     fn per_answer(&self, sum: f64) -> f64 {
         if self.timed > 0.0 {
             sum / self.timed
@@ -142,7 +143,8 @@
         self.excess + self.refused * goal.as_secs_f64()
     }
 
-    /// The same with [`WAIT_PRIOR`]: for the domain that all flows go to by default.
+    /// Like [`Self::wait`], but the mean of few answers counts less. This is for the own domain,
+    /// whose wait must end when hardly any requests come.
     pub fn damped_wait(&self, goal: time::Duration) -> f64 {
         let trust = self.answers / (self.answers + WAIT_PRIOR);
         trust * self.excess + self.refused * goal.as_secs_f64()
@@ -202,8 +204,8 @@
     }
 
     /// Records that `requests` requests to `service` in `domain` failed: their openings were
-    /// not confirmed, or they stay without an answer. This shows that a domain refuses requests,
-    /// but a domain that only fails is not measured.
+    /// not confirmed, or they stay without an answer. They count as refused answers, but not as
+    /// a measurement: a domain that answers nothing stays unmeasured.
     pub fn note_failures(
         &mut self,
         service: ServiceId,
--- a/crates/cardamomwinch_coordination/src/load/moving_rate.rs
+++ b/crates/cardamomwinch_coordination/src/load/moving_rate.rs
@@ -11,8 +11,8 @@
 }
 
 impl MovingRate {
-    /// Adds `count` events of the last `elapsed`. The rate is per `period`, and older events
-    /// lose weight in the course of `mean_time`.
+    /// Adds the `count` events of the last `elapsed` time. The rate is per `period`, and older
+    /// events lose weight with the time constant `mean_time`.
     pub fn note(
         &mut self,
         count: u32,
--- a/crates/cardamomwinch_coordination/src/load/outcome_counts.rs
+++ b/crates/cardamomwinch_coordination/src/load/outcome_counts.rs
@@ -1,9 +1,9 @@
 //! Counts the recent answers of servers, and weighs what the counts show about one server in
 //! comparison with the others of its service.
 //!
-//! The weight of evidence is the logarithm of how improbable the observation is at a server
-//! that does as well as the others. Observations of different requests and of different
-//! hosts are independent, so their weights add up.
+//! The weight of evidence is the negative natural logarithm, in nats, of the probability of
+//! the observation at a server that does as well as the others. Observations of different
+//! requests and of different hosts are independent, so their weights add up.
 
 use std::time;
 
@@ -20,7 +20,7 @@
 /// The least share of requests that is taken to fail by chance, in any service: callers
 /// vanish while they wait, and a few requests fail by themselves.
 const MIN_CHANCE_SHARE: f64 = 0.01;
-/// The parts of a server's requests that must be refused before it counts as failing. A
+/// The part of a server's requests that must be refused before it counts as failing. A
 /// smaller part costs callers a retry each, which they hardly notice.
 const MIN_FAILING_SHARE: f64 = 0.25;
 /// The share must also be this many times that of the other servers. In a service that is
@@ -116,7 +116,7 @@
     }
 }
 
-/// The share of bad outcomes, if there are enough.
+/// The share of bad outcomes; zero if there are too few.
 fn fresh_share(count: u32, requests: u32) -> f64 {
     if count < MIN_FRESH {
         return 0.0;
@@ -229,7 +229,7 @@
     }
 }
 
-/// Tells when new periods begin.
+/// Determines when new periods begin.
 #[derive(Debug, Default)]
 pub struct CountPeriod {
     since: Timestamp,
--- a/crates/cardamomwinch_coordination/src/load/outliers.rs
+++ b/crates/cardamomwinch_coordination/src/load/outliers.rs
@@ -2,8 +2,8 @@
 //! their service in their failure domain: they hang, that is they accept requests and never
 //! answer, or they refuse a large part of them.
 //!
-//! A host sees one or two requests per second of a server, or fewer. Each request without an
-//! answer weighs as much as it is improbable at the other servers, at most 4.6 nats. A host
+//! A host sees one or two requests per second of a server, or fewer. The weight of a request
+//! without an answer rises the rarer these are at the other servers, up to 4.6 nats. A host
 //! ejects a server on [`CONCLUSIVE`] evidence: an observation that a server like the others
 //! would cause once in a million requests. So three requests without an answer, and no
 //! answer since, are enough if the other servers lose hardly any. A host with 90 requests per
@@ -29,21 +29,21 @@
 use crate::load::outliers::watched::{ServerGroup, WatchedServer};
 use crate::load::typical_answer::TypicalAnswer;
 
-/// The evidence on which a server is ejected: as improbable as one in a million.
+/// The evidence on which a server is ejected: 13.8 nats, a probability of one in a million.
 pub const CONCLUSIVE: EvidenceWeight = EvidenceWeight::new(1_380);
-/// The most that the report of one host counts towards [`CONCLUSIVE`], so that one host
-/// alone, or one host with a single chance observation of another, convinces nobody.
+/// The most that the report of one host counts towards [`CONCLUSIVE`]. One report, even with a
+/// single chance observation of a second host, is not enough for other hosts.
 pub const MAX_HOST_EVIDENCE: EvidenceWeight = EvidenceWeight::new(690);
-/// The least evidence of refused answers that is reported. Hosts that saw none do not speak
-/// up, so weaker reports would add up by chance in a domain of many hosts.
+/// The least evidence of refused answers that is reported. Hosts that saw none do not
+/// contradict, so weaker reports would add up by chance in a domain of many hosts.
 const MIN_REPORTED_FAILING: EvidenceWeight = MAX_HOST_EVIDENCE;
-/// The least evidence of hanging that is reported: one request without an answer if the other servers
-/// leave fewer than one in ten without one.
+/// The least evidence of hanging that is reported: one request without an answer if the other
+/// servers leave fewer than one in ten without one.
 const MIN_REPORTED_HANGING: EvidenceWeight = EvidenceWeight::new(230);
 /// How often a finding is reported while it lasts. Reports expire after three seconds.
 const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(1_200);
-/// The most findings that a host reports at once, the weightiest ones. More servers hardly
-/// fail together without a common cause.
+/// The maximum number of findings that a host reports at once, those with the most weight.
+/// More servers seldom fail together without a common cause.
 const MAX_FINDINGS: usize = 8;
 /// The least number of measured servers of a service in a domain among which one can stand
 /// out.
@@ -53,7 +53,7 @@
 /// The maximum slowness that a reported server counts with, in per cent.
 const MAX_SLOW_PERCENT: u32 = 800;
 
-/// Why a server stands out; the later, the worse.
+/// Why a server stands out, in ascending order of severity.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum OutlierReason {
     /// It takes several times as long as the others. It keeps a smaller share of new flows.
@@ -126,7 +126,7 @@
     pub since: Timestamp,
 }
 
-/// That a server gets no new flows any more, or gets them again.
+/// The ejection of a server, or its return.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OutlierChange {
     /// The server.
--- a/crates/cardamomwinch_coordination/src/load/outliers/ejection.rs
+++ b/crates/cardamomwinch_coordination/src/load/outliers/ejection.rs
@@ -14,7 +14,7 @@
 const MAX_TRIAL_DELAY: time::Duration = time::Duration::from_secs(32);
 /// The time between trials that succeed.
 const TRIAL_SPACING: time::Duration = time::Duration::from_millis(100);
-/// How long a host leaves the trials to others after it last knew of their reports: longer
+/// How long a host leaves the trials to others after it last had reports of theirs: longer
 /// than the time between two judgements.
 const POSTPONEMENT: time::Duration = time::Duration::from_secs(1);
 /// After this time requests that may run only once are used as trials as well, because some
@@ -23,7 +23,8 @@
 /// A server that answers one request does not hang; the second one excludes a late answer
 /// to an earlier request.
 const HANGING_TRIALS: u32 = 2;
-/// A server that fails 40 % of its requests passes eight trials in 60 attempts.
+/// A server that fails 40 % of its requests passes eight trials in a row only once in 60
+/// attempts.
 const FAILING_TRIALS: u32 = 8;
 
 /// Why and since when a server is out.
--- a/crates/cardamomwinch_coordination/src/load/outliers/watched.rs
+++ b/crates/cardamomwinch_coordination/src/load/outliers/watched.rs
@@ -26,9 +26,10 @@
 /// before its return have expired.
 const REPORTS_IGNORED: time::Duration = time::Duration::from_secs(4);
 /// A server that is ejected again within this time after its return starts with a multiple
-/// of the delay of its last trials, so that one that fails in turns costs ever fewer requests.
+/// of the delay of its last trials, so that a server that fails again and again costs fewer
+/// requests each time.
 const RELAPSE_TIME: time::Duration = time::Duration::from_secs(60);
-/// That multiple.
+/// The factor by which the last trial delay is multiplied after a relapse.
 const RELAPSE_FACTOR: u32 = 4;
 
 /// The least evidence for which a host reports a server.
@@ -248,8 +249,9 @@
         self.reported.is_some_and(|one| one.is_watched_by_others)
     }
 
-    /// Lets hosts with evidence of their own try the server, and the others wait as long as
-    /// those report it.
+    /// Updates the own evidence that the server hangs. While other hosts report the server, the
+    /// next trial is postponed if enough of them watch it, or if this host has too little
+    /// evidence of its own.
     pub(super) fn update_ejection(&mut self, now: Timestamp) {
         let (has_reports, left) = (self.reported.is_some(), self.is_left_to_others());
         let hang = self.hang.weight;
--- a/crates/cardamomwinch_coordination/src/load/server_window.rs
+++ b/crates/cardamomwinch_coordination/src/load/server_window.rs
@@ -7,9 +7,9 @@
 /// The smallest window. Fewer servers leave too little choice if one of them is slow or does
 /// not answer.
 const MIN_SERVERS: usize = 4;
-/// The smallest window if positions are hashes. With 195 hosts and 40 servers at 70 % of all
-/// slots, windows of four servers shed more than none, because some servers are in twice as
-/// many windows as others, and no host has enough flows to notice.
+/// The smallest window if positions are hashes. Some servers are then in twice as many windows
+/// as others. In smaller windows, a host has too few alternatives to these servers, and too few
+/// flows to notice that they are full.
 const MIN_HASHED_SERVERS: usize = 8;
 /// The number of hosts that share a server if the ranks of all hosts are known: with two, no
 /// server is left without a host when one host fails.
@@ -26,7 +26,7 @@
 /// Where a host stands among the hosts of its failure domain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HostPosition {
-    /// The position is `part` of `parts`.
+    /// The position is the fraction `part / parts` of the list of servers.
     part: u128,
     parts: u128,
     hosts: u128,
--- a/crates/cardamomwinch_coordination/src/load/spill_shares.rs
+++ b/crates/cardamomwinch_coordination/src/load/spill_shares.rs
@@ -1,8 +1,8 @@
 //! The share of new flows of each service that a host sends to other failure domains.
 //!
-//! A share answers to the wait in the own domain. Queues add up what exceeds the capacity, so
-//! that a share that only followed the wait itself would always be late and swing. It moves by
-//! the change of the wait and, slower, by the wait beyond its limit. Steps are relative to the
+//! A share follows the wait in the own domain. Queues accumulate what exceeds the capacity, so
+//! that a share that depended on the wait alone would lag behind and oscillate. It is moved by
+//! the change of the wait and, more slowly, by the wait beyond its limit. Steps are relative to the
 //! part of the flows that stays, so that the effect on the queues does not depend on how far
 //! the domain is overloaded, and all hosts of a domain together act as one would.
 
@@ -12,18 +12,19 @@
 
 use crate::load::domain_load::{DomainLoads, DomainMeasurement};
 
-/// With less than this wait in the own domain, in parts of the latency goal, flows come back.
+/// Below this wait in the own domain, as a part of the latency goal, the shares of other
+/// domains fall.
 const CALM_PART: f64 = 0.1;
 /// The advantage that another domain must have, in parts of the base response: requests there
-/// are lost if the domains are cut from each other.
+/// are lost if the domains are cut off from each other.
 const LEAVING_PRICE: f64 = 0.25;
-/// An advantage counts as if so many more answers had shown none: service times vary, so that
-/// every other answer of a domain that is as busy is a fast one.
+/// This many answers without an advantage are added to the measured ones: service times vary,
+/// so that a few answers of an equally busy domain may all be fast by chance.
 const ADVANTAGE_PRIOR: f64 = 2.0;
-/// The step by a wait beyond the limit, per second of it: a tenth of a second of wait moves
+/// The step in 100 ms per second of wait beyond the limit: a tenth of a second of wait moves
 /// half of the flows in a second.
 const WAIT_GAIN: f64 = 0.6;
-/// The step by a change of the wait, per second of it: a rise of a tenth of a second moves a
+/// The step per second by which the wait changes: a rise of a tenth of a second moves a
 /// quarter of the flows at once.
 const CHANGE_GAIN: f64 = 2.5;
 /// The largest step. Two in a row halve the flows that stay, which balances a domain with
@@ -31,7 +32,7 @@
 const MAX_RISE: f64 = 0.4;
 /// The step back with no wait at all: eight of them end the largest share.
 const MAX_RETURN: f64 = 0.2;
-/// The step by which a share falls, per second that the other domain costs more.
+/// The step in 100 ms by which a share falls, per second that the other domain costs more.
 const EXCESS_GAIN: f64 = 3.0;
 /// A smaller share counts as none.
 const MIN_SHARE: f64 = 0.005;
@@ -67,7 +68,7 @@
     }
 }
 
-/// The domain that a flow leaves for, and why.
+/// The other domain that a flow is sent to, and why.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SpillTarget {
     /// The domain.
@@ -76,7 +77,7 @@
     pub reason: SpillReason,
 }
 
-/// What a domain gets of the flows of a service.
+/// The share of the flows of a service that a domain gets.
 #[derive(Debug, Clone, Copy)]
 struct DomainShare {
     /// From 0 to 1.
@@ -132,7 +133,8 @@
         Some(*domain)
     }
 
-    /// Flows with the same `hash` leave for the same domain while the shares stay the same.
+    /// The domain that a flow with this `hash` is sent to by the shares: the same one as long as
+    /// they stay the same.
     fn choose_by_share(&self, hash: u64, admits: impl Fn(DomainId) -> bool) -> Option<SpillTarget> {
         let mut point = hash as f64 / u64::MAX as f64;
         for (domain, one) in self.domains.iter() {
@@ -146,7 +148,7 @@
         None
     }
 
-    /// Moves the shares while flows wait little in the own domain.
+    /// Lowers the shares while flows wait little in the own domain.
     fn step_back(&mut self, wait: f64, limit: f64) {
         let calm = 1.0 - wait.max(0.0) / limit;
         let total = self.total();
@@ -177,7 +179,8 @@
         for (domain, one) in self.domains.iter_mut() {
             let advantage = advantage(*domain);
             let was_measuring = std::mem::replace(&mut one.is_measuring, advantage.is_none());
-            // What the wait has risen by before the first measurement counts with it.
+            // At the first measurement of another domain, the whole rise of the wait until then
+            // counts as its change.
             let change = if was_measuring && excess >= limit {
                 change.max(excess)
             } else {
@@ -285,7 +288,7 @@
             shares.step_back(wait, limit);
         } else {
             let bound = own.cost(goal) - LEAVING_PRICE * own.base;
-            // The longer the own wait is, the less it takes to believe in an advantage.
+            // The longer the own wait is, the fewer answers must show an advantage.
             let urgency = (wait / limit - 2.0).clamp(0.0, 1.0);
             shares.step_out(wait - limit, change, limit, |domain| {
                 let other = measurement(domain)?;
@@ -300,8 +303,8 @@
         }
     }
 
-    /// The domain that a new flow to `service` leaves for, if it leaves. `hash` is a hash of the
-    /// flow, and `admits` tells which domains may take it.
+    /// The other domain that a new flow to `service` is sent to, if any. `hash` is a hash of the
+    /// flow, and `admits` returns whether a domain may take it.
     pub fn choose(
         &mut self,
         service: ServiceId,
--- a/crates/cardamomwinch_coordination/src/load/typical_answer.rs
+++ b/crates/cardamomwinch_coordination/src/load/typical_answer.rs
@@ -1,4 +1,4 @@
-//! The usual size of the answers of a route, which tells refused answers from others.
+//! The usual size of the answers of a route, by which refused answers are recognized.
 
 /// An answer of less than `1 / REFUSED_PART` of the usual size counts as refused. Refusals are a
 /// status and a short reason, while the sizes of answers of a route vary by less than that.
@@ -6,8 +6,8 @@
 /// The size of an answer enters the moving mean with the weight `1 / SIZE_WEIGHT`.
 const SIZE_WEIGHT: u32 = 8;
 /// The size of a refused answer enters with the weight `1 / REFUSED_WEIGHT`. It is small, so that
-/// refusals stay recognizable during seconds of overload, and positive, so that a route whose
-/// answers become smaller is not taken for refusing for good.
+/// refusals stay recognizable during seconds of overload, and positive, so that the smaller
+/// answers of a changed route do not count as refused forever.
 const REFUSED_WEIGHT: u32 = 256;
 
 /// The moving mean of the sizes of answers.
--- a/crates/cardamomwinch_coordination/tests/forwarding_dark.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_dark.rs
@@ -134,7 +134,7 @@
 }
 
 /// Checks that hosts leave the rotation half a second after their first silent opening, and a
-/// step later. Hosts with few requests need one more copy or two if chance has it.
+/// step later. Hosts with few requests may need one or two more copies.
 fn check_loss(play: fn(HostLoad, LoadPolicy, u64) -> Vec<Option<u64>>) {
     let play_all = |load, policy| -> Vec<_> {
         let seeds = 1..=5;
@@ -157,7 +157,7 @@
     check_loss(cut_off_evacuated);
 }
 
-/// The hosts of a domain lose their way to all servers, while servers go on answering the
+/// The hosts of a domain can no longer reach any server, while servers go on answering the
 /// requests that they have.
 #[test]
 fn a_dark_domain_is_recognized_in_half_a_second() {
--- a/crates/cardamomwinch_coordination/tests/load_admission.rs
+++ b/crates/cardamomwinch_coordination/tests/load_admission.rs
@@ -320,7 +320,7 @@
     }
 }
 
-/// Operators want to see on one host whether urgent requests suffer.
+/// Operators see on one host whether urgent requests are served.
 #[test]
 fn the_share_of_urgent_requests_that_are_served_is_measured() {
     let mut world = LoadWorld::new(setup(1, PRIORITIES));
--- a/crates/cardamomwinch_coordination/tests/load_admission_decisions.rs
+++ b/crates/cardamomwinch_coordination/tests/load_admission_decisions.rs
@@ -259,7 +259,7 @@
 }
 
 /// The reset of a refused opening may be lost, and its copies arrive in any order while shares
-/// change. One that is admitted later would run although the caller was told that it did not.
+/// change. One that is admitted later would run although a reset has stated that it did not.
 #[test]
 fn copies_of_a_refused_opening_get_the_same_answer() {
     let mut host = Host::new(&[1, 2]);
--- a/crates/cardamomwinch_coordination/tests/load_spill.rs
+++ b/crates/cardamomwinch_coordination/tests/load_spill.rs
@@ -127,7 +127,7 @@
 }
 
 /// Guards against flows that cross between equally busy domains: they would gain nothing, and
-/// be lost if the domains are cut from each other.
+/// be lost if the domains are cut off from each other.
 #[test]
 fn equally_busy_domains_keep_their_flows() {
     let mut world = LoadWorld::new(setup());
@@ -209,7 +209,7 @@
     host.handle(answered, &FlowPacket { kind, ..answer });
 }
 
-/// Guards against hosts that take their own pause for a busy domain, and send their flows away:
+/// Guards against hosts that mistake their own pause for a busy domain, and spill their flows:
 /// answers that came in the meantime seem to have taken as long as the pause.
 #[test]
 fn a_pause_is_no_wait() {
@@ -276,8 +276,8 @@
     assert_eq!(sink.spilled, [Some(target), None]);
 }
 
-/// Guards against hosts that send flows away before they know anything, or never again: a
-/// started host has no measurement, and takes the waits of an overload for the work.
+/// Guards against hosts that spill flows without any measurement, or never again: a restarted
+/// host has no measurement, and may include the waits of an overload in the base response.
 #[test]
 fn hosts_that_restart_measure_again() {
     let mut world = uneven_world(setup(), 10.0);
@@ -309,7 +309,7 @@
         third.refused_share()
     );
     assert!(third.refused_share() < 0.003 && all < 0.012);
-    // Of 110 %, one flow in eleven finds no slot at home.
+    // Of 110 %, one flow in eleven finds no slot in its own domain.
     let each = [0, 1].map(|domain| crossed(&world, domain, 4.0..10.0));
     assert!(
         each.iter().all(|share| (0.09..0.35).contains(share)),
@@ -317,7 +317,8 @@
     );
 }
 
-/// Guards against flows that stay abroad after the load has ended, where a cut loses them.
+/// Guards against flows that still go to other domains after the load has ended, where they are
+/// lost if the domains are cut off from each other.
 #[test]
 fn flows_come_back_within_a_second_of_the_end_of_the_load() {
     let mut world = uneven_world(setup(), 6.0);
--- a/crates/cardamomwinch_coordination/tests/load_spill_measurement.rs
+++ b/crates/cardamomwinch_coordination/tests/load_spill_measurement.rs
@@ -114,7 +114,7 @@
     assert_eq!(permille(&loads, 3_000), 0);
 }
 
-/// Guards against a host that starts in an overload and takes the queues for the work: the first
+/// Guards against a host that starts in an overload and counts its waits as the work: the first
 /// answers of a domain without queues correct it.
 #[test]
 fn a_base_that_is_too_high_falls_quickly() {
@@ -132,8 +132,8 @@
     assert!(wait(&loads, 2_000) > time::Duration::from_millis(60));
 }
 
-/// Guards against a long overload that becomes the normal state, and against a base that never
-/// learns that requests take longer since a release.
+/// Guards against a base that a long overload raises to its waits, and against one that stays too
+/// low after a release has made requests longer.
 #[test]
 fn the_base_rises_over_minutes() {
     let mut loads = DomainLoads::default();
--- a/crates/cardamomwinch_coordination/tests/load_support/backends.rs
+++ b/crates/cardamomwinch_coordination/tests/load_support/backends.rs
@@ -19,7 +19,7 @@
 /// With this many open flows for each slot, a server resets further ones.
 const FLOWS_PER_SLOT: usize = 24;
 
-/// How well a server does.
+/// The state of a server.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum ServerMode {
     Healthy,
@@ -209,7 +209,7 @@
         }
     }
 
-    /// Replies reach callers on their own way, also if domains are cut from each other.
+    /// Replies reach callers on their own way, also if domains are cut off from each other.
     fn reply(&mut self, server: usize, flow: FlowNumber, message: CallerMessage) {
         let caller = self.callers[flow.caller].domain;
         let delay = self.distance(self.servers[server].domain, caller);
--- a/crates/cardamomwinch_coordination/tests/load_support/mod.rs
+++ b/crates/cardamomwinch_coordination/tests/load_support/mod.rs
@@ -72,7 +72,7 @@
     pub now: u64,
     pub hosts: Vec<LoadHost>,
     pub servers: Vec<LoadServer>,
-    /// Whatever callers asked, in the order in which they asked.
+    /// All requests of callers, in the order in which they were made.
     pub requests: Vec<RequestRecord>,
     /// Each request that reached a server.
     pub arrivals: Vec<ArrivalRecord>,
@@ -148,7 +148,7 @@
     }
 
     /// The one-way delay from a host of a domain to a server of another; `None` if these
-    /// are cut from each other.
+    /// are cut off from each other.
     pub(crate) fn host_delay(&self, one: usize, other: usize) -> Option<u64> {
         let is_cut = self.cuts.contains(&(one.min(other), one.max(other)));
         (!is_cut).then(|| self.distance(one, other))
--- a/crates/cardamomwinch_coordination/tests/load_windows.rs
+++ b/crates/cardamomwinch_coordination/tests/load_windows.rs
@@ -54,8 +54,8 @@
     world
 }
 
-/// Plays the load of 23 hosts and 40 servers for `length` seconds; `disturb` may change something before each tenth
-/// of a second.
+/// Plays the load of 23 hosts and 40 servers for `length` seconds; `disturb` may change something
+/// before each tenth of a second.
 fn play(windows: bool, length: u64, mut disturb: impl FnMut(&mut LoadWorld, u64)) -> LoadWorld {
     let end = seconds(length as f64);
     let mut world = world(windows, HOSTS, SERVERS, end);
--- a/crates/cardamomwinch_forwarder/src/admission_metrics.rs
+++ b/crates/cardamomwinch_forwarder/src/admission_metrics.rs
@@ -10,7 +10,7 @@
 const SHARE: &str = "cardamomwinch_admitted_share";
 const URGENT: &str = "cardamomwinch_urgent_served_share";
 
-/// The name of the priority of routes without one.
+/// The label `priority` of routes without one.
 const NO_PRIORITY: &str = "none";
 
 /// A priority of a service; `None` for its routes without one.
--- a/crates/cardamomwinch_forwarder/src/decision_lines.rs
+++ b/crates/cardamomwinch_forwarder/src/decision_lines.rs
@@ -23,7 +23,7 @@
     server: Option<String>,
     #[serde(skip_serializing_if = "Option::is_none")]
     own_domain: Option<bool>,
-    /// The failure domain that the flow left the host's own one for.
+    /// The other failure domain that the flow was sent to.
     #[serde(skip_serializing_if = "Option::is_none")]
     spilled_to: Option<String>,
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -47,8 +47,9 @@
     priority: Option<u32>,
     /// The probability of admission, in thousandths.
     share_permille: u32,
-    /// The wait and the refused answers in the best domain.
+    /// The expected wait.
     wait_ms: u64,
+    /// The expected share of refused answers, in thousandths.
     refused_permille: u32,
     retry_after_ms: u64,
 }
--- a/crates/cardamomwinch_forwarder/src/outlier_lines.rs
+++ b/crates/cardamomwinch_forwarder/src/outlier_lines.rs
@@ -7,7 +7,7 @@
 
 const SERVERS_OUT: &str = "cardamomwinch_servers_out";
 
-/// That a server gets no new flows any more, or gets them again.
+/// The log line of the ejection of a server, or of its return.
 #[derive(Debug, Clone)]
 #[derive(Serialize)]
 pub struct OutlierLine {
--- a/crates/cardamomwinch_forwarder/src/peer_calls.rs
+++ b/crates/cardamomwinch_forwarder/src/peer_calls.rs
@@ -70,11 +70,12 @@
     answer.try_into().context(MalformedSnafu { peer })
 }
 
-/// Sends reports about servers to `peer`. Reports about outliers that it does not accept are
-/// lost; while an outlier lasts, they are repeated.
+/// Sends reports about servers to `peer`. A failure to send reports about outliers is only
+/// logged, because earlier builds do not accept them, and they are repeated while they hold.
 ///
 /// # Errors
-/// Fails if the peer cannot be reached or doesn't answer in time.
+/// Fails if the other reports cannot be sent: the peer cannot be reached or doesn't answer in
+/// time.
 pub async fn send_reports(
     client: &PeerClient,
     peer: net::SocketAddr,
@@ -87,7 +88,7 @@
     if !outliers.is_empty()
         && let Err(error) = call(client, peer, OUTLIERS_METHOD, outliers).await
     {
-        log::debug!("reports about outliers are lost: {error}");
+        log::debug!("cannot send reports about outliers: {error}");
     }
     Ok(())
 }
--- a/crates/cardamomwinch_forwarder/src/peer_wire/reports.rs
+++ b/crates/cardamomwinch_forwarder/src/peer_wire/reports.rs
@@ -62,7 +62,8 @@
 
 /// A report: the server, the subject, the reporter and its number for the report, the age
 /// in milliseconds, and, for a silent server, the number of waiting flows and how long they
-/// have waited, in milliseconds. For an outlier the number is the weight of the evidence.
+/// have waited, in milliseconds. For an outlier, the number is the weight of the evidence in
+/// hundredths of a nat, or the response time of a slow server in per cent of the median.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct WireReport(BackendId, WireSubject, u64, u64, u64, Option<(u32, u64)>);
--- a/crates/cardamomwinch_forwarder/src/spill_metrics.rs
+++ b/crates/cardamomwinch_forwarder/src/spill_metrics.rs
@@ -10,7 +10,7 @@
 const RESPONSE: &str = "cardamomwinch_domain_response_seconds";
 const REFUSED: &str = "cardamomwinch_refused_answers_total";
 
-/// A failure domain as a service sees it.
+/// A service in a failure domain.
 type DomainKey = (ServiceId, DomainId);
 
 /// The handles of the metrics, each looked up once.
