Count as urgent only priorities that callers ask for

Routes that nobody uses have priority 0 in the configuration, so that the most urgent class was empty and the holds were treated like any other. The most urgent class with arrivals counts now, for the shares and for the metric.

--- a/crates/cardamomwinch_coordination/src/forwarding/engine/admissions.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/admissions.rs
@@ -128,9 +128,10 @@
             return;
         };
         let priorities = context.view.routes.priorities(service);
-        let urgent =
-            AdmissionControl::acts_for(priorities) && route.priority.as_ref() == priorities.first();
         let reach = reach_of(&route.regions);
+        let admission = &self.admission;
+        let urgent = AdmissionControl::acts_for(priorities)
+            && admission.is_most_urgent(service, reach, route.priority, priorities);
         self.admission.note_answer(service, reach, refused, urgent);
     }
 }
--- a/crates/cardamomwinch_coordination/src/load/admission.rs
+++ b/crates/cardamomwinch_coordination/src/load/admission.rs
@@ -67,13 +67,18 @@
     pub waits: DomainWaits,
 }
 
+/// The position of `priority` among the sorted `priorities` of a service; without one, the last.
+fn class_of(priority: Option<RoutePriority>, priorities: &[RoutePriority]) -> usize {
+    priority.map_or(priorities.len(), |priority| {
+        priorities.partition_point(|one| *one < priority)
+    })
+}
+
 impl AdmissionRequest<'_> {
     /// The position of its priority among those of the service; zero is the most urgent. A
     /// request without a priority comes last.
     fn class(&self) -> usize {
-        self.priority.map_or(self.priorities.len(), |priority| {
-            self.priorities.partition_point(|one| *one < priority)
-        })
+        class_of(self.priority, self.priorities)
     }
 
     /// The IP address of the caller and the service address.
@@ -193,6 +198,7 @@
             .get_or_insert_with(key, || ShareControl::new(now));
         control.advance(request, class, now);
         let share = control.note_arrival(class, returns);
+        let is_urgent = control.is_most_urgent(class);
         let hash = flow::mix(request.hash.get() ^ ADMISSION_SALT);
         let reason = if request.exceeds_timeout() {
             Some(RefusalReason::Timeout)
@@ -214,7 +220,7 @@
             return Ok(());
         };
         count.refused[reason as usize] += 1;
-        if class == 0 {
+        if is_urgent {
             self.urgent.note_failed();
         }
         let wait = request.waits.shortest().unwrap_or_default();
@@ -237,8 +243,21 @@
         }
     }
 
-    /// Records an answer on such a flow. `urgent` is whether the route has the highest
-    /// priority of its service.
+    /// Whether nobody asks for more urgent requests than those of `priority`, among the
+    /// `priorities` of the service.
+    pub fn is_most_urgent(
+        &self,
+        service: ServiceId,
+        reach: u64,
+        priority: Option<RoutePriority>,
+        priorities: &[RoutePriority],
+    ) -> bool {
+        let control = self.services.get(&(service, reach));
+        control.is_some_and(|control| control.is_most_urgent(class_of(priority, priorities)))
+    }
+
+    /// Records an answer on such a flow. `urgent` is whether nobody asks for more urgent
+    /// requests of the service.
     pub fn note_answer(&mut self, service: ServiceId, reach: u64, refused: bool, urgent: bool) {
         if let Some(control) = self
             .services
--- a/crates/cardamomwinch_coordination/src/load/admission/share_control.rs
+++ b/crates/cardamomwinch_coordination/src/load/admission/share_control.rs
@@ -104,6 +104,8 @@
     admitted_shares: Vec<f64>,
     /// The latency goal of the most urgent class that has one.
     goal: Option<(usize, time::Duration)>,
+    /// The most urgent class with arrivals.
+    urgent_class: Option<usize>,
     period_began: Timestamp,
 }
 
@@ -123,6 +125,7 @@
             base_shares: Vec::new(),
             admitted_shares: Vec::new(),
             goal: None,
+            urgent_class: None,
             period_began: now,
         }
     }
@@ -132,6 +135,11 @@
         self.period_began
     }
 
+    /// Whether no class with arrivals is more urgent than `class`.
+    pub fn is_most_urgent(&self, class: usize) -> bool {
+        self.urgent_class.is_none_or(|urgent| class <= urgent)
+    }
+
     /// The admitted part of all openings of each class.
     pub fn admitted_shares(&self) -> &[f64] {
         &self.admitted_shares
@@ -175,6 +183,7 @@
                 rate.note(std::mem::take(count), elapsed, PERIOD, ARRIVAL_TIME);
             }
         }
+        self.urgent_class = spreading::most_urgent(&self.class_arrivals());
         let rates = [
             (&mut self.admitted, &mut self.counted_admitted),
             (&mut self.requests, &mut self.counted_requests),
@@ -185,6 +194,12 @@
         }
     }
 
+    /// The openings of each class in a period.
+    fn class_arrivals(&self) -> Vec<f64> {
+        let class = |rates: &[MovingRate; MAX_RETURNS + 1]| rates.iter().map(MovingRate::get).sum();
+        self.arrivals.iter().map(class).collect()
+    }
+
     /// The openings in a period that the servers kept up with: fewer than were admitted while
     /// queues fill, and more while they drain.
     fn served(&self) -> f64 {
@@ -202,9 +217,9 @@
         let latency_goal = self.goal.map(|(_, goal)| goal).unwrap_or_default();
         let has_room = has_room(best, latency_goal);
         let pressure = pressure(expected, latency_goal);
-        let class = |rates: &[MovingRate; MAX_RETURNS + 1]| rates.iter().map(MovingRate::get).sum();
-        let classes: Vec<f64> = self.arrivals.iter().map(class).collect();
-        let (urgent, arrivals) = (classes[0], classes.iter().sum::<f64>());
+        let classes = self.class_arrivals();
+        let arrivals = classes.iter().sum::<f64>();
+        let urgent = self.urgent_class.map_or(0.0, |class| classes[class]);
         let capacity = match self.capacity {
             None if has_room => return self.admit_all(),
             None => self.served(),
--- a/crates/cardamomwinch_coordination/src/load/admission/spreading.rs
+++ b/crates/cardamomwinch_coordination/src/load/admission/spreading.rs
@@ -6,6 +6,8 @@
 /// return at once, arrivals may be several times the requests. If all floors together exceed
 /// what the most urgent requests leave, they are also limited to this part of the room.
 const FLOOR_PART: f64 = 0.2;
+/// The openings in a period from which on a class has arrivals. Moving rates never reach zero.
+const MIN_ARRIVALS: f64 = 0.001;
 /// How much more easily a caller is admitted with each return.
 const RETURN_FACTOR: f64 = 2.0;
 
@@ -57,13 +59,25 @@
     }
 }
 
+/// The position of the most urgent class with arrivals, if there are any. `totals` has the
+/// openings of each class in a period.
+///
+/// Routes that nobody uses may have a higher priority than all others.
+pub fn most_urgent(totals: &[f64]) -> Option<usize> {
+    totals.iter().position(|total| *total >= MIN_ARRIVALS)
+}
+
 /// How many openings of each class are admitted if there is `room` for that many in all. The
-/// classes are in the order of urgency. The first one is admitted completely; the others get
-/// their floors, and what is left in the order of urgency.
+/// classes are in the order of urgency. The most urgent one with arrivals is admitted
+/// completely; the others get their floors, and what is left in the order of urgency.
 pub fn spread(room: f64, arrivals: &[ClassArrivals]) -> Vec<f64> {
     let totals: Vec<f64> = arrivals.iter().map(ClassArrivals::total).collect();
-    let Some((urgent, others)) = totals.split_first() else {
-        return Vec::new();
+    let Some(urgent_class) = most_urgent(&totals) else {
+        return totals;
+    };
+    let (unused, others) = totals.split_at(urgent_class);
+    let Some((urgent, others)) = others.split_first() else {
+        return totals;
     };
     let demand: f64 = others.iter().sum();
     let limit = (room * FLOOR_PART).max(room - urgent);
@@ -73,7 +87,7 @@
         0.0
     };
     let mut left = (room - urgent - demand * floor).max(0.0);
-    let mut admitted = vec![*urgent];
+    let mut admitted = [unused, &[*urgent]].concat();
     for total in others {
         let above_floor = left.min(total * (1.0 - floor));
         left -= above_floor;
--- a/crates/cardamomwinch_coordination/tests/load_admission.rs
+++ b/crates/cardamomwinch_coordination/tests/load_admission.rs
@@ -131,6 +131,22 @@
     assert!(all >= 0.9, "{all} of all slots are used");
 }
 
+/// A route that nobody uses has a higher priority than all others. Guards against refusals of
+/// the most urgent requests that callers ask for.
+#[test]
+fn an_unused_route_of_a_higher_priority_changes_nothing() {
+    let mut setup = setup(1, PRIORITIES);
+    let unused = LoadRoute::new(3, "portal", 40, 500, 2_500);
+    setup.routes.push(prioritized(unused, 0));
+    let mut world = LoadWorld::new(setup);
+    add_load(&mut world, 0.6, 0.0, 3.0);
+    add_load(&mut world, 2.0, 3.0, 9.0);
+    world.run_until(seconds(12.0));
+    let urgent = asked(&world, CORRECTIONS, 3.0, 9.0);
+    println!("{} refused of {}", urgent.refused, urgent.asked);
+    assert_eq!(urgent.refused, 0);
+}
+
 /// Twice of all slots are needed from one moment to the next, more than three quarters of them
 /// by the urgent kind. The queues are full before any host has seen an answer that waited.
 /// Guards against a storm that goes on for longer than hosts need to measure it.
