Leave slow servers out for admission only

Admission keeps a measurement of its own now; a server counts as slow from twice the median, so that means of few answers don't.

--- a/crates/cardamomwinch_coordination/src/forwarding/engine.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine.rs
@@ -83,6 +83,8 @@
     own_reports: OwnReports,
     load_policy: LoadPolicy,
     domain_loads: DomainLoads,
+    /// The same without the response times of slow servers: how long requests queue.
+    queue_loads: DomainLoads,
     slow_servers: SlowServers,
     admission: AdmissionControl,
     spill_shares: SpillShares,
@@ -182,6 +184,7 @@
             own_reports: OwnReports::new(reporter),
             load_policy: LoadPolicy::default(),
             domain_loads: DomainLoads::default(),
+            queue_loads: DomainLoads::default(),
             slow_servers: SlowServers::default(),
             admission: AdmissionControl::default(),
             spill_shares: SpillShares::default(),
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/admissions.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/admissions.rs
@@ -98,9 +98,9 @@
         domain: DomainId,
         now: Timestamp,
     ) -> Option<MeasuredWait> {
-        let measurement = self.domain_loads.measurement(service, domain, now)?;
+        let measurement = self.queue_loads.measurement(service, domain, now)?;
         Some(MeasuredWait {
-            wait: self.domain_loads.wait(service, domain, now)?,
+            wait: self.queue_loads.wait(service, domain, now)?,
             answers: measurement.answers,
         })
     }
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/load_observations.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/load_observations.rs
@@ -50,12 +50,14 @@
         }
         let since_pause = observation.at.since(self.resumed_at);
         let response = observation.response.filter(|time| *time <= since_pause);
-        let response = response.filter(|_| !self.is_slow(observation));
         let refused = self.domain_loads.refused_answers();
-        self.domain_loads.note_answer(&AnswerObservation {
+        let mut answer = AnswerObservation {
             response,
             ..*observation
-        });
+        };
+        self.domain_loads.note_answer(&answer);
+        answer.response = response.filter(|_| !self.is_slow(observation));
+        self.queue_loads.note_answer(&answer);
         let is_refused = self.domain_loads.refused_answers() > refused;
         self.note_admitted_answer(context, observation.service, is_refused);
     }
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/maintenance.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/maintenance.rs
@@ -61,6 +61,7 @@
         if paused {
             self.resumed_at = now;
             self.domain_loads.clear_measurements();
+            self.queue_loads.clear_measurements();
             self.server_reach.clear();
             self.progress.clear_suspicions(now);
         }
@@ -81,6 +82,8 @@
         self.admission.sweep(now);
         self.domain_loads
             .retain(|service| view.directory.count(service, None) > 0);
+        self.queue_loads
+            .retain(|service| view.directory.count(service, None) > 0);
     }
 
     /// Reports servers that confirm no openings, if other servers do.
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/spilling.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/spilling.rs
@@ -74,8 +74,9 @@
             .get(server)
             .filter(|_| self.measures_domains())
         {
-            self.domain_loads
-                .note_failures(server.service, server.domain, 1, now);
+            for loads in [&mut self.domain_loads, &mut self.queue_loads] {
+                loads.note_failures(server.service, server.domain, 1, now);
+            }
         }
     }
 }
--- a/crates/cardamomwinch_coordination/src/load/median_response.rs
+++ b/crates/cardamomwinch_coordination/src/load/median_response.rs
@@ -37,12 +37,8 @@
         Some(Self { median: *median })
     }
 
-    /// Whether a server that answers after `response` is much slower than most.
-    pub fn is_exceeded_by(&self, response: time::Duration) -> bool {
-        self.percent_of(response) >= MIN_SLOW_PERCENT
-    }
-
-    fn percent_of(&self, response: time::Duration) -> u64 {
+    /// `response` in per cent of the median.
+    pub fn percent_of(&self, response: time::Duration) -> u64 {
         let median = self.median.as_micros().max(1) as u64;
         response.as_micros() as u64 * EVEN_PERCENT / median
     }
--- a/crates/cardamomwinch_coordination/src/load/slow_servers.rs
+++ b/crates/cardamomwinch_coordination/src/load/slow_servers.rs
@@ -1,6 +1,6 @@
 //! Tells answers of slow servers from answers that waited in a queue.
 //!
-//! Guards against refusals and spills because some servers are slow: their answers take long
+//! Guards against refusals because some servers are slow: their answers take long
 //! although the other servers of the domain have room, and new flows go to those.
 
 use std::time;
@@ -9,6 +9,10 @@
 
 use crate::load::median_response::MedianResponse;
 
+/// From this many per cent of the median on, a server counts as slow. Means of a few
+/// answers of equal servers differ by less.
+const MIN_SLOW_PERCENT: u64 = 200;
+
 /// A service in a failure domain.
 type ServerGroup = (ServiceId, DomainId);
 
@@ -36,6 +40,6 @@
     /// much slower than most of the others there.
     pub fn is_slow(&self, service: ServiceId, domain: DomainId, response: time::Duration) -> bool {
         let median = self.medians.get(&(service, domain));
-        median.is_some_and(|median| median.is_exceeded_by(response))
+        median.is_some_and(|median| median.percent_of(response) >= MIN_SLOW_PERCENT)
     }
 }
