--- a/crates/cardamomwinch_coordination/src/forwarding/engine.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine.rs
@@ -83,7 +83,7 @@
     own_reports: OwnReports,
     load_policy: LoadPolicy,
     domain_loads: DomainLoads,
-    /// The same without the response times of slow servers: how long requests queue.
+    /// The same without the answers of slow servers: how long requests queue.
     queue_loads: DomainLoads,
     slow_servers: SlowServers,
     admission: AdmissionControl,
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/load_observations.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/load_observations.rs
@@ -34,14 +34,19 @@
             closing: context.packet.kind == PacketKind::Closing,
             at: context.now,
         };
-        self.note_observation(context, &observation);
+        self.note_observation(context, server, &observation);
     }
 
     /// Passes `observation` to the decisions under load that need it.
     ///
     /// The time of a request that was sent before a pause of this host shows nothing about
-    /// servers, and that of a slow server nothing about the room in its domain.
-    fn note_observation(&mut self, context: &PacketContext<'_>, observation: &AnswerObservation) {
+    /// servers. Answers and refusals of a slow server show nothing about the room in its domain.
+    fn note_observation(
+        &mut self,
+        context: &PacketContext<'_>,
+        server: &ServerRecord,
+        observation: &AnswerObservation,
+    ) {
         if self.judges_outliers(context.route) {
             self.progress.outliers.note_answer(observation);
         }
@@ -51,26 +56,22 @@
         let since_pause = observation.at.since(self.resumed_at);
         let response = observation.response.filter(|time| *time <= since_pause);
         let refused = self.domain_loads.refused_answers();
-        let mut answer = AnswerObservation {
+        let answer = AnswerObservation {
             response,
             ..*observation
         };
         self.domain_loads.note_answer(&answer);
-        answer.response = response.filter(|_| !self.is_slow(observation));
-        self.queue_loads.note_answer(&answer);
+        if !self.is_slow(server, observation.at) {
+            self.queue_loads.note_answer(&answer);
+        }
         let is_refused = self.domain_loads.refused_answers() > refused;
         self.note_admitted_answer(context, observation.service, is_refused);
     }
 
-    fn is_slow(&self, observation: &AnswerObservation) -> bool {
-        let AnswerObservation {
-            server,
-            service,
-            domain,
-            at,
-            ..
-        } = *observation;
-        let response = self.progress.response(server, at);
+    /// Whether `server` is much slower than most servers of its service and domain.
+    pub(super) fn is_slow(&self, server: &ServerRecord, now: Timestamp) -> bool {
+        let response = self.progress.response(server.id, now);
+        let (service, domain) = (server.service, server.domain);
         response.is_some_and(|response| self.slow_servers.is_slow(service, domain, response))
     }
 
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/spilling.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/spilling.rs
@@ -74,8 +74,10 @@
             .get(server)
             .filter(|_| self.measures_domains())
         {
-            for loads in [&mut self.domain_loads, &mut self.queue_loads] {
-                loads.note_failures(server.service, server.domain, 1, now);
+            let (service, domain) = (server.service, server.domain);
+            self.domain_loads.note_failures(service, domain, 1, now);
+            if !self.is_slow(server, now) {
+                self.queue_loads.note_failures(service, domain, 1, now);
             }
         }
     }
