--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -174,6 +174,7 @@
         self.cut = False
         self.healed = asyncio.Event()
         self.healed.set()
+        self.last_sent = 0.0
 
     async def listen(self, address):
         self.server = await asyncio.start_server(self.serve, *address)
@@ -186,23 +187,27 @@
             self.healed.set()
 
     async def serve(self, reader, writer):
-        await self.healed.wait()
         try:
+            await self.healed.wait()
             other_reader, other_writer = await asyncio.open_connection(*self.target)
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             writer.close()
             return
-        await asyncio.gather(
-            self.pump(reader, other_writer), self.pump(other_reader, writer)
-        )
+        pumps = self.pump(reader, other_writer, True), self.pump(other_reader, writer, False)
+        try:
+            await asyncio.gather(*pumps)
+        except asyncio.CancelledError:
+            pass
 
-    async def pump(self, reader, writer):
+    async def pump(self, reader, writer, is_call):
         try:
             while True:
                 data = await reader.read(65536)
                 await self.healed.wait()
                 if not data:
                     break
+                if is_call:
+                    self.last_sent = time.monotonic()
                 writer.write(data)
                 await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
@@ -241,6 +246,7 @@
         self.runs = []
         self.openings = []
         self.foreign = 0
+        self.strangers = 0
 
     async def listen(self):
         loop = asyncio.get_running_loop()
@@ -278,6 +284,7 @@
         flow = self.flows.get(key)
         if flow is None:
             if not packet.flags & RST:
+                self.strangers += 1
                 self.record.note("%s holds no flow %s:%d, resets it" % (self.name, key[0], key[1]))
                 self.send(packet, RST, packet.ack, 0, packet.echo)
             return
@@ -442,6 +449,13 @@
         return found
 
 
+    def learned(self, backend):
+        """When the host learned that the backend drains, by the clock of time.time()."""
+        digits = "%016x" % backend.id
+        times = [line["time"] / 1e6 for line in self.lines("server_changed")
+                 if line["server"] == digits and line["phase"] != "active"]
+        return min(times, default=None)
+
     def count(self, text):
         """How many lines of the log hold this text."""
         with open(os.path.join(self.folder, self.name + ".log")) as file:
@@ -462,3 +476,21 @@
             if host.process is not None:
                 host.process.wait()
         shutil.rmtree(self.path, ignore_errors=True)
+
+
+def run_case(play, place, limit):
+    """Runs the coroutine `play(record, folder)` for `limit` seconds at most, ends all processes
+    that it started, and exits with its result."""
+    record = Record(os.path.join(place, "record.txt"))
+    folder = Folder()
+    loop = asyncio.new_event_loop()
+    signal.signal(signal.SIGTERM, lambda *_: (folder.end(), os._exit(2)))
+    code = 2
+    try:
+        code = loop.run_until_complete(asyncio.wait_for(play(record, folder), limit))
+    except (OSError, asyncio.TimeoutError) as error:
+        record.note("could not run: %r" % error)
+    finally:
+        folder.end()
+    # Connections of the stand-ins are still open; the end of the process closes them.
+    os._exit(code)
