--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -448,7 +448,6 @@
                     found.append(json.loads(line))
         return found
 
-
     def learned(self, backend):
         """When the host learned that the backend drains, by the clock of time.time()."""
         digits = "%016x" % backend.id
