Tell servers with the same token apart

Cause: a flow's token was the low half of its server's identifier. Of several servers with the same token the one with the lowest identifier counted, or the one of the service that the route leads to. Neither says whose flow it is.

Evidence: the lines of a reset flow have the same token before and after the server was added, and another server; both identifiers end in the token. Ruled out: a move of the flows (no opening_moved line, no repetition), a view without the earlier server (it is listed in all views).

Change: a server has three candidate tokens. Packets carry the first one that no other known server has among its own (TokenIndex). A shared token that is still in flows means the server that registered first; ServerRecord keeps the revision that created the entry, from the store (`created`) or from a peer, and an entry that is created again keeps the earlier one. Peers send it for servers that share a token only, in a field that earlier builds skip.

Why it works: a host that knows the later server has been told of the earlier one, so no host writes the shared token for the later one, and its new flows and all further packets of open ones carry a token that nothing else has.

Same cause elsewhere: a server whose identifier ends in 32 zero bits had the token of callers without one; now it has its second candidate. The simulated callers of load_support computed the token themselves, zero for their first server; they return the one they were sent now, as callers do.

--- a/crates/cardamomwinch_coordination/benches/placement.rs
+++ b/crates/cardamomwinch_coordination/benches/placement.rs
@@ -47,6 +47,7 @@
         started: None,
         phase: ServerPhase::Active,
         warm_at: Timestamp::ZERO,
+        registered: StoreRevision::new(1),
         changed: StoreRevision::new(1),
     }
 }
--- a/crates/cardamomwinch_coordination/examples/forwarding_cost.rs
+++ b/crates/cardamomwinch_coordination/examples/forwarding_cost.rs
@@ -61,6 +61,7 @@
         started: None,
         phase: ServerPhase::Active,
         warm_at: Timestamp::ZERO,
+        registered: StoreRevision::new(1),
         changed: StoreRevision::new(1),
     }
 }
--- a/crates/cardamomwinch_coordination/src/forwarding/directory.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/directory.rs
@@ -10,7 +10,7 @@
 use crate::forwarding::discovery::store_call::{ServerStart, StoreRevision};
 use crate::forwarding::evacuations::{EvacuationRecord, EvacuationTable};
 use crate::forwarding::packet::FlowToken;
-use crate::forwarding::routes::RouteEntry;
+use crate::forwarding::token_index::TokenIndex;
 
 /// How long a server whose entry vanished without a drain may still receive new flows, if
 /// no other server can take them. During an outage of the store, entries expire although
@@ -59,6 +59,9 @@
     pub phase: ServerPhase,
     /// The time from which it is no longer cold.
     pub warm_at: Timestamp,
+    /// The revision of the store that created its entry, or an earlier one if the entry was
+    /// missing in the meantime. If that is unknown, the first known revision that changed it.
+    pub registered: StoreRevision,
     /// The revision of the store that last changed it.
     pub changed: StoreRevision,
 }
@@ -105,7 +108,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct ServerDirectory {
     servers: SortedVector<BackendId, ServerRecord>,
-    tokens: Vec<(FlowToken, BackendId)>,
+    tokens: TokenIndex,
     services: Vec<ServiceKey>,
     /// The keys of the active servers.
     active: Vec<ServiceKey>,
@@ -141,20 +144,23 @@
         self.servers.values()
     }
 
-    /// The server of `token` in a flow of `route`. If two known servers share the token,
-    /// the one that `route` leads to is preferred; the other one does not hold the flow.
-    pub fn find(&self, token: FlowToken, route: Option<&RouteEntry>) -> Option<&ServerRecord> {
-        let start = self.tokens.partition_point(|(known, _)| *known < token);
-        let same = self.tokens[start..]
-            .iter()
-            .take_while(|(known, _)| *known == token);
-        let mut servers = same.filter_map(|(_, id)| self.servers.get(id));
-        let first = servers.next()?;
-        let fits = |server: &ServerRecord| route.is_none_or(|route| route.leads_to(server.service));
-        if fits(first) {
-            return Some(first);
-        }
-        servers.find(|server| fits(server)).or(Some(first))
+    /// The server of `token`. If several known servers share the token, that is the one that
+    /// registered first: hosts that know the later ones never write the token for them.
+    pub fn find(&self, token: FlowToken) -> Option<&ServerRecord> {
+        let servers = self.tokens.servers(token);
+        let servers = servers.filter_map(|id| self.servers.get(&id));
+        servers.min_by_key(|server| (server.registered, server.id))
+    }
+
+    /// The token that packets to the server `id` carry.
+    pub fn token_of(&self, id: BackendId) -> FlowToken {
+        self.tokens.token_of(id)
+    }
+
+    /// Whether a token may identify the server `id` or another known one, so that it matters
+    /// which of them registered first.
+    pub fn shares_token(&self, id: BackendId) -> bool {
+        self.tokens.has_shared_candidate(id)
     }
 
     /// The servers of `service`.
@@ -292,7 +298,7 @@
             if self.has_later_record(&record) {
                 continue;
             }
-            let record = self.keep_draining(record);
+            let record = self.keep_known(record);
             let (id, key) = (record.id, (record.service, record.domain));
             let known = self.servers.insert(id, record);
             moved |= known.is_none_or(|known| (known.service, known.domain) != key);
@@ -311,6 +317,16 @@
         known.is_some_and(|known| known.changed > record.changed)
     }
 
+    /// `record` with what is known of its server from earlier records.
+    fn keep_known(&self, record: ServerRecord) -> ServerRecord {
+        let mut record = self.keep_draining(record);
+        if let Some(known) = self.servers.get(&record.id) {
+            // An entry that was missing during an outage of the store is created again.
+            record.registered = record.registered.min(known.registered);
+        }
+        record
+    }
+
     /// `record`, but still draining if the same process was draining before the store was
     /// restored from a backup.
     ///
@@ -394,7 +410,7 @@
         }
         for record in listed.values() {
             if !self.has_later_record(record) {
-                let record = self.keep_draining(record.clone());
+                let record = self.keep_known(record.clone());
                 self.servers.insert(record.id, record);
             }
         }
@@ -463,9 +479,7 @@
     }
 
     fn rebuild_indexes(&mut self) {
-        let token = |server: &ServerRecord| (FlowToken::of_server(server.id), server.id);
-        self.tokens = self.servers.values().map(token).collect();
-        self.tokens.sort_unstable();
+        self.tokens = TokenIndex::new(self.servers.keys().copied());
         let key = |server: &ServerRecord| (server.service, server.domain, server.id);
         self.services = self.servers.values().map(key).collect();
         self.services.sort_unstable();
--- a/crates/cardamomwinch_coordination/src/forwarding/discovery/peer_exchange.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/discovery/peer_exchange.rs
@@ -472,7 +472,11 @@
             query_instead: None,
             listing_age: self.listing_age(now),
         };
-        let describe = |server: &ServerRecord| PeerServer::from_record(server, now);
+        let shares_token = |server: &ServerRecord| self.directory.shares_token(server.id);
+        let describe = |server: &ServerRecord| PeerServer {
+            registered: shares_token(server).then_some(server.registered),
+            ..PeerServer::from_record(server, now)
+        };
         match extent {
             AnswerExtent::Nothing { query_instead } => answer.query_instead = query_instead,
             AnswerExtent::Difference => {
--- a/crates/cardamomwinch_coordination/src/forwarding/discovery/peer_messages.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/discovery/peer_messages.rs
@@ -94,12 +94,14 @@
     pub vanished: bool,
     /// How much longer it is cold after its start.
     pub cold_left: time::Duration,
+    /// The revision that created its entry, if it shares a token with another server.
+    pub registered: Option<StoreRevision>,
     /// The revision that changed it last.
     pub changed: StoreRevision,
 }
 
 impl PeerServer {
-    /// Describes `server` as known at `now`.
+    /// Describes `server` as known at `now`, without its registration.
     pub fn from_record(server: &ServerRecord, now: Timestamp) -> Self {
         Self {
             id: server.id,
@@ -118,6 +120,7 @@
             },
             vanished: matches!(server.phase, ServerPhase::Vanished { .. }),
             cold_left: server.warm_at.since(now),
+            registered: None,
             changed: server.changed,
         }
     }
@@ -141,6 +144,7 @@
             slots: self.slots,
             phase,
             warm_at: now.after(self.cold_left),
+            registered: self.registered.unwrap_or(self.changed),
             changed: self.changed,
         }
     }
--- a/crates/cardamomwinch_coordination/src/forwarding/discovery/store_call.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/discovery/store_call.rs
@@ -68,6 +68,8 @@
     pub draining: bool,
     /// How much longer it is cold after its start.
     pub cold_left: time::Duration,
+    /// The revision that created the entry.
+    pub registered: StoreRevision,
     /// The revision that wrote the entry.
     pub revision: StoreRevision,
 }
--- a/crates/cardamomwinch_coordination/src/forwarding/discovery/store_changes.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/discovery/store_changes.rs
@@ -209,6 +209,7 @@
                 ServerPhase::Active
             },
             warm_at: now.after(self.cold_left),
+            registered: self.registered,
             changed: self.revision,
         }
     }
--- a/crates/cardamomwinch_coordination/src/forwarding/engine.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine.rs
@@ -110,6 +110,11 @@
         (self.packet.flow.caller.ip(), self.packet.flow.service)
     }
 
+    /// The token that packets to `server` carry.
+    fn token_of(&self, server: &ServerRecord) -> FlowToken {
+        self.view.directory.token_of(server.id)
+    }
+
     fn is_idempotent(&self) -> bool {
         self.route.is_some_and(|route| route.idempotent)
     }
@@ -266,7 +271,7 @@
             return context.record(outcome, None, 0, 0, sink);
         }
         let token = context.packet.token;
-        let Some(server) = context.view.directory.find(token, context.route) else {
+        let Some(server) = context.view.directory.find(token) else {
             return self.handle_unknown_token(context, sink);
         };
         let silence = self.observe(context, server, sink);
@@ -279,7 +284,7 @@
             let flows = self.progress.flows(server.id);
             return context.record(outcome, Some(server), copies, flows, sink);
         }
-        sink.send(server, FlowToken::of_server(server.id));
+        sink.send(server, context.token_of(server));
         let outcome = match (copies, context.packet.request) {
             (0, None) => ForwardingOutcome::Forwarded,
             (0, Some(_)) => ForwardingOutcome::RequestForwarded,
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/maintenance.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/maintenance.rs
@@ -7,7 +7,6 @@
 
 use crate::forwarding::engine::{ForwardingEngine, ForwardingSink};
 use crate::forwarding::flow_watch::WatchedFlow;
-use crate::forwarding::packet::FlowToken;
 use crate::forwarding::record::{ForwardingOutcome, ForwardingRecord};
 use crate::forwarding::server_reports::{ReportSubject, ServerSilence};
 use crate::forwarding::view::ForwardingView;
@@ -251,7 +250,7 @@
                 flow,
                 request: None,
                 route: view.routes.find(&flow.service).map(|one| one.name.as_str()),
-                token: FlowToken::of_server(server),
+                token: view.directory.token_of(server),
                 server: Some(server),
                 own_domain: record.map(|record| view.domain == Some(record.domain)),
                 spilled: None,
--- a/crates/cardamomwinch_coordination/src/forwarding/engine/openings.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/engine/openings.rs
@@ -6,7 +6,6 @@
 use crate::forwarding::directory::{ServerPhase, ServerRecord};
 use crate::forwarding::engine::{ForwardingEngine, ForwardingSink, PacketContext};
 use crate::forwarding::flow_watch::{self, FlowStage, WatchedFlow};
-use crate::forwarding::packet::FlowToken;
 use crate::forwarding::permission::FlowPermission;
 use crate::forwarding::placement::PlacementInput;
 use crate::forwarding::record::ForwardingOutcome;
@@ -181,7 +180,7 @@
         self.count_cold_opening(context, &server);
         self.note_opening(server.id, copy > 0, context.now);
         self.recent_openings.note(caller, server.id, context.now);
-        sink.send(&server, FlowToken::of_server(server.id));
+        sink.send(&server, context.token_of(&server));
         let flows = self.progress.flows(server.id);
         let outcome = ForwardingOutcome::OpeningPlaced;
         context.record_opening(outcome, &server, (copy, flows), spilled, sink);
@@ -247,7 +246,7 @@
         if let Some(entry) = self.watch.get_mut(context.hash, &context.packet.flow) {
             *entry = watched;
         }
-        sink.send(&server, FlowToken::of_server(server.id));
+        sink.send(&server, context.token_of(&server));
         let flows = self.progress.flows(server.id);
         context.record(outcome, Some(&server), copy, flows, sink);
     }
--- a/crates/cardamomwinch_coordination/src/forwarding/explanation.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/explanation.rs
@@ -63,7 +63,7 @@
     route: Option<&RouteEntry>,
 ) {
     let dropped = route.is_none() && view.routes.dropped(&flow.service).is_some();
-    let server = view.directory.find(token, route);
+    let server = view.directory.find(token);
     explanation.server = server.map(|server| server.id);
     explanation.service = server.map(|server| server.service).or(explanation.service);
     explanation.outcome = match server {
--- a/crates/cardamomwinch_coordination/src/forwarding/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/mod.rs
@@ -4,7 +4,8 @@
 //! Hosts share no state about flows. A packet reaches the server of its flow through any
 //! host because of its [`packet::FlowToken`]: a host writes the token into the packets to
 //! the server, the server passes it to the caller, and the caller sends it in each later
-//! packet. Everything else each host decides on its own:
+//! packet. [`token_index`] says which tokens identify which servers. Everything else each host
+//! decides on its own:
 //!
 //! - [`discovery`] keeps the known routes and servers up to date, and decides which source to
 //!   query next.
@@ -44,5 +45,6 @@
 pub mod server_reports;
 pub mod server_starts;
 pub mod sudden_silence;
+pub mod token_index;
 pub mod unknown_flows;
 pub mod view;
--- a/crates/cardamomwinch_coordination/src/forwarding/packet.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/packet.rs
@@ -4,14 +4,19 @@
 use std::num;
 use std::str;
 
+use cardamomwinch_state::flow;
 use cardamomwinch_state::prelude::{BackendId, FlowKey};
 use serde::{Deserialize, Serialize};
 
-/// Identifies the server of a flow in every packet after the opening: the low half of the
-/// server's [`BackendId`]. Callers send it back unchanged.
+/// The number of tokens that may identify a server. Two of thousands of servers share one of
+/// them every few weeks; that a server shares all of them is not to be expected.
+const CANDIDATES: usize = 3;
+
+/// Identifies the server of a flow in every packet after the opening. Callers send it back
+/// unchanged.
 ///
-/// Two known servers may share a token; see
-/// [`crate::forwarding::directory::ServerDirectory::find`].
+/// Which of a server's candidates is used depends on the other known servers; see
+/// [`crate::forwarding::token_index::TokenIndex`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct FlowToken(u32);
@@ -25,11 +30,22 @@
         Self(number)
     }
 
-    /// The token of the server `id`.
+    /// The token of the server `id` while no other known server shares it: the low half of
+    /// the identifier.
     pub const fn of_server(id: BackendId) -> Self {
         Self(id.get() as u32)
     }
 
+    /// The tokens that may identify the server `id`, the preferred one first. The others are
+    /// derived from the whole identifier, so that servers which share the first one differ in
+    /// them.
+    pub fn candidates(id: BackendId) -> [Self; CANDIDATES] {
+        std::array::from_fn(|index| match index {
+            0 => Self::of_server(id),
+            _ => Self((flow::mix(id.get().wrapping_add(index as u64)) >> u32::BITS) as u32),
+        })
+    }
+
     /// The token as a number.
     pub const fn get(self) -> u32 {
         self.0
--- a/crates/cardamomwinch_coordination/tests/forwarding_support/mod.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_support/mod.rs
@@ -84,6 +84,7 @@
         started: None,
         phase: ServerPhase::Active,
         warm_at: Timestamp::ZERO,
+        registered: StoreRevision::new(1),
         changed: StoreRevision::new(1),
     }
 }
@@ -105,6 +106,7 @@
         slots: server.slots,
         draining,
         cold_left: millis(0),
+        registered: revision,
         revision,
     })
 }
--- a/crates/cardamomwinch_coordination/tests/load_support/backends.rs
+++ b/crates/cardamomwinch_coordination/tests/load_support/backends.rs
@@ -95,7 +95,10 @@
         let server = &mut self.servers[number];
         if matches!(packet.kind, PacketKind::Opening { .. }) {
             server.flows.entry(flow).or_default();
-            let message = CallerMessage::Opened { server: number };
+            let message = CallerMessage::Opened {
+                server: number,
+                token: packet.token,
+            };
             return self.reply(number, flow, message);
         }
         if matches!(packet.kind, PacketKind::Closing | PacketKind::Reset) {
--- a/crates/cardamomwinch_coordination/tests/load_support/callers.rs
+++ b/crates/cardamomwinch_coordination/tests/load_support/callers.rs
@@ -292,7 +292,7 @@
             return;
         }
         match message {
-            CallerMessage::Opened { server } => self.confirm(number, server),
+            CallerMessage::Opened { server, token } => self.confirm(number, server, token),
             CallerMessage::Received { sequence } => {
                 caller.received |= caller.sequence == sequence;
             }
@@ -304,13 +304,13 @@
         }
     }
 
-    fn confirm(&mut self, number: usize, server: usize) {
+    fn confirm(&mut self, number: usize, server: usize, token: FlowToken) {
         let caller = &mut self.callers[number];
         if caller.stage != FlowStage::Opening {
             return;
         }
         caller.stage = FlowStage::Open;
-        caller.token = FlowToken::of_server(self.servers[server].record.id);
+        caller.token = token;
         caller.acknowledged = FIRST_ACKNOWLEDGED;
         caller.sequence += 1;
         if let Some(request) = caller.request {
--- a/crates/cardamomwinch_coordination/tests/load_support/events.rs
+++ b/crates/cardamomwinch_coordination/tests/load_support/events.rs
@@ -29,6 +29,7 @@
     /// A server confirmed the opening.
     Opened {
         server: usize,
+        token: FlowToken,
     },
     /// The server has the data of the request that ends at this position.
     Received {
--- a/crates/cardamomwinch_forwarder/src/peer_wire/servers.rs
+++ b/crates/cardamomwinch_forwarder/src/peer_wire/servers.rs
@@ -7,7 +7,7 @@
 use cardamomwinch_coordination::forwarding::discovery::store_call::{
     ServerStart, StoreEra, StoreRevision,
 };
-use cardamomwinch_state::prelude::{BackendId, DomainId, ServiceId, SlotCount};
+use cardamomwinch_state::prelude::{BackendId, DomainId, ServiceId, SlotCount, SortedVector};
 use serde::{Deserialize, Serialize};
 
 use crate::peer_wire::kinds::{self, UnknownKindError};
@@ -62,6 +62,14 @@
     cold_left_ms: u64,
 }
 
+/// When a server registered. Sent only for servers that share a token with another one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+struct WireRegistration {
+    id: BackendId,
+    revision: StoreRevision,
+}
+
 /// The servers in an answer.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -70,6 +78,9 @@
     kinds: Vec<WireServerKind>,
     #[serde(default, skip_serializing_if = "Vec::is_empty", with = "packed")]
     servers: Vec<WireServer>,
+    /// A field of its own, because earlier builds cannot decode servers with further fields.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    registrations: Vec<WireRegistration>,
 }
 
 impl From<Vec<PeerServer>> for WireServers {
@@ -82,6 +93,11 @@
                 slots: server.slots,
             };
             let kind = kinds::index_of(&mut wire.kinds, kind);
+            let id = server.id;
+            let registration = server
+                .registered
+                .map(|revision| WireRegistration { id, revision });
+            wire.registrations.extend(registration);
             wire.servers.push(WireServer::new(server, kind));
         }
         wire
@@ -117,6 +133,7 @@
             removed_ago: self.unlisted_for_ms.map(time::Duration::from_millis),
             vanished: self.vanished,
             cold_left: time::Duration::from_millis(self.cold_left_ms),
+            registered: None,
             changed: self.changed.into(),
         }
     }
@@ -127,9 +144,14 @@
 
     fn try_from(wire: WireServers) -> Result<Self, Self::Error> {
         let servers = wire.servers.into_iter();
+        let registrations = wire.registrations.iter();
+        let registrations = registrations.map(|one| (one.id, one.revision));
+        let registrations: SortedVector<_, _> = registrations.collect();
         let restore = |server: WireServer| {
             let kind = kinds::kind_at(&wire.kinds, server.kind)?;
-            Ok(server.of_kind(kind))
+            let mut server = server.of_kind(kind);
+            server.registered = registrations.get(&server.id).copied();
+            Ok(server)
         };
         servers.map(restore).collect()
     }
--- a/crates/cardamomwinch_forwarder/tests/peer_wire.rs
+++ b/crates/cardamomwinch_forwarder/tests/peer_wire.rs
@@ -55,6 +55,7 @@
         removed_ago: None,
         vanished: false,
         cold_left: time::Duration::ZERO,
+        registered: None,
         changed: StoreRevision::new(number),
     }
 }
@@ -147,6 +148,21 @@
     assert_eq!(decoded(&encoded(original.clone())), Some(original));
 }
 
+/// Hosts are upgraded one after the other. A host of a build without registrations must be able
+/// to decode the servers of a newer one.
+#[test]
+fn servers_that_share_no_token_are_encoded_as_before_registrations_existed() {
+    let plain = answer(1, vec![server(1), server(2)]);
+    let mut sharing = plain.clone();
+    sharing.servers[1].registered = Some(StoreRevision::in_era(StoreEra::new(2), 40));
+    assert_eq!(decoded(&encoded(sharing.clone())), Some(sharing.clone()));
+    let mut text: serde_json::Value = serde_json::from_str(&encoded(sharing)).unwrap();
+    let servers = text["servers"].as_object_mut().unwrap();
+    assert!(servers.remove("registrations").is_some());
+    let without: serde_json::Value = serde_json::from_str(&encoded(plain)).unwrap();
+    assert_eq!(text, without);
+}
+
 /// A configuration grows by 1,700 routes, and a host with a link of 10 Mbit/s sends it to the
 /// hosts that follow it. Guards against an answer that is too long: at 260 kilobytes for
 /// each host, packets of callers were lost on the link for a second.
