Read the store in time when the source of a host loses it

Cause: a host that learns from another one read the store itself when its data was 2.6 to 3.2 s old, and checked only every 300 ms whether it was. A change may be acknowledged right after the last contact, so all of this counts. The limit could not be lower because a reader paused 400 ms after changes and then waited another 2 s, so that data of 2.4 s was usual.

Change: a watch ends 2 s after the last contact with the store, the pause included; hosts read the store themselves at 2.3 to 2.5 s and wake up at that moment; an answer older than 2.2 s is useless.

Why it works: in the worst case the data is 2.5 s old when the call begins, and half a second is left for it and a second try after a lost connection.

--- a/crates/cardamomwinch_coordination/src/forwarding/discovery/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/discovery/mod.rs
@@ -45,7 +45,8 @@
 use crate::forwarding::view::ForwardingView;
 
 /// How often a host that learns from another host checks whether it must read the store
-/// itself, because it has become a reader that other hosts depend on.
+/// itself, because it has become a reader that other hosts depend on. It checks sooner if its
+/// data gets too old before that.
 const SOURCE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(300);
 
 /// How often a starting host checks whether another host has sent it everything, or whether
@@ -327,7 +328,10 @@
         let may_skip_watch =
             self.startup_plan.may_skip_watch(age, now) && self.store_failing_since.is_none();
         match self.source {
-            ReadSource::Host(_) if watching => StoreCall::Pause(SOURCE_CHECK_INTERVAL),
+            ReadSource::Host(_) if watching => {
+                let remaining = self.source_choice.remaining_age(age);
+                StoreCall::Pause(SOURCE_CHECK_INTERVAL.min(remaining))
+            }
             ReadSource::Store if watching && may_skip_watch => {
                 StoreCall::Pause(SOURCE_CHECK_INTERVAL)
             }
--- a/crates/cardamomwinch_coordination/src/forwarding/discovery/read_source.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/discovery/read_source.rs
@@ -41,15 +41,18 @@
 const MAX_USELESS_ANSWERS: usize = 2;
 /// The maximum age of the data of a useful answer. Readers have contact with the store at
 /// least every two seconds.
-const MAX_ANSWER_AGE: time::Duration = time::Duration::from_millis(2_400);
+const MAX_ANSWER_AGE: time::Duration = time::Duration::from_millis(2_200);
 /// A source whose call to the store failed more recently than this has no current data.
 const STORE_FAILURE_WINDOW: time::Duration = time::Duration::from_secs(1);
 /// At this age of its data a host reads the store itself, plus up to [`MAX_DATA_AGE_SPREAD`],
 /// so that not all hosts of a domain that lost their source call the store at the same
 /// time.
-const MAX_DATA_AGE: time::Duration = time::Duration::from_millis(2_600);
+///
+/// Changes must be in force within three seconds, and the first one may follow the last
+/// contact at once. Half a second of them is left for the call and a second try.
+const MAX_DATA_AGE: time::Duration = time::Duration::from_millis(2_300);
 /// See [`MAX_DATA_AGE`].
-const MAX_DATA_AGE_SPREAD: time::Duration = time::Duration::from_millis(600);
+const MAX_DATA_AGE_SPREAD: time::Duration = time::Duration::from_millis(200);
 
 /// The source that a host learns from.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
@@ -126,7 +129,12 @@
 
     /// Whether the host reads the store itself although it has a source.
     pub fn must_read_store(&self, age: time::Duration) -> bool {
-        self.useless_answers >= MAX_USELESS_ANSWERS || age >= self.max_data_age()
+        self.useless_answers >= MAX_USELESS_ANSWERS || self.remaining_age(age).is_zero()
+    }
+
+    /// How much older data of the age `age` may get before the host reads the store itself.
+    pub fn remaining_age(&self, age: time::Duration) -> time::Duration {
+        self.max_data_age().saturating_sub(age)
     }
 
     /// The age at which the host no longer relies on its data.
--- a/crates/cardamomwinch_coordination/src/forwarding/discovery/store_reader.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/discovery/store_reader.rs
@@ -24,9 +24,10 @@
 /// compared with the seconds within which changes must take effect; few hosts read the
 /// store, and their data still has to reach the others.
 const BATCHING_PAUSE: time::Duration = time::Duration::from_millis(400);
-/// A watch waits no longer than this, whatever the settings allow. Other hosts learn from
-/// this one that nothing has changed, and do not rely on data that is older.
-const MAX_WATCH_WAIT: time::Duration = time::Duration::from_secs(2);
+/// A watch ends no later than this after the last contact with the store, whatever the settings
+/// allow. Other hosts learn from this one that nothing has changed, and do not rely on data
+/// that is older.
+const MAX_CONTACT_INTERVAL: time::Duration = time::Duration::from_secs(2);
 /// If the data is at least this old, the store is called without a wait: a host that begins
 /// to read must not wait for a change to become current.
 const OLD_DATA_AGE: time::Duration = time::Duration::from_secs(1);
@@ -122,7 +123,8 @@
                     wait: if age >= OLD_DATA_AGE {
                         time::Duration::ZERO
                     } else {
-                        self.watch_wait.min(MAX_WATCH_WAIT)
+                        self.watch_wait
+                            .min(MAX_CONTACT_INTERVAL.saturating_sub(age))
                     },
                 }
             }
--- a/crates/cardamomwinch_coordination/tests/forwarding_sources.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_sources.rs
@@ -5,6 +5,10 @@
 
 use forwarding_support::fleet::*;
 
+/// A change must be in force at all hosts that reach the store within this time, in
+/// milliseconds.
+const MAX_CHANGE_TIME: u64 = 3_000;
+
 /// Guards against calls to the store that grow with the number of hosts. Of 25 hosts two
 /// read the store, and all know a change within half a second.
 #[test]
@@ -47,18 +51,61 @@
         fleet.hosts[reader].condition = Condition::Cut;
     }
     let time = fleet.time_to_all();
-    assert!(time <= 3_500, "{time} ms");
+    assert!(time <= MAX_CHANGE_TIME, "{time} ms");
     let start = fleet.now;
     let mut oldest = 0;
     while fleet.now < start + 25_000 {
         fleet.run_until(fleet.now + 100);
         oldest = oldest.max(fleet.oldest_view());
     }
-    assert!(oldest <= 3_500, "what a host knew was {oldest} ms old");
+    assert!(
+        oldest <= MAX_CHANGE_TIME,
+        "what a host knew was {oldest} ms old"
+    );
     assert!(fleet.calls <= 120, "{} calls in half a minute", fleet.calls);
     assert!(fleet.readers().len() <= 2, "{:?}", fleet.readers());
 }
 
+/// Cuts the readers of all `domains` off from the store `delay` milliseconds after a change that
+/// all hosts know. Returns how long it takes until all other hosts know the next change.
+fn time_to_others(hosts: usize, domains: usize, delay: u64) -> u64 {
+    let mut fleet = Fleet::of_domains(hosts, domains);
+    fleet.run_until(SETTLED);
+    // A reader makes no call right after a change.
+    let readers = fleet.readers();
+    assert!(fleet.time_to_all() <= MAX_CHANGE_TIME);
+    fleet.run_until(fleet.now + delay);
+    for reader in &readers {
+        fleet.hosts[*reader].condition = Condition::StoreSilent;
+    }
+    let start = fleet.now;
+    fleet.write(2, true);
+    let is_other = |host: &usize| !readers.contains(host);
+    while fleet.unaware(2).iter().any(is_other) && fleet.now < start + 20_000 {
+        fleet.run_until(fleet.now + STEP);
+    }
+    fleet.now - start
+}
+
+/// Guards against new flows on a leaving server, and routes of an earlier configuration, at
+/// hosts that reach the store while the readers they learn from do not.
+#[yare::parameterized(
+    two_a_domain = { 10, 5 },
+    three_a_domain = { 15, 5 },
+    nine_a_domain = { 18, 2 },
+    one_domain = { 25, 1 },
+    large_domain = { 80, 1 },
+)]
+fn hosts_know_a_change_in_time_although_their_readers_lose_the_store(hosts: usize, domains: usize) {
+    for delay in [0, 20, 50, 100, 300, 450, 1_000, 1_990] {
+        let time = time_to_others(hosts, domains, delay);
+        assert!(
+            time <= MAX_CHANGE_TIME,
+            "{time} ms, cut off after {delay} ms"
+        );
+    }
+}
+
 /// The store refuses the readers and serves all others. The readers still answer queries,
 /// but their data gets old.
 #[test]
--- a/crates/cardamomwinch_coordination/tests/forwarding_support/fleet.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_support/fleet.rs
@@ -35,6 +35,8 @@
     Cut,
     /// The store refuses it; peers reach it.
     Refused,
+    /// It does not reach the store, but no connection breaks; peers reach it.
+    StoreSilent,
 }
 
 pub struct PendingCall {
@@ -286,7 +288,9 @@
         }
         let timeout = self.now >= call.until + 1_000;
         match self.hosts[index].condition {
-            Condition::Cut => return timeout.then_some(StoreOutcome::Failed),
+            Condition::Cut | Condition::StoreSilent => {
+                return timeout.then_some(StoreOutcome::Failed);
+            }
             Condition::Refused => return Some(StoreOutcome::Failed),
             Condition::Running | Condition::Dead => {}
         }
