Let the hosts next to a reader read the store for the others

Cause: gave all hosts of a domain the same early limit. (1) An answer counted as useless from 2.2 s on, before its sender reads the store itself, so hosts left a source that was about to be current, for one that was cut off, and a report about a silent server expired before it reached them. (2) In a fleet of 1,170 hosts a store that answers nothing for a second was called by all of them, and 989 listed it.

Evidence: a trace of the host without the report: its source answers with data of 2.32 s, 40 ms before it reads the store; the host goes to a host that is cut off and waits 3.3 s for it.

Change: an answer is useful up to the age at which its sender has read the store itself. Hosts that query a reader read the store at 2.3 to 2.5 s, hosts below them at 3.0 to 3.4 s: by then their source has read it and told them.

Why it works: with a store that answers, a change passes down a level in some 20 ms, so a domain needs the calls of the few hosts next to its readers only.

--- a/crates/cardamomwinch_coordination/src/forwarding/discovery/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/discovery/mod.rs
@@ -329,7 +329,7 @@
             self.startup_plan.may_skip_watch(age, now) && self.store_failing_since.is_none();
         match self.source {
             ReadSource::Host(_) if watching => {
-                let remaining = self.source_choice.remaining_age(age);
+                let remaining = self.source_choice.remaining_age(&self.peers, age);
                 StoreCall::Pause(SOURCE_CHECK_INTERVAL.min(remaining))
             }
             ReadSource::Store if watching && may_skip_watch => {
@@ -358,7 +358,7 @@
     fn choose_source(&mut self, now: Timestamp) {
         let host = self.source_choice.host_to_query(&self.peers, now);
         let age = now.since(self.as_of);
-        let usable = host.filter(|_| !self.source_choice.must_read_store(age));
+        let usable = host.filter(|_| !self.source_choice.must_read_store(&self.peers, age));
         let source = usable.map_or(ReadSource::Store, ReadSource::Host);
         if source != self.source {
             self.source = source;
--- a/crates/cardamomwinch_coordination/src/forwarding/discovery/read_source.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/discovery/read_source.rs
@@ -39,9 +39,9 @@
 const INNER_RANKS: usize = SPREAD_RANK / FAN_OUT;
 /// After this many useless answers in a row the host reads the store.
 const MAX_USELESS_ANSWERS: usize = 2;
-/// The maximum age of the data of a useful answer. Readers have contact with the store at
-/// least every two seconds.
-const MAX_ANSWER_AGE: time::Duration = time::Duration::from_millis(2_200);
+/// The maximum age of the data of a useful answer. A source that reaches the store has read it
+/// by this age, if need be by itself.
+const MAX_ANSWER_AGE: time::Duration = MAX_DATA_AGE.saturating_add(MAX_DATA_AGE_SPREAD);
 /// A source whose call to the store failed more recently than this has no current data.
 const STORE_FAILURE_WINDOW: time::Duration = time::Duration::from_secs(1);
 /// At this age of its data a host reads the store itself, plus up to [`MAX_DATA_AGE_SPREAD`],
@@ -51,8 +51,13 @@
 /// Changes must be in force within three seconds, and the first one may follow the last
 /// contact at once. Half a second of them is left for the call and a second try.
 const MAX_DATA_AGE: time::Duration = time::Duration::from_millis(2_300);
+/// The same for a host whose source is not a reader: by then its source has read the store, with
+/// a second try if need be. So only the few hosts that query a reader call the store.
+const MAX_INNER_DATA_AGE: time::Duration = time::Duration::from_millis(3_000);
 /// See [`MAX_DATA_AGE`].
 const MAX_DATA_AGE_SPREAD: time::Duration = time::Duration::from_millis(200);
+/// See [`MAX_INNER_DATA_AGE`].
+const MAX_INNER_DATA_AGE_SPREAD: time::Duration = time::Duration::from_millis(400);
 
 /// The source that a host learns from.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
@@ -73,6 +78,12 @@
     }
 }
 
+/// The number of readers of the own domain.
+fn reader_count(peers: &PeerList) -> usize {
+    let hosts = peers.own_domain_count();
+    hosts.div_ceil(HOSTS_PER_READER).clamp(1, MAX_READERS)
+}
+
 /// Chooses the source of one host.
 #[derive(Debug)]
 pub struct SourceChoice {
@@ -98,17 +109,8 @@
     /// The host to query; `None` for a reader.
     pub fn host_to_query(&self, peers: &PeerList, now: Timestamp) -> Option<net::SocketAddr> {
         let predecessors = peers.predecessors();
-        let hosts = peers.own_domain_count();
-        let readers = hosts.div_ceil(HOSTS_PER_READER).clamp(1, MAX_READERS);
         let rank = predecessors.len();
-        if rank < readers {
-            return None;
-        }
-        let first = if rank >= SPREAD_RANK {
-            INNER_RANKS + self.order_number as usize % (rank - INNER_RANKS)
-        } else {
-            (rank - readers) / FAN_OUT
-        };
+        let first = self.first_choice(rank, reader_count(peers))?;
         let steps = if now < self.fallback_until {
             self.fallback_steps
         } else {
@@ -117,6 +119,14 @@
         Some(predecessors[(first + steps) % rank])
     }
 
+    /// The rank of the host that this one queries, as long as that one's answers are useful;
+    /// `None` for a reader.
+    fn first_choice(&self, rank: usize, readers: usize) -> Option<usize> {
+        let inner = rank.checked_sub(readers)? / FAN_OUT;
+        let spread = || INNER_RANKS + self.order_number as usize % (rank - INNER_RANKS);
+        Some(if rank >= SPREAD_RANK { spread() } else { inner })
+    }
+
     /// The host to send reports about servers to: the one that this host queries. A reader
     /// sends them to another reader, because not all hosts learn from the same one.
     pub fn host_to_report_to(&self, peers: &PeerList, now: Timestamp) -> Option<net::SocketAddr> {
@@ -128,18 +138,27 @@
     }
 
     /// Whether the host reads the store itself although it has a source.
-    pub fn must_read_store(&self, age: time::Duration) -> bool {
-        self.useless_answers >= MAX_USELESS_ANSWERS || self.remaining_age(age).is_zero()
+    pub fn must_read_store(&self, peers: &PeerList, age: time::Duration) -> bool {
+        let is_useless = self.useless_answers >= MAX_USELESS_ANSWERS;
+        is_useless || self.remaining_age(peers, age).is_zero()
     }
 
     /// How much older data of the age `age` may get before the host reads the store itself.
-    pub fn remaining_age(&self, age: time::Duration) -> time::Duration {
-        self.max_data_age().saturating_sub(age)
+    pub fn remaining_age(&self, peers: &PeerList, age: time::Duration) -> time::Duration {
+        self.max_data_age(peers).saturating_sub(age)
     }
 
     /// The age at which the host no longer relies on its data.
-    fn max_data_age(&self) -> time::Duration {
-        MAX_DATA_AGE + MAX_DATA_AGE_SPREAD * (self.order_number % 16) as u32 / 16
+    fn max_data_age(&self, peers: &PeerList) -> time::Duration {
+        let readers = reader_count(peers);
+        let source = self.first_choice(peers.predecessors().len(), readers);
+        let queries_reader = source.is_none_or(|rank| rank < readers);
+        let (least, spread) = if queries_reader {
+            (MAX_DATA_AGE, MAX_DATA_AGE_SPREAD)
+        } else {
+            (MAX_INNER_DATA_AGE, MAX_INNER_DATA_AGE_SPREAD)
+        };
+        least + spread * (self.order_number % 16) as u32 / 16
     }
 
     /// Records the answer of the source, if any. Returns whether it was useful.
--- a/crates/cardamomwinch_coordination/tests/forwarding_reports.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_reports.rs
@@ -358,6 +358,24 @@
 )]
 fn a_report_reaches_all_hosts(hosts: usize, cut_each: usize, limit: u64) {
     let mut fleet = Fleet::settled(hosts);
+    spread_report(&mut fleet, cut_each, limit);
+}
+
+/// Guards against hosts that leave a source which is just about to read the store itself, for
+/// one that cannot be reached: their reports expire while they wait for its answer.
+#[test]
+fn a_report_reaches_all_hosts_whenever_the_others_are_cut_off() {
+    for offset in (0..fleet::WATCH).step_by(100) {
+        let mut fleet = Fleet::settled(23);
+        fleet.run_until(fleet.now + offset);
+        spread_report(&mut fleet, 3, 3_500);
+    }
+}
+
+/// Cuts off each `cut_each`th host, if that is not zero, and checks that a report of the last
+/// host reaches all others within `limit` milliseconds.
+fn spread_report(fleet: &mut Fleet, cut_each: usize, limit: u64) {
+    let hosts = fleet.hosts.len();
     if cut_each > 0 {
         for index in (4..hosts).step_by(cut_each) {
             fleet.hosts[index].condition = Condition::Cut;
@@ -379,10 +397,10 @@
                 .after(ReportSerial::default())
                 .any(|one| one.server == seen.server)
     };
-    while (0..hosts).any(|index| !knows(index, &fleet)) && fleet.now < start + limit {
+    while (0..hosts).any(|index| !knows(index, fleet)) && fleet.now < start + limit {
         fleet.run_until(fleet.now + 10);
     }
-    let without_report = (0..hosts).filter(|index| !knows(*index, &fleet)).count();
+    let without_report = (0..hosts).filter(|index| !knows(*index, fleet)).count();
     assert_eq!(without_report, 0, "after {} ms", fleet.now - start);
     let busiest = fleet.report_messages.iter().max().unwrap();
     assert!(*busiest <= 40, "{busiest} calls at one host");
