Stop waiting for a listing that makes no progress

A reader that loses the store while it lists it keeps saying that it lists, until its call for a page times out after 4 s; the others wait for it, and 2 s more. A change reaches them 4.3 to 5.1 s late; the bound is 3 s.

Cause: a host said that it was listing "now" as long as its call was pending.

Change: it says how long ago it requested the current page. Others wait for 2 s after that, as they did after the last news of a listing, and then read the store themselves.

Why it works: each page that arrives renews the time, so a long listing is still waited for, and one that stands still is not.

The simulated store lets the call for a page time out after 4 s, as the product does (1 s before).

--- a/crates/cardamomwinch_coordination/src/forwarding/discovery/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/discovery/mod.rs
@@ -197,6 +197,8 @@
     queried_at: Option<Timestamp>,
     /// When the store sent the first page of the listing that is being read.
     listing_sent_at: Option<Timestamp>,
+    /// When the page of a listing was requested that is being read.
+    page_requested_at: Option<Timestamp>,
     host_list_sent_at: Option<Timestamp>,
     /// Whether the last peer that answered knows other hosts than this one.
     knows_other_hosts: bool,
@@ -239,6 +241,7 @@
             queried_revision: StoreRevision::ZERO,
             queried_at: None,
             listing_sent_at: None,
+            page_requested_at: None,
             host_list_sent_at: None,
             knows_other_hosts: true,
             own_services: OwnServices::default(),
@@ -316,6 +319,13 @@
     /// The next call to the store. A host that learns from another host makes no calls
     /// while the data from that host is fresh.
     pub fn next_store_call(&mut self, now: Timestamp) -> StoreCall {
+        let call = self.choose_store_call(now);
+        let is_listing = matches!(call, StoreCall::List { .. });
+        self.page_requested_at = is_listing.then_some(now);
+        call
+    }
+
+    fn choose_store_call(&mut self, now: Timestamp) -> StoreCall {
         self.choose_source(now);
         let age = now.since(self.as_of);
         if self.waits_for_server_list(now) {
--- a/crates/cardamomwinch_coordination/src/forwarding/discovery/peer_exchange.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/discovery/peer_exchange.rs
@@ -12,7 +12,7 @@
     PeerAnswer, PeerEvacuation, PeerHost, PeerQuery, PeerServer,
 };
 use crate::forwarding::discovery::server_list::{ListPart, ServerList};
-use crate::forwarding::discovery::startup::TransferChoice;
+use crate::forwarding::discovery::startup::{self, TransferChoice};
 use crate::forwarding::discovery::store_call::StoreRevision;
 use crate::forwarding::discovery::{DiscoveryChange, DiscoveryEngine, peer_list};
 use crate::forwarding::evacuations::EvacuationRecord;
@@ -499,14 +499,14 @@
         answer
     }
 
-    /// How long ago a host was known to be listing the store, while this one waits for it.
-    /// Zero if this host is the one.
+    /// How long ago a host was known to make progress with a listing of the store, while this one
+    /// waits for it. If this host is the one: since it requested the current page. A page that
+    /// does not arrive is no progress, and its call takes seconds to time out.
     pub(super) fn listing_age(&mut self, now: Timestamp) -> Option<time::Duration> {
         let lists = !self.reader.is_watching() && !self.waits_for_server_list(now);
         let reads = lists && self.store_failing_since.is_none();
-        if reads {
-            return Some(time::Duration::ZERO);
-        }
-        self.startup_plan.listing_age(now)
+        let requested_at = self.page_requested_at.filter(|_| reads);
+        let own = requested_at.and_then(|at| startup::recent_listing_age(at, now));
+        own.or_else(|| self.startup_plan.listing_age(now))
     }
 }
--- a/crates/cardamomwinch_coordination/src/forwarding/discovery/startup.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/discovery/startup.rs
@@ -43,6 +43,12 @@
 /// this time.
 const SLOT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
+/// How long before `now` a host was known at `at` to be listing the store, if that is recent
+/// enough for others to wait for it.
+pub(super) fn recent_listing_age(at: Timestamp, now: Timestamp) -> Option<time::Duration> {
+    Some(now.since(at)).filter(|age| *age < LISTING_TIMEOUT)
+}
+
 /// Decides how long a starting host does not call the store, because others do.
 #[derive(Debug)]
 pub struct StartupPlan {
@@ -87,8 +93,8 @@
 
     /// How long ago a host was known to be listing the store, if that is recent.
     pub fn listing_age(&self, now: Timestamp) -> Option<time::Duration> {
-        let age = self.listing_known_at.map(|at| now.since(at));
-        age.filter(|age| *age < LISTING_TIMEOUT)
+        self.listing_known_at
+            .and_then(|at| recent_listing_age(at, now))
     }
 
     /// Whether the host does not call the store, because another host is listing it.
--- a/crates/cardamomwinch_coordination/tests/forwarding_sources.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_sources.rs
@@ -66,16 +66,10 @@
     assert!(fleet.readers().len() <= 2, "{:?}", fleet.readers());
 }
 
-/// Cuts the readers of all `domains` off from the store `delay` milliseconds after a change that
-/// all hosts know. Returns how long it takes until all other hosts know the next change.
-fn time_to_others(hosts: usize, domains: usize, delay: u64) -> u64 {
-    let mut fleet = Fleet::of_domains(hosts, domains);
-    fleet.run_until(SETTLED);
-    // A reader makes no call right after a change.
-    let readers = fleet.readers();
-    assert!(fleet.time_to_all() <= MAX_CHANGE_TIME);
-    fleet.run_until(fleet.now + delay);
-    for reader in &readers {
+/// Cuts `readers` off from the store and writes a change. Returns how long it takes until all
+/// other hosts know it.
+fn time_to_others(fleet: &mut Fleet, readers: &[usize]) -> u64 {
+    for reader in readers {
         fleet.hosts[*reader].condition = Condition::StoreSilent;
     }
     let start = fleet.now;
@@ -98,7 +92,13 @@
 )]
 fn hosts_know_a_change_in_time_although_their_readers_lose_the_store(hosts: usize, domains: usize) {
     for delay in [0, 20, 50, 100, 300, 450, 1_000, 1_990] {
-        let time = time_to_others(hosts, domains, delay);
+        let mut fleet = Fleet::of_domains(hosts, domains);
+        fleet.run_until(SETTLED);
+        // A reader makes no call right after a change.
+        let readers = fleet.readers();
+        assert!(fleet.time_to_all() <= MAX_CHANGE_TIME);
+        fleet.run_until(fleet.now + delay);
+        let time = time_to_others(&mut fleet, &readers);
         assert!(
             time <= MAX_CHANGE_TIME,
             "{time} ms, cut off after {delay} ms"
@@ -106,6 +106,30 @@
     }
 }
 
+/// Like the test above, but the readers lose the store while they list it, and the others wait
+/// for their listing.
+#[yare::parameterized(
+    two_a_domain = { 10, 5 },
+    three_a_domain = { 15, 5 },
+    one_domain = { 25, 1 },
+)]
+fn hosts_know_a_change_in_time_although_the_host_that_lists_the_store_loses_it(
+    hosts: usize,
+    domains: usize,
+) {
+    let mut fleet = Fleet::of_domains(hosts, domains);
+    fleet.run_until(SETTLED);
+    let readers = fleet.readers();
+    fleet.reset_counters();
+    fleet.write(1, true);
+    fleet.history_begins = fleet.revision;
+    while fleet.listings < readers.len() && fleet.now < SETTLED + WATCH {
+        fleet.run_until(fleet.now + STEP);
+    }
+    let time = time_to_others(&mut fleet, &readers);
+    assert!(time <= MAX_CHANGE_TIME, "{time} ms");
+}
+
 /// The store refuses the readers and serves all others. The readers still answer queries,
 /// but their data gets old.
 #[test]
--- a/crates/cardamomwinch_coordination/tests/forwarding_support/fleet.rs
+++ b/crates/cardamomwinch_coordination/tests/forwarding_support/fleet.rs
@@ -18,6 +18,10 @@
 pub const STEP: u64 = 10;
 /// How long the store lets a watch wait, in milliseconds.
 pub const WATCH: u64 = 2_000;
+/// How long after the end of its wait a watch times out, in milliseconds.
+const WATCH_TIMEOUT: u64 = 1_000;
+/// After this time the call for a page of a listing times out, in milliseconds.
+const PAGE_TIMEOUT: u64 = 4_000;
 /// How long a host without data waits for a connection, in milliseconds.
 const START_CONNECT: u64 = 15;
 /// The least time between two messages of a host with reports, in milliseconds.
@@ -286,7 +290,13 @@
         if matches!(call.call, StoreCall::Pause(_)) {
             return (self.now >= call.until).then_some(StoreOutcome::Paused);
         }
-        let timeout = self.now >= call.until + 1_000;
+        let is_listing = matches!(call.call, StoreCall::List { .. });
+        let timeout = if is_listing {
+            PAGE_TIMEOUT
+        } else {
+            WATCH_TIMEOUT
+        };
+        let timeout = self.now >= call.until + timeout;
         match self.hosts[index].condition {
             Condition::Cut | Condition::StoreSilent => {
                 return timeout.then_some(StoreOutcome::Failed);
