Give readers time to say that they list a store without history

Cause: hosts leave a listing to the readers only once they have heard of it, and all hosts with a call learn of the lost history at the same moment.

Change: a host that learns from others waits as long as at its start (150 to 550 ms, by its place in the order) before it lists, to hear of a listing.

Why it works: the readers list at once, and their sources tell the others within that time, level by level; if nobody lists, the hosts do so one after the other.

--- a/crates/cardamomwinch_coordination/src/forwarding/discovery/mod.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/discovery/mod.rs
@@ -399,6 +399,9 @@
             StoreOutcome::Failed => self.note_store_failure(now),
             _ => self.note_store_answer(now),
         }
+        if matches!(outcome, StoreOutcome::HistoryGone) {
+            self.startup_plan.note_lost_history(now);
+        }
         let has_source = self.source_choice.host_to_query(&self.peers, now).is_some();
         self.adopt_listed_routes(&outcome);
         let had_no_data = self.has_no_data();
--- a/crates/cardamomwinch_coordination/src/forwarding/discovery/startup.rs
+++ b/crates/cardamomwinch_coordination/src/forwarding/discovery/startup.rs
@@ -56,6 +56,9 @@
     started_at: Option<Timestamp>,
     /// When a host was last known to be listing the store.
     listing_known_at: Option<Timestamp>,
+    /// When the store last told this host that it no longer has the changes since the revision
+    /// known here.
+    history_lost_at: Option<Timestamp>,
 }
 
 impl StartupPlan {
@@ -72,6 +75,7 @@
             },
             started_at: None,
             listing_known_at: None,
+            history_lost_at: None,
         }
     }
 
@@ -86,6 +90,11 @@
         self.listing_known_at = self.listing_known_at.max(Some(at));
     }
 
+    /// Records that the store no longer has the changes that this host needs.
+    pub const fn note_lost_history(&mut self, now: Timestamp) {
+        self.history_lost_at = Some(now);
+    }
+
     /// Records that the data of the listing has arrived.
     pub const fn note_listing_received(&mut self) {
         self.listing_known_at = None;
@@ -97,9 +106,12 @@
             .and_then(|at| recent_listing_age(at, now))
     }
 
-    /// Whether the host does not call the store, because another host is listing it.
+    /// Whether the host does not call the store, because another host is listing it, or is
+    /// about to: all hosts that read the store lose its history at the same time.
     pub fn waits_for_listing(&self, now: Timestamp) -> bool {
-        !self.store_delay.is_zero() && self.listing_age(now).is_some()
+        let may_hear = |at: Timestamp| now.since(at) < self.store_delay;
+        let is_lost = self.history_lost_at.is_some_and(may_hear);
+        !self.store_delay.is_zero() && (is_lost || self.listing_age(now).is_some())
     }
 
     /// Whether the host may not know the hosts that precede it yet, and learns from any
