--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import base64
-import heapq
 import json
 import os
 import random
@@ -23,6 +22,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 import zlib
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -92,7 +92,7 @@
     """The file `record.txt` of a case."""
 
     def __init__(self, path):
-        self.file = open(path, "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8", buffering=1)
         self.begun = time.monotonic()
 
     def line(self, text):
@@ -776,6 +776,8 @@
             flow.receive(packet, sender)
 
 
+# The worlds of this process, whose hosts are ended with it.
+WORLDS = []
 # The second numbers of the loopback addresses, one for each world of this process.
 OCTETS = random.sample(range(20, 240), 16)
 
@@ -804,6 +806,7 @@
         self.open_flows = {}
         self.runs = {}
         self.openings = []
+        WORLDS.append(self)
 
     def address(self, kind, zone, number):
         return f"127.{self.octet}.{kind * 10 + self.zones.index(zone)}.{number}"
@@ -929,22 +932,32 @@
     record = Record(os.path.join(folder, "record.txt"))
     record.line(f"TROUBLE={int(TROUBLE)}")
 
+    def finish(code):
+        record.line({HELD: "the rule held", BROKEN: "the rule was broken", COULD_NOT_RUN: "not run"}[code])
+        record.close()
+        # Tasks that are still waiting must not keep the process alive.
+        os._exit(code)
+
     async def run():
         world = World(record, zones)
         guard = world.lag_guard()
-        try:
-            return await asyncio.wait_for(case(world), limit)
-        finally:
-            guard.cancel()
-            record.line(f"the stand-ins stood still for {world.worst_lag * 1000:.0f} ms at most")
-            world.end()
-
-    try:
-        held = asyncio.run(run())
-        code = HELD if held else BROKEN
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
-        record.line(f"could not run: {error!r}")
-        code = COULD_NOT_RUN
-    record.line({HELD: "the rule held", BROKEN: "the rule was broken", COULD_NOT_RUN: "not run"}[code])
-    record.close()
-    return code
+        task = asyncio.ensure_future(case(world))
+        await asyncio.wait([task], timeout=limit)
+        guard.cancel()
+        record.line(f"the stand-ins stood still for {world.worst_lag * 1000:.0f} ms at most")
+        for one in WORLDS:
+            one.end()
+        if not task.done():
+            record.line("could not run: it took too long")
+            finish(COULD_NOT_RUN)
+        error = task.exception()
+        if isinstance(error, (CannotRun, OSError)):
+            record.line(f"could not run: {error!r}")
+            finish(COULD_NOT_RUN)
+        if error is not None:
+            traceback.print_exception(error)
+            record.line(f"could not run: {error!r}")
+            finish(COULD_NOT_RUN)
+        finish(HELD if task.result() else BROKEN)
+
+    asyncio.run(run())
