--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,7 @@
 """Backends that hold as many flows as they may answer no further opening. Do the sessions
 that they hold stay open?
 
-A rush opens sessions on a service of four backends. Each session asks once and then pauses,
+A rush opens sessions on a service of two backends. Each session asks once and then pauses,
 for less than the idle timeout. With the burst the rush is 1.7 times as strong for 3 s, and
 the last callers find all backends full.
 """
@@ -20,7 +20,7 @@
 SESSIONS = (w.ip_number("198.18.0.1"), 443)
 STEADY = (w.ip_number("198.18.0.2"), 8443)
 MAX_CONNS = 2000
-RUSH_PER_S = 900
+RUSH_PER_S = 450
 RUSH_S = 8.0
 BURST_AT_S, BURST_FOR_S, BURST_X = 5.0, 3.0, 1.7
 PAUSE_S = (11.0, 13.0)
@@ -31,7 +31,7 @@
     record = world.record
     hosts = [await world.add_host(ZONE, f"front-{ZONE}-{n}", n) for n in (1, 2, 3)]
     world.set_seeds(hosts)
-    for number in range(1, 5):
+    for number in range(1, 3):
         world.add_backend("intake", ZONE, number, slots=3, queue=12, work_s=0.002, max_conns=MAX_CONNS)
     for number in range(11, 25):
         world.add_backend("stream", ZONE, number, slots=3)
@@ -117,7 +117,7 @@
         outcomes[flow.outcome] = outcomes.get(flow.outcome, 0) + 1
     record.line(f"outcomes of sessions: {outcomes}")
     record.line(f"requests: {counts}")
-    for backend in world.backends[:4]:
+    for backend in world.backends[:2]:
         record.line(
             f"{backend.name}: holds {len(backend.flows)} flows, left {backend.refused_full} openings unanswered"
         )
