--- a/review/4/case.py
+++ b/review/4/case.py
@@ -17,8 +17,8 @@
 import world as w
 
 ZONE = "giza-a"
-SESSIONS = (w.ip_number("198.18.0.1"), 443)
-STEADY = (w.ip_number("198.18.0.2"), 8443)
+SESSIONS = (w.ip_number("127.250.0.1"), 443)
+STEADY = (w.ip_number("127.250.0.2"), 8443)
 MAX_CONNS = 2000
 RUSH_PER_S = 450
 RUSH_S = 8.0
@@ -36,8 +36,8 @@
     for number in range(11, 25):
         world.add_backend("stream", ZONE, number, slots=3)
     routes = [
-        w.route("sessions", "198.18.0.1", 443, "safe", "intake", goal=500, timeout=5000),
-        w.route("steady", "198.18.0.2", 8443, "safe", "stream"),
+        w.route("sessions", "127.250.0.1", 443, "safe", "intake", goal=500, timeout=5000),
+        w.route("steady", "127.250.0.2", 8443, "safe", "stream"),
     ]
     world.store.write("op/config", w.configuration(7, routes, ["intake", "stream"], max_conns=MAX_CONNS))
     for backend in world.backends:
